--- /dev/null
+++ b/packages/coordination/include/shuntjunction/coordination/platform.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "shuntjunction/state/config_store.h"
+#include "shuntjunction/state/endpoint_table.h"
+#include "shuntjunction/state/error.h"
+#include "shuntjunction/transport/task.h"
+
+/// What the platform gives: objects, watches, the list of instances.
+namespace shuntjunction::coordination {
+
+/// Objects as of a revision of the platform.
+struct ObjectList
+{
+  std::uint64_t mRevision = 0;
+  std::vector<state::RawObject> mObjects;
+};
+
+/// What a watch brought.
+struct WatchAnswer
+{
+  std::uint64_t mRevision = 0;
+  std::vector<state::RawObject> mChanges; ///< deleted ones have no value
+  bool mIsGap = false;                    ///< changes were lost: list again
+};
+
+/// The list of live and leaving instances.
+struct InstanceList
+{
+  std::uint64_t mRevision = 0;
+  std::vector<state::InstanceInfo> mInstances;
+};
+
+/// The platform's service, behind which whatever is particular to it stays.
+///
+/// Every method is one call that the platform counts.
+/// Thread safety: none; an instance is used on one thread.
+/// Errors: kUnavailable when the call certainly had no effect, kTimeout when
+/// its effect is unknown, kConflict when a condition did not hold.
+class Platform
+{
+public:
+  virtual ~Platform() = default;
+
+  /// All objects whose keys begin with a prefix.
+  virtual transport::Task<state::Result<ObjectList>> List(
+    std::string aPrefix) = 0;
+
+  /// One object; empty when there is none.
+  virtual transport::Task<state::Result<std::optional<state::RawObject>>> Read(
+    std::string aKey) = 0;
+
+  /// Writes an object if its revision is aIfRevision; 0 when it must not
+  /// exist.
+  ///
+  /// @return the object's new revision
+  virtual transport::Task<state::Result<std::uint64_t>>
+  Write(std::string aKey, std::string aValue, std::uint64_t aIfRevision) = 0;
+
+  /// Deletes an object if its revision is aIfRevision.
+  virtual transport::Task<state::Result<void>> Delete(
+    std::string aKey,
+    std::uint64_t aIfRevision) = 0;
+
+  /// Waits for changes below a prefix after a revision.
+  virtual transport::Task<state::Result<WatchAnswer>>
+  Watch(std::string aPrefix, std::uint64_t aAfter, state::Millis aWait) = 0;
+
+  /// Waits for a list of instances newer than a revision.
+  virtual transport::Task<state::Result<InstanceList>> Instances(
+    std::uint64_t aAfter,
+    state::Millis aWait) = 0;
+};
+
+} // namespace shuntjunction::coordination
--- /dev/null
+++ b/packages/coordination/src/backend_service.cpp
@@ -0,0 +1,147 @@
+// A plain service over HTTP: calls are passed on as they came.
+
+#include "shuntjunction/coordination/backend.h"
+#include "shuntjunction/state/settings.h"
+#include "shuntjunction/transport/http_client.h"
+
+namespace shuntjunction::coordination {
+
+using state::ErrorCode;
+using state::Fail;
+using state::Millis;
+using state::Result;
+using transport::HttpRequest;
+using transport::HttpStream;
+using transport::Task;
+
+namespace {
+
+constexpr std::string_view kHealthTarget = "/healthz";
+
+/// Reads a service's whole answer.
+class ServiceAnswer final : public BackendAnswer
+{
+public:
+  ServiceAnswer(std::unique_ptr<HttpStream> aStream,
+                std::string aPeer,
+                std::size_t aMaxBytes)
+    : mStream(std::move(aStream))
+    , mPeer(std::move(aPeer))
+    , mMaxBytes(aMaxBytes)
+  {
+  }
+
+  state::Incarnation CurrentIncarnation() const override { return 0; }
+  std::uint32_t Weights() const override { return 0; }
+  std::uint32_t CachedBlocks() const override { return 0; }
+
+  Task<Result<BackendEvent>> Next(Millis aTimeout) override
+  {
+    BackendEnd end;
+    end.mStatus = mStream->Status();
+    end.mContentType = mStream->Field("content-type");
+    while (true) {
+      auto piece = co_await mStream->Read(aTimeout);
+      if (!piece) {
+        co_return tl::unexpected(piece.error());
+      }
+      if (piece->empty()) {
+        co_return BackendEvent(std::move(end));
+      }
+      end.mBody += *piece;
+      if (end.mBody.size() > mMaxBytes) {
+        co_return Fail(
+          ErrorCode::kTooLarge, "service.answer", mPeer, "answer too large");
+      }
+    }
+  }
+
+private:
+  std::unique_ptr<HttpStream> mStream;
+  std::string mPeer;
+  std::size_t mMaxBytes;
+};
+
+class ServiceBackend final : public Backend
+{
+public:
+  ServiceBackend(const state::Address& aAddress,
+                 const state::CompanionSettings& aSettings,
+                 std::size_t aMaxAnswerBytes)
+    : mClient(aAddress, aMaxAnswerBytes)
+    , mMaxAnswerBytes(aMaxAnswerBytes)
+    , mTimeout(aSettings.mBackendTimeout)
+  {
+  }
+
+  bool IsEngine() const override { return false; }
+
+  Task<Result<std::unique_ptr<BackendAnswer>>> Open(BackendCall aCall) override
+  {
+    const auto& submit = aCall.mSubmit;
+    HttpRequest request;
+    request.mMethod = submit.mMethod;
+    request.mTarget = submit.mTarget;
+    request.mContentType = submit.mContentType;
+    request.mBody = submit.mBody;
+    request.mFields = { { "x-request-id", submit.mRequestId },
+                        { "x-team", submit.mTeam } };
+    if (!submit.mKey.empty()) {
+      request.mFields.push_back({ "idempotency-key", submit.mKey });
+    }
+    const Millis deadline(submit.mDeadlineMs);
+    auto stream = co_await mClient.Open(std::move(request),
+                                        mTimeout,
+                                        std::max(mTimeout, deadline),
+                                        aCall.mCancel);
+    if (!stream) {
+      co_return tl::unexpected(stream.error());
+    }
+    std::unique_ptr<BackendAnswer> answer = std::make_unique<ServiceAnswer>(
+      std::move(*stream), mClient.Peer().Text(), mMaxAnswerBytes);
+    co_return answer;
+  }
+
+  Task<Result<BackendState>> State() override
+  {
+    HttpRequest request;
+    request.mTarget = kHealthTarget;
+    const auto answer = co_await mClient.Send(std::move(request), mTimeout);
+    if (!answer) {
+      co_return tl::unexpected(answer.error());
+    }
+    co_return BackendState{ .mIncarnation = 1 };
+  }
+
+  Task<Result<CacheEvents>> Events(std::uint64_t /*aAfter*/,
+                                   Millis aWait) override
+  {
+    co_await transport::Sleep(aWait);
+    co_return CacheEvents{};
+  }
+
+  Task<Result<void>> Order(BackendOrder /*aOrder*/) override
+  {
+    co_return Fail(ErrorCode::kInvalidArgument,
+                   "service.order",
+                   mClient.Peer().Text(),
+                   "a plain service takes no orders");
+  }
+
+private:
+  transport::HttpClient mClient;
+  std::size_t mMaxAnswerBytes;
+  Millis mTimeout;
+};
+
+} // namespace
+
+std::unique_ptr<Backend>
+MakeServiceBackend(const state::Address& aAddress,
+                   const state::CompanionSettings& aSettings,
+                   std::size_t aMaxAnswerBytes)
+{
+  return std::make_unique<ServiceBackend>(aAddress, aSettings, aMaxAnswerBytes);
+}
+
+} // namespace shuntjunction::coordination
--- /dev/null
+++ b/packages/coordination/src/claim_keeper.cpp
@@ -0,0 +1,186 @@
+#include "shuntjunction/coordination/claim_keeper.h"
+
+#include "shuntjunction/state/digest.h"
+
+namespace shuntjunction::coordination {
+
+using state::ClaimMachine;
+using state::ClaimRecord;
+using state::ClaimStep;
+using state::ErrorCode;
+using state::Millis;
+using state::Result;
+using state::TimePoint;
+using transport::Task;
+
+namespace {
+
+constexpr Millis kRetryPause{ 50 };
+
+/// How often a record or a release is tried before it is left as it is.
+constexpr int kBackgroundTries = 40;
+constexpr Millis kBackgroundPause{ 500 };
+
+/// Counts a task for as long as it lives.
+class PendingGuard
+{
+public:
+  explicit PendingGuard(std::size_t& aCount)
+    : mCount(aCount)
+  {
+    ++mCount;
+  }
+  ~PendingGuard() { --mCount; }
+  PendingGuard(const PendingGuard&) = delete;
+  PendingGuard& operator=(const PendingGuard&) = delete;
+
+private:
+  std::size_t& mCount;
+};
+
+} // namespace
+
+std::string
+ClaimKey(std::string_view aTeam, std::string_view aKey)
+{
+  return "claims/" + std::string(aTeam) + "/" + state::Sha256Hex(aKey);
+}
+
+ClaimKeeper::ClaimKeeper(boost::asio::io_context& aContext,
+                         Platform& aPlatform,
+                         const state::Clock& aClock,
+                         Metrics& aMetrics)
+  : mContext(aContext)
+  , mPlatform(aPlatform)
+  , mClock(aClock)
+  , mMetrics(aMetrics)
+  , mLog("claims")
+{
+}
+
+Task<Result<std::optional<ClaimRecord>>>
+ClaimKeeper::ReadRecord(std::string aKey)
+{
+  auto object = co_await mPlatform.Read(std::move(aKey));
+  if (!object) {
+    co_return tl::unexpected(object.error());
+  }
+  if (!*object) {
+    co_return std::optional<ClaimRecord>();
+  }
+  auto record = state::ReadClaimRecord((*object)->mValue);
+  if (!record) {
+    co_return tl::unexpected(record.error());
+  }
+  co_return std::optional<ClaimRecord>(std::move(*record));
+}
+
+Task<ClaimVerdict>
+ClaimKeeper::Settle(std::string aTeam,
+                    std::string aKey,
+                    std::string aDigest,
+                    TimePoint aUntil)
+{
+  ClaimMachine machine(state::RandomNonce(), std::move(aDigest));
+  ClaimVerdict verdict;
+  verdict.mKey = ClaimKey(aTeam, aKey);
+  verdict.mRecord = machine.Own(mClock.WallMillis());
+  while (machine.Step() == ClaimStep::kCreate ||
+         machine.Step() == ClaimStep::kReadBack) {
+    if (mClock.Now() >= aUntil) {
+      machine.OutOfTime();
+      break;
+    }
+    bool isAnswered = false;
+    if (machine.Step() == ClaimStep::kCreate) {
+      const auto written = co_await mPlatform.Write(
+        verdict.mKey, state::WriteClaimRecord(verdict.mRecord), 0);
+      isAnswered = written || written.error().mCode == ErrorCode::kConflict;
+      machine.CreateAnswered(written);
+    } else {
+      const auto found = co_await ReadRecord(verdict.mKey);
+      isAnswered = found.has_value();
+      machine.ReadAnswered(found);
+    }
+    if (!isAnswered) {
+      mMetrics.Count("shuntjunction_claim_unanswered_total");
+      co_await transport::Sleep(kRetryPause);
+    }
+  }
+  verdict.mStep = machine.Step();
+  mMetrics.Count(
+    "shuntjunction_claims_total",
+    { { "outcome", std::string(state::kClaimStepNames.Name(verdict.mStep)) } });
+  if (verdict.mStep == ClaimStep::kUndecided && machine.MayHaveWritten()) {
+    Release(verdict);
+  }
+  if (verdict.mStep != ClaimStep::kHandOver &&
+      verdict.mStep != ClaimStep::kUndecided) {
+    verdict.mRecord = machine.Found();
+  }
+  co_return verdict;
+}
+
+Task<void>
+ClaimKeeper::Record(ClaimVerdict aVerdict)
+{
+  const PendingGuard guard(mPending);
+  if (aVerdict.mRecord.mBody.size() > kMaxRecordedBytes) {
+    mLog.Warn("an outcome is too large to record.");
+    co_return;
+  }
+  for (int i = 0; i < kBackgroundTries; ++i) {
+    const auto object = co_await mPlatform.Read(aVerdict.mKey);
+    if (object && *object) {
+      const auto found = state::ReadClaimRecord((*object)->mValue);
+      if (!found || found->mNonce != aVerdict.mRecord.mNonce ||
+          found->mIsDone) {
+        co_return;
+      }
+      const auto written =
+        co_await mPlatform.Write(aVerdict.mKey,
+                                 state::WriteClaimRecord(aVerdict.mRecord),
+                                 (*object)->mRevision);
+      if (written) {
+        co_return;
+      }
+    }
+    co_await transport::Sleep(kBackgroundPause);
+  }
+  mLog.Warn("an outcome could not be recorded.");
+  mMetrics.Count("shuntjunction_claim_unrecorded_total");
+}
+
+void
+ClaimKeeper::Release(const ClaimVerdict& aVerdict)
+{
+  transport::Spawn(mContext, Delete(aVerdict.mKey, aVerdict.mRecord.mNonce));
+}
+
+Task<void>
+ClaimKeeper::Delete(std::string aKey, std::string aNonce)
+{
+  const PendingGuard guard(mPending);
+  // A create whose answer was lost may still arrive: look more than once.
+  int absent = 0;
+  constexpr int kAbsentToBelieve = 3;
+  for (int i = 0; i < kBackgroundTries && absent < kAbsentToBelieve; ++i) {
+    const auto object = co_await mPlatform.Read(aKey);
+    if (object && !*object) {
+      ++absent;
+    } else if (object) {
+      const auto found = state::ReadClaimRecord((*object)->mValue);
+      if (!found || found->mNonce != aNonce) {
+        co_return;
+      }
+      const auto deleted =
+        co_await mPlatform.Delete(aKey, (*object)->mRevision);
+      if (deleted) {
+        co_return;
+      }
+    }
+    co_await transport::Sleep(kBackgroundPause);
+  }
+}
+
+} // namespace shuntjunction::coordination
--- /dev/null
+++ b/packages/coordination/src/config_feed.cpp
@@ -0,0 +1,229 @@
+#include "shuntjunction/coordination/config_feed.h"
+
+#include <algorithm>
+
+#include "shuntjunction/state/digest.h"
+#include "shuntjunction/state/prefix_chain.h"
+
+namespace shuntjunction::coordination {
+
+using state::MergeOutcome;
+using state::Millis;
+using transport::Task;
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Millis kPeerTimeout{ 1000 };
+constexpr std::size_t kPeersAsked = 3;
+constexpr double kJitter = 0.5; ///< share by which a pause may be longer
+
+} // namespace
+
+ConfigFeed::ConfigFeed(boost::asio::io_context& aContext,
+                       const ConfigFeedSettings& aSettings,
+                       Platform& aPlatform,
+                       OnConfig aOnConfig,
+                       OnInstances aOnInstances)
+  : mContext(aContext)
+  , mSettings(aSettings)
+  , mPlatform(aPlatform)
+  , mOnConfig(std::move(aOnConfig))
+  , mOnInstances(std::move(aOnInstances))
+  , mRandom(state::PlacementHash(state::RandomNonce()))
+  , mLog("config")
+{
+}
+
+void
+ConfigFeed::Start()
+{
+  transport::Spawn(mContext, FollowConfig());
+  if (mSettings.mFollowsInstances) {
+    transport::Spawn(mContext, FollowInstances());
+  }
+}
+
+void
+ConfigFeed::Publish()
+{
+  PublishedConfig published;
+  published.mSnapshot = mStore.Current();
+  published.mText = std::make_shared<const std::string>(mStore.Serialize());
+  const auto& snapshot = *published.mSnapshot;
+  mLog.Info("version " + std::to_string(snapshot.mVersion.mRevision) +
+            " of epoch " + std::to_string(snapshot.mVersion.mEpoch) +
+            " is in force.");
+  for (const auto& object : snapshot.mQuarantined) {
+    mLog.Warn("object " + object.mKey + " of revision " +
+              std::to_string(object.mRevision) +
+              " is not in force: " + object.mReason + ".");
+  }
+  mOnConfig(std::move(published));
+}
+
+void
+ConfigFeed::NoteOutcome(MergeOutcome aOutcome, std::uint64_t aRevision)
+{
+  switch (aOutcome) {
+    case MergeOutcome::kApplied:
+      mWasRestoreReported = false;
+      Publish();
+      return;
+    case MergeOutcome::kUnchanged:
+      mWasRestoreReported = false;
+      return;
+    case MergeOutcome::kOlder:
+      ++mCounters.mOlderRefused;
+      if (!std::exchange(mWasRestoreReported, true)) {
+        mLog.Warn("the platform answers with revision " +
+                  std::to_string(aRevision) + ", older than revision " +
+                  std::to_string(mStore.Cursor().mRevision) +
+                  " seen before; it is not followed.");
+      }
+      return;
+  }
+}
+
+Task<bool>
+ConfigFeed::ListAll()
+{
+  ++mCounters.mPlatformCalls;
+  const auto list = co_await mPlatform.List(std::string(state::kConfigPrefix));
+  if (!list) {
+    ++mCounters.mPlatformErrors;
+    mLog.Warn("the list failed: " + list.error().Describe() + ".");
+    co_return false;
+  }
+  const auto outcome = mStore.ApplyList(list->mRevision, list->mObjects);
+  NoteOutcome(outcome, list->mRevision);
+  co_return outcome != MergeOutcome::kOlder;
+}
+
+Task<bool>
+ConfigFeed::WatchOnce()
+{
+  ++mCounters.mPlatformCalls;
+  const std::uint64_t after = mStore.Cursor().mRevision;
+  const auto watch = co_await mPlatform.Watch(
+    std::string(state::kConfigPrefix), after, mSettings.mWatchTimeout);
+  if (!watch) {
+    ++mCounters.mPlatformErrors;
+    mLog.Warn("the watch failed: " + watch.error().Describe() + ".");
+    co_return false;
+  }
+  if (watch->mIsGap || mStore.Cursor().mRevision != after) {
+    // Changes were lost, or a peer was faster: the answer does not follow on.
+    mCounters.mGaps += watch->mIsGap ? 1 : 0;
+    co_return co_await ListAll();
+  }
+  const auto outcome = mStore.ApplyChanges(watch->mRevision, watch->mChanges);
+  NoteOutcome(outcome, watch->mRevision);
+  if (outcome == MergeOutcome::kOlder) {
+    co_return co_await ListAll();
+  }
+  co_return true;
+}
+
+Task<void>
+ConfigFeed::FollowConfig()
+{
+  bool isListed = false;
+  while (true) {
+    const bool isGood = isListed ? co_await WatchOnce() : co_await ListAll();
+    if (isGood) {
+      isListed = true;
+      continue;
+    }
+    // What was missed meanwhile is not known: list again.
+    isListed = false;
+    co_await AskPeers();
+    co_await PauseAfterFailure();
+  }
+}
+
+Task<void>
+ConfigFeed::AskPeers()
+{
+  auto peers = mSettings.mPeers;
+  std::shuffle(peers.begin(), peers.end(), mRandom);
+  peers.resize(std::min(peers.size(), kPeersAsked));
+  const transport::ChannelIdentity identity{ mSettings.mName,
+                                             mSettings.mSecret,
+                                             Version().Packed() };
+  for (const auto& peer : peers) {
+    const auto address = state::ParseAddress(peer);
+    if (!address) {
+      continue;
+    }
+    const auto channel = co_await transport::ConnectChannel(
+      *address, identity, kPeerTimeout, mChannelCounters);
+    if (!channel) {
+      mLog.Debug("no snapshot: " + channel.error().Describe() + ".");
+      continue;
+    }
+    (*channel)->Send(protocol::SnapshotRequest{ Version().Packed() });
+    asio::steady_timer timer(mContext, kPeerTimeout);
+    timer.async_wait([weak = std::weak_ptr(*channel)](auto aError) {
+      const auto open = weak.lock();
+      if (!aError && open) {
+        open->Close();
+      }
+    });
+    auto message = co_await (*channel)->Receive();
+    timer.cancel();
+    const auto* reply =
+      message ? std::get_if<protocol::SnapshotReply>(&*message) : nullptr;
+    if (reply != nullptr && !reply->mText.empty()) {
+      TakePeerText(reply->mText, peer);
+    }
+    (*channel)->Close();
+  }
+}
+
+void
+ConfigFeed::TakePeerText(const std::string& aText, const std::string& aPeer)
+{
+  const auto outcome = mStore.ApplyPeer(aText, aPeer);
+  if (!outcome) {
+    mLog.Warn("a snapshot was refused: " + outcome.error().Describe() + ".");
+    return;
+  }
+  if (*outcome == MergeOutcome::kApplied) {
+    ++mCounters.mFromPeers;
+    mLog.Info("took a snapshot from " + aPeer + ".");
+    Publish();
+  }
+}
+
+Task<void>
+ConfigFeed::PauseAfterFailure()
+{
+  std::uniform_real_distribution<double> jitter(1.0, 1.0 + kJitter);
+  const auto pause = static_cast<double>(mSettings.mRetryPause.count());
+  co_await transport::Sleep(
+    Millis(static_cast<std::int64_t>(pause * jitter(mRandom))));
+}
+
+Task<void>
+ConfigFeed::FollowInstances()
+{
+  std::uint64_t revision = 0;
+  while (true) {
+    ++mCounters.mPlatformCalls;
+    const auto list =
+      co_await mPlatform.Instances(revision, mSettings.mWatchTimeout);
+    if (!list) {
+      ++mCounters.mPlatformErrors;
+      mLog.Warn("the list of instances failed: " + list.error().Describe() +
+                ".");
+      co_await PauseAfterFailure();
+      continue;
+    }
+    // The list only says who may exist, so that an older one does no harm.
+    revision = list->mRevision;
+    mOnInstances(list->mInstances);
+  }
+}
+
+} // namespace shuntjunction::coordination
--- /dev/null
+++ b/packages/coordination/src/daemon.cpp
@@ -0,0 +1,364 @@
+#include "shuntjunction/coordination/daemon.h"
+
+#include <atomic>
+#include <random>
+#include <thread>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
+
+#include "shuntjunction/coordination/admin.h"
+#include "shuntjunction/coordination/companion.h"
+#include "shuntjunction/coordination/config_feed.h"
+#include "shuntjunction/coordination/engine_orders.h"
+#include "shuntjunction/coordination/http_platform.h"
+#include "shuntjunction/coordination/router.h"
+#include "shuntjunction/coordination/status_writer.h"
+
+namespace shuntjunction::coordination {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using state::Address;
+using state::Millis;
+using state::ProcessRole;
+using state::Result;
+using state::Settings;
+using state::TimePoint;
+using transport::Task;
+
+namespace {
+
+using WorkGuard = asio::executor_work_guard<asio::io_context::executor_type>;
+
+constexpr Millis kDrainPoll{ 20 };
+constexpr Millis kStatusInterval{ 500 };
+
+/// Time in which routers hear that a companion leaves before it may go.
+constexpr Millis kLeaveNotice{ 200 };
+
+Address
+PlatformAddress(const Settings& aSettings)
+{
+  return state::ParseAddress(aSettings.mPlatform).value_or(Address{});
+}
+
+std::unique_ptr<Backend>
+MakeBackend(const Settings& aSettings)
+{
+  const auto address =
+    state::ParseAddress(aSettings.mCompanion.mBackend).value_or(Address{});
+  const auto most = static_cast<std::size_t>(aSettings.mLimits.mMaxAnswerBytes);
+  return aSettings.mCompanion.mBackendKind == state::BackendKind::kEngine
+           ? MakeEngineBackend(address, aSettings.mCompanion, most)
+           : MakeServiceBackend(address, aSettings.mCompanion, most);
+}
+
+ConfigFeedSettings
+FeedSettings(const Settings& aSettings)
+{
+  ConfigFeedSettings feed;
+  feed.mName = aSettings.mName;
+  feed.mSecret = aSettings.mSecret;
+  feed.mPeers = aSettings.mPeers;
+  feed.mWatchTimeout = aSettings.mWatchTimeout;
+  feed.mFollowsInstances = aSettings.mRole == ProcessRole::kRouter;
+  return feed;
+}
+
+} // namespace
+
+/// Everything of the process; members are built in the order of their use.
+class Daemon::Impl
+{
+public:
+  explicit Impl(const Settings& aSettings)
+    : mSettings(aSettings)
+    , mLog(std::string(state::kProcessRoleNames.Name(aSettings.mRole)))
+    , mControlGuard(asio::make_work_guard(mControl))
+    , mTrafficGuard(asio::make_work_guard(mTraffic))
+    , mSignals(mTraffic, SIGTERM, SIGINT)
+    , mControlPlatform(PlatformAddress(aSettings), aSettings.mPlatformTimeout)
+    , mTrafficPlatform(PlatformAddress(aSettings), aSettings.mPlatformTimeout)
+    , mFeed(
+        mControl,
+        FeedSettings(aSettings),
+        mControlPlatform,
+        [this](PublishedConfig aConfig) { TakeConfig(std::move(aConfig)); },
+        [this](std::vector<state::InstanceInfo> aInstances) {
+          TakeInstances(std::move(aInstances));
+        })
+    , mStatus(mControl, mControlPlatform, aSettings.mName)
+  {
+  }
+
+  ~Impl()
+  {
+    mControl.stop();
+    mTraffic.stop();
+    JoinThreads();
+  }
+
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  Result<DaemonAddresses> Start()
+  {
+    auto traffic = mSettings.mRole == ProcessRole::kRouter ? StartRouter()
+                                                           : StartCompanion();
+    if (!traffic) {
+      return tl::unexpected(traffic.error());
+    }
+    auto admin = StartAdmin();
+    if (!admin) {
+      return tl::unexpected(admin.error());
+    }
+    mAdminText = admin->Text();
+    mSignals.async_wait([this](auto aError, int /*aSignal*/) {
+      if (!aError) {
+        BeginStop();
+      }
+    });
+    mFeed.Start();
+    mStatus.Start();
+    transport::Spawn(mTraffic, FollowStatus());
+    mControlThread = std::thread([this] { mControl.run(); });
+    mTrafficThread = std::thread([this] { mTraffic.run(); });
+    mLog.Info(mSettings.mName + " takes traffic on " + traffic->Text() +
+              " and operators on " + admin->Text() + ".");
+    return DaemonAddresses{ *traffic, *admin };
+  }
+
+  void RequestStop()
+  {
+    asio::post(mTraffic, [this] { BeginStop(); });
+  }
+
+  void Wait() { JoinThreads(); }
+
+private:
+  void JoinThreads()
+  {
+    if (mTrafficThread.joinable()) {
+      mTrafficThread.join();
+    }
+    if (mControlThread.joinable()) {
+      mControlThread.join();
+    }
+  }
+
+  Result<Address> StartRouter()
+  {
+    mRouter = std::make_unique<Router>(
+      mTraffic, mSettings, mClock, mMetrics, PeerTextTaker());
+    mRouter->Start();
+    mServer = std::make_unique<transport::HttpServer>(
+      mTraffic, mSettings.mLimits, *mRouter);
+    const auto address = state::ParseAddress(mSettings.mRouter.mListen);
+    return mServer->Start(*address);
+  }
+
+  Result<Address> StartCompanion()
+  {
+    mBackend = MakeBackend(mSettings);
+    mCompanion = std::make_unique<Companion>(mTraffic,
+                                             mSettings,
+                                             *mBackend,
+                                             mTrafficPlatform,
+                                             mClock,
+                                             mMetrics,
+                                             PeerTextTaker());
+    if (mBackend->IsEngine()) {
+      mOrders = std::make_unique<EngineOrders>(mTraffic,
+                                               mSettings,
+                                               *mBackend,
+                                               *mCompanion,
+                                               mTrafficPlatform,
+                                               mMetrics);
+      mOrders->Start();
+    }
+    return mCompanion->Start();
+  }
+
+  Result<Address> StartAdmin()
+  {
+    mAdmin = std::make_unique<Admin>(
+      AdminParts{ mSettings,
+                  mMetrics,
+                  mRouter.get(),
+                  mCompanion.get(),
+                  [this] { return mIsStopping; },
+                  [this] { BeginStop(); },
+                  [this] { return json::serialize(StatusObject()); } });
+    mAdminServer = std::make_unique<transport::HttpServer>(
+      mTraffic, mSettings.mLimits, *mAdmin);
+    const auto address = state::ParseAddress(mSettings.mAdmin);
+    return mAdminServer->Start(*address);
+  }
+
+  /// Passes a peer's snapshot from the traffic to the control thread.
+  std::function<void(std::string, std::string)> PeerTextTaker()
+  {
+    return [this](std::string aText, std::string aPeer) {
+      asio::post(mControl,
+                 [this, text = std::move(aText), peer = std::move(aPeer)] {
+                   mFeed.TakePeerText(text, peer);
+                 });
+    };
+  }
+
+  /// On the control thread: passes a configuration on to the traffic thread.
+  void TakeConfig(PublishedConfig aConfig)
+  {
+    asio::post(mTraffic, [this, config = std::move(aConfig)]() mutable {
+      mConfig = config.mSnapshot;
+      if (mRouter) {
+        mRouter->TakeConfig(config);
+      } else {
+        mCompanion->TakeConfig(config);
+      }
+      if (mOrders) {
+        mOrders->TakeConfig(config.mSnapshot);
+      }
+    });
+  }
+
+  /// On the control thread: passes the instances on to the traffic thread.
+  void TakeInstances(std::vector<state::InstanceInfo> aInstances)
+  {
+    asio::post(mTraffic, [this, instances = std::move(aInstances)]() mutable {
+      if (mRouter) {
+        mRouter->TakeInstances(std::move(instances));
+      }
+    });
+  }
+
+  /// What is told of the process: on its port and in the platform.
+  json::object StatusObject() const
+  {
+    json::array quarantined;
+    for (const auto& object : mConfig->mQuarantined) {
+      quarantined.push_back(json::object{ { "key", object.mKey },
+                                          { "revision", object.mRevision },
+                                          { "reason", object.mReason } });
+    }
+    json::object status{
+      { "name", mSettings.mName },
+      { "role", std::string(state::kProcessRoleNames.Name(mSettings.mRole)) },
+      { "zone", mSettings.mZone },
+      { "admin", mAdminText },
+      { "epoch", mConfig->mVersion.mEpoch },
+      { "version", mConfig->mVersion.mRevision },
+      { "stopping", mIsStopping },
+      { "quarantined", std::move(quarantined) }
+    };
+    if (mCompanion) {
+      status["model"] = mCompanion->LastState().mModel;
+      status["weights"] = mCompanion->LastState().mWeights;
+    }
+    return status;
+  }
+
+  /// Hands the status to its writer, which writes it when it has changed.
+  Task<void> FollowStatus()
+  {
+    while (true) {
+      asio::post(mControl, [this, text = json::serialize(StatusObject())] {
+        mStatus.Set(text);
+      });
+      co_await transport::Sleep(kStatusInterval);
+    }
+  }
+
+  // The stop.
+
+  void BeginStop()
+  {
+    if (std::exchange(mIsStopping, true)) {
+      return;
+    }
+    mLog.Info("stopping; new work is refused.");
+    if (mServer) {
+      mServer->Stop();
+    }
+    if (mCompanion) {
+      mCompanion->BeginLeaving();
+    }
+    transport::Spawn(mTraffic, FinishStop());
+  }
+
+  Task<void> FinishStop()
+  {
+    const TimePoint until = mClock.Now() + mSettings.mDrainTimeout;
+    co_await transport::Sleep(kLeaveNotice);
+    while (mClock.Now() < until && !IsIdle()) {
+      co_await transport::Sleep(kDrainPoll);
+    }
+    mLog.Info(IsIdle() ? "stopped; nothing was cut."
+                       : "stopped at the time limit; work was cut.");
+    mControl.stop();
+    mTraffic.stop();
+  }
+
+  bool IsIdle() const
+  {
+    return mRouter ? mRouter->Active() == 0 : mCompanion->IsIdle();
+  }
+
+  Settings mSettings;
+  Log mLog;
+  state::SystemClock mClock;
+  Metrics mMetrics;
+  asio::io_context mControl{ 1 };
+  asio::io_context mTraffic{ 1 };
+  WorkGuard mControlGuard;
+  WorkGuard mTrafficGuard;
+  asio::signal_set mSignals;
+  HttpPlatform mControlPlatform;
+  HttpPlatform mTrafficPlatform;
+  ConfigFeed mFeed;
+  StatusWriter mStatus;
+  std::unique_ptr<Backend> mBackend;
+  std::unique_ptr<Router> mRouter;
+  std::unique_ptr<Companion> mCompanion;
+  std::unique_ptr<EngineOrders> mOrders;
+  std::unique_ptr<Admin> mAdmin;
+  std::unique_ptr<transport::HttpServer> mServer;
+  std::unique_ptr<transport::HttpServer> mAdminServer;
+  std::shared_ptr<const state::ConfigSnapshot> mConfig =
+    std::make_shared<const state::ConfigSnapshot>();
+  std::string mAdminText;
+  bool mIsStopping = false;
+  std::thread mControlThread;
+  std::thread mTrafficThread;
+};
+
+Daemon::Daemon(const Settings& aSettings)
+  : mImpl(std::make_unique<Impl>(aSettings))
+{
+}
+
+Daemon::~Daemon() = default;
+
+Result<DaemonAddresses>
+Daemon::Start()
+{
+  return mImpl->Start();
+}
+
+void
+Daemon::RequestStop()
+{
+  mImpl->RequestStop();
+}
+
+void
+Daemon::Wait()
+{
+  mImpl->Wait();
+}
+
+} // namespace shuntjunction::coordination
--- /dev/null
+++ b/packages/coordination/src/engine_orders.cpp
@@ -0,0 +1,275 @@
+#include "shuntjunction/coordination/engine_orders.h"
+
+#include <algorithm>
+#include <vector>
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include "shuntjunction/coordination/status_writer.h"
+#include "shuntjunction/state/digest.h"
+#include "shuntjunction/state/json_reader.h"
+#include "shuntjunction/state/prefix_chain.h"
+
+namespace shuntjunction::coordination {
+
+namespace json = boost::json;
+using state::JsonReader;
+using state::Millis;
+using state::Result;
+using transport::Task;
+
+namespace {
+
+constexpr Millis kLookInterval{ 300 };
+constexpr Millis kFailurePause{ 1000 };
+constexpr Millis kStreamPoll{ 20 };
+constexpr std::size_t kBatches = 3; ///< a model's endpoints change in so many
+
+/// Longest wait for the batches before; then a lost companion is passed over.
+constexpr Millis kMaxTurnWait{ 60000 };
+
+struct FenceRecord
+{
+  std::uint64_t mFence = 0;
+  std::string mHolder;
+};
+
+Result<FenceRecord>
+ReadFenceRecord(const std::string& aText)
+{
+  const auto value = state::ParseJson(aText, "fence");
+  if (!value) {
+    return tl::unexpected(value.error());
+  }
+  JsonReader reader(*value, "fence");
+  FenceRecord record;
+  record.mFence =
+    static_cast<std::uint64_t>(reader.Integer("fence", 0, INT64_MAX));
+  record.mHolder = reader.Text("holder");
+  if (auto done = reader.Finish(); !done) {
+    return tl::unexpected(done.error());
+  }
+  return record;
+}
+
+std::string
+WriteFenceRecord(const FenceRecord& aRecord)
+{
+  return json::serialize(
+    json::object{ { "fence", aRecord.mFence }, { "holder", aRecord.mHolder } });
+}
+
+} // namespace
+
+EngineOrders::EngineOrders(boost::asio::io_context& aContext,
+                           const state::Settings& aSettings,
+                           Backend& aBackend,
+                           Companion& aCompanion,
+                           Platform& aPlatform,
+                           Metrics& aMetrics)
+  : mContext(aContext)
+  , mSettings(aSettings)
+  , mBackend(aBackend)
+  , mCompanion(aCompanion)
+  , mPlatform(aPlatform)
+  , mMetrics(aMetrics)
+  , mLog("orders")
+  , mConfig(std::make_shared<const state::ConfigSnapshot>())
+  , mRandom(state::PlacementHash(state::RandomNonce()))
+  , mNonce(state::RandomNonce())
+  , mFenceKey("orders/" + aSettings.mName)
+{
+}
+
+void
+EngineOrders::Start()
+{
+  transport::Spawn(mContext, Follow());
+}
+
+void
+EngineOrders::TakeConfig(std::shared_ptr<const state::ConfigSnapshot> aConfig)
+{
+  mConfig = std::move(aConfig);
+}
+
+Task<void>
+EngineOrders::Follow()
+{
+  while (true) {
+    co_await transport::Sleep(kLookInterval);
+    co_await Reconcile();
+  }
+}
+
+std::optional<BackendOrder>
+EngineOrders::Wanted() const
+{
+  const auto endpoint = mConfig->mEndpoints.find(mSettings.mName);
+  if (endpoint == mConfig->mEndpoints.end()) {
+    return std::nullopt;
+  }
+  const auto model = mConfig->mModels.find(endpoint->second.mModel);
+  if (model == mConfig->mModels.end()) {
+    return std::nullopt;
+  }
+  BackendOrder order;
+  order.mModel = model->second.mName;
+  order.mWeights = model->second.mWeights;
+  order.mAdapters = model->second.mAdapters;
+  order.mRole = endpoint->second.mRole;
+  return order;
+}
+
+bool
+EngineOrders::IsInLine(const BackendOrder& aOrder) const
+{
+  const auto& found = mCompanion.LastState();
+  return found.mModel == aOrder.mModel && found.mWeights == aOrder.mWeights &&
+         found.mAdapters == aOrder.mAdapters && found.mRole == aOrder.mRole;
+}
+
+Task<void>
+EngineOrders::Reconcile()
+{
+  auto order = Wanted();
+  const bool isUp = mCompanion.LastState().mIncarnation != 0;
+  if (!order || !isUp || IsInLine(*order)) {
+    mWaitsSince.reset();
+    co_return;
+  }
+  if (!co_await IsMyTurn(order->mModel, order->mWeights)) {
+    co_return;
+  }
+  const auto fence = co_await TakeFence();
+  if (!fence) {
+    mLog.Warn("no fencing number: " + fence.error().Describe() + ".");
+    co_await transport::Sleep(kFailurePause);
+    co_return;
+  }
+  order->mFence = *fence;
+  mCompanion.PauseAdmission(true);
+  co_await WaitForStreams();
+  if (co_await HoldsFence(*fence)) {
+    mLog.Info("ordering " + order->mModel + ", weights version " +
+              std::to_string(order->mWeights) + ", with fencing number " +
+              std::to_string(*fence) + ".");
+    const auto done = co_await mBackend.Order(*order);
+    mMetrics.Count("shuntjunction_orders_total",
+                   { { "outcome", done ? "done" : "failed" } });
+    if (!done) {
+      mLog.Warn("the order failed: " + done.error().Describe() + ".");
+      std::uniform_int_distribution<std::int64_t> jitter(
+        kFailurePause.count(), 2 * kFailurePause.count());
+      co_await transport::Sleep(Millis(jitter(mRandom)));
+    }
+  }
+  co_await mCompanion.Refresh();
+  mCompanion.PauseAdmission(false);
+}
+
+Task<void>
+EngineOrders::WaitForStreams()
+{
+  const auto until = std::chrono::steady_clock::now() + mSettings.mDrainTimeout;
+  while (mCompanion.Running() > 0 && std::chrono::steady_clock::now() < until) {
+    co_await transport::Sleep(kStreamPoll);
+  }
+}
+
+Task<bool>
+EngineOrders::IsMyTurn(std::string aModel, std::uint32_t aWeights)
+{
+  if (mCompanion.LastState().mModel != aModel) {
+    co_return true; // It serves nothing of this model that could be missed.
+  }
+  const auto now = std::chrono::steady_clock::now();
+  mWaitsSince = mWaitsSince.value_or(now);
+  if (now - *mWaitsSince > kMaxTurnWait) {
+    co_return true;
+  }
+  std::vector<std::pair<std::uint64_t, std::string>> order;
+  for (const auto& [name, endpoint] : mConfig->mEndpoints) {
+    if (endpoint.mModel == aModel) {
+      order.emplace_back(state::PlacementHash(name, aWeights), name);
+    }
+  }
+  std::sort(order.begin(), order.end());
+  const auto self =
+    std::find_if(order.begin(), order.end(), [&](const auto& aItem) {
+      return aItem.second == mSettings.mName;
+    });
+  const std::size_t size = (order.size() + kBatches - 1) / kBatches;
+  const auto rank = static_cast<std::size_t>(self - order.begin());
+  const std::size_t before = rank / size * size;
+  if (before == 0) {
+    co_return true;
+  }
+  const auto list = co_await mPlatform.List(std::string(kStatusPrefix));
+  if (!list) {
+    co_await transport::Sleep(kFailurePause);
+    co_return false;
+  }
+  std::size_t changed = 0;
+  for (std::size_t i = 0; i < before; ++i) {
+    const std::string key = std::string(kStatusPrefix) + order[i].second;
+    for (const auto& object : list->mObjects) {
+      const auto value = object.mKey == key
+                           ? state::ParseJson(object.mValue, key)
+                           : Result<json::value>(json::value());
+      const auto* status = value ? value->if_object() : nullptr;
+      const auto* weights =
+        status == nullptr ? nullptr : status->if_contains("weights");
+      if (weights != nullptr && weights->is_number() &&
+          weights->to_number<std::uint32_t>() == aWeights) {
+        ++changed;
+      }
+    }
+  }
+  co_return changed == before;
+}
+
+Task<Result<std::uint64_t>>
+EngineOrders::TakeFence()
+{
+  const auto found = co_await mPlatform.Read(mFenceKey);
+  if (!found) {
+    co_return tl::unexpected(found.error());
+  }
+  FenceRecord record;
+  std::uint64_t revision = 0;
+  if (*found) {
+    const auto read = ReadFenceRecord((*found)->mValue);
+    if (!read) {
+      co_return tl::unexpected(read.error());
+    }
+    record = *read;
+    revision = (*found)->mRevision;
+  }
+  if (record.mHolder == mNonce) {
+    co_return record.mFence;
+  }
+  // The engine's own number counts as well: the platform may be restored.
+  record.mFence = std::max(record.mFence, mCompanion.LastState().mFence) + 1;
+  record.mHolder = mNonce;
+  const auto written =
+    co_await mPlatform.Write(mFenceKey, WriteFenceRecord(record), revision);
+  if (!written) {
+    co_return tl::unexpected(written.error());
+  }
+  co_return record.mFence;
+}
+
+Task<bool>
+EngineOrders::HoldsFence(std::uint64_t aFence)
+{
+  const auto found = co_await mPlatform.Read(mFenceKey);
+  if (!found || !*found) {
+    co_return false;
+  }
+  const auto record = ReadFenceRecord((*found)->mValue);
+  co_return record && record->mFence == aFence && record->mHolder == mNonce;
+}
+
+} // namespace shuntjunction::coordination
--- /dev/null
+++ b/packages/coordination/src/http_platform.cpp
@@ -0,0 +1,292 @@
+#include "shuntjunction/coordination/http_platform.h"
+
+#include "shuntjunction/state/json_reader.h"
+
+namespace shuntjunction::coordination {
+
+using state::ErrorCode;
+using state::Fail;
+using state::JsonReader;
+using state::Millis;
+using state::RawObject;
+using state::Result;
+using transport::HttpRequest;
+using transport::HttpResponse;
+using transport::Task;
+
+namespace {
+
+/// A value holds up to a megabyte; a whole list may hold many.
+constexpr std::size_t kMaxAnswerBytes = 64U * 1024 * 1024;
+
+constexpr unsigned kOk = 200;
+constexpr unsigned kCreated = 201;
+constexpr unsigned kNoObject = 404;
+constexpr unsigned kConflict = 409;
+constexpr unsigned kGone = 410;
+constexpr unsigned kTooMany = 429;
+constexpr unsigned kServerError = 500;
+constexpr unsigned kServiceDown = 503;
+
+Result<RawObject>
+ReadObject(const boost::json::value& aValue)
+{
+  JsonReader reader(aValue, "object");
+  RawObject object;
+  object.mKey = reader.Text("key");
+  object.mRevision =
+    static_cast<std::uint64_t>(reader.Integer("revision", 0, INT64_MAX));
+  object.mValue = reader.Text("value");
+  if (const auto done = reader.Finish(); !done) {
+    return tl::unexpected(done.error());
+  }
+  return object;
+}
+
+std::vector<RawObject>
+ReadObjects(JsonReader& aReader, std::string_view aKey)
+{
+  std::vector<RawObject> objects;
+  const auto* list = aReader.Find(aKey);
+  if (list == nullptr || !list->is_array()) {
+    aReader.Note(aKey, "absent", "a list of objects");
+    return objects;
+  }
+  for (const auto& item : list->as_array()) {
+    auto object = ReadObject(item);
+    if (!object) {
+      aReader.Merge(tl::unexpected(object.error()));
+      break;
+    }
+    objects.push_back(std::move(*object));
+  }
+  return objects;
+}
+
+std::uint64_t
+ReadRevision(JsonReader& aReader)
+{
+  return static_cast<std::uint64_t>(aReader.Integer("revision", 0, INT64_MAX));
+}
+
+state::InstanceInfo
+ReadInstance(const boost::json::value& aValue, JsonReader& aOuter)
+{
+  JsonReader reader(aValue, "instance");
+  state::InstanceInfo instance;
+  instance.mName = reader.Text("name");
+  instance.mAddress = reader.Text("address");
+  instance.mZone = reader.Text("zone");
+  instance.mRole = reader.Text("role");
+  instance.mIsLeaving = reader.Flag("leaving", false);
+  aOuter.Merge(reader.Finish());
+  return instance;
+}
+
+tl::unexpected<state::Error>
+BadAnswer(state::Error aError, std::string_view aStep, const std::string& aPeer)
+{
+  aError.mCode = ErrorCode::kProtocol;
+  aError.mStep = aStep;
+  aError.mPeer = aPeer;
+  return tl::unexpected(std::move(aError));
+}
+
+} // namespace
+
+HttpPlatform::HttpPlatform(const state::Address& aAddress, Millis aTimeout)
+  : mClient(aAddress, kMaxAnswerBytes)
+  , mTimeout(aTimeout)
+{
+}
+
+Task<Result<HttpResponse>>
+HttpPlatform::Call(std::string_view aStep,
+                   HttpRequest aRequest,
+                   Millis aTimeout)
+{
+  auto answer = co_await mClient.Send(std::move(aRequest), aTimeout);
+  if (!answer) {
+    state::Error error = answer.error();
+    error.mStep = aStep;
+    co_return tl::unexpected(std::move(error));
+  }
+  const std::string peer = mClient.Peer().Text();
+  const std::string status = "status " + std::to_string(answer->mStatus);
+  switch (answer->mStatus) {
+    case kOk:
+    case kCreated:
+    case kNoObject:
+    case kGone:
+      co_return answer;
+    case kConflict:
+      co_return Fail(ErrorCode::kConflict, aStep, peer, answer->mBody);
+    case kTooMany:
+    case kServiceDown:
+      co_return Fail(ErrorCode::kUnavailable, aStep, peer, status);
+    default:
+      break;
+  }
+  // Any other server error leaves the effect open.
+  const auto code = answer->mStatus >= kServerError
+                      ? ErrorCode::kTimeout
+                      : ErrorCode::kInvalidArgument;
+  co_return Fail(code, aStep, peer, status + ": " + answer->mBody);
+}
+
+Task<Result<ObjectList>>
+HttpPlatform::List(std::string aPrefix)
+{
+  constexpr std::string_view kStep = "platform.list";
+  HttpRequest request;
+  request.mTarget = "/v1/objects?prefix=" + aPrefix;
+  const auto answer = co_await Call(kStep, std::move(request), mTimeout);
+  if (!answer) {
+    co_return tl::unexpected(answer.error());
+  }
+  const auto value = state::ParseJson(answer->mBody, "list");
+  if (!value) {
+    co_return BadAnswer(value.error(), kStep, mClient.Peer().Text());
+  }
+  JsonReader reader(*value, "list");
+  ObjectList list;
+  list.mRevision = ReadRevision(reader);
+  list.mObjects = ReadObjects(reader, "objects");
+  if (const auto done = reader.Finish(); !done) {
+    co_return BadAnswer(done.error(), kStep, mClient.Peer().Text());
+  }
+  co_return list;
+}
+
+Task<Result<std::optional<RawObject>>>
+HttpPlatform::Read(std::string aKey)
+{
+  constexpr std::string_view kStep = "platform.read";
+  HttpRequest request;
+  request.mTarget = "/v1/objects/" + aKey;
+  const auto answer = co_await Call(kStep, std::move(request), mTimeout);
+  if (!answer) {
+    co_return tl::unexpected(answer.error());
+  }
+  if (answer->mStatus == kNoObject) {
+    co_return std::optional<RawObject>();
+  }
+  const auto value = state::ParseJson(answer->mBody, "object");
+  if (!value) {
+    co_return BadAnswer(value.error(), kStep, mClient.Peer().Text());
+  }
+  auto object = ReadObject(*value);
+  if (!object) {
+    co_return BadAnswer(object.error(), kStep, mClient.Peer().Text());
+  }
+  co_return std::optional<RawObject>(std::move(*object));
+}
+
+Task<Result<std::uint64_t>>
+HttpPlatform::Write(std::string aKey,
+                    std::string aValue,
+                    std::uint64_t aIfRevision)
+{
+  constexpr std::string_view kStep = "platform.write";
+  HttpRequest request;
+  request.mMethod = "PUT";
+  request.mTarget =
+    "/v1/objects/" + aKey + "?if_revision=" + std::to_string(aIfRevision);
+  request.mContentType = "application/json";
+  request.mBody = std::move(aValue);
+  const auto answer = co_await Call(kStep, std::move(request), mTimeout);
+  if (!answer) {
+    co_return tl::unexpected(answer.error());
+  }
+  const auto value = state::ParseJson(answer->mBody, "answer");
+  if (!value) {
+    co_return BadAnswer(value.error(), kStep, mClient.Peer().Text());
+  }
+  JsonReader reader(*value, "answer");
+  const std::uint64_t revision = ReadRevision(reader);
+  if (const auto done = reader.Finish(); !done) {
+    co_return BadAnswer(done.error(), kStep, mClient.Peer().Text());
+  }
+  co_return revision;
+}
+
+Task<Result<void>>
+HttpPlatform::Delete(std::string aKey, std::uint64_t aIfRevision)
+{
+  HttpRequest request;
+  request.mMethod = "DELETE";
+  request.mTarget =
+    "/v1/objects/" + aKey + "?if_revision=" + std::to_string(aIfRevision);
+  const auto answer =
+    co_await Call("platform.delete", std::move(request), mTimeout);
+  if (!answer) {
+    co_return tl::unexpected(answer.error());
+  }
+  co_return Result<void>{};
+}
+
+Task<Result<WatchAnswer>>
+HttpPlatform::Watch(std::string aPrefix, std::uint64_t aAfter, Millis aWait)
+{
+  constexpr std::string_view kStep = "platform.watch";
+  HttpRequest request;
+  request.mTarget = "/v1/watch?prefix=" + aPrefix +
+                    "&after=" + std::to_string(aAfter) +
+                    "&wait_ms=" + std::to_string(aWait.count());
+  const auto answer =
+    co_await Call(kStep, std::move(request), aWait + mTimeout);
+  if (!answer) {
+    co_return tl::unexpected(answer.error());
+  }
+  WatchAnswer watch;
+  if (answer->mStatus == kGone) {
+    watch.mIsGap = true;
+    co_return watch;
+  }
+  const auto value = state::ParseJson(answer->mBody, "watch");
+  if (!value) {
+    co_return BadAnswer(value.error(), kStep, mClient.Peer().Text());
+  }
+  JsonReader reader(*value, "watch");
+  watch.mRevision = ReadRevision(reader);
+  watch.mChanges = ReadObjects(reader, "changes");
+  if (const auto done = reader.Finish(); !done) {
+    co_return BadAnswer(done.error(), kStep, mClient.Peer().Text());
+  }
+  co_return watch;
+}
+
+Task<Result<InstanceList>>
+HttpPlatform::Instances(std::uint64_t aAfter, Millis aWait)
+{
+  constexpr std::string_view kStep = "platform.instances";
+  HttpRequest request;
+  request.mTarget = "/v1/instances?after=" + std::to_string(aAfter) +
+                    "&wait_ms=" + std::to_string(aWait.count());
+  const auto answer =
+    co_await Call(kStep, std::move(request), aWait + mTimeout);
+  if (!answer) {
+    co_return tl::unexpected(answer.error());
+  }
+  const auto value = state::ParseJson(answer->mBody, "instances");
+  if (!value) {
+    co_return BadAnswer(value.error(), kStep, mClient.Peer().Text());
+  }
+  JsonReader reader(*value, "instances");
+  InstanceList list;
+  list.mRevision = ReadRevision(reader);
+  const auto* items = reader.Find("instances");
+  if (items == nullptr || !items->is_array()) {
+    reader.Note("instances", "absent", "a list of instances");
+  } else {
+    for (const auto& item : items->as_array()) {
+      list.mInstances.push_back(ReadInstance(item, reader));
+    }
+  }
+  if (const auto done = reader.Finish(); !done) {
+    co_return BadAnswer(done.error(), kStep, mClient.Peer().Text());
+  }
+  co_return list;
+}
+
+} // namespace shuntjunction::coordination
--- /dev/null
+++ b/packages/coordination/src/router.cpp
@@ -0,0 +1,468 @@
+#include "shuntjunction/coordination/router.h"
+
+#include <algorithm>
+
+#include "request_run.h"
+#include "shuntjunction/state/digest.h"
+
+namespace shuntjunction::coordination {
+
+namespace asio = boost::asio;
+using state::ChoiceQuery;
+using state::EndpointHandle;
+using state::Millis;
+using state::Priority;
+using state::RequestKind;
+using state::Result;
+using state::TimePoint;
+using transport::HttpExchange;
+using transport::HttpResponse;
+using transport::Task;
+
+namespace {
+
+constexpr Millis kLinkTick{ 250 };
+constexpr std::string_view kServicesPath = "/services/";
+constexpr std::string_view kRouterRole = "router";
+
+} // namespace
+
+/// An endpoint and its answer to a probe.
+struct Router::Probed
+{
+  EndpointHandle mHandle;
+  bool mHasReplied = false;
+  protocol::ProbeReply mReply;
+};
+
+/// Probes that are out together.
+struct Router::ProbeRound
+{
+  explicit ProbeRound(const asio::any_io_executor& aExecutor)
+    : mNews(aExecutor)
+  {
+  }
+
+  std::vector<Probed> mProbed;
+  transport::Mailbox<bool> mNews; ///< one a probe that is settled
+  TimePoint mUntil;
+};
+
+Router::Router(asio::io_context& aContext,
+               const state::Settings& aSettings,
+               const state::Clock& aClock,
+               Metrics& aMetrics,
+               OnPeerText aOnPeerSnapshot)
+  : mContext(aContext)
+  , mSettings(aSettings)
+  , mClock(aClock)
+  , mMetrics(aMetrics)
+  , mOnPeerSnapshot(std::move(aOnPeerSnapshot))
+  , mLog("router")
+  , mRandom(state::PlacementHash(state::RandomNonce()))
+  , mTable(aSettings.mRouter.mEndpoints)
+  , mChooser(
+      state::MakeChooser(aSettings.mRouter.mChooser, mTable, mRouters, mRandom))
+  , mRetries(aSettings.mRouter.mRetry, aClock.Now())
+{
+  mConfig.mSnapshot = std::make_shared<const state::ConfigSnapshot>();
+}
+
+Router::~Router() = default;
+
+void
+Router::Start()
+{
+  transport::Spawn(mContext, TickLinks());
+}
+
+// What the control thread brings.
+
+void
+Router::TakeConfig(PublishedConfig aConfig)
+{
+  mConfig = std::move(aConfig);
+  UpdateTable();
+}
+
+void
+Router::TakeInstances(std::vector<state::InstanceInfo> aInstances)
+{
+  mInstances = std::move(aInstances);
+  const auto routers = std::count_if(
+    mInstances.begin(), mInstances.end(), [](const auto& aInstance) {
+      return aInstance.mRole == kRouterRole && !aInstance.mIsLeaving;
+    });
+  mRouters = std::max<std::size_t>(1, static_cast<std::size_t>(routers));
+  UpdateTable();
+}
+
+void
+Router::UpdateTable()
+{
+  mTable.Update(*mConfig.mSnapshot, mInstances);
+}
+
+bool
+Router::IsReady() const
+{
+  const auto& entries = mTable.Entries();
+  return mConfig.mText != nullptr &&
+         std::any_of(entries.begin(), entries.end(), [](const auto& aEntry) {
+           return aEntry.mIsListed;
+         });
+}
+
+void
+Router::UpdateGauges()
+{
+  std::uint64_t dropped = 0;
+  std::size_t open = 0;
+  for (const auto& [name, link] : mLinks) {
+    dropped += link->Dropped();
+    open += link->IsOpen() ? 1 : 0;
+  }
+  mMetrics.Set("shuntjunction_router_active", static_cast<double>(mActive));
+  mMetrics.Set("shuntjunction_links_open", static_cast<double>(open));
+  mMetrics.Set("shuntjunction_late_frames_dropped",
+               static_cast<double>(dropped));
+  mMetrics.Set("shuntjunction_frame_bytes_in",
+               static_cast<double>(mChannelCounters.mBytesIn));
+  mMetrics.Set("shuntjunction_frame_bytes_out",
+               static_cast<double>(mChannelCounters.mBytesOut));
+  mMetrics.Set("shuntjunction_frames_bad",
+               static_cast<double>(mChannelCounters.mBadFrames));
+  for (const auto& entry : mTable.Entries()) {
+    const bool isUsed =
+      entry.mIsListed && entry.mHealth.State() != state::HealthState::kEjected;
+    mMetrics.Set("shuntjunction_endpoint_usable",
+                 isUsed ? 1 : 0,
+                 { { "endpoint", entry.mInstance.mName } });
+  }
+}
+
+// Links to companions.
+
+std::shared_ptr<PeerLink>
+Router::Link(EndpointHandle aHandle)
+{
+  const auto& instance = mTable.At(aHandle).mInstance;
+  const std::string key = instance.mName + "@" + instance.mAddress;
+  auto& link = mLinks[key];
+  if (!link) {
+    link = std::make_shared<PeerLink>(
+      mContext,
+      instance.mName,
+      state::ParseAddress(instance.mAddress).value_or(state::Address{}),
+      mSettings,
+      *this,
+      mChannelCounters,
+      mClock);
+  }
+  return link;
+}
+
+Task<void>
+Router::TickLinks()
+{
+  while (true) {
+    co_await transport::Sleep(kLinkTick);
+    const TimePoint now = mClock.Now();
+    for (const auto& [key, link] : mLinks) {
+      link->Tick(now);
+    }
+    // Links of endpoints that were replaced are forgotten.
+    std::erase_if(mLinks, [&](const auto& aItem) {
+      const std::size_t at = aItem.first.find('@');
+      const auto handle = mTable.Find(aItem.first.substr(0, at));
+      const bool isCurrent =
+        handle.IsValid() && mTable.At(handle).mIsListed &&
+        mTable.At(handle).mInstance.mAddress == aItem.first.substr(at + 1);
+      return !isCurrent && !aItem.second->IsOpen();
+    });
+  }
+}
+
+void
+Router::OnPeerVersion(const std::string& aEndpoint, std::uint64_t aVersion)
+{
+  const std::uint64_t own = mConfig.mSnapshot->mVersion.Packed();
+  if (aVersion <= own || aVersion <= mHeardVersion) {
+    return;
+  }
+  mHeardVersion = aVersion;
+  const auto handle = mTable.Find(aEndpoint);
+  if (handle.IsValid()) {
+    Link(handle)->Send(protocol::SnapshotRequest{ own });
+  }
+}
+
+void
+Router::OnPeerLeaving(const std::string& aEndpoint)
+{
+  const auto handle = mTable.Find(aEndpoint);
+  if (handle.IsValid()) {
+    mLog.Info("endpoint " + aEndpoint + " is leaving.");
+    mTable.NoteLeaving(handle, mClock.Now());
+  }
+}
+
+void
+Router::OnPeerOpen(const std::string& aEndpoint)
+{
+  const auto handle = mTable.Find(aEndpoint);
+  if (handle.IsValid()) {
+    mTable.NoteOpen(handle);
+  }
+}
+
+void
+Router::OnPeerSnapshot(const std::string& aEndpoint, std::string aText)
+{
+  mOnPeerSnapshot(std::move(aText), aEndpoint);
+}
+
+protocol::SnapshotReply
+Router::Snapshot(std::uint64_t aHave)
+{
+  protocol::SnapshotReply reply;
+  reply.mVersion = mConfig.mSnapshot->mVersion.Packed();
+  if (reply.mVersion > aHave && mConfig.mText) {
+    reply.mText = *mConfig.mText;
+  }
+  return reply;
+}
+
+// The choice of an endpoint.
+
+std::uint32_t
+Router::WeightsOf(const std::string& aModel) const
+{
+  const auto model = mConfig.mSnapshot->mModels.find(aModel);
+  return model == mConfig.mSnapshot->mModels.end() ? 0 : model->second.mWeights;
+}
+
+Task<void>
+Router::SendProbe(std::shared_ptr<ProbeRound> aRound,
+                  std::size_t aIndex,
+                  protocol::Probe aProbe)
+{
+  const auto link = Link(aRound->mProbed[aIndex].mHandle);
+  const auto ready = co_await link->Ready();
+  if (!ready) {
+    mTable.At(aRound->mProbed[aIndex].mHandle).mHealth.Failed(mClock.Now());
+  } else if (mClock.Now() < aRound->mUntil) {
+    const auto mailbox =
+      std::make_shared<AttemptMailbox>(mContext.get_executor());
+    aProbe.mId = link->Open(mailbox);
+    link->Send(aProbe);
+    auto event = co_await mailbox->Receive(aRound->mUntil);
+    link->Close(aProbe.mId);
+    auto* message = event ? std::get_if<protocol::Message>(&*event) : nullptr;
+    auto* reply =
+      message ? std::get_if<protocol::ProbeReply>(message) : nullptr;
+    if (reply != nullptr) {
+      Probed& probed = aRound->mProbed[aIndex];
+      probed.mReply = *reply;
+      probed.mHasReplied = true;
+    }
+  }
+  aRound->mNews.Push(true);
+}
+
+Task<std::vector<Router::Probed>>
+Router::ProbeAll(ChoiceQuery aQuery,
+                 Priority aPriority,
+                 std::vector<EndpointHandle> aCandidates)
+{
+  const auto round = std::make_shared<ProbeRound>(mContext.get_executor());
+  round->mUntil = mClock.Now() + mSettings.mRouter.mProbeTimeout;
+  for (const EndpointHandle handle : aCandidates) {
+    round->mProbed.push_back({ handle });
+  }
+  protocol::Probe probe;
+  probe.mServes = aQuery.mServes;
+  probe.mPriority = aPriority;
+  probe.mLevels.assign(aQuery.mLevels.begin(), aQuery.mLevels.end());
+  probe.mConfigVersion = mConfig.mSnapshot->mVersion.Packed();
+  for (std::size_t i = 0; i < round->mProbed.size(); ++i) {
+    transport::Spawn(mContext, SendProbe(round, i, probe));
+  }
+  mMetrics.Count("shuntjunction_probes_total",
+                 {},
+                 static_cast<double>(round->mProbed.size()));
+  for (std::size_t i = 0; i < aCandidates.size(); ++i) {
+    const auto settled = co_await round->mNews.Receive(round->mUntil);
+    if (!settled) {
+      break;
+    }
+  }
+  for (const auto& probed : round->mProbed) {
+    if (!probed.mHasReplied) {
+      mMetrics.Count("shuntjunction_probes_unanswered_total");
+      continue;
+    }
+    mTable.NoteLoad(probed.mHandle,
+                    { static_cast<std::int64_t>(probed.mReply.mWaitMicros),
+                      probed.mReply.mMicrosPerBlock,
+                      mClock.Now() });
+  }
+  co_return round->mProbed;
+}
+
+std::int64_t
+Router::CostMicros(const Probed& aProbed, const ChoiceQuery& aQuery) const
+{
+  const auto& entry = mTable.At(aProbed.mHandle);
+  const auto& reply = aProbed.mReply;
+  const std::int64_t missing =
+    std::max<std::int64_t>(0,
+                           static_cast<std::int64_t>(aQuery.mBlocks) -
+                             static_cast<std::int64_t>(reply.mCachedBlocks));
+  const bool isNear = entry.mInstance.mZone == mSettings.mZone;
+  return static_cast<std::int64_t>(reply.mWaitMicros) +
+         missing * reply.mMicrosPerBlock +
+         (isNear ? 0 : mSettings.mRouter.mChooser.mZoneCostMicros);
+}
+
+Task<EndpointHandle>
+Router::Choose(ChoiceQuery aQuery,
+               Priority aPriority,
+               std::vector<EndpointHandle> aExcluded)
+{
+  const TimePoint now = mClock.Now();
+  auto usable = mTable.Usable(aQuery.mServes, now);
+  std::erase_if(usable, [&](EndpointHandle aHandle) {
+    return std::find(aExcluded.begin(), aExcluded.end(), aHandle) !=
+           aExcluded.end();
+  });
+  if (usable.empty()) {
+    co_return EndpointHandle{};
+  }
+  const bool asks = mChooser->AsksFirst(aQuery);
+  const std::size_t limit = asks ? mSettings.mRouter.mChooser.mProbes : 1;
+  auto candidates = mChooser->Candidates(aQuery, usable, limit, now);
+  if (!asks || candidates.size() < 2) {
+    co_return candidates.empty() ? EndpointHandle{} : candidates.front();
+  }
+  const auto probed = co_await ProbeAll(aQuery, aPriority, candidates);
+  EndpointHandle best;
+  std::int64_t lowest = 0;
+  for (const auto& one : probed) {
+    if (!one.mHasReplied || !one.mReply.mIsAccepting) {
+      continue;
+    }
+    const std::int64_t cost = CostMicros(one, aQuery);
+    if (!best.IsValid() || cost < lowest) {
+      best = one.mHandle;
+      lowest = cost;
+    }
+  }
+  if (best.IsValid()) {
+    co_return best;
+  }
+  // None of them takes it: the least loaded of all as far as is known.
+  const auto least = std::min_element(
+    usable.begin(), usable.end(), [&](auto aLeft, auto aRight) {
+      return state::RememberedWaitMicros(mTable.At(aLeft), now) <
+             state::RememberedWaitMicros(mTable.At(aRight), now);
+    });
+  co_return *least;
+}
+
+Task<Result<std::vector<Explanation>>>
+Router::Explain(std::string aTeam, RequestKind aKind, std::string aBody)
+{
+  const auto call = ReadChatCall(aKind, aBody);
+  if (!call) {
+    co_return tl::unexpected(call.error());
+  }
+  const state::CacheScope scope{ aTeam, call->mModel, WeightsOf(call->mModel) };
+  const auto chain = state::BuildPrefixChain(scope, call->mLevels);
+  ChoiceQuery query;
+  query.mTeam = aTeam;
+  query.mServes = call->mModel;
+  query.mLevels = chain.mLevels;
+  query.mBlocks = static_cast<std::uint32_t>(chain.mBlocks.size());
+  const TimePoint now = mClock.Now();
+  const auto usable = mTable.Usable(query.mServes, now);
+  const auto candidates = mChooser->Candidates(
+    query, usable, mSettings.mRouter.mChooser.mProbes, now);
+  const auto probed = co_await ProbeAll(query, Priority::kOrdinary, candidates);
+  std::vector<Explanation> rows;
+  for (const EndpointHandle handle : usable) {
+    const auto& entry = mTable.At(handle);
+    Explanation row;
+    row.mEndpoint = entry.mInstance.mName;
+    row.mZone = entry.mInstance.mZone;
+    row.mHealth =
+      std::string(state::kHealthStateNames.Name(entry.mHealth.State()));
+    for (const auto& one : probed) {
+      if (one.mHandle == handle) {
+        row.mIsCandidate = true;
+        row.mHasReplied = one.mHasReplied && one.mReply.mIsAccepting;
+        row.mCachedBlocks = one.mReply.mCachedBlocks;
+        row.mWaitMicros = one.mReply.mWaitMicros;
+        row.mCostMicros = CostMicros(one, query);
+      }
+    }
+    rows.push_back(std::move(row));
+  }
+  Explanation* best = nullptr;
+  for (auto& row : rows) {
+    if (row.mHasReplied &&
+        (best == nullptr || row.mCostMicros < best->mCostMicros)) {
+      best = &row;
+    }
+  }
+  if (best != nullptr) {
+    best->mIsChosen = true;
+  }
+  co_return rows;
+}
+
+// Callers.
+
+HttpResponse
+Router::Refusal(unsigned aStatus, std::string_view aText)
+{
+  mMetrics.Count("shuntjunction_http_refusals_total",
+                 { { "status", std::to_string(aStatus) } });
+  ApiError error;
+  error.mStatus = aStatus;
+  error.mType = aStatus == 503 ? "overloaded_error" : "invalid_request_error";
+  error.mCode = "bad_request";
+  error.mMessage = aText;
+  error.mRunState = state::kRunStateNames.Name(state::RunState::kNotRun);
+  HttpResponse response;
+  response.mStatus = aStatus;
+  response.mBody = WriteError(error);
+  if (aStatus == 503) {
+    response.mFields.push_back({ "retry-after", "1" });
+  }
+  return response;
+}
+
+Task<void>
+Router::Handle(HttpExchange& aExchange)
+{
+  ++mActive;
+  RequestRun run(*this, aExchange);
+  const auto& request = aExchange.Request();
+  const std::string_view path = request.Path();
+  const bool isPost = request.mMethod == "POST";
+  if (path == "/v1/chat/completions" && isPost) {
+    co_await run.RunModelCall(RequestKind::kChat);
+  } else if (path == "/v1/completions" && isPost) {
+    co_await run.RunModelCall(RequestKind::kCompletion);
+  } else if (path == "/v1/models" && request.mMethod == "GET") {
+    co_await run.RunModelList();
+  } else if (path.starts_with(kServicesPath)) {
+    co_await run.RunServiceCall(path.substr(kServicesPath.size()));
+  } else {
+    co_await run.RunUnknownPath();
+  }
+  --mActive;
+}
+
+} // namespace shuntjunction::coordination
--- /dev/null
+++ b/packages/protocol/include/shuntjunction/protocol/messages.h
@@ -0,0 +1,210 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "shuntjunction/state/block_index.h"
+#include "shuntjunction/state/prefix_chain.h"
+#include "shuntjunction/state/request_types.h"
+
+/// Messages between shuntjunction's own processes.
+namespace shuntjunction::protocol {
+
+/// Version of the protocol that this program speaks.
+inline constexpr std::uint16_t kProtocolVersion = 1;
+
+/// Oldest version that it still understands.
+inline constexpr std::uint16_t kOldestVersion = 1;
+
+/// Names a request on one connection.
+using StreamId = std::uint64_t;
+
+/// First message of the side that accepted the connection.
+struct Challenge
+{
+  std::uint16_t mVersion = kProtocolVersion;
+  std::string mNonce;
+};
+
+/// Answer of the side that connected.
+struct Hello
+{
+  std::uint16_t mVersion = kProtocolVersion;
+  std::string mNode;
+  std::string mNonce;
+  std::string mProof;
+  std::uint64_t mConfigVersion = 0;
+};
+
+/// The accepting side's proof.
+struct Welcome
+{
+  std::string mNode;
+  std::string mProof;
+  std::uint64_t mConfigVersion = 0;
+};
+
+/// Asks what a request would cost.
+struct Probe
+{
+  StreamId mId = 0;
+  std::string mServes;
+  state::Priority mPriority = state::Priority::kOrdinary;
+  std::vector<state::PrefixLevel> mLevels;
+  std::uint64_t mConfigVersion = 0;
+};
+
+/// Answer to a Probe.
+struct ProbeReply
+{
+  StreamId mId = 0;
+  bool mIsAccepting = false;
+  std::uint32_t mCachedBlocks = 0;
+  std::uint64_t mWaitMicros = 0;
+  std::uint32_t mMicrosPerBlock = 0;
+  std::uint64_t mConfigVersion = 0;
+};
+
+/// Hands a request to a companion.
+struct Submit
+{
+  StreamId mId = 0;
+  std::uint32_t mAttempt = 0;
+  std::string mRequestId;
+  std::string mTeam;
+  std::string mServes; ///< model or service
+  state::RequestKind mKind = state::RequestKind::kChat;
+  state::Priority mPriority = state::Priority::kOrdinary;
+  std::uint32_t mWeightsVersion = 0;
+  std::uint32_t mDeadlineMs = 0; ///< left until its first token is due
+  bool mIsOnce = false;          ///< marked as not repeatable
+  std::string mKey;              ///< idempotency key; empty when none
+  bool mIsStream = false;
+  std::uint32_t mResumeOffset = 0; ///< tokens that the caller has already
+  std::string mResumeText;         ///< their text
+  std::string mMethod;
+  std::string mTarget;
+  std::string mContentType;
+  std::string mBody;
+  std::uint32_t mWindow = 0; ///< tokens that may be sent without a Credit
+  std::uint64_t mConfigVersion = 0;
+};
+
+/// The request is at the engine.
+struct Started
+{
+  StreamId mId = 0;
+  std::uint32_t mAttempt = 0;
+  state::Incarnation mIncarnation = 0;
+  std::uint32_t mCachedBlocks = 0;
+  std::uint64_t mConfigVersion = 0;
+  std::uint32_t mWeightsVersion = 0;
+};
+
+/// Tokens of an answer, numbered from the answer's start.
+struct Tokens
+{
+  StreamId mId = 0;
+  std::uint32_t mAttempt = 0;
+  state::Incarnation mIncarnation = 0;
+  std::uint32_t mOffset = 0;
+  std::uint32_t mCount = 0;
+  std::string mText;
+};
+
+/// The answer is complete.
+struct Finished
+{
+  StreamId mId = 0;
+  std::uint32_t mAttempt = 0;
+  state::Incarnation mIncarnation = 0;
+  std::uint16_t mStatus = 200;
+  std::string mContentType;
+  std::string mBody; ///< of a whole answer; empty after Tokens
+  std::uint32_t mTotalTokens = 0;
+  std::string mFinishReason;
+  std::uint32_t mPromptTokens = 0;
+  std::uint32_t mCachedTokens = 0;
+  std::uint32_t mRecomputedBlocks = 0;
+  bool mIsReplayed = false; ///< the recorded outcome of an earlier run
+  std::uint64_t mWaitMicros = 0;
+  std::uint32_t mMicrosPerBlock = 0;
+};
+
+/// Refused before it was handed over: it was not run.
+struct Refused
+{
+  StreamId mId = 0;
+  std::uint32_t mAttempt = 0;
+  state::RefusalReason mReason = state::RefusalReason::kQueueFull;
+  std::uint32_t mRetryAfterMs = 0;
+  std::uint64_t mWaitMicros = 0;
+  std::uint32_t mMicrosPerBlock = 0;
+  std::string mText;
+  std::uint64_t mConfigVersion = 0;
+};
+
+/// Failed after it may have been handed over.
+struct Failed
+{
+  StreamId mId = 0;
+  std::uint32_t mAttempt = 0;
+  state::RunState mRunState = state::RunState::kUnknown;
+  std::string mText;
+};
+
+/// The attempt is given up.
+struct Cancel
+{
+  StreamId mId = 0;
+  std::uint32_t mAttempt = 0;
+};
+
+/// The caller has taken so many tokens more.
+struct Credit
+{
+  StreamId mId = 0;
+  std::uint32_t mAttempt = 0;
+  std::uint32_t mTokens = 0;
+};
+
+/// The endpoint takes no new work from now on.
+struct Leaving
+{
+  std::string mNode;
+};
+
+/// Asks for the configuration in force if it is newer.
+struct SnapshotRequest
+{
+  std::uint64_t mHave = 0;
+};
+
+/// The configuration in force; no text when it is not newer.
+struct SnapshotReply
+{
+  std::uint64_t mVersion = 0;
+  std::string mText;
+};
+
+/// Any message.
+using Message = std::variant<Challenge,
+                             Hello,
+                             Welcome,
+                             Probe,
+                             ProbeReply,
+                             Submit,
+                             Started,
+                             Tokens,
+                             Finished,
+                             Refused,
+                             Failed,
+                             Cancel,
+                             Credit,
+                             Leaving,
+                             SnapshotRequest,
+                             SnapshotReply>;
+
+} // namespace shuntjunction::protocol
--- /dev/null
+++ b/packages/state/include/shuntjunction/state/clock.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <random>
+
+/// Time and chance as interfaces, so that decisions run by a seed in tests.
+namespace shuntjunction::state {
+
+/// A point on the monotonic clock.
+using TimePoint = std::chrono::steady_clock::time_point;
+
+/// Whole milliseconds.
+using Millis = std::chrono::milliseconds;
+
+/// Source of the current time.
+///
+/// Thread safety: all methods may be called from any thread.
+class Clock
+{
+public:
+  virtual ~Clock() = default;
+
+  /// Monotonic time; stands still for no pause of the process.
+  virtual TimePoint Now() const = 0;
+
+  /// Milliseconds since the Unix epoch, for records that outlive a process.
+  virtual std::int64_t WallMillis() const = 0;
+};
+
+/// The machine's clocks.
+class SystemClock final : public Clock
+{
+public:
+  TimePoint Now() const override { return std::chrono::steady_clock::now(); }
+
+  std::int64_t WallMillis() const override
+  {
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<Millis>(now).count();
+  }
+};
+
+/// A clock that moves only when told to.
+///
+/// Thread safety: none; for tests and models on one thread.
+class ManualClock final : public Clock
+{
+public:
+  TimePoint Now() const override { return mNow; }
+
+  std::int64_t WallMillis() const override
+  {
+    return std::chrono::duration_cast<Millis>(mNow.time_since_epoch()).count();
+  }
+
+  /// Moves the clock forward.
+  void Advance(std::chrono::nanoseconds aStep)
+  {
+    mNow += std::chrono::duration_cast<TimePoint::duration>(aStep);
+  }
+
+private:
+  TimePoint mNow = TimePoint(std::chrono::hours(1000));
+};
+
+/// Source of random numbers; a thread owns its own.
+using RandomSource = std::mt19937_64;
+
+} // namespace shuntjunction::state
--- /dev/null
+++ b/packages/state/include/shuntjunction/state/config_objects.h
@@ -0,0 +1,146 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/json/value.hpp>
+
+#include "shuntjunction/state/error.h"
+#include "shuntjunction/state/request_types.h"
+#include "shuntjunction/state/team_limiter.h"
+
+/// The kinds of object that operators declare.
+namespace shuntjunction::state {
+
+/// Kinds of configuration object; the name is the middle part of its key,
+/// "config/teams/riga".
+enum class ConfigKind : std::uint8_t
+{
+  kTeam,
+  kModel,
+  kTemplate,
+  kParameters,
+  kEndpoint,
+  kService,
+  kEpoch,
+};
+
+/// Names of ConfigKind.
+inline constexpr EnumNames<ConfigKind, 7> kConfigKindNames{ { "teams",
+                                                              "models",
+                                                              "templates",
+                                                              "parameters",
+                                                              "endpoints",
+                                                              "services",
+                                                              "epoch" } };
+
+/// All configuration objects stand below this prefix in the platform.
+inline constexpr std::string_view kConfigPrefix = "config/";
+
+/// A team and how its requests are known.
+struct TeamConfig
+{
+  std::string mName;
+  std::vector<std::string> mKeyDigests; ///< SHA-256 of its bearer keys, as hex
+  TeamLimit mLimit;
+  double mWeight = 1.0; ///< share among teams of a class
+};
+
+/// A model and the weights version in force.
+struct ModelConfig
+{
+  std::string mName;
+  std::uint32_t mWeights = 1;
+  std::vector<std::string> mAdapters;
+};
+
+/// A kind of event with its urgency.
+struct TemplateConfig
+{
+  std::string mName;
+  std::string mEvent;               ///< what starts, for people
+  std::vector<std::string> mLevels; ///< names of the prompt levels
+  Priority mUrgency = Priority::kOrdinary;
+  bool mIsRepeatable = true;
+};
+
+/// A team's parameters of a template.
+struct ParametersConfig
+{
+  std::string mTeam;
+  std::string mTemplate;
+  std::string mModel;
+  std::vector<std::string> mStarts;     ///< "HH:MM", UTC
+  std::vector<std::string> mSharedText; ///< texts of the outer prompt levels
+  std::int64_t mWarmEndpoints = 1;      ///< endpoints warmed before a start
+};
+
+/// Role of a model engine.
+enum class EngineRole : std::uint8_t
+{
+  kBoth,
+  kPrefill,
+  kDecode,
+};
+
+/// Names of EngineRole.
+inline constexpr EnumNames<EngineRole, 3> kEngineRoleNames{
+  { "both", "prefill", "decode" }
+};
+
+/// What an endpoint is to serve: a model or a plain service.
+struct EndpointConfig
+{
+  std::string mName;
+  std::string mModel;   ///< empty for a plain service
+  std::string mService; ///< empty for a model engine
+  EngineRole mRole = EngineRole::kBoth;
+  double mWeight = 1.0; ///< relative capacity
+};
+
+/// A plain service.
+struct ServiceConfig
+{
+  std::string mName;
+  Priority mUrgency = Priority::kPriority;
+};
+
+/// Key of an object: its kind and name.
+struct ConfigKey
+{
+  ConfigKind mKind = ConfigKind::kTeam;
+  std::string mName;
+};
+
+/// Takes a platform key apart.
+Result<ConfigKey>
+ParseConfigKey(std::string_view aKey);
+
+/// Platform key of an object.
+std::string
+FormatConfigKey(const ConfigKey& aKey);
+
+/// Reads of each kind; errors name the key, what was found and is allowed.
+/// Thread safety: pure.
+Result<TeamConfig>
+ReadTeam(std::string_view aName, const boost::json::value& aValue);
+Result<ModelConfig>
+ReadModel(std::string_view aName, const boost::json::value& aValue);
+Result<TemplateConfig>
+ReadTemplate(std::string_view aName, const boost::json::value& aValue);
+Result<ParametersConfig>
+ReadParameters(std::string_view aName, const boost::json::value& aValue);
+Result<EndpointConfig>
+ReadEndpoint(std::string_view aName, const boost::json::value& aValue);
+Result<ServiceConfig>
+ReadService(std::string_view aName, const boost::json::value& aValue);
+Result<std::uint64_t>
+ReadEpoch(const boost::json::value& aValue);
+
+/// Checks an object of any kind without keeping it.
+Result<void>
+CheckConfigObject(std::string_view aKey, const boost::json::value& aValue);
+
+} // namespace shuntjunction::state
--- /dev/null
+++ b/packages/state/include/shuntjunction/state/json_reader.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <boost/json/object.hpp>
+#include <boost/json/value.hpp>
+
+#include "shuntjunction/state/error.h"
+
+/// Checked reading of JSON objects: every error names the key, what was found
+/// and what is allowed.
+namespace shuntjunction::state {
+
+/// Parses JSON text; comments and trailing commas are allowed.
+///
+/// @param aWhat  what the text is, for the error ("settings file a.json")
+Result<boost::json::value>
+ParseJson(std::string_view aText, std::string_view aWhat);
+
+/// Reads the members of one object and remembers the first error.
+///
+/// Read every known key, then call Finish: it also refuses keys that nobody
+/// asked for.
+/// Thread safety: none.
+class JsonReader
+{
+public:
+  /// @param aPath  where the object stands, as "teams/riga" or ""
+  /// @pre   aValue outlives the reader
+  JsonReader(const boost::json::value& aValue, std::string_view aPath);
+  JsonReader(boost::json::value&& aValue, std::string_view aPath) = delete;
+
+  /// A text; aDefault when the key is absent, an error when that is empty.
+  std::string Text(std::string_view aKey,
+                   std::optional<std::string> aDefault = std::nullopt);
+
+  /// A whole number within bounds.
+  std::int64_t Integer(std::string_view aKey,
+                       std::int64_t aMin,
+                       std::int64_t aMax,
+                       std::optional<std::int64_t> aDefault = std::nullopt);
+
+  /// A number within bounds.
+  double Number(std::string_view aKey,
+                double aMin,
+                double aMax,
+                std::optional<double> aDefault = std::nullopt);
+
+  /// True or false.
+  bool Flag(std::string_view aKey, std::optional<bool> aDefault = std::nullopt);
+
+  /// A list of texts; empty when absent.
+  std::vector<std::string> Texts(std::string_view aKey);
+
+  /// A value of an enumeration by its name.
+  template<typename Enum, std::size_t Count>
+  Enum Name(std::string_view aKey,
+            const EnumNames<Enum, Count>& aNames,
+            std::optional<Enum> aDefault = std::nullopt)
+  {
+    std::optional<std::string> fallback;
+    if (aDefault) {
+      fallback = std::string(aNames.Name(*aDefault));
+    }
+    const std::string text = Text(aKey, fallback);
+    const auto value = aNames.Parse(text);
+    if (!value) {
+      Note(aKey, "\"" + text + "\"", "one of " + aNames.Allowed());
+    }
+    return value.value_or(Enum{});
+  }
+
+  /// The value of a key; null when absent.
+  const boost::json::value* Find(std::string_view aKey);
+
+  /// Notes an error of a key.
+  void Note(std::string_view aKey,
+            std::string_view aFound,
+            std::string_view aAllowed);
+
+  /// Takes over the error of a nested reader, if it has one.
+  void Merge(const Result<void>& aNested);
+
+  /// The first error, or success; refuses unknown keys.
+  Result<void> Finish();
+
+private:
+  std::string Where(std::string_view aKey) const;
+
+  const boost::json::object* mObject = nullptr;
+  std::string mPath;
+  std::vector<std::string> mKnown;
+  std::optional<Error> mError;
+};
+
+} // namespace shuntjunction::state
--- /dev/null
+++ b/packages/state/src/chooser_baselines.h
@@ -0,0 +1,76 @@
+#pragma once
+
+// Private to the state package.
+
+#include "shuntjunction/state/endpoint_chooser.h"
+
+namespace shuntjunction::state {
+
+/// Any endpoint, with equal chances.
+class RandomChooser final : public EndpointChooser
+{
+public:
+  explicit RandomChooser(RandomSource& aRandom)
+    : mRandom(aRandom)
+  {
+  }
+
+  std::vector<EndpointHandle> Candidates(
+    const ChoiceQuery& aQuery,
+    std::span<const EndpointHandle> aUsable,
+    std::size_t aLimit,
+    TimePoint aNow) override;
+  bool AsksFirst(const ChoiceQuery&) const override { return false; }
+
+private:
+  RandomSource& mRandom;
+};
+
+/// The endpoints with the least load that is known of, best first.
+class LeastLoadChooser final : public EndpointChooser
+{
+public:
+  /// @param aSample  endpoints drawn at random to compare; 0 for all
+  LeastLoadChooser(const EndpointTable& aTable,
+                   RandomSource& aRandom,
+                   std::size_t aSample)
+    : mTable(aTable)
+    , mRandom(aRandom)
+    , mSample(aSample)
+  {
+  }
+
+  std::vector<EndpointHandle> Candidates(
+    const ChoiceQuery& aQuery,
+    std::span<const EndpointHandle> aUsable,
+    std::size_t aLimit,
+    TimePoint aNow) override;
+  bool AsksFirst(const ChoiceQuery&) const override { return false; }
+
+private:
+  const EndpointTable& mTable;
+  RandomSource& mRandom;
+  std::size_t mSample;
+};
+
+/// The rendezvous order of the outermost prompt level, whatever the load.
+class RendezvousChooser final : public EndpointChooser
+{
+public:
+  explicit RendezvousChooser(const EndpointTable& aTable)
+    : mTable(aTable)
+  {
+  }
+
+  std::vector<EndpointHandle> Candidates(
+    const ChoiceQuery& aQuery,
+    std::span<const EndpointHandle> aUsable,
+    std::size_t aLimit,
+    TimePoint aNow) override;
+  bool AsksFirst(const ChoiceQuery&) const override { return false; }
+
+private:
+  const EndpointTable& mTable;
+};
+
+} // namespace shuntjunction::state
--- /dev/null
+++ b/packages/state/src/claim_machine.cpp
@@ -0,0 +1,211 @@
+#include "shuntjunction/state/claim_machine.h"
+
+#include <boost/json/serialize.hpp>
+#include <boost/mpl/vector.hpp>
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+
+#include "shuntjunction/state/json_reader.h"
+
+namespace shuntjunction::state {
+
+namespace {
+
+namespace msm = boost::msm;
+using msm::front::none;
+using msm::front::Row;
+
+struct CreatedEvent
+{};
+struct UnsureEvent
+{};
+struct OwnEvent
+{};
+struct DoneEvent
+{};
+struct TakenEvent
+{};
+struct ReusedEvent
+{};
+struct AbsentEvent
+{};
+struct OutOfTimeEvent
+{};
+
+struct ClaimDef : public msm::front::state_machine_def<ClaimDef>
+{
+  // States, in the order of ClaimStep.
+  struct Create : public msm::front::state<>
+  {};
+  struct ReadBack : public msm::front::state<>
+  {};
+  struct HandOver : public msm::front::state<>
+  {};
+  struct Replay : public msm::front::state<>
+  {};
+  struct Taken : public msm::front::state<>
+  {};
+  struct KeyReused : public msm::front::state<>
+  {};
+  struct Undecided : public msm::front::state<>
+  {};
+  using initial_state = Create;
+
+  // clang-format off
+  struct transition_table : boost::mpl::vector<
+    //  from      event           to
+    Row<Create,   CreatedEvent,   HandOver>,
+    Row<Create,   UnsureEvent,    ReadBack>,
+    Row<Create,   OutOfTimeEvent, Undecided>,
+    Row<ReadBack, OwnEvent,       HandOver>,
+    Row<ReadBack, DoneEvent,      Replay>,
+    Row<ReadBack, TakenEvent,     Taken>,
+    Row<ReadBack, ReusedEvent,    KeyReused>,
+    Row<ReadBack, AbsentEvent,    Create>,
+    Row<ReadBack, OutOfTimeEvent, Undecided>
+  > {};
+  // clang-format on
+
+  /// An event that means nothing in a state is no error.
+  template<typename Event, typename Fsm>
+  void no_transition(const Event&, Fsm&, int)
+  {
+  }
+
+  std::string mNonce;
+  std::string mBodyDigest;
+  ClaimRecord mFound;
+  bool mMayHaveWritten = false;
+};
+
+} // namespace
+
+struct ClaimMachine::Machine : public msm::back::state_machine<ClaimDef>
+{};
+
+ClaimMachine::ClaimMachine(std::string aNonce, std::string aBodyDigest)
+  : mMachine(std::make_unique<Machine>())
+{
+  mMachine->mNonce = std::move(aNonce);
+  mMachine->mBodyDigest = std::move(aBodyDigest);
+  mMachine->start();
+}
+
+ClaimMachine::~ClaimMachine() = default;
+
+ClaimStep
+ClaimMachine::Step() const
+{
+  return static_cast<ClaimStep>(mMachine->current_state()[0]);
+}
+
+void
+ClaimMachine::CreateAnswered(const Result<std::uint64_t>& aRevision)
+{
+  if (aRevision) {
+    mMachine->mMayHaveWritten = true;
+    mMachine->process_event(CreatedEvent{});
+    return;
+  }
+  const ErrorCode code = aRevision.error().mCode;
+  // Only these two say for certain that nothing was written.
+  if (code != ErrorCode::kConflict && code != ErrorCode::kUnavailable) {
+    mMachine->mMayHaveWritten = true;
+  }
+  mMachine->process_event(UnsureEvent{});
+}
+
+void
+ClaimMachine::ReadAnswered(const Result<std::optional<ClaimRecord>>& aRecord)
+{
+  if (!aRecord) {
+    return; // Stay in kReadBack: the owner reads again.
+  }
+  if (!*aRecord) {
+    mMachine->process_event(AbsentEvent{});
+    return;
+  }
+  mMachine->mFound = **aRecord;
+  if (mMachine->mFound.mNonce == mMachine->mNonce) {
+    mMachine->process_event(OwnEvent{});
+  } else if (mMachine->mFound.mBodyDigest != mMachine->mBodyDigest) {
+    mMachine->process_event(ReusedEvent{});
+  } else if (mMachine->mFound.mIsDone) {
+    mMachine->process_event(DoneEvent{});
+  } else {
+    mMachine->process_event(TakenEvent{});
+  }
+}
+
+void
+ClaimMachine::OutOfTime()
+{
+  mMachine->process_event(OutOfTimeEvent{});
+}
+
+bool
+ClaimMachine::MayHaveWritten() const
+{
+  return mMachine->mMayHaveWritten;
+}
+
+const ClaimRecord&
+ClaimMachine::Found() const
+{
+  return mMachine->mFound;
+}
+
+ClaimRecord
+ClaimMachine::Own(std::int64_t aNowMillis) const
+{
+  ClaimRecord record;
+  record.mNonce = mMachine->mNonce;
+  record.mBodyDigest = mMachine->mBodyDigest;
+  record.mAtMillis = aNowMillis;
+  return record;
+}
+
+std::string
+WriteClaimRecord(const ClaimRecord& aRecord)
+{
+  boost::json::object object{ { "nonce", aRecord.mNonce },
+                              { "digest", aRecord.mBodyDigest },
+                              { "at", aRecord.mAtMillis },
+                              { "done", aRecord.mIsDone } };
+  if (aRecord.mIsDone) {
+    object["status"] = aRecord.mStatus;
+    object["contentType"] = aRecord.mContentType;
+    object["body"] = aRecord.mBody;
+    object["finishReason"] = aRecord.mFinishReason;
+    object["tokens"] = aRecord.mTokens;
+  }
+  return boost::json::serialize(object);
+}
+
+Result<ClaimRecord>
+ReadClaimRecord(std::string_view aText)
+{
+  const auto value = ParseJson(aText, "claim");
+  if (!value) {
+    return tl::unexpected(value.error());
+  }
+  JsonReader reader(*value, "claim");
+  ClaimRecord record;
+  record.mNonce = reader.Text("nonce");
+  record.mBodyDigest = reader.Text("digest");
+  record.mAtMillis = reader.Integer("at", 0, INT64_MAX);
+  record.mIsDone = reader.Flag("done");
+  record.mStatus = static_cast<unsigned>(reader.Integer("status", 0, 999, 0));
+  record.mContentType = reader.Text("contentType", "");
+  record.mBody = reader.Text("body", "");
+  record.mFinishReason = reader.Text("finishReason", "");
+  record.mTokens =
+    static_cast<std::uint32_t>(reader.Integer("tokens", 0, UINT32_MAX, 0));
+  if (auto done = reader.Finish(); !done) {
+    return tl::unexpected(done.error());
+  }
+  return record;
+}
+
+} // namespace shuntjunction::state
--- /dev/null
+++ b/packages/state/src/endpoint_chooser.cpp
@@ -0,0 +1,49 @@
+#include "shuntjunction/state/endpoint_chooser.h"
+
+#include <algorithm>
+
+#include "chooser_baselines.h"
+#include "chooser_nested_groups.h"
+
+namespace shuntjunction::state {
+
+void
+EndpointChooser::NoteSent(const ChoiceQuery& /*aQuery*/,
+                          double /*aEngineSeconds*/,
+                          TimePoint /*aNow*/)
+{
+}
+
+std::int64_t
+RememberedWaitMicros(const EndpointEntry& aEntry, TimePoint aNow)
+{
+  const auto age = std::chrono::duration_cast<std::chrono::microseconds>(
+    aNow - aEntry.mLoad.mAt);
+  const std::int64_t left =
+    aEntry.mLoad.mWaitMicros + aEntry.mSentMicros - age.count();
+  return std::max<std::int64_t>(left, 0);
+}
+
+std::unique_ptr<EndpointChooser>
+MakeChooser(const ChooserSettings& aSettings,
+            const EndpointTable& aTable,
+            const std::size_t& aRouters,
+            RandomSource& aRandom)
+{
+  switch (aSettings.mPolicy) {
+    case ChoicePolicy::kNestedGroups:
+      return std::make_unique<NestedGroupsChooser>(
+        aSettings, aTable, aRouters, aRandom);
+    case ChoicePolicy::kRendezvous:
+      return std::make_unique<RendezvousChooser>(aTable);
+    case ChoicePolicy::kPowerOfTwo:
+      return std::make_unique<LeastLoadChooser>(aTable, aRandom, 2);
+    case ChoicePolicy::kLeastLoad:
+      return std::make_unique<LeastLoadChooser>(aTable, aRandom, 0);
+    case ChoicePolicy::kRandom:
+      break;
+  }
+  return std::make_unique<RandomChooser>(aRandom);
+}
+
+} // namespace shuntjunction::state
--- /dev/null
+++ b/packages/state/src/json_reader.cpp
@@ -0,0 +1,218 @@
+#include "shuntjunction/state/json_reader.h"
+
+#include <algorithm>
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace shuntjunction::state {
+
+namespace {
+
+constexpr std::size_t kMaxShownValue = 60;
+
+/// What an error message shows of a value.
+std::string
+Shown(const boost::json::value& aValue)
+{
+  std::string text = boost::json::serialize(aValue);
+  if (text.size() > kMaxShownValue) {
+    text = text.substr(0, kMaxShownValue) + "...";
+  }
+  return text;
+}
+
+} // namespace
+
+Result<boost::json::value>
+ParseJson(std::string_view aText, std::string_view aWhat)
+{
+  boost::json::parse_options options;
+  options.allow_comments = true;
+  options.allow_trailing_commas = true;
+  boost::json::error_code error;
+  auto value = boost::json::parse(
+    boost::json::string_view(aText.data(), aText.size()), error, {}, options);
+  if (error) {
+    return Fail(ErrorCode::kInvalidArgument,
+                "json.parse",
+                "",
+                std::string(aWhat) + " is not valid JSON: " + error.message());
+  }
+  return value;
+}
+
+JsonReader::JsonReader(const boost::json::value& aValue, std::string_view aPath)
+  : mPath(aPath)
+{
+  mObject = aValue.if_object();
+  if (mObject == nullptr) {
+    Note("", Shown(aValue), "an object");
+  }
+}
+
+std::string
+JsonReader::Where(std::string_view aKey) const
+{
+  if (mPath.empty() || aKey.empty()) {
+    return mPath + std::string(aKey);
+  }
+  return mPath + "." + std::string(aKey);
+}
+
+void
+JsonReader::Note(std::string_view aKey,
+                 std::string_view aFound,
+                 std::string_view aAllowed)
+{
+  if (mError) {
+    return;
+  }
+  mError = Error{ ErrorCode::kInvalidArgument,
+                  "json.read",
+                  "",
+                  "'" + Where(aKey) + "' is " + std::string(aFound) +
+                    "; allowed is " + std::string(aAllowed) };
+}
+
+const boost::json::value*
+JsonReader::Find(std::string_view aKey)
+{
+  mKnown.emplace_back(aKey);
+  return mObject == nullptr ? nullptr : mObject->if_contains(aKey);
+}
+
+std::string
+JsonReader::Text(std::string_view aKey, std::optional<std::string> aDefault)
+{
+  const auto* value = Find(aKey);
+  if (value == nullptr) {
+    if (!aDefault) {
+      Note(aKey, "absent", "a text");
+    }
+    return aDefault.value_or("");
+  }
+  if (!value->is_string()) {
+    Note(aKey, Shown(*value), "a text");
+    return "";
+  }
+  return std::string(value->as_string());
+}
+
+std::int64_t
+JsonReader::Integer(std::string_view aKey,
+                    std::int64_t aMin,
+                    std::int64_t aMax,
+                    std::optional<std::int64_t> aDefault)
+{
+  const std::string allowed = "a whole number from " + std::to_string(aMin) +
+                              " to " + std::to_string(aMax);
+  const auto* value = Find(aKey);
+  if (value == nullptr) {
+    if (!aDefault) {
+      Note(aKey, "absent", allowed);
+    }
+    return aDefault.value_or(aMin);
+  }
+  boost::json::error_code error;
+  const auto number = value->to_number<std::int64_t>(error);
+  if (error || value->is_double() || number < aMin || number > aMax) {
+    Note(aKey, Shown(*value), allowed);
+    return aMin;
+  }
+  return number;
+}
+
+double
+JsonReader::Number(std::string_view aKey,
+                   double aMin,
+                   double aMax,
+                   std::optional<double> aDefault)
+{
+  const std::string allowed =
+    "a number from " + std::to_string(aMin) + " to " + std::to_string(aMax);
+  const auto* value = Find(aKey);
+  if (value == nullptr) {
+    if (!aDefault) {
+      Note(aKey, "absent", allowed);
+    }
+    return aDefault.value_or(aMin);
+  }
+  boost::json::error_code error;
+  const auto number = value->to_number<double>(error);
+  if (error || number < aMin || number > aMax) {
+    Note(aKey, Shown(*value), allowed);
+    return aMin;
+  }
+  return number;
+}
+
+bool
+JsonReader::Flag(std::string_view aKey, std::optional<bool> aDefault)
+{
+  const auto* value = Find(aKey);
+  if (value == nullptr) {
+    if (!aDefault) {
+      Note(aKey, "absent", "true or false");
+    }
+    return aDefault.value_or(false);
+  }
+  if (!value->is_bool()) {
+    Note(aKey, Shown(*value), "true or false");
+    return false;
+  }
+  return value->as_bool();
+}
+
+std::vector<std::string>
+JsonReader::Texts(std::string_view aKey)
+{
+  std::vector<std::string> texts;
+  const auto* value = Find(aKey);
+  if (value == nullptr) {
+    return texts;
+  }
+  if (!value->is_array()) {
+    Note(aKey, Shown(*value), "a list of texts");
+    return texts;
+  }
+  for (const auto& item : value->as_array()) {
+    if (!item.is_string()) {
+      Note(aKey, Shown(*value), "a list of texts");
+      return texts;
+    }
+    texts.emplace_back(item.as_string());
+  }
+  return texts;
+}
+
+void
+JsonReader::Merge(const Result<void>& aNested)
+{
+  if (!aNested && !mError) {
+    mError = aNested.error();
+  }
+}
+
+Result<void>
+JsonReader::Finish()
+{
+  if (mObject != nullptr) {
+    for (const auto& item : *mObject) {
+      const std::string_view key(item.key().data(), item.key().size());
+      if (std::find(mKnown.begin(), mKnown.end(), key) == mKnown.end()) {
+        std::string allowed = "only ";
+        for (const auto& known : mKnown) {
+          allowed += (allowed.size() > 5 ? ", " : "") + known;
+        }
+        Note(key, "an unknown key", allowed);
+      }
+    }
+  }
+  if (mError) {
+    return tl::unexpected<Error>(*mError);
+  }
+  return {};
+}
+
+} // namespace shuntjunction::state
--- /dev/null
+++ b/packages/state/src/request_life.cpp
@@ -0,0 +1,184 @@
+#include "shuntjunction/state/request_life.h"
+
+#include <boost/mpl/vector.hpp>
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+
+namespace shuntjunction::state {
+
+namespace {
+
+namespace msm = boost::msm;
+using msm::front::none;
+using msm::front::Row;
+
+struct OfferedEvent
+{};
+struct RefusedEvent
+{};
+struct StartedEvent
+{};
+struct LostEvent
+{};
+struct FinishedEvent
+{};
+struct SettledEvent
+{};
+
+struct RequestDef : public msm::front::state_machine_def<RequestDef>
+{
+  // States, in the order of RequestState.
+  struct Unsent : public msm::front::state<>
+  {};
+  struct InOffer : public msm::front::state<>
+  {};
+  struct Running : public msm::front::state<>
+  {};
+  struct Uncertain : public msm::front::state<>
+  {};
+  struct Complete : public msm::front::state<>
+  {};
+  struct Settled : public msm::front::state<>
+  {};
+  using initial_state = Unsent;
+
+  struct MarkDoubt
+  {
+    template<typename Event, typename Fsm, typename From, typename To>
+    void operator()(const Event&, Fsm& aFsm, From&, To&)
+    {
+      aFsm.mWasUncertain = true;
+    }
+  };
+  struct MarkStarted
+  {
+    template<typename Event, typename Fsm, typename From, typename To>
+    void operator()(const Event&, Fsm& aFsm, From&, To&)
+    {
+      aFsm.mWasStarted = true;
+    }
+  };
+  struct WasUncertain
+  {
+    template<typename Event, typename Fsm, typename From, typename To>
+    bool operator()(const Event&, Fsm& aFsm, From&, To&)
+    {
+      return aFsm.mWasUncertain;
+    }
+  };
+
+  // clang-format off
+  struct transition_table : boost::mpl::vector<
+    //  from       event          to         action       guard
+    Row<Unsent,    OfferedEvent,  InOffer,   none,        none>,
+    Row<Uncertain, OfferedEvent,  InOffer,   none,        none>,
+    Row<InOffer,   RefusedEvent,  Unsent,    none,        none>,
+    Row<InOffer,   RefusedEvent,  Uncertain, none,        WasUncertain>,
+    Row<InOffer,   StartedEvent,  Running,   MarkStarted, none>,
+    Row<InOffer,   LostEvent,     Uncertain, MarkDoubt,   none>,
+    Row<Running,   LostEvent,     Uncertain, MarkDoubt,   none>,
+    Row<InOffer,   FinishedEvent, Complete,  none,        none>,
+    Row<Running,   FinishedEvent, Complete,  none,        none>,
+    Row<InOffer,   SettledEvent,  Settled,   none,        none>,
+    Row<Running,   SettledEvent,  Settled,   none,        none>
+  > {};
+  // clang-format on
+
+  /// An event that means nothing in a state is no error.
+  template<typename Event, typename Fsm>
+  void no_transition(const Event&, Fsm&, int)
+  {
+  }
+
+  Repeatability mRepeatability = Repeatability::kRepeatable;
+  bool mWasUncertain = false;
+  bool mWasStarted = false;
+};
+
+} // namespace
+
+struct RequestLife::Machine : public msm::back::state_machine<RequestDef>
+{};
+
+RequestLife::RequestLife(Repeatability aRepeatability)
+  : mMachine(std::make_unique<Machine>())
+{
+  mMachine->mRepeatability = aRepeatability;
+  mMachine->start();
+}
+
+RequestLife::~RequestLife() = default;
+
+void
+RequestLife::Offered()
+{
+  mMachine->process_event(OfferedEvent{});
+}
+
+void
+RequestLife::Refused()
+{
+  mMachine->process_event(RefusedEvent{});
+}
+
+void
+RequestLife::Started()
+{
+  mMachine->process_event(StartedEvent{});
+}
+
+void
+RequestLife::Lost()
+{
+  mMachine->process_event(LostEvent{});
+}
+
+void
+RequestLife::Finished()
+{
+  mMachine->process_event(FinishedEvent{});
+}
+
+void
+RequestLife::Settled()
+{
+  mMachine->process_event(SettledEvent{});
+}
+
+bool
+RequestLife::MayOffer() const
+{
+  switch (State()) {
+    case RequestState::kUnsent:
+      return true;
+    case RequestState::kUncertain:
+      break;
+    default:
+      return false;
+  }
+  switch (mMachine->mRepeatability) {
+    case Repeatability::kRepeatable:
+      return true;
+    case Repeatability::kClaimed:
+      // Until it was started the claim may still be free; it decides.
+      return !mMachine->mWasStarted;
+    case Repeatability::kUnclaimed:
+      return false;
+  }
+  return false;
+}
+
+bool
+RequestLife::IsNotRun() const
+{
+  return State() == RequestState::kUnsent;
+}
+
+RequestState
+RequestLife::State() const
+{
+  return static_cast<RequestState>(mMachine->current_state()[0]);
+}
+
+} // namespace shuntjunction::state
--- /dev/null
+++ b/packages/transport/include/shuntjunction/transport/mailbox.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <deque>
+#include <memory>
+#include <optional>
+
+#include "shuntjunction/transport/task.h"
+
+/// A queue that one coroutine waits on.
+namespace shuntjunction::transport {
+
+/// Hands values to one waiting coroutine, in order.
+///
+/// Thread safety: none; used on the thread of its executor.
+template<typename T>
+class Mailbox
+{
+public:
+  explicit Mailbox(const asio::any_io_executor& aExecutor)
+    : mTimer(aExecutor)
+  {
+  }
+
+  /// Adds a value and wakes the coroutine that waits.
+  void Push(T aValue)
+  {
+    mValues.push_back(std::move(aValue));
+    mTimer.cancel();
+  }
+
+  /// Takes the next value; empty when none came until aUntil.
+  ///
+  /// @pre  no other coroutine waits
+  Task<std::optional<T>> Receive(state::TimePoint aUntil)
+  {
+    while (mValues.empty()) {
+      mTimer.expires_at(aUntil);
+      const auto [error] = co_await mTimer.async_wait(kAsTuple);
+      if (!error && mValues.empty()) {
+        co_return std::nullopt;
+      }
+    }
+    std::optional<T> value(std::move(mValues.front()));
+    mValues.pop_front();
+    co_return value;
+  }
+
+  /// Values that wait.
+  std::size_t Size() const { return mValues.size(); }
+
+private:
+  asio::steady_timer mTimer;
+  std::deque<T> mValues;
+};
+
+} // namespace shuntjunction::transport
--- /dev/null
+++ b/packages/transport/src/frame_channel.cpp
@@ -0,0 +1,321 @@
+#include "shuntjunction/transport/frame_channel.h"
+
+#include <array>
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include "shuntjunction/protocol/codec.h"
+#include "shuntjunction/state/digest.h"
+
+namespace shuntjunction::transport {
+
+using protocol::Message;
+using state::ErrorCode;
+using state::Fail;
+using state::Result;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+/// Closes a channel when time runs out, unless it was disarmed before.
+class Watchdog
+{
+public:
+  Watchdog(const std::shared_ptr<FrameChannel>& aChannel,
+           const asio::any_io_executor& aExecutor,
+           state::Millis aTime)
+    : mTimer(aExecutor, aTime)
+  {
+    mTimer.async_wait([weak = std::weak_ptr(aChannel)](auto aError) {
+      const auto channel = weak.lock();
+      if (!aError && channel) {
+        channel->Close();
+      }
+    });
+  }
+
+private:
+  asio::steady_timer mTimer;
+};
+
+} // namespace
+
+FrameChannel::FrameChannel(tcp::socket aSocket,
+                           std::string aPeer,
+                           ChannelCounters& aCounters)
+  : mSocket(std::move(aSocket))
+  , mPeer(std::move(aPeer))
+  , mCounters(aCounters)
+{
+  boost::system::error_code ignored;
+  mSocket.set_option(tcp::no_delay(true), ignored);
+}
+
+void
+FrameChannel::Send(const Message& aMessage)
+{
+  if (!IsOpen()) {
+    return;
+  }
+  mQueue.push_back(protocol::Encode(aMessage));
+  mPendingBytes += mQueue.back().size();
+  if (mPendingBytes > kMaxPendingBytes) {
+    Close();
+    return;
+  }
+  if (!mIsWriting) {
+    mIsWriting = true;
+    auto executor = mSocket.get_executor();
+    Spawn(executor, WriteQueued());
+  }
+}
+
+Task<void>
+FrameChannel::WriteQueued()
+{
+  const auto self = shared_from_this();
+  while (!mQueue.empty() && IsOpen()) {
+    // All that waits goes out in one write.
+    std::deque<std::vector<std::uint8_t>> batch;
+    batch.swap(mQueue);
+    std::vector<asio::const_buffer> buffers;
+    buffers.reserve(batch.size());
+    for (const auto& frame : batch) {
+      buffers.emplace_back(frame.data(), frame.size());
+    }
+    const auto [error, written] =
+      co_await asio::async_write(mSocket, buffers, kAsTuple);
+    if (error) {
+      Close();
+      break;
+    }
+    mPendingBytes -= written;
+    mCounters.mBytesOut += written;
+    mCounters.mFramesOut += batch.size();
+  }
+  mIsWriting = false;
+}
+
+Task<Result<Message>>
+FrameChannel::Receive()
+{
+  const auto self = shared_from_this();
+  std::array<std::uint8_t, protocol::kLengthBytes> prefix{};
+  const auto [prefixError, prefixBytes] =
+    co_await asio::async_read(mSocket, asio::buffer(prefix), kAsTuple);
+  if (prefixError) {
+    Close();
+    co_return Fail(
+      ErrorCode::kUnavailable, "frame.receive", mPeer, prefixError.message());
+  }
+  const auto length = protocol::DecodeLength(prefix, mPeer);
+  if (!length) {
+    ++mCounters.mBadFrames;
+    Close();
+    co_return tl::unexpected(length.error());
+  }
+  std::vector<std::uint8_t> frame(prefix.size() + *length);
+  std::copy(prefix.begin(), prefix.end(), frame.begin());
+  const auto rest = asio::buffer(frame) + prefix.size();
+  const auto [frameError, frameBytes] =
+    co_await asio::async_read(mSocket, rest, kAsTuple);
+  if (frameError) {
+    Close();
+    co_return Fail(ErrorCode::kUnavailable,
+                   "frame.receive",
+                   mPeer,
+                   "cut off within a frame: " + frameError.message());
+  }
+  mCounters.mBytesIn += prefixBytes + frameBytes;
+  ++mCounters.mFramesIn;
+  auto message = protocol::Decode(frame, mPeer);
+  if (!message) {
+    ++mCounters.mBadFrames;
+    Close();
+  }
+  co_return message;
+}
+
+void
+FrameChannel::Close()
+{
+  boost::system::error_code ignored;
+  mSocket.shutdown(tcp::socket::shutdown_both, ignored);
+  mSocket.close(ignored);
+  mQueue.clear();
+}
+
+template<typename T>
+Task<Result<T>>
+FrameChannel::Expect(std::string_view aStep)
+{
+  auto message = co_await Receive();
+  if (!message) {
+    state::Error error = message.error();
+    error.mStep = aStep;
+    co_return tl::unexpected(std::move(error));
+  }
+  T* typed = std::get_if<T>(&*message);
+  if (typed == nullptr) {
+    ++mCounters.mBadFrames;
+    const std::string found(protocol::MessageName(*message));
+    Close();
+    co_return Fail(
+      ErrorCode::kProtocol, aStep, mPeer, "unexpected message " + found);
+  }
+  co_return std::move(*typed);
+}
+
+Task<Result<void>>
+FrameChannel::HandshakeAsConnector(const ChannelIdentity& aIdentity)
+{
+  constexpr std::string_view kStep = "handshake.connect";
+  const Watchdog watchdog(
+    shared_from_this(), mSocket.get_executor(), kHandshakeTimeout);
+  const auto challenge = co_await Expect<protocol::Challenge>(kStep);
+  if (!challenge) {
+    co_return tl::unexpected(challenge.error());
+  }
+  if (challenge->mVersion < protocol::kOldestVersion) {
+    Close();
+    co_return Fail(
+      ErrorCode::kProtocol, kStep, mPeer, "its protocol version is too old");
+  }
+  protocol::Hello hello;
+  hello.mVersion = std::min(protocol::kProtocolVersion, challenge->mVersion);
+  hello.mNode = aIdentity.mNode;
+  hello.mNonce = state::RandomNonce();
+  hello.mConfigVersion = aIdentity.mConfigVersion;
+  hello.mProof = protocol::ConnectorProof(aIdentity.mSecret, *challenge, hello);
+  Send(hello);
+  const auto welcome = co_await Expect<protocol::Welcome>(kStep);
+  if (!welcome) {
+    co_return tl::unexpected(welcome.error());
+  }
+  const std::string proof =
+    protocol::AcceptorProof(aIdentity.mSecret, *challenge, hello);
+  if (!state::EqualDigests(proof, welcome->mProof)) {
+    ++mCounters.mBadFrames;
+    Close();
+    co_return Fail(
+      ErrorCode::kUnauthorized, kStep, mPeer, "it does not know the secret");
+  }
+  mPeerNode = welcome->mNode;
+  mPeerConfigVersion = welcome->mConfigVersion;
+  co_return Result<void>{};
+}
+
+Task<Result<void>>
+FrameChannel::HandshakeAsAcceptor(const ChannelIdentity& aIdentity)
+{
+  constexpr std::string_view kStep = "handshake.accept";
+  const Watchdog watchdog(
+    shared_from_this(), mSocket.get_executor(), kHandshakeTimeout);
+  protocol::Challenge challenge;
+  challenge.mNonce = state::RandomNonce();
+  Send(challenge);
+  const auto hello = co_await Expect<protocol::Hello>(kStep);
+  if (!hello) {
+    co_return tl::unexpected(hello.error());
+  }
+  const std::string proof =
+    protocol::ConnectorProof(aIdentity.mSecret, challenge, *hello);
+  const bool isProved = state::EqualDigests(proof, hello->mProof);
+  if (!isProved || hello->mVersion < protocol::kOldestVersion) {
+    ++mCounters.mBadFrames;
+    Close();
+    co_return Fail(ErrorCode::kUnauthorized,
+                   kStep,
+                   mPeer,
+                   isProved ? "its protocol version is too old"
+                            : "it does not know the secret");
+  }
+  protocol::Welcome welcome;
+  welcome.mNode = aIdentity.mNode;
+  welcome.mConfigVersion = aIdentity.mConfigVersion;
+  welcome.mProof =
+    protocol::AcceptorProof(aIdentity.mSecret, challenge, *hello);
+  Send(welcome);
+  mPeerNode = hello->mNode;
+  mPeerConfigVersion = hello->mConfigVersion;
+  co_return Result<void>{};
+}
+
+Task<Result<std::shared_ptr<FrameChannel>>>
+ConnectChannel(state::Address aAddress,
+               ChannelIdentity aIdentity,
+               state::Millis aTimeout,
+               ChannelCounters& aCounters)
+{
+  constexpr std::string_view kStep = "channel.connect";
+  const auto executor = co_await asio::this_coro::executor;
+  boost::system::error_code badAddress;
+  const auto ip = asio::ip::make_address(aAddress.mHost, badAddress);
+  if (badAddress) {
+    co_return Fail(
+      ErrorCode::kInvalidArgument, kStep, aAddress.Text(), "not an IP number");
+  }
+  const auto socket = std::make_shared<tcp::socket>(executor);
+  asio::steady_timer timer(executor, aTimeout);
+  timer.async_wait([socket](auto aError) {
+    if (!aError) {
+      boost::system::error_code ignored;
+      socket->close(ignored);
+    }
+  });
+  const tcp::endpoint endpoint(ip, aAddress.mPort);
+  const auto [error] = co_await socket->async_connect(endpoint, kAsTuple);
+  timer.cancel();
+  if (error || !socket->is_open()) {
+    co_return Fail(
+      ErrorCode::kUnavailable, kStep, aAddress.Text(), error.message());
+  }
+  const auto channel = std::make_shared<FrameChannel>(
+    std::move(*socket), aAddress.Text(), aCounters);
+  const auto proved = co_await channel->HandshakeAsConnector(aIdentity);
+  if (!proved) {
+    co_return tl::unexpected(proved.error());
+  }
+  co_return channel;
+}
+
+Result<std::shared_ptr<tcp::acceptor>>
+Listen(asio::io_context& aContext, const state::Address& aAddress)
+{
+  boost::system::error_code error;
+  const auto ip = asio::ip::make_address(aAddress.mHost, error);
+  if (error) {
+    return Fail(ErrorCode::kInvalidArgument,
+                "listen",
+                aAddress.Text(),
+                "not an IP number");
+  }
+  const tcp::endpoint endpoint(ip, aAddress.mPort);
+  const auto acceptor = std::make_shared<tcp::acceptor>(aContext);
+  acceptor->open(endpoint.protocol(), error);
+  if (!error) {
+    acceptor->set_option(asio::socket_base::reuse_address(true), error);
+  }
+  if (!error) {
+    acceptor->bind(endpoint, error);
+  }
+  if (!error) {
+    acceptor->listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return Fail(
+      ErrorCode::kUnavailable, "listen", aAddress.Text(), error.message());
+  }
+  return acceptor;
+}
+
+state::Address
+LocalAddress(const tcp::acceptor& aAcceptor)
+{
+  boost::system::error_code ignored;
+  const auto endpoint = aAcceptor.local_endpoint(ignored);
+  return { endpoint.address().to_string(), endpoint.port() };
+}
+
+} // namespace shuntjunction::transport
--- /dev/null
+++ b/packages/transport/src/http_client.cpp
@@ -0,0 +1,268 @@
+#include "shuntjunction/transport/http_client.h"
+
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace shuntjunction::transport {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+using state::ErrorCode;
+using state::Fail;
+using state::Millis;
+using state::Result;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr std::size_t kMaxIdleConnections = 16;
+constexpr std::size_t kReadBytes = 16 * 1024;
+
+http::request<http::string_body>
+ToBeast(const HttpRequest& aRequest, const std::string& aHost)
+{
+  http::request<http::string_body> request;
+  request.method_string(aRequest.mMethod);
+  request.target(aRequest.mTarget);
+  request.version(11);
+  request.set(http::field::host, aHost);
+  for (const auto& field : aRequest.mFields) {
+    request.set(field.mName, field.mValue);
+  }
+  if (!aRequest.mContentType.empty()) {
+    request.set(http::field::content_type, aRequest.mContentType);
+  }
+  request.body() = aRequest.mBody;
+  request.prepare_payload();
+  return request;
+}
+
+} // namespace
+
+/// One connection to the address.
+struct HttpClient::Connection
+{
+  explicit Connection(const asio::any_io_executor& aExecutor)
+    : mStream(aExecutor)
+  {
+  }
+
+  beast::tcp_stream mStream;
+  beast::flat_buffer mBuffer;
+  bool mIsReused = false;
+};
+
+/// An answer that is read in pieces over its own connection.
+class HttpClient::Stream final : public HttpStream
+{
+public:
+  Stream(std::unique_ptr<Connection> aConnection,
+         std::string aPeer,
+         std::shared_ptr<CancelHandle> aCancel)
+    : mConnection(std::move(aConnection))
+    , mPeer(std::move(aPeer))
+    , mCancel(std::move(aCancel))
+    , mPiece(kReadBytes, '\0')
+  {
+    mParser.body_limit(boost::none);
+    if (mCancel) {
+      mCancel->Attach(
+        [connection = mConnection.get()] { connection->mStream.close(); });
+    }
+  }
+
+  ~Stream() override
+  {
+    if (mCancel) {
+      mCancel->Detach();
+    }
+  }
+
+  Stream(const Stream&) = delete;
+  Stream& operator=(const Stream&) = delete;
+
+  Task<Result<void>> ReadHeader(Millis aTimeout)
+  {
+    mConnection->mStream.expires_after(aTimeout);
+    const auto [error, bytes] = co_await http::async_read_header(
+      mConnection->mStream, mConnection->mBuffer, mParser, kAsTuple);
+    if (error) {
+      co_return Fail(
+        ErrorCode::kTimeout, "http.header", mPeer, error.message());
+    }
+    co_return Result<void>{};
+  }
+
+  unsigned Status() const override { return mParser.get().result_int(); }
+
+  std::string Field(std::string_view aName) const override
+  {
+    const auto value = mParser.get()[aName];
+    return { value.data(), value.size() };
+  }
+
+  Task<Result<std::string>> Read(Millis aTimeout) override
+  {
+    while (!mParser.is_done()) {
+      auto& body = mParser.get().body();
+      body.data = mPiece.data();
+      body.size = mPiece.size();
+      mConnection->mStream.expires_after(aTimeout);
+      const auto [error, bytes] = co_await http::async_read_some(
+        mConnection->mStream, mConnection->mBuffer, mParser, kAsTuple);
+      const std::size_t size = mPiece.size() - body.size;
+      if (error && error != http::error::need_buffer) {
+        co_return Fail(
+          ErrorCode::kUnavailable, "http.body", mPeer, error.message());
+      }
+      if (size > 0) {
+        co_return mPiece.substr(0, size);
+      }
+    }
+    co_return std::string();
+  }
+
+private:
+  std::unique_ptr<Connection> mConnection;
+  std::string mPeer;
+  std::shared_ptr<CancelHandle> mCancel;
+  http::response_parser<http::buffer_body> mParser;
+  std::string mPiece;
+};
+
+HttpClient::HttpClient(state::Address aAddress, std::size_t aMaxAnswerBytes)
+  : mAddress(std::move(aAddress))
+  , mMaxAnswerBytes(aMaxAnswerBytes)
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+Task<Result<std::unique_ptr<HttpClient::Connection>>>
+HttpClient::Connect(Millis aTimeout)
+{
+  boost::system::error_code badAddress;
+  const auto ip = asio::ip::make_address(mAddress.mHost, badAddress);
+  if (badAddress) {
+    co_return Fail(ErrorCode::kInvalidArgument,
+                   "http.connect",
+                   mAddress.Text(),
+                   "not an IP number");
+  }
+  auto connection =
+    std::make_unique<Connection>(co_await asio::this_coro::executor);
+  connection->mStream.expires_after(aTimeout);
+  const tcp::endpoint endpoint(ip, mAddress.mPort);
+  const auto [error] =
+    co_await connection->mStream.async_connect(endpoint, kAsTuple);
+  if (error) {
+    co_return Fail(ErrorCode::kUnavailable,
+                   "http.connect",
+                   mAddress.Text(),
+                   error.message());
+  }
+  boost::system::error_code ignored;
+  connection->mStream.socket().set_option(tcp::no_delay(true), ignored);
+  co_return connection;
+}
+
+Task<Result<HttpResponse>>
+HttpClient::Exchange(std::unique_ptr<Connection>& aConnection,
+                     const HttpRequest& aRequest,
+                     Millis aTimeout)
+{
+  auto request = ToBeast(aRequest, mAddress.Text());
+  auto& stream = aConnection->mStream;
+  stream.expires_after(aTimeout);
+  const auto [sendError, sent] =
+    co_await http::async_write(stream, request, kAsTuple);
+  if (sendError) {
+    co_return Fail(
+      ErrorCode::kTimeout, "http.send", mAddress.Text(), sendError.message());
+  }
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(mMaxAnswerBytes);
+  const auto [readError, read] =
+    co_await http::async_read(stream, aConnection->mBuffer, parser, kAsTuple);
+  if (readError) {
+    co_return Fail(ErrorCode::kTimeout,
+                   "http.receive",
+                   mAddress.Text(),
+                   readError.message());
+  }
+  const bool isKept = parser.keep_alive();
+  auto answer = parser.release();
+  HttpResponse response;
+  response.mStatus = answer.result_int();
+  response.mContentType = std::string(answer[http::field::content_type]);
+  for (const auto& field : answer) {
+    response.mFields.push_back(
+      { std::string(field.name_string()), std::string(field.value()) });
+  }
+  response.mBody = std::move(answer.body());
+  if (isKept && mIdle.size() < kMaxIdleConnections) {
+    aConnection->mIsReused = true;
+    mIdle.push_back(std::move(aConnection));
+  }
+  co_return response;
+}
+
+Task<Result<HttpResponse>>
+HttpClient::Send(HttpRequest aRequest, Millis aTimeout)
+{
+  std::unique_ptr<Connection> connection;
+  while (!mIdle.empty() && !connection) {
+    connection = std::move(mIdle.back());
+    mIdle.pop_back();
+    // The peer may have closed it while it was idle.
+    char probe = 0;
+    boost::system::error_code error;
+    auto& socket = connection->mStream.socket();
+    socket.non_blocking(true, error);
+    socket.receive(
+      asio::buffer(&probe, 1), asio::socket_base::message_peek, error);
+    if (error != asio::error::would_block) {
+      connection.reset();
+    }
+  }
+  if (!connection) {
+    auto fresh = co_await Connect(aTimeout);
+    if (!fresh) {
+      co_return tl::unexpected(fresh.error());
+    }
+    connection = std::move(*fresh);
+  }
+  auto answer = co_await Exchange(connection, aRequest, aTimeout);
+  co_return answer;
+}
+
+Task<Result<std::unique_ptr<HttpStream>>>
+HttpClient::Open(HttpRequest aRequest,
+                 Millis aConnectTimeout,
+                 Millis aTimeout,
+                 std::shared_ptr<CancelHandle> aCancel)
+{
+  auto connection = co_await Connect(aConnectTimeout);
+  if (!connection) {
+    co_return tl::unexpected(connection.error());
+  }
+  auto request = ToBeast(aRequest, mAddress.Text());
+  auto& stream = (*connection)->mStream;
+  stream.expires_after(aTimeout);
+  const auto [error, sent] =
+    co_await http::async_write(stream, request, kAsTuple);
+  if (error) {
+    co_return Fail(
+      ErrorCode::kTimeout, "http.send", mAddress.Text(), error.message());
+  }
+  auto answer = std::make_unique<Stream>(
+    std::move(*connection), mAddress.Text(), std::move(aCancel));
+  const auto header = co_await answer->ReadHeader(aTimeout);
+  if (!header) {
+    co_return tl::unexpected(header.error());
+  }
+  std::unique_ptr<HttpStream> handle = std::move(answer);
+  co_return handle;
+}
+
+} // namespace shuntjunction::transport
--- /dev/null
+++ b/standins/engine_standin.cpp
@@ -0,0 +1,417 @@
+#include "engine_standin.h"
+
+#include <charconv>
+
+#include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
+
+#include "answer_text.h"
+#include "shuntjunction/coordination/chat_api.h"
+#include "shuntjunction/state/json_reader.h"
+#include "shuntjunction/state/prefix_chain.h"
+#include "shuntjunction/state/settings.h"
+
+namespace shuntjunction::standins {
+
+namespace json = boost::json;
+using state::Millis;
+using state::RequestKind;
+using state::Result;
+using transport::HttpExchange;
+using transport::HttpRequest;
+using transport::HttpResponse;
+using transport::Task;
+
+namespace {
+
+constexpr Millis kSlotPoll{ 1 };
+constexpr Millis kEventPoll{ 5 };
+constexpr std::size_t kEventsKept = 50000;
+constexpr std::size_t kEventsInAnswer = 5000;
+constexpr std::size_t kBytesPerToken = 4;
+constexpr std::size_t kTokensPerBlock = state::kBlockBytes / kBytesPerToken;
+
+HttpResponse
+Reply(unsigned aStatus, const json::value& aBody)
+{
+  HttpResponse response;
+  response.mStatus = aStatus;
+  response.mBody = json::serialize(aBody);
+  return response;
+}
+
+std::uint64_t
+Number(const std::string& aText)
+{
+  std::uint64_t number = 0;
+  std::from_chars(aText.data(), aText.data() + aText.size(), number);
+  return number;
+}
+
+} // namespace
+
+EngineStandin::EngineStandin(boost::asio::io_context& aContext,
+                             const EngineSettings& aSettings)
+  : mContext(aContext)
+  , mSettings(aSettings)
+  , mModel(aSettings.mModel)
+  , mWeights(aSettings.mWeights)
+  , mRandom(aSettings.mSeed)
+{
+  // A new life has a number that no earlier one had.
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  mIncarnation = static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::microseconds>(now).count());
+}
+
+HttpResponse
+EngineStandin::Refusal(unsigned aStatus, std::string_view aText)
+{
+  return Reply(aStatus, json::object{ { "error", json::string(aText) } });
+}
+
+Task<void>
+EngineStandin::Handle(HttpExchange& aExchange)
+{
+  const HttpRequest& request = aExchange.Request();
+  const std::string_view path = request.Path();
+  if (path == "/v1/chat/completions") {
+    co_await Complete(aExchange, RequestKind::kChat);
+  } else if (path == "/v1/completions") {
+    co_await Complete(aExchange, RequestKind::kCompletion);
+  } else if (path == "/engine/state") {
+    co_await aExchange.Respond(AnswerState());
+  } else if (path == "/engine/events") {
+    auto response = co_await AnswerEvents(request);
+    co_await aExchange.Respond(std::move(response));
+  } else if (path == "/engine/orders") {
+    auto response = co_await Obey(request);
+    co_await aExchange.Respond(std::move(response));
+  } else if (path == "/engine/audit") {
+    co_await aExchange.Respond(AnswerAudit());
+  } else {
+    co_await aExchange.Respond(Refusal(404, "no such path"));
+  }
+}
+
+// Completions.
+
+Result<EngineStandin::Job>
+EngineStandin::ReadJob(const HttpRequest& aRequest, RequestKind aKind) const
+{
+  const auto value = state::ParseJson(aRequest.mBody, "body");
+  const auto* body = value ? value->if_object() : nullptr;
+  if (body == nullptr) {
+    return state::Fail(
+      state::ErrorCode::kInvalidArgument, "engine.read", "", "bad body");
+  }
+  Job job;
+  job.mKind = aKind;
+  job.mRequestId = std::string(aRequest.Field("x-request-id"));
+  job.mPrompt = PromptHash(aRequest.mBody);
+  std::string salt;
+  if (const auto* given = body->if_contains("cache_salt")) {
+    salt = std::string(given->as_string());
+  }
+  std::string text;
+  for (const auto& level : coordination::PromptLevels(aKind, *body)) {
+    text += level;
+  }
+  job.mPromptBytes = text.size();
+  std::uint64_t parent = state::PlacementHash(salt);
+  for (std::size_t at = 0; at + state::kBlockBytes <= text.size();
+       at += state::kBlockBytes) {
+    parent = state::PlacementHash(
+      std::string_view(text).substr(at, state::kBlockBytes), parent);
+    job.mContent.push_back(parent);
+  }
+  if (const auto* names = body->if_contains("block_ids")) {
+    for (const auto& name : names->as_array()) {
+      job.mNames.emplace_back(name.as_string());
+    }
+  }
+  job.mNames.resize(job.mContent.size());
+  if (const auto* priority = body->if_contains("priority")) {
+    job.mPriority = static_cast<int>(priority->as_int64());
+  }
+  job.mTokens = mSettings.mDefaultTokens;
+  if (const auto* tokens = body->if_contains("max_tokens")) {
+    job.mTokens = tokens->to_number<std::uint32_t>();
+  }
+  if (const auto* resume = body->if_contains("resume")) {
+    job.mOffset = resume->as_object().at("offset").to_number<std::uint32_t>();
+    job.mResumeText = std::string(resume->as_object().at("text").as_string());
+  }
+  return job;
+}
+
+std::size_t
+EngineStandin::Hits(const Job& aJob)
+{
+  std::size_t hits = 0;
+  for (const std::uint64_t content : aJob.mContent) {
+    const auto found = mCache.find(content);
+    if (found == mCache.end()) {
+      break;
+    }
+    mAges.splice(mAges.end(), mAges, found->second.mAge);
+    ++hits;
+  }
+  return hits;
+}
+
+void
+EngineStandin::Store(const Job& aJob)
+{
+  for (std::size_t i = 0; i < aJob.mContent.size(); ++i) {
+    const std::uint64_t content = aJob.mContent[i];
+    if (mCache.contains(content)) {
+      continue;
+    }
+    while (mCache.size() >= mSettings.mCacheBlocks && !mAges.empty()) {
+      const auto oldest = mCache.find(mAges.front());
+      AddEvent("evicted", oldest->second.mName);
+      mCache.erase(oldest);
+      mAges.pop_front();
+    }
+    mAges.push_back(content);
+    mCache[content] = { aJob.mNames[i], std::prev(mAges.end()) };
+    AddEvent("stored", aJob.mNames[i]);
+  }
+}
+
+Task<bool>
+EngineStandin::TakeSlot(Job& aJob)
+{
+  const auto place = mQueue.emplace(aJob.mPriority, ++mNextTicket);
+  const std::uint64_t ticket = place->second;
+  while (!aJob.mIsGone &&
+         (mRunning >= mSettings.mSlots || mQueue.begin()->second != ticket)) {
+    co_await transport::Sleep(kSlotPoll);
+  }
+  mQueue.erase(place);
+  if (aJob.mIsGone) {
+    co_return false;
+  }
+  ++mRunning;
+  co_return true;
+}
+
+Task<void>
+EngineStandin::Prefill(const Job& aJob, std::size_t aHits)
+{
+  const auto missed = aJob.mContent.size() - aHits;
+  mPromptBlocks += aJob.mContent.size();
+  mComputedBlocks += missed;
+  const auto now = std::chrono::steady_clock::now();
+  const auto cost = std::chrono::microseconds(
+    static_cast<std::int64_t>(missed) * mSettings.mMicrosPerBlock);
+  mPrefillFree = std::max(mPrefillFree, now) + cost;
+  if (missed > 0) {
+    co_await transport::Sleep(mPrefillFree - now);
+  }
+}
+
+Task<void>
+EngineStandin::Complete(HttpExchange& aExchange, RequestKind aKind)
+{
+  auto job = ReadJob(aExchange.Request(), aKind);
+  if (!job || mModel.empty()) {
+    co_await aExchange.Respond(Refusal(job ? 503 : 400, "not served"));
+    co_return;
+  }
+  const std::string expected =
+    AnswerText(mModel, mWeights, job->mPrompt, job->mOffset);
+  if (job->mResumeText != expected) {
+    co_await aExchange.Respond(Refusal(400, "cannot resume that text"));
+    co_return;
+  }
+  ++mExecuted[job->mRequestId];
+  aExchange.OnGone([&job] { job->mIsGone = true; });
+  if (!co_await TakeSlot(*job)) {
+    aExchange.Abort();
+    co_return;
+  }
+  const std::size_t hits = Hits(*job);
+  co_await Prefill(*job, hits);
+  Store(*job);
+  co_await Generate(aExchange, *job, hits);
+  --mRunning;
+}
+
+Task<void>
+EngineStandin::Generate(HttpExchange& aExchange, Job& aJob, std::size_t aHits)
+{
+  const std::string model = mModel;
+  const std::uint32_t weights = mWeights;
+  HttpResponse header;
+  header.mContentType = "text/event-stream";
+  header.mFields = { { "x-engine-incarnation", std::to_string(mIncarnation) },
+                     { "x-weights-version", std::to_string(weights) },
+                     { "x-cached-blocks", std::to_string(aHits) } };
+  bool isGood = (co_await aExchange.BeginStream(std::move(header))).has_value();
+  const coordination::AnswerHead head{ aJob.mKind, "engine", model, 0 };
+  for (std::uint32_t i = aJob.mOffset;
+       i < aJob.mTokens && isGood && !aJob.mIsGone;
+       ++i) {
+    if (i > aJob.mOffset) {
+      co_await transport::Sleep(
+        std::chrono::microseconds(mSettings.mMicrosPerToken));
+    }
+    isGood = (co_await aExchange.Write(coordination::WriteChunk(
+                head, AnswerToken(model, weights, aJob.mPrompt, i), {})))
+               .has_value();
+  }
+  if (!isGood || aJob.mIsGone) {
+    aExchange.Abort();
+    co_return;
+  }
+  protocol::Finished counts;
+  counts.mTotalTokens = aJob.mTokens;
+  counts.mPromptTokens =
+    static_cast<std::uint32_t>(aJob.mPromptBytes / kBytesPerToken);
+  counts.mCachedTokens = static_cast<std::uint32_t>(aHits * kTokensPerBlock);
+  std::string tail = coordination::WriteChunk(head, {}, "stop") +
+                     coordination::WriteUsageChunk(head, counts);
+  tail += coordination::kStreamEnd;
+  if (co_await aExchange.Write(std::move(tail))) {
+    co_await aExchange.EndStream();
+  }
+}
+
+// State, events, orders.
+
+void
+EngineStandin::AddEvent(std::string aKind, std::string aBlock)
+{
+  ++mSequence;
+  if (std::uniform_real_distribution<double>(0, 1)(mRandom) <
+      mSettings.mEventLoss) {
+    return;
+  }
+  mEvents.push_back(
+    { mSequence,
+      std::move(aKind),
+      std::move(aBlock),
+      std::chrono::steady_clock::now() + Millis(mSettings.mEventDelayMs) });
+  if (mEvents.size() > kEventsKept) {
+    mEvents.pop_front();
+  }
+}
+
+Task<HttpResponse>
+EngineStandin::AnswerEvents(const HttpRequest& aRequest)
+{
+  const std::uint64_t after = Number(aRequest.Query("after"));
+  const auto until = std::chrono::steady_clock::now() +
+                     Millis(Number(aRequest.Query("wait_ms")));
+  while (true) {
+    const auto now = std::chrono::steady_clock::now();
+    json::array events;
+    const auto first =
+      std::upper_bound(mEvents.begin(),
+                       mEvents.end(),
+                       after,
+                       [](std::uint64_t aAfter, const Event& aEvent) {
+                         return aAfter < aEvent.mSequence;
+                       });
+    for (auto at = first; at != mEvents.end() && at->mVisibleAt <= now &&
+                          events.size() < kEventsInAnswer;
+         ++at) {
+      events.push_back(json::object{ { "seq", at->mSequence },
+                                     { "kind", at->mKind },
+                                     { "block", at->mBlock } });
+    }
+    if (!events.empty() || now >= until) {
+      co_return Reply(200,
+                      json::object{ { "incarnation", mIncarnation },
+                                    { "events", std::move(events) } });
+    }
+    co_await transport::Sleep(kEventPoll);
+  }
+}
+
+HttpResponse
+EngineStandin::AnswerState() const
+{
+  json::array adapters;
+  for (const auto& adapter : mAdapters) {
+    adapters.emplace_back(adapter);
+  }
+  return Reply(200,
+               json::object{ { "incarnation", mIncarnation },
+                             { "model", mModel },
+                             { "weights", mWeights },
+                             { "adapters", std::move(adapters) },
+                             { "role", mRole },
+                             { "fence", mFence },
+                             { "running", mRunning },
+                             { "waiting", mQueue.size() } });
+}
+
+HttpResponse
+EngineStandin::AnswerAudit() const
+{
+  json::object executed;
+  for (const auto& [id, count] : mExecuted) {
+    executed[id] = count;
+  }
+  return Reply(200,
+               json::object{ { "executed", std::move(executed) },
+                             { "promptBlocks", mPromptBlocks },
+                             { "computedBlocks", mComputedBlocks },
+                             { "orders", mOrders },
+                             { "oldOrders", mOldOrders } });
+}
+
+Task<HttpResponse>
+EngineStandin::Obey(const HttpRequest& aRequest)
+{
+  const auto value = state::ParseJson(aRequest.mBody, "order");
+  if (!value) {
+    co_return Refusal(400, value.error().mText);
+  }
+  state::JsonReader reader(*value, "order");
+  const auto fence =
+    static_cast<std::uint64_t>(reader.Integer("fence", 0, INT64_MAX));
+  const std::string model = reader.Text("model");
+  const auto weights =
+    static_cast<std::uint32_t>(reader.Integer("weights", 0, UINT32_MAX));
+  const auto adapters = reader.Texts("adapters");
+  const std::string role = reader.Text("role");
+  if (const auto done = reader.Finish(); !done) {
+    co_return Refusal(400, done.error().mText);
+  }
+  ++mOrders;
+  if (fence < mFence) {
+    ++mOldOrders;
+    if (mSettings.mChecksFences) {
+      co_return Refusal(409, "an old fencing number");
+    }
+  }
+  mFence = std::max(mFence, fence);
+  if (model != mModel || weights != mWeights) {
+    const auto store = state::ParseAddress(mSettings.mWeightStore);
+    if (store) {
+      transport::HttpClient client(*store,
+                                   state::kBlockBytes * kTokensPerBlock);
+      HttpRequest fetch;
+      fetch.mTarget = "/v1/weights/" + model + "/" + std::to_string(weights);
+      const auto fetched = co_await client.Send(fetch, Millis(2000));
+      if (!fetched || fetched->mStatus != 200) {
+        co_return Refusal(503, "the weight store gave nothing");
+      }
+    }
+    co_await transport::Sleep(Millis(mSettings.mLoadMs));
+    mCache.clear();
+    mAges.clear();
+    AddEvent("cleared", "");
+  }
+  mModel = model;
+  mWeights = weights;
+  mAdapters = adapters;
+  mRole = role;
+  co_return Reply(200, json::object());
+}
+
+} // namespace shuntjunction::standins
--- /dev/null
+++ b/standins/standin_main.cpp
@@ -0,0 +1,88 @@
+// shuntstandin: runs one stand-in of an outside system as a process.
+
+#include <iostream>
+
+#include <CLI/CLI.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include "engine_standin.h"
+#include "platform_standin.h"
+#include "service_standin.h"
+
+namespace {
+
+using namespace shuntjunction;
+
+/// Serves a handler until a signal comes.
+int
+Serve(boost::asio::io_context& aContext,
+      transport::HttpHandler& aHandler,
+      const std::string& aListen)
+{
+  state::LimitSettings limits;
+  limits.mMaxBodyBytes = 64 * 1024 * 1024;
+  limits.mMaxConnections = 100000;
+  transport::HttpServer server(aContext, limits, aHandler);
+  const auto address = state::ParseAddress(aListen);
+  const auto bound =
+    address ? server.Start(*address)
+            : state::Result<state::Address>(tl::unexpected(address.error()));
+  if (!bound) {
+    std::cerr << bound.error().Describe() << "\n";
+    return 1;
+  }
+  std::cout << "{\"traffic\":\"" << bound->Text() << "\"}" << std::endl;
+  boost::asio::signal_set signals(aContext, SIGTERM, SIGINT);
+  signals.async_wait([&](auto, int) { aContext.stop(); });
+  aContext.run();
+  return 0;
+}
+
+void
+AddEngineOptions(CLI::App& aCommand, standins::EngineSettings& aSettings)
+{
+  aCommand.add_option("--slots", aSettings.mSlots);
+  aCommand.add_option("--cache-blocks", aSettings.mCacheBlocks);
+  aCommand.add_option("--micros-per-block", aSettings.mMicrosPerBlock);
+  aCommand.add_option("--micros-per-token", aSettings.mMicrosPerToken);
+  aCommand.add_option("--tokens", aSettings.mDefaultTokens);
+  aCommand.add_option("--event-delay-ms", aSettings.mEventDelayMs);
+  aCommand.add_option("--event-loss", aSettings.mEventLoss);
+  aCommand.add_option("--load-ms", aSettings.mLoadMs);
+  aCommand.add_option("--model", aSettings.mModel);
+  aCommand.add_option("--weights", aSettings.mWeights);
+  aCommand.add_option("--weight-store", aSettings.mWeightStore);
+  aCommand.add_option("--seed", aSettings.mSeed);
+  aCommand.add_flag("!--ignores-fences", aSettings.mChecksFences);
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  CLI::App app("A stand-in of a system that shuntjunction meets.");
+  std::string listen = "127.0.0.1:0";
+  std::uint64_t seed = 1;
+  std::int64_t delayMs = 10;
+  standins::EngineSettings engine;
+  app.require_subcommand(1);
+  app.add_option("--listen", listen, "address to listen on");
+  auto* platform = app.add_subcommand("platform", "the object API");
+  platform->add_option("--seed", seed, "of the faults");
+  auto* service = app.add_subcommand("service", "a plain service");
+  service->add_option("--delay-ms", delayMs, "that a call takes");
+  AddEngineOptions(*app.add_subcommand("engine", "a model engine"), engine);
+  CLI11_PARSE(app, aCount, aArguments);
+  boost::asio::io_context context(1);
+  if (*platform) {
+    standins::PlatformStandin standin(seed);
+    return Serve(context, standin, listen);
+  }
+  if (*service) {
+    standins::ServiceStandin standin{ state::Millis(delayMs) };
+    return Serve(context, standin, listen);
+  }
+  standins::EngineStandin standin(context, engine);
+  return Serve(context, standin, listen);
+}
