Demo: two routers, three endpoints, one killed half-way

Cause: the main job could not be seen by one command.

Found by running it: 12 of 24 streams were not resumed, and a recorded outcome was never replayed. Ruled out: the caller's connection, the retry budget. Cause: Boost.MSM numbers its states by their places in the transition table, not in the order of their definitions, so casts of its numbers gave wrong states. Change: states note their own value on entry.

Before: 12 of 24 streams whole, second booking 409.

--- a/packages/state/src/claim_machine.cpp
+++ b/packages/state/src/claim_machine.cpp
@@ -6,6 +6,8 @@
 #include <boost/msm/front/functor_row.hpp>
 #include <boost/msm/front/state_machine_def.hpp>
 
+#include "machine_state.h"
+
 #include "shuntjunction/state/json_reader.h"
 
 namespace shuntjunction::state {
@@ -35,21 +37,14 @@
 
 struct ClaimDef : public msm::front::state_machine_def<ClaimDef>
 {
-  // States, in the order of ClaimStep.
-  struct Create : public msm::front::state<>
-  {};
-  struct ReadBack : public msm::front::state<>
-  {};
-  struct HandOver : public msm::front::state<>
-  {};
-  struct Replay : public msm::front::state<>
-  {};
-  struct Taken : public msm::front::state<>
-  {};
-  struct KeyReused : public msm::front::state<>
-  {};
-  struct Undecided : public msm::front::state<>
-  {};
+  // States.
+  using Create = MachineState<ClaimStep::kCreate>;
+  using ReadBack = MachineState<ClaimStep::kReadBack>;
+  using HandOver = MachineState<ClaimStep::kHandOver>;
+  using Replay = MachineState<ClaimStep::kReplay>;
+  using Taken = MachineState<ClaimStep::kTaken>;
+  using KeyReused = MachineState<ClaimStep::kKeyReused>;
+  using Undecided = MachineState<ClaimStep::kUndecided>;
   using initial_state = Create;
 
   // clang-format off
@@ -73,6 +68,7 @@
   {
   }
 
+  ClaimStep mCurrent = ClaimStep::kCreate;
   std::string mNonce;
   std::string mBodyDigest;
   ClaimRecord mFound;
@@ -97,7 +93,7 @@
 ClaimStep
 ClaimMachine::Step() const
 {
-  return static_cast<ClaimStep>(mMachine->current_state()[0]);
+  return mMachine->mCurrent;
 }
 
 void
--- a/packages/state/src/endpoint_health.cpp
+++ b/packages/state/src/endpoint_health.cpp
@@ -7,6 +7,8 @@
 #include <boost/msm/front/functor_row.hpp>
 #include <boost/msm/front/state_machine_def.hpp>
 
+#include "machine_state.h"
+
 namespace shuntjunction::state {
 
 namespace {
@@ -30,15 +32,11 @@
 
 struct HealthDef : public msm::front::state_machine_def<HealthDef>
 {
-  // States, in the order of HealthState.
-  struct Healthy : public msm::front::state<>
-  {};
-  struct Suspect : public msm::front::state<>
-  {};
-  struct Ejected : public msm::front::state<>
-  {};
-  struct Trial : public msm::front::state<>
-  {};
+  // States.
+  using Healthy = MachineState<HealthState::kHealthy>;
+  using Suspect = MachineState<HealthState::kSuspect>;
+  using Ejected = MachineState<HealthState::kEjected>;
+  using Trial = MachineState<HealthState::kTrial>;
   using initial_state = Healthy;
 
   // Actions.
@@ -109,6 +107,7 @@
   {
   }
 
+  HealthState mCurrent = HealthState::kHealthy;
   HealthSettings mSettings;
   Millis mEjection{ 0 };
   TimePoint mTrialAt;
@@ -154,7 +153,7 @@
 HealthState
 EndpointHealth::State() const
 {
-  return static_cast<HealthState>(mMachine->current_state()[0]);
+  return mMachine->mCurrent;
 }
 
 } // namespace shuntjunction::state
--- a/packages/state/src/request_life.cpp
+++ b/packages/state/src/request_life.cpp
@@ -5,6 +5,8 @@
 #include <boost/msm/front/functor_row.hpp>
 #include <boost/msm/front/state_machine_def.hpp>
 
+#include "machine_state.h"
+
 namespace shuntjunction::state {
 
 namespace {
@@ -28,19 +30,13 @@
 
 struct RequestDef : public msm::front::state_machine_def<RequestDef>
 {
-  // States, in the order of RequestState.
-  struct Unsent : public msm::front::state<>
-  {};
-  struct InOffer : public msm::front::state<>
-  {};
-  struct Running : public msm::front::state<>
-  {};
-  struct Uncertain : public msm::front::state<>
-  {};
-  struct Complete : public msm::front::state<>
-  {};
-  struct Settled : public msm::front::state<>
-  {};
+  // States.
+  using Unsent = MachineState<RequestState::kUnsent>;
+  using InOffer = MachineState<RequestState::kOffered>;
+  using Running = MachineState<RequestState::kRunning>;
+  using Uncertain = MachineState<RequestState::kUncertain>;
+  using Complete = MachineState<RequestState::kComplete>;
+  using Settled = MachineState<RequestState::kSettled>;
   using initial_state = Unsent;
 
   struct MarkDoubt
@@ -91,6 +87,7 @@
   {
   }
 
+  RequestState mCurrent = RequestState::kUnsent;
   Repeatability mRepeatability = Repeatability::kRepeatable;
   bool mWasUncertain = false;
   bool mWasStarted = false;
@@ -178,7 +175,7 @@
 RequestState
 RequestLife::State() const
 {
-  return static_cast<RequestState>(mMachine->current_state()[0]);
+  return mMachine->mCurrent;
 }
 
 } // namespace shuntjunction::state
--- /dev/null
+++ b/standins/demo.cpp
@@ -0,0 +1,200 @@
+// shuntdemo: the main job before one's eyes. Two routers, three endpoints and
+// a plain service as processes of their own; callers with long shared prompts;
+// one endpoint is killed half-way, and every stream still arrives whole.
+
+#include <iostream>
+#include <thread>
+
+#include <CLI/CLI.hpp>
+
+#include "caller.h"
+#include "fleet.h"
+
+namespace {
+
+using namespace shuntjunction;
+using standins::CallerCall;
+using standins::CallerEnd;
+using standins::CallerOutcome;
+using standins::Fleet;
+
+constexpr std::size_t kCalls = 24;
+constexpr std::uint32_t kTokens = 120;
+constexpr state::Millis kUntilKill{ 400 };
+constexpr state::Millis kUntilBusy{ 300 };
+
+void
+Say(const std::string& aText)
+{
+  std::cout << "demo: " << aText << std::endl;
+}
+
+/// A text of some length that begins alike for equal names.
+std::string
+Text(const std::string& aName, std::size_t aBytes)
+{
+  std::string text;
+  while (text.size() < aBytes) {
+    text += aName + " paragraph " + std::to_string(text.size()) + ". ";
+  }
+  return text;
+}
+
+void
+StartFleet(Fleet& aFleet)
+{
+  aFleet.StartPlatform();
+  aFleet.Apply("config/teams/clinic-north",
+               R"({"keyDigests":[")" + standins::KeyDigest("north-key") +
+                 R"("]})");
+  aFleet.Apply("config/teams/clinic-south",
+               R"({"keyDigests":[")" + standins::KeyDigest("south-key") +
+                 R"("]})");
+  aFleet.Apply("config/models/crew-notes", R"({"weights":1})");
+  aFleet.Apply("config/services/booking", R"({"urgency":"urgent"})");
+  aFleet.Apply("config/endpoints/booking-1", R"({"service":"booking"})");
+  const std::vector<std::string> zones{ "imanta", "teika", "purvciems" };
+  for (std::size_t i = 0; i < zones.size(); ++i) {
+    const std::string number = std::to_string(i + 1);
+    aFleet.Apply("config/endpoints/endpoint-" + number,
+                 R"({"model":"crew-notes"})");
+    aFleet.StartEngine("engine-" + number, { "--micros-per-token", "8000" });
+    aFleet.StartCompanion("endpoint-" + number, "engine-" + number, zones[i]);
+  }
+  aFleet.StartService("service-1", 30);
+  aFleet.StartCompanion("booking-1", "service-1", "teika", false);
+  aFleet.StartRouter("router-1", "imanta");
+  aFleet.StartRouter("router-2", "teika");
+  aFleet.AwaitEngines("crew-notes", zones.size());
+  aFleet.AwaitReady("router-1");
+  aFleet.AwaitReady("router-2");
+}
+
+std::vector<CallerOutcome>
+CallAll(const Fleet& aFleet, const std::function<void()>& aHalfWay)
+{
+  boost::asio::io_context context(1);
+  std::vector<CallerOutcome> outcomes(kCalls);
+  const auto run = [](CallerCall aCall,
+                      CallerOutcome* aOutcome) -> transport::Task<void> {
+    *aOutcome = co_await standins::MakeCall(std::move(aCall));
+  };
+  for (std::size_t i = 0; i < kCalls; ++i) {
+    const bool isNorth = i % 2 == 0;
+    CallerCall call;
+    call.mRouter =
+      aFleet.Process(i % 4 < 2 ? "router-1" : "router-2").mTraffic;
+    call.mKey = isNorth ? "north-key" : "south-key";
+    call.mModel = "crew-notes";
+    call.mTokens = kTokens;
+    call.mLevels = { Text(isNorth ? "rules of the north" : "rules of the south",
+                          6000),
+                     Text("record of patient " + std::to_string(i % 6), 2500),
+                     "draft the crew notes of trip " + std::to_string(i) };
+    transport::Spawn(context, run(std::move(call), &outcomes[i]));
+  }
+  std::thread half([&] {
+    std::this_thread::sleep_for(kUntilKill);
+    aHalfWay();
+  });
+  context.run();
+  half.join();
+  return outcomes;
+}
+
+bool
+Report(const std::vector<CallerOutcome>& aOutcomes)
+{
+  std::map<std::string, int> ends;
+  double worst = 0;
+  for (const auto& outcome : aOutcomes) {
+    ++ends[std::string(standins::kCallerEndNames.Name(outcome.mEnd))];
+    worst = std::max(worst, outcome.mFirstToken.count());
+    if (outcome.mEnd != CallerEnd::kWhole) {
+      Say("not whole: status " + std::to_string(outcome.mStatus) + ", " +
+          std::to_string(outcome.mText.size()) + " bytes, " + outcome.mBody);
+    }
+  }
+  for (const auto& [name, count] : ends) {
+    Say(std::to_string(count) + " of " + std::to_string(aOutcomes.size()) +
+        " streams ended " + name + ".");
+  }
+  Say("slowest first token: " +
+      std::to_string(static_cast<int>(worst * 1000)) + " ms.");
+  return ends["whole"] == static_cast<int>(aOutcomes.size());
+}
+
+/// Books once, asks twice with the same key, and counts the runs.
+bool
+BookTwice(const Fleet& aFleet)
+{
+  transport::HttpRequest request;
+  request.mMethod = "POST";
+  request.mTarget = "/services/booking/trips";
+  request.mContentType = "application/json";
+  request.mFields = { { "authorization", "Bearer north-key" },
+                      { "idempotency-key", "trip-7" },
+                      { "x-not-repeatable", "true" } };
+  request.mBody = R"({"patient":7})";
+  for (const std::string router : { "router-1", "router-2" }) {
+    const auto answer =
+      Fleet::Call(aFleet.Process(router).mTraffic, request);
+    Say("booking through " + router + ": " +
+        (answer ? std::to_string(answer->mStatus) + " " + answer->mBody
+                : answer.error().Describe()));
+    std::this_thread::sleep_for(kUntilBusy);
+  }
+  transport::HttpRequest audit;
+  audit.mTarget = "/audit";
+  const auto runs =
+    Fleet::Call(aFleet.Process("service-1").mTraffic, audit);
+  Say("the service ran: " + (runs ? runs->mBody : "?"));
+  return runs && runs->mBody == R"({"trip-7":1})";
+}
+
+void
+SayUsage(const Fleet& aFleet)
+{
+  for (const std::string name : { "router-1",
+                                  "router-2",
+                                  "endpoint-1",
+                                  "endpoint-3",
+                                  "booking-1" }) {
+    const auto [peak, seconds] = aFleet.Usage(name);
+    Say(name + ": peak memory " + std::to_string(peak) +
+        " KB, processor time " +
+        std::to_string(static_cast<int>(seconds * 1000)) + " ms.");
+  }
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  CLI::App app("Two routers, three endpoints, and one of them killed.");
+  standins::FleetSettings settings;
+  settings.mFolder = "build/demo";
+  app.add_option("--binaries", settings.mBinaries)->required();
+  app.add_option("--folder", settings.mFolder, "for settings and logs");
+  CLI11_PARSE(app, aCount, aArguments);
+  Fleet fleet(settings);
+  StartFleet(fleet);
+  Say("two routers, three endpoints and a service run; idle so far:");
+  SayUsage(fleet);
+  Say(std::to_string(kCalls) + " callers of two teams begin at once.");
+  const auto outcomes = CallAll(fleet, [&] {
+    Say("killing endpoint-2: its engine and its companion.");
+    fleet.Kill("engine-2");
+    fleet.Kill("endpoint-2");
+  });
+  const bool isWhole = Report(outcomes);
+  const bool isOnce = BookTwice(fleet);
+  Say("after the load:");
+  SayUsage(fleet);
+  fleet.Signal("router-1", SIGTERM);
+  Say("router-1 stopped with exit code " +
+      std::to_string(fleet.WaitEnd("router-1")) + ".");
+  Say(isWhole && isOnce ? "all is well." : "SOMETHING IS WRONG.");
+  return isWhole && isOnce ? 0 : 1;
+}
--- /dev/null
+++ b/standins/fleet.cpp
@@ -0,0 +1,434 @@
+#include "fleet.h"
+
+#include <array>
+#include <cerrno>
+#include <csignal>
+#include <cstring>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <thread>
+
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include "shuntjunction/state/digest.h"
+#include "shuntjunction/state/json_reader.h"
+#include "shuntjunction/state/settings.h"
+#include "shuntjunction/transport/http_client.h"
+
+extern char** environ;
+
+namespace shuntjunction::standins {
+
+namespace json = boost::json;
+using state::Millis;
+using transport::HttpRequest;
+using transport::HttpResponse;
+
+namespace {
+
+constexpr std::size_t kMaxAnswerBytes = 64U * 1024 * 1024;
+constexpr Millis kPoll{ 20 };
+constexpr int kPollsUntilLost = 1500;
+constexpr std::string_view kPlatformName = "platform";
+
+[[noreturn]] void
+Die(const std::string& aText)
+{
+  std::cerr << "fleet: " << aText << "\n";
+  std::abort();
+}
+
+/// Reads one line of a pipe.
+std::string
+ReadLine(int aDescriptor)
+{
+  std::string line;
+  char next = 0;
+  while (read(aDescriptor, &next, 1) == 1 && next != '\n') {
+    line += next;
+  }
+  return line;
+}
+
+std::string
+TextOf(const json::object& aObject, std::string_view aKey)
+{
+  const auto* value = aObject.if_contains(aKey);
+  return value != nullptr && value->is_string()
+           ? std::string(value->as_string())
+           : std::string();
+}
+
+} // namespace
+
+std::string
+KeyDigest(const std::string& aKey)
+{
+  return state::Sha256Hex(aKey);
+}
+
+Fleet::Fleet(const FleetSettings& aSettings)
+  : mSettings(aSettings)
+{
+  std::filesystem::create_directories(mSettings.mFolder);
+}
+
+Fleet::~Fleet()
+{
+  for (const auto& [name, process] : mProcesses) {
+    kill(process.mPid, SIGKILL);
+  }
+  for (const auto& [name, process] : mProcesses) {
+    int status = 0;
+    waitpid(process.mPid, &status, 0);
+  }
+}
+
+FleetProcess
+Fleet::Spawn(const std::string& aName, const std::vector<std::string>& aCommand)
+{
+  std::array<int, 2> output{};
+  if (pipe2(output.data(), O_CLOEXEC) != 0) {
+    Die("no pipe");
+  }
+  FleetProcess process;
+  process.mLog = mSettings.mFolder + "/" + aName + ".log";
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_adddup2(&actions, output[1], STDOUT_FILENO);
+  posix_spawn_file_actions_addopen(&actions,
+                                   STDERR_FILENO,
+                                   process.mLog.c_str(),
+                                   O_CREAT | O_WRONLY | O_APPEND,
+                                   0644);
+  std::vector<char*> arguments;
+  for (const auto& word : aCommand) {
+    arguments.push_back(const_cast<char*>(word.c_str()));
+  }
+  arguments.push_back(nullptr);
+  const int failed = posix_spawn(&process.mPid,
+                                 aCommand.front().c_str(),
+                                 &actions,
+                                 nullptr,
+                                 arguments.data(),
+                                 environ);
+  posix_spawn_file_actions_destroy(&actions);
+  close(output[1]);
+  if (failed != 0) {
+    Die(aName + " cannot be started: " + std::strerror(failed));
+  }
+  const auto line = state::ParseJson(ReadLine(output[0]), aName);
+  close(output[0]);
+  if (!line || !line->is_object()) {
+    Die(aName + " did not start; see " + process.mLog);
+  }
+  process.mTraffic = TextOf(line->as_object(), "traffic");
+  process.mAdmin = TextOf(line->as_object(), "admin");
+  mProcesses[aName] = process;
+  return process;
+}
+
+std::string
+Fleet::WriteSettings(const std::string& aName, const std::string& aText) const
+{
+  const std::string file = mSettings.mFolder + "/" + aName + ".json";
+  std::ofstream(file) << aText;
+  return file;
+}
+
+std::string
+Fleet::CommonSettings(const std::string& aName,
+                      const std::string& aRole,
+                      const std::string& aZone) const
+{
+  std::string text = "{\"name\":\"" + aName + "\",\"role\":\"" + aRole +
+                     "\",\"zone\":\"" + aZone + "\",\"platform\":\"" +
+                     Platform() + "\",\"secret\":\"" + mSettings.mSecret + "\"";
+  if (!mSettings.mProcessExtra.empty()) {
+    text += "," + mSettings.mProcessExtra;
+  }
+  return text;
+}
+
+const std::string&
+Fleet::Platform() const
+{
+  return Process(std::string(kPlatformName)).mTraffic;
+}
+
+void
+Fleet::StartPlatform()
+{
+  Spawn(std::string(kPlatformName),
+        { mSettings.mBinaries + "/standins/shuntstandin", "platform" });
+}
+
+void
+Fleet::StartEngine(const std::string& aName,
+                   const std::vector<std::string>& aOptions)
+{
+  std::vector<std::string> command{ mSettings.mBinaries +
+                                      "/standins/shuntstandin",
+                                    "engine",
+                                    "--weight-store",
+                                    Platform() };
+  command.insert(command.end(), aOptions.begin(), aOptions.end());
+  // An engine that comes back keeps its address, as one on its instance does.
+  const auto before = mAddresses.find(aName);
+  if (before != mAddresses.end()) {
+    command.insert(command.begin() + 1, { "--listen", before->second });
+  }
+  Spawn(aName, command);
+}
+
+void
+Fleet::StartService(const std::string& aName, std::int64_t aDelayMs)
+{
+  Spawn(aName,
+        { mSettings.mBinaries + "/standins/shuntstandin",
+          "service",
+          "--delay-ms",
+          std::to_string(aDelayMs) });
+}
+
+void
+Fleet::StartCompanion(const std::string& aName,
+                      const std::string& aBackend,
+                      const std::string& aZone,
+                      bool aIsEngine)
+{
+  std::string text = CommonSettings(aName, "companion", aZone) +
+                     ",\"companion\":{\"listen\":\"127.0.0.1:0\"," +
+                     "\"backend\":\"" + Process(aBackend).mTraffic +
+                     "\",\"backendKind\":\"" +
+                     (aIsEngine ? "engine" : "service") + "\"";
+  if (!mSettings.mCompanionExtra.empty()) {
+    text += "," + mSettings.mCompanionExtra;
+  }
+  Spawn(aName,
+        { mSettings.mBinaries + "/apps/shuntjunctiond",
+          "--settings",
+          WriteSettings(aName, text + "}}") });
+  List(aName, "companion", aZone, false);
+}
+
+void
+Fleet::StartRouter(const std::string& aName, const std::string& aZone)
+{
+  std::string text = CommonSettings(aName, "router", aZone) +
+                     ",\"router\":{\"listen\":\"127.0.0.1:0\"";
+  if (!mSettings.mRouterExtra.empty()) {
+    text += "," + mSettings.mRouterExtra;
+  }
+  Spawn(aName,
+        { mSettings.mBinaries + "/apps/shuntjunctiond",
+          "--settings",
+          WriteSettings(aName, text + "}}") });
+  List(aName, "router", aZone, false);
+}
+
+void
+Fleet::Signal(const std::string& aName, int aSignal)
+{
+  kill(Process(aName).mPid, aSignal);
+}
+
+int
+Fleet::WaitEnd(const std::string& aName)
+{
+  int status = 0;
+  if (waitpid(Process(aName).mPid, &status, 0) < 0) {
+    Die("no process " + aName);
+  }
+  mProcesses.erase(aName);
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+}
+
+void
+Fleet::Kill(const std::string& aName)
+{
+  const FleetProcess process = Process(aName);
+  mAddresses[aName] = process.mTraffic;
+  kill(process.mPid, SIGKILL);
+  WaitEnd(aName);
+}
+
+bool
+Fleet::IsRunning(const std::string& aName)
+{
+  const auto found = mProcesses.find(aName);
+  return found != mProcesses.end() && kill(found->second.mPid, 0) == 0;
+}
+
+const FleetProcess&
+Fleet::Process(const std::string& aName) const
+{
+  const auto found = mProcesses.find(aName);
+  if (found == mProcesses.end()) {
+    Die("no process " + aName);
+  }
+  return found->second;
+}
+
+state::Result<HttpResponse>
+Fleet::Call(const std::string& aAddress,
+            const HttpRequest& aRequest,
+            std::int64_t aTimeoutMs)
+{
+  const auto address = state::ParseAddress(aAddress);
+  if (!address) {
+    return tl::unexpected(address.error());
+  }
+  boost::asio::io_context context;
+  state::Result<HttpResponse> outcome =
+    state::Fail(state::ErrorCode::kInternal, "fleet.call", aAddress, "no end");
+  const auto call = [](state::Address aPeer,
+                       HttpRequest aCall,
+                       Millis aTimeout,
+                       state::Result<HttpResponse>* aOutcome)
+    -> transport::Task<void> {
+    transport::HttpClient client(aPeer, kMaxAnswerBytes);
+    *aOutcome = co_await client.Send(std::move(aCall), aTimeout);
+  };
+  transport::Spawn(context,
+                   call(*address, aRequest, Millis(aTimeoutMs), &outcome));
+  context.run();
+  return outcome;
+}
+
+void
+Fleet::PutToPlatform(const std::string& aTarget,
+                     const std::string& aBody,
+                     const std::string& aMethod)
+{
+  HttpRequest request;
+  request.mMethod = aMethod;
+  request.mTarget = aTarget;
+  request.mContentType = "application/json";
+  request.mBody = aBody;
+  const auto answer = Call(Platform(), request);
+  if (!answer || answer->mStatus != 200) {
+    Die("the platform refused " + aTarget + ": " +
+        (answer ? answer->mBody : answer.error().Describe()));
+  }
+}
+
+void
+Fleet::List(const std::string& aName,
+            const std::string& aRole,
+            const std::string& aZone,
+            bool aIsLeaving)
+{
+  PutToPlatform("/v1/instances/" + aName,
+                json::serialize(
+                  json::object{ { "name", aName },
+                                { "address", Process(aName).mTraffic },
+                                { "zone", aZone },
+                                { "role", aRole },
+                                { "leaving", aIsLeaving } }));
+}
+
+void
+Fleet::Unlist(const std::string& aName)
+{
+  PutToPlatform("/v1/instances/" + aName, "", "DELETE");
+}
+
+void
+Fleet::Apply(const std::string& aKey, const std::string& aValue)
+{
+  HttpRequest read;
+  read.mTarget = "/v1/objects/" + aKey;
+  const auto found = Call(Platform(), read);
+  std::uint64_t revision = 0;
+  if (found && found->mStatus == 200) {
+    const auto value = state::ParseJson(found->mBody, aKey);
+    revision = value->as_object().at("revision").to_number<std::uint64_t>();
+  }
+  PutToPlatform("/v1/objects/" + aKey +
+                  "?if_revision=" + std::to_string(revision),
+                aValue);
+}
+
+void
+Fleet::SetFaults(const std::string& aFaults)
+{
+  PutToPlatform("/faults", aFaults, "POST");
+}
+
+void
+Fleet::AwaitReady(const std::string& aName)
+{
+  HttpRequest request;
+  request.mTarget = "/readyz";
+  for (int i = 0; i < kPollsUntilLost; ++i) {
+    const auto answer = Call(Process(aName).mAdmin, request);
+    if (answer && answer->mStatus == 200) {
+      return;
+    }
+    std::this_thread::sleep_for(kPoll);
+  }
+  Die(aName + " did not get ready; see " + Process(aName).mLog);
+}
+
+void
+Fleet::AwaitEngines(const std::string& aModel, std::size_t aCount)
+{
+  HttpRequest request;
+  request.mTarget = "/engine/state";
+  for (int i = 0; i < kPollsUntilLost; ++i) {
+    std::size_t serving = 0;
+    for (const auto& [name, process] : mProcesses) {
+      const auto answer = process.mAdmin.empty()
+                            ? Call(process.mTraffic, request)
+                            : state::Result<HttpResponse>(HttpResponse{});
+      const auto value =
+        state::ParseJson(answer ? answer->mBody : "null", name);
+      const auto* found = value ? value->if_object() : nullptr;
+      if (found != nullptr && TextOf(*found, "model") == aModel) {
+        ++serving;
+      }
+    }
+    if (serving >= aCount) {
+      return;
+    }
+    std::this_thread::sleep_for(kPoll);
+  }
+  Die("the engines did not load " + aModel);
+}
+
+std::pair<std::int64_t, double>
+Fleet::Usage(const std::string& aName) const
+{
+  const std::string folder =
+    "/proc/" + std::to_string(Process(aName).mPid) + "/";
+  std::int64_t peak = 0;
+  std::ifstream status(folder + "status");
+  for (std::string line; std::getline(status, line);) {
+    if (line.starts_with("VmHWM:")) {
+      peak = std::stoll(line.substr(line.find_first_of("0123456789")));
+    }
+  }
+  std::ifstream stat(folder + "stat");
+  std::string text((std::istreambuf_iterator<char>(stat)), {});
+  std::istringstream rest(text.substr(text.rfind(')') + 2));
+  constexpr int kFieldsBeforeTimes = 11;
+  std::string skipped;
+  for (int i = 0; i < kFieldsBeforeTimes; ++i) {
+    rest >> skipped;
+  }
+  double user = 0;
+  double system = 0;
+  rest >> user >> system;
+  return { peak, (user + system) / static_cast<double>(sysconf(_SC_CLK_TCK)) };
+}
+
+} // namespace shuntjunction::standins
--- a/standins/service_standin.cpp
+++ b/standins/service_standin.cpp
@@ -39,7 +39,7 @@
     body["ok"] = true;
   } else {
     const std::string key(request.Field("idempotency-key"));
-    const std::uint64_t run = ++mRuns[key];
+    const std::uint64_t run = key.empty() ? 1 : ++mRuns[key];
     co_await transport::Sleep(mDelay);
     body["done"] = request.mMethod + " " + request.mTarget;
     body["echo"] = request.mBody;
