--- /dev/null
+++ b/apps/shuntctl.cpp
@@ -0,0 +1,124 @@
+// shuntctl: the operators' client.
+
+#include <iostream>
+
+#include <CLI/CLI.hpp>
+
+#include "ctl_commands.h"
+
+namespace {
+
+using namespace shuntjunction;
+
+void
+AddPlatform(CLI::App& aCommand, ctl::Options& aOptions)
+{
+  aCommand
+    .add_option(
+      "--platform", aOptions.mPlatform, "IP:PORT of the platform's objects")
+    ->envname("SHUNTCTL_PLATFORM")
+    ->required();
+}
+
+void
+AddAdmin(CLI::App& aCommand, ctl::Options& aOptions)
+{
+  aCommand.add_option("--admin", aOptions.mAdmin, "operators' port of a process")
+    ->required();
+  aCommand
+    .add_option("--secret", aOptions.mSecret, "the shared secret of the system")
+    ->envname("SHUNTCTL_SECRET")
+    ->required();
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  CLI::App app("Declares templates, teams, models and endpoints, and watches "
+               "every router come in line.\n\nExit codes: 0 done; 1 usage; 2 bad "
+               "input; 3 conflict: another operator was faster; 4 the platform "
+               "or process does not answer; 5 not found; 6 not in force in time.");
+  ctl::Options options;
+  app.set_version_flag("--version", SHUNTJUNCTION_VERSION);
+  app.require_subcommand(1);
+  app.fallthrough();
+  app
+    .add_option("--output", options.mOutput, "table for people, json for programs")
+    ->check(CLI::IsMember({ "table", "json" }));
+
+  auto* apply = app.add_subcommand(
+    "apply", "write objects of a file, each on condition of its revision");
+  AddPlatform(*apply, options);
+  apply->add_option("file", options.mFile, "JSON: {\"KIND/NAME\": {...}, ...}")
+    ->required();
+  apply->add_option(
+    "--if-revision",
+    options.mIfRevision,
+    "only if the one object has this revision; 0: only if it does not exist");
+  apply->add_option("--wait-ms",
+                    options.mWaitMs,
+                    "wait until it is in force on every live process");
+
+  auto* get = app.add_subcommand("get", "show objects");
+  AddPlatform(*get, options);
+  get->add_option("name", options.mName, "KIND/NAME, KIND, or nothing for all");
+
+  auto* diff =
+    app.add_subcommand("diff", "what apply would change, without doing it");
+  AddPlatform(*diff, options);
+  diff->add_option("file", options.mFile)->required();
+
+  auto* erase = app.add_subcommand("delete", "delete one object");
+  AddPlatform(*erase, options);
+  erase->add_option("name", options.mName, "KIND/NAME")->required();
+  erase->add_option("--if-revision", options.mIfRevision);
+
+  auto* status =
+    app.add_subcommand("status", "what every process has in force");
+  AddPlatform(*status, options);
+
+  auto* watch = app.add_subcommand("watch", "follow changes as they come");
+  AddPlatform(*watch, options);
+  watch->add_option("--changes", options.mChanges, "end after so many; 0 never");
+
+  auto* adopt = app.add_subcommand(
+    "adopt", "take over a platform that was restored to an older state");
+  AddPlatform(*adopt, options);
+
+  auto* drain = app.add_subcommand("drain", "stop a process without a cut");
+  AddAdmin(*drain, options);
+
+  auto* explain = app.add_subcommand(
+    "explain", "which endpoint a router would choose for a call, and why");
+  AddAdmin(*explain, options);
+  explain->add_option("--team", options.mTeam)->required();
+  explain->add_option("file", options.mFile, "body of a chat call")->required();
+
+  CLI11_PARSE(app, aCount, aArguments);
+
+  ctl::Commands commands(options, std::cout, std::cerr);
+  if (*apply) {
+    return commands.Apply();
+  }
+  if (*get) {
+    return commands.Get();
+  }
+  if (*diff) {
+    return commands.Diff();
+  }
+  if (*erase) {
+    return commands.Delete();
+  }
+  if (*status) {
+    return commands.Status();
+  }
+  if (*watch) {
+    return commands.Watch();
+  }
+  if (*adopt) {
+    return commands.Adopt();
+  }
+  return *drain ? commands.Drain() : commands.Explain();
+}
--- a/apps/shuntjunctiond.cpp
+++ b/apps/shuntjunctiond.cpp
@@ -62,8 +62,8 @@
     std::cerr << addresses.error().Describe() << "\n";
     return kExitNotStarted;
   }
-  std::cout << "{\"traffic\":\"" << addresses->mTraffic.Text()
-            << "\",\"admin\":\"" << addresses->mAdmin.Text() << "\"}"
+  std::cout << R"({"traffic":")" << addresses->mTraffic.Text()
+            << R"(","admin":")" << addresses->mAdmin.Text() << R"("})"
             << std::endl;
   daemon.Wait();
   return 0;
--- a/packages/coordination/include/shuntjunction/coordination/claim_keeper.h
+++ b/packages/coordination/include/shuntjunction/coordination/claim_keeper.h
@@ -12,7 +12,7 @@
 namespace shuntjunction::coordination {
 
 /// Longest outcome that is recorded for later arrivals of a key.
-inline constexpr std::size_t kMaxRecordedBytes = 256U * 1024;
+inline constexpr std::size_t kMaxRecordedBytes = 256UL * 1024;
 
 /// How a claim was settled.
 struct ClaimVerdict
--- a/packages/coordination/src/chat_api.cpp
+++ b/packages/coordination/src/chat_api.cpp
@@ -69,7 +69,7 @@
   if (aFinishReason.empty()) {
     return nullptr;
   }
-  return json::value(json::string(aFinishReason));
+  return json::string(aFinishReason);
 }
 
 Result<void>
@@ -183,6 +183,9 @@
   json::object choice{ { "index", 0 } };
   if (IsChat(aHead.mKind)) {
     json::object delta;
+    if (aFinishReason.empty()) {
+      delta["role"] = "assistant";
+    }
     if (!aText.empty()) {
       delta["content"] = json::string(aText);
     }
--- a/packages/coordination/src/http_platform.cpp
+++ b/packages/coordination/src/http_platform.cpp
@@ -17,7 +17,7 @@
 namespace {
 
 /// A value holds up to a megabyte; a whole list may hold many.
-constexpr std::size_t kMaxAnswerBytes = 64U * 1024 * 1024;
+constexpr std::size_t kMaxAnswerBytes = 64UL * 1024 * 1024;
 
 constexpr unsigned kOk = 200;
 constexpr unsigned kCreated = 201;
--- a/packages/protocol/include/shuntjunction/protocol/codec.h
+++ b/packages/protocol/include/shuntjunction/protocol/codec.h
@@ -17,7 +17,7 @@
 inline constexpr std::size_t kLengthBytes = 4;
 
 /// Longest frame accepted; a peer that announces a longer one is closed.
-inline constexpr std::size_t kMaxFrameBytes = 16U * 1024 * 1024;
+inline constexpr std::size_t kMaxFrameBytes = 16UL * 1024 * 1024;
 
 /// A message as a whole frame, its length included.
 ///
--- a/packages/state/include/shuntjunction/state/settings.h
+++ b/packages/state/include/shuntjunction/state/settings.h
@@ -50,9 +50,9 @@
 /// Limits on what callers and peers may send.
 struct LimitSettings
 {
-  std::int64_t mMaxHeaderBytes = 16 * 1024;
-  std::int64_t mMaxBodyBytes = 4 * 1024 * 1024;
-  std::int64_t mMaxAnswerBytes = 4 * 1024 * 1024; ///< of one answer
+  std::int64_t mMaxHeaderBytes = 16L * 1024;
+  std::int64_t mMaxBodyBytes = 4L * 1024 * 1024;
+  std::int64_t mMaxAnswerBytes = 4L * 1024 * 1024; ///< of one answer
   std::int64_t mMaxConnections = 4096;            ///< from callers
   Millis mHeaderTimeout{ 10000 };   ///< for a whole request to arrive
   Millis mIdleTimeout{ 75000 };     ///< of a kept-alive connection
--- a/packages/state/src/block_index.cpp
+++ b/packages/state/src/block_index.cpp
@@ -1,5 +1,7 @@
 #include "shuntjunction/state/block_index.h"
 
+#include <algorithm>
+
 namespace shuntjunction::state {
 
 void
@@ -56,12 +58,13 @@
 std::uint32_t
 BlockIndex::CachedBlocks(std::span<const PrefixLevel> aLevels) const
 {
-  for (auto level = aLevels.rbegin(); level != aLevels.rend(); ++level) {
-    if (mBlocks.contains(level->mHash)) {
-      return level->mBlocks;
+  std::uint32_t cached = 0;
+  for (const PrefixLevel& level : aLevels) {
+    if (mBlocks.contains(level.mHash)) {
+      cached = std::max(cached, level.mBlocks);
     }
   }
-  return 0;
+  return cached;
 }
 
 } // namespace shuntjunction::state
--- a/packages/state/src/settings.cpp
+++ b/packages/state/src/settings.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::int64_t kMaxMillis = 24 * 3600 * 1000;
+constexpr std::int64_t kMaxMillis = 24L * 3600 * 1000;
 constexpr std::int64_t kMaxCount = 1000000;
 constexpr std::int64_t kMaxBytes = 1LL << 30;
 constexpr std::size_t kMinSecretBytes = 16;
@@ -24,7 +24,7 @@
             std::string_view aKey,
             std::optional<std::string> aDefault)
 {
-  const std::string text = aReader.Text(aKey, std::move(aDefault));
+  std::string text = aReader.Text(aKey, std::move(aDefault));
   if (!ParseAddress(text)) {
     aReader.Note(aKey, "\"" + text + "\"", "IP:PORT");
   }
--- /dev/null
+++ b/packages/state/tests/history.cpp
@@ -0,0 +1,78 @@
+#include "history.h"
+
+namespace shuntjunction::state::history {
+
+Violations
+CheckAtMostOnce(const History& aHistory)
+{
+  Violations violations;
+  std::map<std::string, int> runs;
+  for (const auto& executed : aHistory.mExecuted) {
+    if (++runs[executed.mKey] == 2) {
+      violations.push_back("key " + executed.mKey + " ran twice");
+    }
+  }
+  return violations;
+}
+
+Violations
+CheckNotRunIsTrue(const History& aHistory)
+{
+  Violations violations;
+  for (const auto& told : aHistory.mTold) {
+    if (told.mIsAnswer || told.mRunState != RunState::kNotRun) {
+      continue;
+    }
+    for (const auto& executed : aHistory.mExecuted) {
+      if (executed.mRequest == told.mRequest) {
+        violations.push_back("request " + std::to_string(told.mRequest) +
+                             " ran and was told that it did not");
+      }
+    }
+  }
+  return violations;
+}
+
+Violations
+CheckStreams(const History& aHistory)
+{
+  Violations violations;
+  std::map<int, std::size_t> got;
+  for (const auto& token : aHistory.mTokens) {
+    const auto right = aHistory.mRightTokens.find(token.mRequest);
+    const std::size_t at = got[token.mRequest]++;
+    if (right == aHistory.mRightTokens.end() || at >= right->second.size() ||
+        right->second[at] != token.mText) {
+      violations.push_back("request " + std::to_string(token.mRequest) +
+                           " got a wrong token at " + std::to_string(at));
+    }
+  }
+  for (const auto& stream : aHistory.mStreams) {
+    const auto right = aHistory.mRightTokens.find(stream.mRequest);
+    const std::size_t all =
+      right == aHistory.mRightTokens.end() ? 0 : right->second.size();
+    if (stream.mLooksWhole && got[stream.mRequest] != all) {
+      violations.push_back("request " + std::to_string(stream.mRequest) +
+                           " got a cut stream that looks whole");
+    }
+  }
+  return violations;
+}
+
+Violations
+CheckConfigNeverReverts(const History& aHistory)
+{
+  Violations violations;
+  std::map<std::string, std::uint64_t> newest;
+  for (const auto& inForce : aHistory.mInForce) {
+    std::uint64_t& version = newest[inForce.mProcess];
+    if (inForce.mVersion < version) {
+      violations.push_back("the configuration of " + inForce.mProcess +
+                           " went back");
+    }
+    version = inForce.mVersion;
+  }
+  return violations;
+}
+
+} // namespace shuntjunction::state::history
--- /dev/null
+++ b/packages/state/tests/history_test.cpp
@@ -0,0 +1,74 @@
+// The story of the checkers: each rejects a history that breaks its promise,
+// and accepts one that keeps it.
+
+#include "history.h"
+
+#include <gtest/gtest.h>
+
+namespace shuntjunction::state::history {
+namespace {
+
+class GivenAHistory : public ::testing::Test
+{
+protected:
+  GivenAHistory() { mHistory.mRightTokens[1] = { "a", "b" }; }
+
+  History mHistory;
+};
+
+TEST_F(GivenAHistory, OneRunAKeyIsAcceptedAndTwoAreNot)
+{
+  mHistory.mExecuted = { { "k", 1 }, { "other", 2 } };
+  EXPECT_TRUE(CheckAtMostOnce(mHistory).empty());
+  mHistory.mExecuted.push_back({ "k", 3 });
+  EXPECT_EQ(CheckAtMostOnce(mHistory).size(), 1U);
+}
+
+TEST_F(GivenAHistory, NotRunIsRejectedWhereItRan)
+{
+  mHistory.mTold = { { 1, false, RunState::kNotRun } };
+  EXPECT_TRUE(CheckNotRunIsTrue(mHistory).empty());
+  mHistory.mExecuted = { { "k", 1 } };
+  EXPECT_EQ(CheckNotRunIsTrue(mHistory).size(), 1U);
+  mHistory.mTold = { { 1, false, RunState::kUnknown } };
+  EXPECT_TRUE(CheckNotRunIsTrue(mHistory).empty());
+}
+
+TEST_F(GivenAHistory, WholeStreamsAreAccepted)
+{
+  mHistory.mTokens = { { 1, "a" }, { 1, "b" } };
+  mHistory.mStreams = { { 1, true } };
+  EXPECT_TRUE(CheckStreams(mHistory).empty());
+}
+
+TEST_F(GivenAHistory, CutStreamsMustNotLookWhole)
+{
+  mHistory.mTokens = { { 1, "a" } };
+  mHistory.mStreams = { { 1, false } };
+  EXPECT_TRUE(CheckStreams(mHistory).empty());
+  mHistory.mStreams = { { 1, true } };
+  EXPECT_EQ(CheckStreams(mHistory).size(), 1U);
+}
+
+TEST_F(GivenAHistory, DoubledCrossedAndSwappedTokensAreRejected)
+{
+  mHistory.mTokens = { { 1, "a" }, { 1, "a" } };
+  EXPECT_FALSE(CheckStreams(mHistory).empty());
+  mHistory.mTokens = { { 1, "b" }, { 1, "a" } };
+  EXPECT_FALSE(CheckStreams(mHistory).empty());
+  mHistory.mTokens = { { 1, "a" }, { 1, "another's" } };
+  EXPECT_FALSE(CheckStreams(mHistory).empty());
+  mHistory.mTokens = { { 1, "a" }, { 1, "b" }, { 1, "c" } };
+  EXPECT_FALSE(CheckStreams(mHistory).empty());
+}
+
+TEST_F(GivenAHistory, AConfigurationThatGoesBackIsRejected)
+{
+  mHistory.mInForce = { { "r1", 4 }, { "r2", 3 }, { "r1", 5 } };
+  EXPECT_TRUE(CheckConfigNeverReverts(mHistory).empty());
+  mHistory.mInForce.push_back({ "r2", 2 });
+  EXPECT_EQ(CheckConfigNeverReverts(mHistory).size(), 1U);
+}
+
+} // namespace
+} // namespace shuntjunction::state::history
--- a/packages/transport/include/shuntjunction/transport/frame_channel.h
+++ b/packages/transport/include/shuntjunction/transport/frame_channel.h
@@ -16,7 +16,7 @@
 namespace shuntjunction::transport {
 
 /// Bytes that may wait to be sent before a channel is closed as stuck.
-inline constexpr std::size_t kMaxPendingBytes = 64U * 1024 * 1024;
+inline constexpr std::size_t kMaxPendingBytes = 64UL * 1024 * 1024;
 
 /// Time in which both sides must prove the shared secret.
 inline constexpr state::Millis kHandshakeTimeout{ 2000 };
--- a/standins/caller.cpp
+++ b/standins/caller.cpp
@@ -19,7 +19,7 @@
 
 using SteadyClock = std::chrono::steady_clock;
 
-constexpr std::size_t kMaxAnswerBytes = 64U * 1024 * 1024;
+constexpr std::size_t kMaxAnswerBytes = 64UL * 1024 * 1024;
 constexpr std::string_view kData = "data: ";
 constexpr std::string_view kEventEnd = "\n\n";
 constexpr std::string_view kDone = "[DONE]";
--- a/standins/fleet.cpp
+++ b/standins/fleet.cpp
@@ -34,7 +34,7 @@
 
 namespace {
 
-constexpr std::size_t kMaxAnswerBytes = 64U * 1024 * 1024;
+constexpr std::size_t kMaxAnswerBytes = 64UL * 1024 * 1024;
 constexpr Millis kPoll{ 20 };
 constexpr int kPollsUntilLost = 1500;
 constexpr std::string_view kPlatformName = "platform";
--- a/standins/standin_main.cpp
+++ b/standins/standin_main.cpp
@@ -20,7 +20,7 @@
       const std::string& aListen)
 {
   state::LimitSettings limits;
-  limits.mMaxBodyBytes = 64 * 1024 * 1024;
+  limits.mMaxBodyBytes = 64L * 1024 * 1024;
   limits.mMaxConnections = 100000;
   transport::HttpServer server(aContext, limits, aHandler);
   const auto address = state::ParseAddress(aListen);
@@ -31,7 +31,7 @@
     std::cerr << bound.error().Describe() << "\n";
     return 1;
   }
-  std::cout << "{\"traffic\":\"" << bound->Text() << "\"}" << std::endl;
+  std::cout << R"({"traffic":")" << bound->Text() << R"("})" << std::endl;
   boost::asio::signal_set signals(aContext, SIGTERM, SIGINT);
   signals.async_wait([&](auto, int) { aContext.stop(); });
   aContext.run();
