--- a/apps/ctl_commands.cpp
+++ b/apps/ctl_commands.cpp
@@ -156,8 +156,7 @@
   transport::HttpClient client(
     state::ParseAddress(mOptions.mAdmin).value_or(state::Address{}),
     kMaxAnswerBytes);
-  aRequest.mFields.push_back(
-    { "authorization", "Bearer " + mOptions.mSecret });
+  aRequest.mFields.push_back({ "authorization", "Bearer " + mOptions.mSecret });
   return Run(client.Send(std::move(aRequest), kTimeout));
 }
 
@@ -183,8 +182,8 @@
 Commands::Conflict(const std::string& aKey, std::uint64_t aExpected)
 {
   const auto found = Read(aKey);
-  mErr << "shuntctl: conflict at " << ShortKey(aKey) << ": you build on revision "
-       << aExpected << ", the platform holds ";
+  mErr << "shuntctl: conflict at " << ShortKey(aKey)
+       << ": you build on revision " << aExpected << ", the platform holds ";
   if (found && *found) {
     mErr << "revision " << (*found)->mRevision << ": " << (*found)->mValue;
   } else {
@@ -272,8 +271,7 @@
   if (!found) {
     return Fail(found.error());
   }
-  const bool isSame =
-    *found && Canonical((*found)->mValue) == aDeclared.mValue;
+  const bool isSame = *found && Canonical((*found)->mValue) == aDeclared.mValue;
   if (isSame && !mOptions.mIfRevision) {
     aHighest = std::max(aHighest, (*found)->mRevision);
     mOut << ShortKey(aDeclared.mKey) << " unchanged, revision "
@@ -311,8 +309,7 @@
       return code;
     }
   }
-  return mOptions.mWaitMs > 0 ? AwaitInForce(highest)
-                              : Code(ExitCode::kDone);
+  return mOptions.mWaitMs > 0 ? AwaitInForce(highest) : Code(ExitCode::kDone);
 }
 
 int
@@ -496,8 +493,8 @@
     coordination::HttpPlatform platform(
       state::ParseAddress(mOptions.mPlatform).value_or(state::Address{}),
       kTimeout);
-    const auto watch = Run(platform.Watch(
-      std::string(state::kConfigPrefix), after, kWatchWait));
+    const auto watch =
+      Run(platform.Watch(std::string(state::kConfigPrefix), after, kWatchWait));
     if (!watch) {
       return Fail(watch.error());
     }
@@ -521,8 +518,7 @@
   }
   std::uint64_t highest = 0;
   for (const auto& status : *statuses) {
-    highest =
-      std::max(highest, status.at("epoch").to_number<std::uint64_t>());
+    highest = std::max(highest, status.at("epoch").to_number<std::uint64_t>());
   }
   if (*found) {
     const auto value = state::ParseJson((*found)->mValue, kEpochKey);
--- a/apps/shuntctl.cpp
+++ b/apps/shuntctl.cpp
@@ -23,7 +23,8 @@
 void
 AddAdmin(CLI::App& aCommand, ctl::Options& aOptions)
 {
-  aCommand.add_option("--admin", aOptions.mAdmin, "operators' port of a process")
+  aCommand
+    .add_option("--admin", aOptions.mAdmin, "operators' port of a process")
     ->required();
   aCommand
     .add_option("--secret", aOptions.mSecret, "the shared secret of the system")
@@ -36,16 +37,18 @@
 int
 main(int aCount, char** aArguments)
 {
-  CLI::App app("Declares templates, teams, models and endpoints, and watches "
-               "every router come in line.\n\nExit codes: 0 done; 1 usage; 2 bad "
-               "input; 3 conflict: another operator was faster; 4 the platform "
-               "or process does not answer; 5 not found; 6 not in force in time.");
+  CLI::App app(
+    "Declares templates, teams, models and endpoints, and watches "
+    "every router come in line.\n\nExit codes: 0 done; 1 usage; 2 bad "
+    "input; 3 conflict: another operator was faster; 4 the platform "
+    "or process does not answer; 5 not found; 6 not in force in time.");
   ctl::Options options;
   app.set_version_flag("--version", SHUNTJUNCTION_VERSION);
   app.require_subcommand(1);
   app.fallthrough();
   app
-    .add_option("--output", options.mOutput, "table for people, json for programs")
+    .add_option(
+      "--output", options.mOutput, "table for people, json for programs")
     ->check(CLI::IsMember({ "table", "json" }));
 
   auto* apply = app.add_subcommand(
@@ -81,7 +84,8 @@
 
   auto* watch = app.add_subcommand("watch", "follow changes as they come");
   AddPlatform(*watch, options);
-  watch->add_option("--changes", options.mChanges, "end after so many; 0 never");
+  watch->add_option(
+    "--changes", options.mChanges, "end after so many; 0 never");
 
   auto* adopt = app.add_subcommand(
     "adopt", "take over a platform that was restored to an older state");
--- a/packages/coordination/include/shuntjunction/coordination/companion.h
+++ b/packages/coordination/include/shuntjunction/coordination/companion.h
@@ -86,8 +86,6 @@
   void Dispatch(const std::shared_ptr<Session>& aSession,
                 protocol::Message aMessage);
   void AnswerProbe(Session& aSession, const protocol::Probe& aProbe);
-  void AnswerSnapshot(Session& aSession,
-                      const protocol::SnapshotRequest& aRequest);
   void HearVersion(Session& aSession, std::uint64_t aVersion);
   void BeginWork(const std::shared_ptr<Session>& aSession,
                  protocol::Submit aSubmit);
--- a/packages/coordination/include/shuntjunction/coordination/config_feed.h
+++ b/packages/coordination/include/shuntjunction/coordination/config_feed.h
@@ -8,17 +8,30 @@
 
 #include "shuntjunction/coordination/log.h"
 #include "shuntjunction/coordination/platform.h"
+#include "shuntjunction/protocol/messages.h"
 #include "shuntjunction/state/config_store.h"
 #include "shuntjunction/transport/frame_channel.h"
 
 /// Keeps the configuration and the list of instances up to date.
 namespace shuntjunction::coordination {
 
-/// A configuration in force, ready to read and to pass on.
+/// Instances as a list that is never changed after it was published.
+using SharedInstances = std::shared_ptr<const std::vector<state::InstanceInfo>>;
+
+/// What is in force, ready to read and to pass on to a peer.
 struct PublishedConfig
 {
-  std::shared_ptr<const state::ConfigSnapshot> mSnapshot;
-  std::shared_ptr<const std::string> mText; ///< as ConfigStore::Serialize
+  std::shared_ptr<const state::ConfigSnapshot> mSnapshot =
+    std::make_shared<const state::ConfigSnapshot>();
+  SharedInstances mInstances =
+    std::make_shared<const std::vector<state::InstanceInfo>>();
+  std::shared_ptr<const std::string> mText; ///< null before the first
+
+  /// Version in force.
+  std::uint64_t Version() const { return mSnapshot->mVersion.Packed(); }
+
+  /// Answer to a peer that asks for what is newer than it has.
+  protocol::SnapshotReply ReplyTo(std::uint64_t aHave) const;
 };
 
 /// Settings of a ConfigFeed.
@@ -29,7 +42,6 @@
   std::vector<std::string> mPeers; ///< to ask when the platform is down
   state::Millis mWatchTimeout{ 30000 };
   state::Millis mRetryPause{ 500 }; ///< after a failed call; jittered
-  bool mFollowsInstances = true;
 };
 
 /// Counts of what a feed met.
@@ -44,20 +56,18 @@
 
 /// Follows the platform, and peers while the platform is down.
 ///
-/// Thread safety: none; lives on the control thread. The callbacks are called
+/// Thread safety: none; lives on the control thread. The callback is called
 /// there too.
 class ConfigFeed
 {
 public:
   using OnConfig = std::function<void(PublishedConfig)>;
-  using OnInstances = std::function<void(std::vector<state::InstanceInfo>)>;
 
   /// @param aPlatform  outlives the feed
   ConfigFeed(boost::asio::io_context& aContext,
              const ConfigFeedSettings& aSettings,
              Platform& aPlatform,
-             OnConfig aOnConfig,
-             OnInstances aOnInstances);
+             OnConfig aOnConfig);
 
   /// Starts to follow; runs until the context stops.
   void Start();
@@ -78,14 +88,18 @@
   transport::Task<void> AskPeers();
   transport::Task<void> PauseAfterFailure();
   void Publish();
+  void LogInForce() const;
+  std::string PeerText() const;
   void NoteOutcome(state::MergeOutcome aOutcome, std::uint64_t aRevision);
 
   boost::asio::io_context& mContext;
   ConfigFeedSettings mSettings;
   Platform& mPlatform;
   OnConfig mOnConfig;
-  OnInstances mOnInstances;
   state::ConfigStore mStore;
+  SharedInstances mInstances =
+    std::make_shared<const std::vector<state::InstanceInfo>>();
+  std::uint64_t mInstancesRevision = 0;
   ConfigFeedCounters mCounters;
   transport::ChannelCounters mChannelCounters;
   state::RandomSource mRandom;
--- a/packages/coordination/include/shuntjunction/coordination/platform.h
+++ b/packages/coordination/include/shuntjunction/coordination/platform.h
@@ -8,6 +8,7 @@
 #include "shuntjunction/state/config_store.h"
 #include "shuntjunction/state/endpoint_table.h"
 #include "shuntjunction/state/error.h"
+#include "shuntjunction/state/json_reader.h"
 #include "shuntjunction/transport/task.h"
 
 /// What the platform gives: objects, watches, the list of instances.
@@ -35,6 +36,14 @@
   std::vector<state::InstanceInfo> mInstances;
 };
 
+/// An instance as JSON.
+boost::json::object
+WriteInstance(const state::InstanceInfo& aInstance);
+
+/// The list of instances under the key "instances".
+std::vector<state::InstanceInfo>
+ReadInstances(state::JsonReader& aReader);
+
 /// The platform's service, behind which whatever is particular to it stays.
 ///
 /// Every method is one call that the platform counts.
--- a/packages/coordination/include/shuntjunction/coordination/router.h
+++ b/packages/coordination/include/shuntjunction/coordination/router.h
@@ -60,12 +60,9 @@
   /// Starts the timer that looks after links.
   void Start();
 
-  /// Takes a configuration that came into force.
+  /// Takes a configuration and a list of instances that came into force.
   void TakeConfig(PublishedConfig aConfig);
 
-  /// Takes the platform's list of instances.
-  void TakeInstances(std::vector<state::InstanceInfo> aInstances);
-
   /// Whether a configuration and an endpoint are known.
   bool IsReady() const;
 
@@ -96,7 +93,6 @@
   protocol::SnapshotReply Snapshot(std::uint64_t aHave) override;
 
   transport::Task<void> TickLinks();
-  void UpdateTable();
   std::shared_ptr<PeerLink> Link(state::EndpointHandle aHandle);
   transport::Task<void> SendProbe(std::shared_ptr<ProbeRound> aRound,
                                   std::size_t aIndex,
@@ -120,7 +116,6 @@
   OnPeerText mOnPeerSnapshot;
   Log mLog;
   PublishedConfig mConfig;
-  std::vector<state::InstanceInfo> mInstances;
   std::size_t mRouters = 1;
   state::RandomSource mRandom;
   state::EndpointTable mTable;
--- a/packages/coordination/src/companion.cpp
+++ b/packages/coordination/src/companion.cpp
@@ -127,7 +127,6 @@
   , mPumpTimer(aContext)
   , mMicrosPerBlock(static_cast<double>(aSettings.mCompanion.mMicrosPerBlock))
 {
-  mConfig.mSnapshot = std::make_shared<const state::ConfigSnapshot>();
 }
 
 Companion::~Companion() = default;
@@ -155,7 +154,7 @@
 std::uint64_t
 Companion::ConfigVersion() const
 {
-  return mConfig.mSnapshot->mVersion.Packed();
+  return mConfig.Version();
 }
 
 void
@@ -384,7 +383,7 @@
     }
   } else if (const auto* request =
                std::get_if<protocol::SnapshotRequest>(&aMessage)) {
-    AnswerSnapshot(*aSession, *request);
+    aSession->Channel().Send(mConfig.ReplyTo(request->mHave));
   } else if (auto* reply = std::get_if<protocol::SnapshotReply>(&aMessage)) {
     if (!reply->mText.empty()) {
       mOnPeerSnapshot(std::move(reply->mText), aSession->Channel().Peer());
@@ -403,18 +402,6 @@
   }
 }
 
-void
-Companion::AnswerSnapshot(Session& aSession,
-                          const protocol::SnapshotRequest& aRequest)
-{
-  protocol::SnapshotReply reply;
-  reply.mVersion = ConfigVersion();
-  if (reply.mVersion > aRequest.mHave && mConfig.mText) {
-    reply.mText = *mConfig.mText;
-  }
-  aSession.Channel().Send(reply);
-}
-
 void
 Companion::AnswerProbe(Session& aSession, const protocol::Probe& aProbe)
 {
--- a/packages/coordination/src/config_feed.cpp
+++ b/packages/coordination/src/config_feed.cpp
@@ -2,7 +2,11 @@
 
 #include <algorithm>
 
+#include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
+
 #include "shuntjunction/state/digest.h"
+#include "shuntjunction/state/json_reader.h"
 #include "shuntjunction/state/prefix_chain.h"
 
 namespace shuntjunction::coordination {
@@ -11,6 +15,7 @@
 using state::Millis;
 using transport::Task;
 namespace asio = boost::asio;
+namespace json = boost::json;
 
 namespace {
 
@@ -23,13 +28,11 @@
 ConfigFeed::ConfigFeed(boost::asio::io_context& aContext,
                        const ConfigFeedSettings& aSettings,
                        Platform& aPlatform,
-                       OnConfig aOnConfig,
-                       OnInstances aOnInstances)
+                       OnConfig aOnConfig)
   : mContext(aContext)
   , mSettings(aSettings)
   , mPlatform(aPlatform)
   , mOnConfig(std::move(aOnConfig))
-  , mOnInstances(std::move(aOnInstances))
   , mRandom(state::PlacementHash(state::RandomNonce()))
   , mLog("config")
 {
@@ -39,9 +42,7 @@
 ConfigFeed::Start()
 {
   transport::Spawn(mContext, FollowConfig());
-  if (mSettings.mFollowsInstances) {
-    transport::Spawn(mContext, FollowInstances());
-  }
+  transport::Spawn(mContext, FollowInstances());
 }
 
 void
@@ -49,8 +50,15 @@
 {
   PublishedConfig published;
   published.mSnapshot = mStore.Current();
-  published.mText = std::make_shared<const std::string>(mStore.Serialize());
-  const auto& snapshot = *published.mSnapshot;
+  published.mInstances = mInstances;
+  published.mText = std::make_shared<const std::string>(PeerText());
+  mOnConfig(std::move(published));
+}
+
+void
+ConfigFeed::LogInForce() const
+{
+  const auto& snapshot = *mStore.Current();
   mLog.Info("version " + std::to_string(snapshot.mVersion.mRevision) +
             " of epoch " + std::to_string(snapshot.mVersion.mEpoch) +
             " is in force.");
@@ -59,7 +67,19 @@
               std::to_string(object.mRevision) +
               " is not in force: " + object.mReason + ".");
   }
-  mOnConfig(std::move(published));
+}
+
+std::string
+ConfigFeed::PeerText() const
+{
+  json::array instances;
+  for (const auto& instance : *mInstances) {
+    instances.push_back(WriteInstance(instance));
+  }
+  return json::serialize(
+    json::object{ { "config", mStore.Serialize() },
+                  { "instancesRevision", mInstancesRevision },
+                  { "instances", std::move(instances) } });
 }
 
 void
@@ -68,6 +88,7 @@
   switch (aOutcome) {
     case MergeOutcome::kApplied:
       mWasRestoreReported = false;
+      LogInForce();
       Publish();
       return;
     case MergeOutcome::kUnchanged:
@@ -184,14 +205,41 @@
 void
 ConfigFeed::TakePeerText(const std::string& aText, const std::string& aPeer)
 {
-  const auto outcome = mStore.ApplyPeer(aText, aPeer);
+  const auto refuse = [&](const state::Error& aError) {
+    mLog.Warn("a snapshot of " + aPeer + " was refused: " + aError.Describe() +
+              ".");
+  };
+  const auto value = state::ParseJson(aText, "snapshot");
+  if (!value) {
+    refuse(value.error());
+    return;
+  }
+  state::JsonReader reader(*value, "snapshot");
+  const std::string config = reader.Text("config");
+  const auto revision = static_cast<std::uint64_t>(
+    reader.Integer("instancesRevision", 0, INT64_MAX));
+  const auto instances = ReadInstances(reader);
+  if (const auto done = reader.Finish(); !done) {
+    refuse(done.error());
+    return;
+  }
+  const auto outcome = mStore.ApplyPeer(config, aPeer);
   if (!outcome) {
-    mLog.Warn("a snapshot was refused: " + outcome.error().Describe() + ".");
+    refuse(outcome.error());
     return;
   }
+  const bool hasNewInstances = revision > mInstancesRevision;
+  if (hasNewInstances) {
+    mInstancesRevision = revision;
+    mInstances =
+      std::make_shared<const std::vector<state::InstanceInfo>>(instances);
+  }
   if (*outcome == MergeOutcome::kApplied) {
     ++mCounters.mFromPeers;
     mLog.Info("took a snapshot from " + aPeer + ".");
+    LogInForce();
+  }
+  if (hasNewInstances || *outcome == MergeOutcome::kApplied) {
     Publish();
   }
 }
@@ -208,11 +256,12 @@
 Task<void>
 ConfigFeed::FollowInstances()
 {
-  std::uint64_t revision = 0;
+  bool isFirst = true;
   while (true) {
     ++mCounters.mPlatformCalls;
+    const std::uint64_t after = isFirst ? 0 : mInstancesRevision;
     const auto list =
-      co_await mPlatform.Instances(revision, mSettings.mWatchTimeout);
+      co_await mPlatform.Instances(after, mSettings.mWatchTimeout);
     if (!list) {
       ++mCounters.mPlatformErrors;
       mLog.Warn("the list of instances failed: " + list.error().Describe() +
@@ -220,10 +269,26 @@
       co_await PauseAfterFailure();
       continue;
     }
+    isFirst = false;
     // The list only says who may exist, so that an older one does no harm.
-    revision = list->mRevision;
-    mOnInstances(list->mInstances);
+    mInstancesRevision = list->mRevision;
+    if (*mInstances != list->mInstances) {
+      mInstances = std::make_shared<const std::vector<state::InstanceInfo>>(
+        list->mInstances);
+      Publish();
+    }
+  }
+}
+
+protocol::SnapshotReply
+PublishedConfig::ReplyTo(std::uint64_t aHave) const
+{
+  protocol::SnapshotReply reply;
+  reply.mVersion = Version();
+  if (mText && reply.mVersion > aHave) {
+    reply.mText = *mText;
   }
+  return reply;
 }
 
 } // namespace shuntjunction::coordination
--- a/packages/coordination/src/daemon.cpp
+++ b/packages/coordination/src/daemon.cpp
@@ -65,7 +65,6 @@
   feed.mSecret = aSettings.mSecret;
   feed.mPeers = aSettings.mPeers;
   feed.mWatchTimeout = aSettings.mWatchTimeout;
-  feed.mFollowsInstances = aSettings.mRole == ProcessRole::kRouter;
   return feed;
 }
 
@@ -83,14 +82,10 @@
     , mSignals(mTraffic, SIGTERM, SIGINT)
     , mControlPlatform(PlatformAddress(aSettings), aSettings.mPlatformTimeout)
     , mTrafficPlatform(PlatformAddress(aSettings), aSettings.mPlatformTimeout)
-    , mFeed(
-        mControl,
-        FeedSettings(aSettings),
-        mControlPlatform,
-        [this](PublishedConfig aConfig) { TakeConfig(std::move(aConfig)); },
-        [this](std::vector<state::InstanceInfo> aInstances) {
-          TakeInstances(std::move(aInstances));
-        })
+    , mFeed(mControl,
+            FeedSettings(aSettings),
+            mControlPlatform,
+            [this](PublishedConfig aConfig) { TakeConfig(std::move(aConfig)); })
     , mStatus(mControl, mControlPlatform, aSettings.mName)
   {
   }
@@ -226,16 +221,6 @@
     });
   }
 
-  /// On the control thread: passes the instances on to the traffic thread.
-  void TakeInstances(std::vector<state::InstanceInfo> aInstances)
-  {
-    asio::post(mTraffic, [this, instances = std::move(aInstances)]() mutable {
-      if (mRouter) {
-        mRouter->TakeInstances(std::move(instances));
-      }
-    });
-  }
-
   /// What is told of the process: on its port and in the platform.
   json::object StatusObject() const
   {
--- a/packages/coordination/src/http_platform.cpp
+++ b/packages/coordination/src/http_platform.cpp
@@ -69,20 +69,6 @@
   return static_cast<std::uint64_t>(aReader.Integer("revision", 0, INT64_MAX));
 }
 
-state::InstanceInfo
-ReadInstance(const boost::json::value& aValue, JsonReader& aOuter)
-{
-  JsonReader reader(aValue, "instance");
-  state::InstanceInfo instance;
-  instance.mName = reader.Text("name");
-  instance.mAddress = reader.Text("address");
-  instance.mZone = reader.Text("zone");
-  instance.mRole = reader.Text("role");
-  instance.mIsLeaving = reader.Flag("leaving", false);
-  aOuter.Merge(reader.Finish());
-  return instance;
-}
-
 tl::unexpected<state::Error>
 BadAnswer(state::Error aError, std::string_view aStep, const std::string& aPeer)
 {
@@ -275,14 +261,7 @@
   JsonReader reader(*value, "instances");
   InstanceList list;
   list.mRevision = ReadRevision(reader);
-  const auto* items = reader.Find("instances");
-  if (items == nullptr || !items->is_array()) {
-    reader.Note("instances", "absent", "a list of instances");
-  } else {
-    for (const auto& item : items->as_array()) {
-      list.mInstances.push_back(ReadInstance(item, reader));
-    }
-  }
+  list.mInstances = ReadInstances(reader);
   if (const auto done = reader.Finish(); !done) {
     co_return BadAnswer(done.error(), kStep, mClient.Peer().Text());
   }
--- /dev/null
+++ b/packages/coordination/src/platform.cpp
@@ -0,0 +1,48 @@
+#include "shuntjunction/coordination/platform.h"
+
+namespace shuntjunction::coordination {
+
+namespace {
+
+state::InstanceInfo
+ReadInstance(const boost::json::value& aValue, state::JsonReader& aOuter)
+{
+  state::JsonReader reader(aValue, "instance");
+  state::InstanceInfo instance;
+  instance.mName = reader.Text("name");
+  instance.mAddress = reader.Text("address");
+  instance.mZone = reader.Text("zone");
+  instance.mRole = reader.Text("role");
+  instance.mIsLeaving = reader.Flag("leaving", false);
+  aOuter.Merge(reader.Finish());
+  return instance;
+}
+
+} // namespace
+
+boost::json::object
+WriteInstance(const state::InstanceInfo& aInstance)
+{
+  return { { "name", aInstance.mName },
+           { "address", aInstance.mAddress },
+           { "zone", aInstance.mZone },
+           { "role", aInstance.mRole },
+           { "leaving", aInstance.mIsLeaving } };
+}
+
+std::vector<state::InstanceInfo>
+ReadInstances(state::JsonReader& aReader)
+{
+  std::vector<state::InstanceInfo> instances;
+  const auto* items = aReader.Find("instances");
+  if (items == nullptr || !items->is_array()) {
+    aReader.Note("instances", "absent", "a list of instances");
+    return instances;
+  }
+  for (const auto& item : items->as_array()) {
+    instances.push_back(ReadInstance(item, aReader));
+  }
+  return instances;
+}
+
+} // namespace shuntjunction::coordination
--- a/packages/coordination/src/request_run.cpp
+++ b/packages/coordination/src/request_run.cpp
@@ -349,7 +349,7 @@
     std::max(mDeadline, mRouter.mClock.Now() + kDeadlineGrace) -
     mRouter.mClock.Now());
   submit.mDeadlineMs = static_cast<std::uint32_t>(left.count());
-  submit.mConfigVersion = mRouter.mConfig.mSnapshot->mVersion.Packed();
+  submit.mConfigVersion = mRouter.mConfig.Version();
   return submit;
 }
 
--- a/packages/coordination/src/router.cpp
+++ b/packages/coordination/src/router.cpp
@@ -65,7 +65,6 @@
       state::MakeChooser(aSettings.mRouter.mChooser, mTable, mRouters, mRandom))
   , mRetries(aSettings.mRouter.mRetry, aClock.Now())
 {
-  mConfig.mSnapshot = std::make_shared<const state::ConfigSnapshot>();
 }
 
 Router::~Router() = default;
@@ -82,25 +81,13 @@
 Router::TakeConfig(PublishedConfig aConfig)
 {
   mConfig = std::move(aConfig);
-  UpdateTable();
-}
-
-void
-Router::TakeInstances(std::vector<state::InstanceInfo> aInstances)
-{
-  mInstances = std::move(aInstances);
+  const auto& instances = *mConfig.mInstances;
   const auto routers = std::count_if(
-    mInstances.begin(), mInstances.end(), [](const auto& aInstance) {
+    instances.begin(), instances.end(), [](const auto& aInstance) {
       return aInstance.mRole == kRouterRole && !aInstance.mIsLeaving;
     });
   mRouters = std::max<std::size_t>(1, static_cast<std::size_t>(routers));
-  UpdateTable();
-}
-
-void
-Router::UpdateTable()
-{
-  mTable.Update(*mConfig.mSnapshot, mInstances);
+  mTable.Update(*mConfig.mSnapshot, instances);
 }
 
 bool
@@ -186,7 +173,7 @@
 void
 Router::OnPeerVersion(const std::string& aEndpoint, std::uint64_t aVersion)
 {
-  const std::uint64_t own = mConfig.mSnapshot->mVersion.Packed();
+  const std::uint64_t own = mConfig.Version();
   if (aVersion <= own || aVersion <= mHeardVersion) {
     return;
   }
@@ -225,12 +212,7 @@
 protocol::SnapshotReply
 Router::Snapshot(std::uint64_t aHave)
 {
-  protocol::SnapshotReply reply;
-  reply.mVersion = mConfig.mSnapshot->mVersion.Packed();
-  if (reply.mVersion > aHave && mConfig.mText) {
-    reply.mText = *mConfig.mText;
-  }
-  return reply;
+  return mConfig.ReplyTo(aHave);
 }
 
 // The choice of an endpoint.
@@ -284,7 +266,7 @@
   probe.mServes = aQuery.mServes;
   probe.mPriority = aPriority;
   probe.mLevels.assign(aQuery.mLevels.begin(), aQuery.mLevels.end());
-  probe.mConfigVersion = mConfig.mSnapshot->mVersion.Packed();
+  probe.mConfigVersion = mConfig.Version();
   for (std::size_t i = 0; i < round->mProbed.size(); ++i) {
     transport::Spawn(mContext, SendProbe(round, i, probe));
   }
--- /dev/null
+++ b/packages/protocol/tests/codec_test.cpp
@@ -0,0 +1,159 @@
+// The story of a frame: what goes in comes out, and what is malformed is
+// refused before it is used.
+
+#include <random>
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include "shuntjunction/protocol/codec.h"
+
+namespace shuntjunction::protocol {
+namespace {
+
+template<typename T>
+T
+Passed(const T& aMessage)
+{
+  const auto frame = Encode(aMessage);
+  const auto decoded = Decode(frame, "peer");
+  EXPECT_TRUE(decoded.has_value());
+  return std::get<T>(*decoded);
+}
+
+TEST(GivenMessages, ASubmitPassesWhole)
+{
+  Submit submit;
+  submit.mId = 1ULL << 60;
+  submit.mAttempt = 3;
+  submit.mRequestId = "request";
+  submit.mTeam = "team";
+  submit.mServes = "model";
+  submit.mKind = state::RequestKind::kCompletion;
+  submit.mPriority = state::Priority::kUrgent;
+  submit.mWeightsVersion = 9;
+  submit.mDeadlineMs = 630;
+  submit.mIsOnce = true;
+  submit.mKey = "key";
+  submit.mResumeOffset = 5;
+  submit.mResumeText = " w1 w2";
+  submit.mBody = std::string("\0\xff body", 7);
+  submit.mWindow = 256;
+  submit.mConfigVersion = 1ULL << 50;
+  const auto passed = Passed(submit);
+  EXPECT_EQ(passed.mId, submit.mId);
+  EXPECT_EQ(passed.mKind, submit.mKind);
+  EXPECT_EQ(passed.mPriority, submit.mPriority);
+  EXPECT_EQ(passed.mBody, submit.mBody);
+  EXPECT_EQ(passed.mResumeText, submit.mResumeText);
+  EXPECT_EQ(passed.mDeadlineMs, submit.mDeadlineMs);
+  EXPECT_EQ(passed.mConfigVersion, submit.mConfigVersion);
+  EXPECT_TRUE(passed.mIsOnce);
+}
+
+TEST(GivenMessages, ProbesAndTheirRepliesPassWhole)
+{
+  Probe probe;
+  probe.mId = 4;
+  probe.mServes = "m";
+  probe.mLevels = { { 11, 12 }, { 13, 14 } };
+  EXPECT_EQ(Passed(probe).mLevels, probe.mLevels);
+  ProbeReply reply{ 4, true, 36, 123456, 4000, 77 };
+  const auto passed = Passed(reply);
+  EXPECT_TRUE(passed.mIsAccepting);
+  EXPECT_EQ(passed.mWaitMicros, 123456U);
+}
+
+TEST(GivenMessages, AProbeStaysWithinItsShareOfTheControlBudget)
+{
+  // 6 KB a second for 14 requests a second leave about 440 bytes a request;
+  // three probes and their replies must fit.
+  Probe probe;
+  probe.mId = 1ULL << 40;
+  probe.mServes = "a-model-of-usual-name";
+  probe.mLevels.resize(2);
+  probe.mConfigVersion = 1ULL << 40;
+  const ProbeReply reply{ 1ULL << 40, true, 36, 123456, 4000, 1ULL << 40 };
+  EXPECT_LE(3 * (Encode(probe).size() + Encode(reply).size()), 780U);
+}
+
+RC_GTEST_PROP(GeneratedTokens,
+              PassWhole,
+              (std::uint64_t aId,
+               std::uint32_t aOffset,
+               const std::string& aText))
+{
+  Tokens tokens;
+  tokens.mId = aId;
+  tokens.mOffset = aOffset;
+  tokens.mText = aText;
+  const auto decoded = Decode(Encode(tokens), "peer");
+  RC_ASSERT(decoded.has_value());
+  const auto& passed = std::get<Tokens>(*decoded);
+  RC_ASSERT(passed.mId == aId);
+  RC_ASSERT(passed.mOffset == aOffset);
+  RC_ASSERT(passed.mText == aText);
+}
+
+TEST(GivenBadFrames, NoLengthOutsideTheLimitsIsRead)
+{
+  const std::array<std::uint8_t, kLengthBytes> none{};
+  EXPECT_FALSE(DecodeLength(none, "peer").has_value());
+  const std::array<std::uint8_t, kLengthBytes> all{ 0xff, 0xff, 0xff, 0xff };
+  const auto refused = DecodeLength(all, "10.0.0.7:9000");
+  ASSERT_FALSE(refused.has_value());
+  EXPECT_EQ(refused.error().mPeer, "10.0.0.7:9000");
+  EXPECT_EQ(refused.error().mCode, state::ErrorCode::kTooLarge);
+}
+
+TEST(GivenBadFrames, HalfAFrameIsRefused)
+{
+  auto frame = Encode(Hello{ 1, "node", "nonce", "proof", 3 });
+  frame.resize(frame.size() / 2);
+  EXPECT_FALSE(Decode(frame, "peer").has_value());
+}
+
+TEST(GivenBadFrames, AnyChangedByteIsRefusedOrReadButNeverHarms)
+{
+  Submit submit;
+  submit.mBody = std::string(200, 'b');
+  submit.mKey = "key";
+  const auto good = Encode(submit);
+  std::mt19937 random(11);
+  for (int i = 0; i < 20000; ++i) {
+    auto frame = good;
+    for (int change = 0; change < 3; ++change) {
+      frame[random() % frame.size()] = static_cast<std::uint8_t>(random());
+    }
+    const auto decoded = Decode(frame, "peer");
+    if (!decoded) {
+      EXPECT_EQ(decoded.error().mCode, state::ErrorCode::kProtocol);
+    }
+  }
+}
+
+TEST(GivenBadFrames, NoiseIsRefused)
+{
+  std::mt19937 random(12);
+  for (int i = 0; i < 2000; ++i) {
+    std::vector<std::uint8_t> noise(random() % 300);
+    for (auto& byte : noise) {
+      byte = static_cast<std::uint8_t>(random());
+    }
+    EXPECT_FALSE(Decode(noise, "peer").has_value());
+  }
+}
+
+TEST(GivenASecret, ProofsDependOnSecretNoncesAndPart)
+{
+  const Challenge challenge{ 1, "their nonce" };
+  const Hello hello{ 1, "node", "our nonce" };
+  const auto proof = ConnectorProof("secret", challenge, hello);
+  EXPECT_NE(proof, ConnectorProof("another", challenge, hello));
+  EXPECT_NE(proof, ConnectorProof("secret", { 1, "replayed" }, hello));
+  EXPECT_NE(proof, AcceptorProof("secret", challenge, hello));
+}
+
+} // namespace
+} // namespace shuntjunction::protocol
--- a/packages/state/include/shuntjunction/state/json_reader.h
+++ b/packages/state/include/shuntjunction/state/json_reader.h
@@ -85,12 +85,13 @@
   /// Takes over the error of a nested reader, if it has one.
   void Merge(const Result<void>& aNested);
 
+  /// Where a key stands, as errors name it.
+  std::string Where(std::string_view aKey) const;
+
   /// The first error, or success; refuses unknown keys.
   Result<void> Finish();
 
 private:
-  std::string Where(std::string_view aKey) const;
-
   const boost::json::object* mObject = nullptr;
   std::string mPath;
   std::vector<std::string> mKnown;
--- a/packages/state/include/shuntjunction/state/settings.h
+++ b/packages/state/include/shuntjunction/state/settings.h
@@ -53,7 +53,7 @@
   std::int64_t mMaxHeaderBytes = 16L * 1024;
   std::int64_t mMaxBodyBytes = 4L * 1024 * 1024;
   std::int64_t mMaxAnswerBytes = 4L * 1024 * 1024; ///< of one answer
-  std::int64_t mMaxConnections = 4096;            ///< from callers
+  std::int64_t mMaxConnections = 4096;             ///< from callers
   Millis mHeaderTimeout{ 10000 };   ///< for a whole request to arrive
   Millis mIdleTimeout{ 75000 };     ///< of a kept-alive connection
   Millis mWriteTimeout{ 30000 };    ///< for a caller to take some bytes
--- a/packages/state/src/config_objects.cpp
+++ b/packages/state/src/config_objects.cpp
@@ -60,7 +60,7 @@
   if (value == nullptr) {
     return limit;
   }
-  JsonReader reader(*value, "limit");
+  JsonReader reader(*value, aReader.Where("limit"));
   limit.mRequestsPerSecond = reader.Number("requestsPerSecond", 0, kMaxRate);
   limit.mBurst = reader.Number("burst", 0, kMaxRate, limit.mRequestsPerSecond);
   aReader.Merge(reader.Finish());
--- a/packages/state/src/settings.cpp
+++ b/packages/state/src/settings.cpp
@@ -40,7 +40,7 @@
   if (value == nullptr) {
     return;
   }
-  JsonReader reader(*value, aKey);
+  JsonReader reader(*value, aReader.Where(aKey));
   aRead(reader);
   aReader.Merge(reader.Finish());
 }
--- a/packages/state/tests/claim_world.cpp
+++ b/packages/state/tests/claim_world.cpp
@@ -290,10 +290,10 @@
   Told told;
   told.mRequest = aRequest.mId;
   told.mIsAnswer = state == RequestState::kComplete;
-  const bool isNotRun = mMechanisms.mRemembersDoubt
-                          ? aRequest.mLife.IsNotRun()
-                          : state == RequestState::kUncertain ||
-                              aRequest.mLife.IsNotRun();
+  const bool isNotRun =
+    mMechanisms.mRemembersDoubt
+      ? aRequest.mLife.IsNotRun()
+      : state == RequestState::kUncertain || aRequest.mLife.IsNotRun();
   told.mRunState = isNotRun ? RunState::kNotRun : RunState::kUnknown;
   mHistory.mTold.push_back(told);
 }
--- a/packages/state/tests/prefix_test.cpp
+++ b/packages/state/tests/prefix_test.cpp
@@ -46,8 +46,8 @@
   {
     const auto other = BuildPrefixChain(aOther, mLevels);
     for (const auto hash : other.mBlocks) {
-      EXPECT_EQ(
-        std::count(mChain.mBlocks.begin(), mChain.mBlocks.end(), hash), 0);
+      EXPECT_EQ(std::count(mChain.mBlocks.begin(), mChain.mBlocks.end(), hash),
+                0);
     }
     EXPECT_NE(EngineSalt(aOther, "secret"), EngineSalt(mScope, "secret"));
   }
@@ -108,8 +108,7 @@
                             PrefixHash aBlock,
                             Incarnation aLife = kFirstLife)
   {
-    return mIndex.Apply(
-      { aLife, aSequence, CacheEventKind::kStored, aBlock });
+    return mIndex.Apply({ aLife, aSequence, CacheEventKind::kStored, aBlock });
   }
 
   std::uint32_t Cached()
@@ -240,7 +239,10 @@
   }
 
   bool IsHeld(PrefixHash aBlock) const { return mHeld.contains(aBlock); }
-  bool WasStored(PrefixHash aBlock) const { return mEverStored.contains(aBlock); }
+  bool WasStored(PrefixHash aBlock) const
+  {
+    return mEverStored.contains(aBlock);
+  }
 
   /// Whether all is known: nothing flies, and the last event was not lost.
   bool IsSettled() const { return mFlying.empty() && !mLastLost; }
--- /dev/null
+++ b/packages/state/tests/stream_test.cpp
@@ -0,0 +1,224 @@
+// The story of a stream: tokens once and in order over several attempts, and
+// never an end that looks whole before it is.
+
+#include <random>
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include "history.h"
+#include "shuntjunction/state/stream_gate.h"
+
+namespace shuntjunction::state::history {
+namespace {
+
+using Verdict = StreamGate::Verdict;
+
+class GivenAnAttempt : public ::testing::Test
+{
+protected:
+  void SetUp() override
+  {
+    mAttempt = { mGate.OpenAttempt(), 7 };
+    mGate.Bind(7);
+  }
+
+  StreamGate mGate;
+  AttemptId mAttempt;
+};
+
+TEST_F(GivenAnAttempt, TokensPassInOrder)
+{
+  EXPECT_EQ(mGate.Offer(mAttempt, 0, 2), Verdict::kDeliver);
+  EXPECT_EQ(mGate.Offer(mAttempt, 2, 1), Verdict::kDeliver);
+  EXPECT_EQ(mGate.Delivered(), 3U);
+  EXPECT_TRUE(mGate.Completes(mAttempt, 3));
+  EXPECT_FALSE(mGate.Completes(mAttempt, 4));
+}
+
+TEST_F(GivenAnAttempt, DoubledTokensAreDropped)
+{
+  mGate.Offer(mAttempt, 0, 2);
+  EXPECT_EQ(mGate.Offer(mAttempt, 0, 2), Verdict::kDrop);
+  EXPECT_EQ(mGate.Offer(mAttempt, 1, 2), Verdict::kDrop);
+}
+
+TEST_F(GivenAnAttempt, AGapEndsTheAttempt)
+{
+  EXPECT_EQ(mGate.Offer(mAttempt, 1, 1), Verdict::kGap);
+}
+
+TEST_F(GivenAnAttempt, TokensOfAnotherLifeAreDropped)
+{
+  EXPECT_EQ(mGate.Offer({ mAttempt.mNumber, 8 }, 0, 1), Verdict::kDrop);
+}
+
+class ThatWasLost : public GivenAnAttempt
+{
+protected:
+  void SetUp() override
+  {
+    GivenAnAttempt::SetUp();
+    mGate.Offer(mAttempt, 0, 3);
+    mGate.CloseAttempt();
+  }
+};
+
+TEST_F(ThatWasLost, NothingPassesUntilTheNext)
+{
+  EXPECT_EQ(mGate.Offer(mAttempt, 3, 1), Verdict::kDrop);
+  EXPECT_FALSE(mGate.Completes(mAttempt, 3));
+}
+
+TEST_F(ThatWasLost, TheNextResumesWhereItStopped)
+{
+  const AttemptId next{ mGate.OpenAttempt(), 9 };
+  mGate.Bind(9);
+  {
+    SCOPED_TRACE("late tokens and a late end of the first are dropped");
+    EXPECT_EQ(mGate.Offer(mAttempt, 3, 1), Verdict::kDrop);
+    EXPECT_FALSE(mGate.Completes(mAttempt, 3));
+  }
+  EXPECT_EQ(mGate.Offer(next, 3, 1), Verdict::kDeliver);
+  EXPECT_TRUE(mGate.Completes(next, 4));
+}
+
+/// Frames of several attempts, lost, doubled, late and crossed.
+class StreamWorld
+{
+public:
+  /// @param aHasGate  false to see what happens without it
+  explicit StreamWorld(bool aHasGate)
+    : mHasGate(aHasGate)
+  {
+    for (int i = 0; i < kTokens; ++i) {
+      mHistory.mRightTokens[1].push_back("t" + std::to_string(i));
+    }
+    OpenAttempt();
+  }
+
+  History Run(const std::vector<std::uint8_t>& aSchedule)
+  {
+    for (const std::uint8_t choice : aSchedule) {
+      if (mIsOver) {
+        break;
+      }
+      Step(choice);
+    }
+    if (!mIsOver) {
+      mHistory.mStreams.push_back({ 1, false });
+    }
+    return mHistory;
+  }
+
+private:
+  struct Frame
+  {
+    AttemptId mAttempt;
+    std::uint32_t mOffset = 0;
+    bool mIsEnd = false;
+  };
+
+  static constexpr int kTokens = 6;
+
+  void OpenAttempt()
+  {
+    mAttempt = { mGate.OpenAttempt(), mAttempt.mIncarnation + 1 };
+    mGate.Bind(mAttempt.mIncarnation);
+    mSent = mGate.Delivered();
+  }
+
+  void Step(std::uint8_t aChoice)
+  {
+    switch (aChoice % 8) {
+      case 0: // The engine dies; the request is resumed elsewhere.
+        mGate.CloseAttempt();
+        OpenAttempt();
+        break;
+      case 1: // A frame is lost.
+        if (!mFlying.empty()) {
+          mFlying.erase(mFlying.begin());
+        }
+        break;
+      case 2: // A frame is doubled.
+        if (!mFlying.empty()) {
+          mFlying.push_back(mFlying[aChoice / 8 % mFlying.size()]);
+        }
+        break;
+      case 3: // Any frame arrives, out of turn.
+        Arrive(aChoice / 8);
+        break;
+      case 4:
+      case 5:
+        Arrive(0);
+        break;
+      default: // The engine sends the next token, or the end.
+        mFlying.push_back({ mAttempt, mSent, mSent == kTokens });
+        mSent += mSent == kTokens ? 0 : 1;
+        break;
+    }
+  }
+
+  void Arrive(std::size_t aWhich)
+  {
+    if (mFlying.empty()) {
+      return;
+    }
+    const auto at =
+      mFlying.begin() + static_cast<std::ptrdiff_t>(aWhich % mFlying.size());
+    const Frame frame = *at;
+    mFlying.erase(at);
+    if (frame.mIsEnd) {
+      if (!mHasGate || mGate.Completes(frame.mAttempt, kTokens)) {
+        mHistory.mStreams.push_back({ 1, true });
+        mIsOver = true;
+      }
+      return;
+    }
+    const Verdict verdict = mHasGate
+                              ? mGate.Offer(frame.mAttempt, frame.mOffset, 1)
+                              : Verdict::kDeliver;
+    if (verdict == Verdict::kDeliver) {
+      mHistory.mTokens.push_back({ 1, "t" + std::to_string(frame.mOffset) });
+    } else if (verdict == Verdict::kGap) {
+      mGate.CloseAttempt();
+      OpenAttempt();
+    }
+  }
+
+  bool mHasGate;
+  History mHistory;
+  StreamGate mGate;
+  AttemptId mAttempt;
+  std::uint32_t mSent = 0;
+  std::vector<Frame> mFlying;
+  bool mIsOver = false;
+};
+
+RC_GTEST_PROP(GeneratedStreams,
+              AreInOrderAndWholeOrDoNotLookWhole,
+              (const std::vector<std::uint8_t>& aSchedule))
+{
+  RC_ASSERT(CheckStreams(StreamWorld(true).Run(aSchedule)).empty());
+}
+
+TEST(WithoutTheGate, StreamsAreScrambledOrCut)
+{
+  int broken = 0;
+  int whole = 0;
+  for (unsigned seed = 0; seed < 500; ++seed) {
+    std::mt19937 random(seed);
+    std::vector<std::uint8_t> schedule(120);
+    for (auto& step : schedule) {
+      step = static_cast<std::uint8_t>(random());
+    }
+    broken += CheckStreams(StreamWorld(false).Run(schedule)).empty() ? 0 : 1;
+    whole += StreamWorld(true).Run(schedule).mStreams.front().mLooksWhole;
+  }
+  EXPECT_GT(broken, 0);
+  EXPECT_GT(whole, 0) << "the schedules must let some streams end";
+}
+
+} // namespace
+} // namespace shuntjunction::state::history
--- /dev/null
+++ b/packages/transport/tests/frame_channel_test.cpp
@@ -0,0 +1,181 @@
+// The story of a channel: both sides prove the secret, messages pass in order,
+// and a bad peer hurts nobody but itself.
+
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+
+#include "shuntjunction/transport/frame_channel.h"
+#include "shuntjunction/transport/mailbox.h"
+
+namespace shuntjunction::transport {
+namespace {
+
+using protocol::Message;
+using state::ErrorCode;
+using state::Millis;
+using tcp = asio::ip::tcp;
+
+class GivenAnAcceptor : public ::testing::Test
+{
+protected:
+  void SetUp() override
+  {
+    mAcceptor = *Listen(mContext, { "127.0.0.1", 0 });
+    const auto accept = [](GivenAnAcceptor* aSelf) -> Task<void> {
+      while (true) {
+        auto [error, socket] =
+          co_await aSelf->mAcceptor->async_accept(kAsTuple);
+        if (error) {
+          co_return;
+        }
+        Spawn(aSelf->mContext, Serve(aSelf, std::move(socket)));
+      }
+    };
+    Spawn(mContext, accept(this));
+  }
+
+  /// Echoes messages after a handshake.
+  static Task<void> Serve(GivenAnAcceptor* aSelf, tcp::socket aSocket)
+  {
+    const auto channel = std::make_shared<FrameChannel>(
+      std::move(aSocket), "connector", aSelf->mCounters);
+    const ChannelIdentity identity{ "acceptor", aSelf->kSecret, 5 };
+    const auto proved = co_await channel->HandshakeAsAcceptor(identity);
+    if (!proved) {
+      aSelf->mRefused.push_back(proved.error());
+      co_return;
+    }
+    while (true) {
+      auto message = co_await channel->Receive();
+      if (!message) {
+        co_return;
+      }
+      channel->Send(*message);
+    }
+  }
+
+  template<typename T>
+  T Run(Task<T> aTask)
+  {
+    std::optional<T> outcome;
+    const auto run = [](Task<T> aInner,
+                        std::optional<T>* aOutcome,
+                        asio::io_context* aContext) -> Task<void> {
+      *aOutcome = co_await std::move(aInner);
+      aContext->stop();
+    };
+    Spawn(mContext, run(std::move(aTask), &outcome, &mContext));
+    mContext.restart();
+    mContext.run();
+    return std::move(*outcome);
+  }
+
+  auto Connect(const std::string& aSecret)
+  {
+    const ChannelIdentity identity{ "connector", aSecret, 3 };
+    return ConnectChannel(
+      LocalAddress(*mAcceptor), identity, Millis(5000), mCounters);
+  }
+
+  /// Sends raw bytes and waits for the acceptor to close.
+  Task<bool> SendRaw(std::string aBytes)
+  {
+    tcp::socket socket(co_await asio::this_coro::executor);
+    co_await socket.async_connect(mAcceptor->local_endpoint(), kAsTuple);
+    co_await asio::async_write(socket, asio::buffer(aBytes), kAsTuple);
+    std::array<char, 4096> in{};
+    while (true) {
+      const auto [error, bytes] =
+        co_await socket.async_read_some(asio::buffer(in), kAsTuple);
+      if (error) {
+        co_return true;
+      }
+    }
+  }
+
+  static constexpr const char* kSecret = "a secret of sixteen";
+  asio::io_context mContext{ 1 };
+  ChannelCounters mCounters;
+  std::shared_ptr<tcp::acceptor> mAcceptor;
+  std::vector<state::Error> mRefused;
+};
+
+TEST_F(GivenAnAcceptor, MessagesPassInOrderAfterTheProof)
+{
+  const auto channel = Run(Connect(kSecret));
+  ASSERT_TRUE(channel.has_value()) << channel.error().Describe();
+  EXPECT_EQ((*channel)->PeerNode(), "acceptor");
+  EXPECT_EQ((*channel)->PeerConfigVersion(), 5U);
+  const auto echo = [](std::shared_ptr<FrameChannel> aChannel) -> Task<int> {
+    constexpr int kMessages = 500;
+    for (std::uint32_t i = 0; i < kMessages; ++i) {
+      protocol::Tokens tokens;
+      tokens.mOffset = i;
+      tokens.mText = std::string(i, 'x');
+      aChannel->Send(tokens);
+    }
+    for (std::uint32_t i = 0; i < kMessages; ++i) {
+      const auto message = co_await aChannel->Receive();
+      const auto* tokens =
+        message ? std::get_if<protocol::Tokens>(&*message) : nullptr;
+      if (tokens == nullptr || tokens->mOffset != i ||
+          tokens->mText.size() != i) {
+        co_return static_cast<int>(i);
+      }
+    }
+    co_return kMessages;
+  };
+  EXPECT_EQ(Run(echo(*channel)), 500);
+}
+
+TEST_F(GivenAnAcceptor, AWrongSecretIsRefusedByBothSides)
+{
+  const auto channel = Run(Connect("another secret!!"));
+  EXPECT_FALSE(channel.has_value());
+  ASSERT_EQ(mRefused.size(), 1U);
+  EXPECT_EQ(mRefused[0].mCode, ErrorCode::kUnauthorized);
+  EXPECT_EQ(mRefused[0].mStep, "handshake.accept");
+  EXPECT_EQ(mRefused[0].mPeer, "connector");
+  EXPECT_GE(mCounters.mBadFrames, 1U);
+}
+
+class WithABadPeer : public GivenAnAcceptor
+{
+protected:
+  void ExpectClosedAndOthersUnhurt(std::string aBytes)
+  {
+    const auto good = Run(Connect(kSecret));
+    ASSERT_TRUE(good.has_value());
+    const std::uint64_t before = mCounters.mBadFrames;
+    EXPECT_TRUE(Run(SendRaw(std::move(aBytes))));
+    EXPECT_EQ(mCounters.mBadFrames, before + 1);
+    EXPECT_TRUE((*good)->IsOpen());
+    const auto echo = [](std::shared_ptr<FrameChannel> aChannel) -> Task<bool> {
+      aChannel->Send(protocol::SnapshotRequest{ 9 });
+      co_return (co_await aChannel->Receive()).has_value();
+    };
+    EXPECT_TRUE(Run(echo(*good)));
+  }
+};
+
+TEST_F(WithABadPeer, AnOverlongFrameClosesThatPeerAlone)
+{
+  ExpectClosedAndOthersUnhurt("\xff\xff\xff\xff");
+}
+
+TEST_F(WithABadPeer, NoiseClosesThatPeerAlone)
+{
+  ExpectClosedAndOthersUnhurt(std::string("\x08\0\0\0noise...", 12));
+}
+
+TEST_F(WithABadPeer, NoAddressAnswersInTime)
+{
+  mAcceptor->close();
+  const auto channel = Run(Connect(kSecret));
+  ASSERT_FALSE(channel.has_value());
+  EXPECT_EQ(channel.error().mCode, ErrorCode::kUnavailable);
+  EXPECT_EQ(channel.error().mStep, "channel.connect");
+}
+
+} // namespace
+} // namespace shuntjunction::transport
--- a/standins/caller.cpp
+++ b/standins/caller.cpp
@@ -77,9 +77,8 @@
     if (mOutcome.mText.empty()) {
       mOutcome.mFirstToken = now - mBegun;
     } else {
-      mOutcome.mLongestGap =
-        std::max<std::chrono::duration<double>>(mOutcome.mLongestGap,
-                                                now - mLast);
+      mOutcome.mLongestGap = std::max<std::chrono::duration<double>>(
+        mOutcome.mLongestGap, now - mLast);
     }
     mLast = now;
     mOutcome.mText += std::string(content->as_string());
--- a/standins/caller.h
+++ b/standins/caller.h
@@ -30,10 +30,10 @@
 /// How a call ended.
 enum class CallerEnd : std::uint8_t
 {
-  kWhole,   ///< the whole answer, and the right one
-  kWrong,   ///< an answer that looked complete but was not the right one
-  kRefused, ///< an HTTP error
-  kBroken,  ///< a stream that was begun and did not look complete
+  kWhole,        ///< the whole answer, and the right one
+  kWrong,        ///< an answer that looked complete but was not the right one
+  kRefused,      ///< an HTTP error
+  kBroken,       ///< a stream that was begun and did not look complete
   kNoConnection, ///< no connection, or it was cut before an answer
 };
 
--- a/standins/demo.cpp
+++ b/standins/demo.cpp
@@ -82,8 +82,7 @@
   for (std::size_t i = 0; i < kCalls; ++i) {
     const bool isNorth = i % 2 == 0;
     CallerCall call;
-    call.mRouter =
-      aFleet.Process(i % 4 < 2 ? "router-1" : "router-2").mTraffic;
+    call.mRouter = aFleet.Process(i % 4 < 2 ? "router-1" : "router-2").mTraffic;
     call.mKey = isNorth ? "north-key" : "south-key";
     call.mModel = "crew-notes";
     call.mTokens = kTokens;
@@ -119,8 +118,8 @@
     Say(std::to_string(count) + " of " + std::to_string(aOutcomes.size()) +
         " streams ended " + name + ".");
   }
-  Say("slowest first token: " +
-      std::to_string(static_cast<int>(worst * 1000)) + " ms.");
+  Say("slowest first token: " + std::to_string(static_cast<int>(worst * 1000)) +
+      " ms.");
   return ends["whole"] == static_cast<int>(aOutcomes.size());
 }
 
@@ -137,8 +136,7 @@
                       { "x-not-repeatable", "true" } };
   request.mBody = R"({"patient":7})";
   for (const std::string router : { "router-1", "router-2" }) {
-    const auto answer =
-      Fleet::Call(aFleet.Process(router).mTraffic, request);
+    const auto answer = Fleet::Call(aFleet.Process(router).mTraffic, request);
     Say("booking through " + router + ": " +
         (answer ? std::to_string(answer->mStatus) + " " + answer->mBody
                 : answer.error().Describe()));
@@ -146,8 +144,7 @@
   }
   transport::HttpRequest audit;
   audit.mTarget = "/audit";
-  const auto runs =
-    Fleet::Call(aFleet.Process("service-1").mTraffic, audit);
+  const auto runs = Fleet::Call(aFleet.Process("service-1").mTraffic, audit);
   Say("the service ran: " + (runs ? runs->mBody : "?"));
   return runs && runs->mBody == R"({"trip-7":1})";
 }
@@ -155,11 +152,8 @@
 void
 SayUsage(const Fleet& aFleet)
 {
-  for (const std::string name : { "router-1",
-                                  "router-2",
-                                  "endpoint-1",
-                                  "endpoint-3",
-                                  "booking-1" }) {
+  for (const std::string name :
+       { "router-1", "router-2", "endpoint-1", "endpoint-3", "booking-1" }) {
     const auto [peak, seconds] = aFleet.Usage(name);
     Say(name + ": peak memory " + std::to_string(peak) +
         " KB, processor time " +
--- a/standins/fleet.cpp
+++ b/standins/fleet.cpp
@@ -290,11 +290,11 @@
   boost::asio::io_context context;
   state::Result<HttpResponse> outcome =
     state::Fail(state::ErrorCode::kInternal, "fleet.call", aAddress, "no end");
-  const auto call = [](state::Address aPeer,
-                       HttpRequest aCall,
-                       Millis aTimeout,
-                       state::Result<HttpResponse>* aOutcome)
-    -> transport::Task<void> {
+  const auto call =
+    [](state::Address aPeer,
+       HttpRequest aCall,
+       Millis aTimeout,
+       state::Result<HttpResponse>* aOutcome) -> transport::Task<void> {
     transport::HttpClient client(aPeer, kMaxAnswerBytes);
     *aOutcome = co_await client.Send(std::move(aCall), aTimeout);
   };
@@ -327,13 +327,13 @@
             const std::string& aZone,
             bool aIsLeaving)
 {
-  PutToPlatform("/v1/instances/" + aName,
-                json::serialize(
-                  json::object{ { "name", aName },
-                                { "address", Process(aName).mTraffic },
-                                { "zone", aZone },
-                                { "role", aRole },
-                                { "leaving", aIsLeaving } }));
+  PutToPlatform(
+    "/v1/instances/" + aName,
+    json::serialize(json::object{ { "name", aName },
+                                  { "address", Process(aName).mTraffic },
+                                  { "zone", aZone },
+                                  { "role", aRole },
+                                  { "leaving", aIsLeaving } }));
 }
 
 void
@@ -353,9 +353,8 @@
     const auto value = state::ParseJson(found->mBody, aKey);
     revision = value->as_object().at("revision").to_number<std::uint64_t>();
   }
-  PutToPlatform("/v1/objects/" + aKey +
-                  "?if_revision=" + std::to_string(revision),
-                aValue);
+  PutToPlatform(
+    "/v1/objects/" + aKey + "?if_revision=" + std::to_string(revision), aValue);
 }
 
 void
