--- a/apps/ctl_commands.cpp
+++ b/apps/ctl_commands.cpp
@@ -32,7 +32,6 @@
 constexpr Millis kWatchWait{ 20000 };
 constexpr Millis kInForcePoll{ 200 };
 constexpr std::size_t kMaxAnswerBytes = 16UL * 1024 * 1024;
-constexpr std::string_view kEpochKey = "config/epoch/current";
 
 int
 Code(ExitCode aCode)
@@ -312,32 +311,52 @@
   return mOptions.mWaitMs > 0 ? AwaitInForce(highest) : Code(ExitCode::kDone);
 }
 
+Result<std::vector<std::string>>
+Commands::NotInForce(std::uint64_t aRevision) const
+{
+  coordination::HttpPlatform platform(
+    state::ParseAddress(mOptions.mPlatform).value_or(state::Address{}),
+    kTimeout);
+  const auto live = Run(platform.Instances(0, Millis(0)));
+  const auto statuses = Statuses();
+  if (!live || !statuses) {
+    return tl::unexpected(live ? statuses.error() : live.error());
+  }
+  std::vector<std::string> late;
+  for (const auto& instance : live->mInstances) {
+    const auto said =
+      std::find_if(statuses->begin(), statuses->end(), [&](const auto& aOne) {
+        return Shown(aOne.at("name")) == instance.mName;
+      });
+    const bool isInForce =
+      said != statuses->end() &&
+      said->at("version").template to_number<std::uint64_t>() >= aRevision;
+    if (!instance.mIsLeaving && !isInForce) {
+      late.push_back(instance.mName);
+    }
+  }
+  return late;
+}
+
 int
 Commands::AwaitInForce(std::uint64_t aRevision)
 {
   const auto until =
     std::chrono::steady_clock::now() + Millis(mOptions.mWaitMs);
-  std::vector<std::string> late;
-  while (std::chrono::steady_clock::now() < until) {
-    const auto statuses = Statuses();
-    if (!statuses) {
-      return Fail(statuses.error());
-    }
-    late.clear();
-    for (const auto& status : *statuses) {
-      if (status.at("version").to_number<std::uint64_t>() < aRevision &&
-          !status.at("stopping").as_bool()) {
-        late.push_back(Shown(status.at("name")));
-      }
-    }
-    if (late.empty()) {
-      mOut << "in force on " << statuses->size() << " processes\n";
-      return Code(ExitCode::kDone);
-    }
+  auto late = NotInForce(aRevision);
+  while (late && !late->empty() && std::chrono::steady_clock::now() < until) {
     std::this_thread::sleep_for(kInForcePoll);
+    late = NotInForce(aRevision);
+  }
+  if (!late) {
+    return Fail(late.error());
+  }
+  if (late->empty()) {
+    mOut << "in force on every live process\n";
+    return Code(ExitCode::kDone);
   }
   mErr << "shuntctl: not yet said to be in force on:";
-  for (const auto& name : late) {
+  for (const auto& name : *late) {
     mErr << " " << name;
   }
   mErr << "\n";
@@ -512,7 +531,7 @@
 Commands::Adopt()
 {
   const auto statuses = Statuses();
-  const auto found = Read(std::string(kEpochKey));
+  const auto found = Read(std::string(state::kEpochKey));
   if (!statuses || !found) {
     return Fail(statuses ? found.error() : statuses.error());
   }
@@ -521,13 +540,13 @@
     highest = std::max(highest, status.at("epoch").to_number<std::uint64_t>());
   }
   if (*found) {
-    const auto value = state::ParseJson((*found)->mValue, kEpochKey);
+    const auto value = state::ParseJson((*found)->mValue, state::kEpochKey);
     const auto epoch =
       value ? state::ReadEpoch(*value) : Result<std::uint64_t>(0);
     highest = std::max(highest, epoch.value_or(0));
   }
   const auto written =
-    Write(std::string(kEpochKey),
+    Write(std::string(state::kEpochKey),
           json::serialize(json::object{ { "epoch", highest + 1 } }),
           *found ? (*found)->mRevision : 0);
   if (!written) {
--- a/apps/ctl_commands.h
+++ b/apps/ctl_commands.h
@@ -82,6 +82,8 @@
   state::Result<std::vector<boost::json::object>> Statuses() const;
   state::Result<transport::HttpResponse> Ask(
     transport::HttpRequest aRequest) const;
+  state::Result<std::vector<std::string>> NotInForce(
+    std::uint64_t aRevision) const;
   int ApplyOne(const Declared& aDeclared, std::uint64_t& aHighest);
   int AwaitInForce(std::uint64_t aRevision);
   int Fail(const state::Error& aError);
--- a/packages/coordination/src/companion.cpp
+++ b/packages/coordination/src/companion.cpp
@@ -762,8 +762,6 @@
 Companion::Replay(Work& aWork, const state::ClaimRecord& aRecord)
 {
   const auto& submit = aWork.mSubmit;
-  aWork.Send(
-    protocol::Started{ submit.mId, submit.mAttempt, 0, 0, ConfigVersion() });
   protocol::Finished finished;
   finished.mId = submit.mId;
   finished.mAttempt = submit.mAttempt;
--- a/packages/coordination/src/config_feed.cpp
+++ b/packages/coordination/src/config_feed.cpp
@@ -133,8 +133,13 @@
     mLog.Warn("the watch failed: " + watch.error().Describe() + ".");
     co_return false;
   }
-  if (watch->mIsGap || mStore.Cursor().mRevision != after) {
-    // Changes were lost, or a peer was faster: the answer does not follow on.
+  const bool isNewEpoch = std::any_of(
+    watch->mChanges.begin(), watch->mChanges.end(), [](const auto& aChange) {
+      return aChange.mKey == state::kEpochKey;
+    });
+  if (watch->mIsGap || isNewEpoch || mStore.Cursor().mRevision != after) {
+    // Changes were lost, the platform was restored, or a peer was faster: the
+    // answer does not follow on.
     mCounters.mGaps += watch->mIsGap ? 1 : 0;
     co_return co_await ListAll();
   }
--- a/packages/coordination/src/router.cpp
+++ b/packages/coordination/src/router.cpp
@@ -120,10 +120,8 @@
   mMetrics.Set("shuntjunction_frames_bad",
                static_cast<double>(mChannelCounters.mBadFrames));
   for (const auto& entry : mTable.Entries()) {
-    const bool isUsed =
-      entry.mIsListed && entry.mHealth.State() != state::HealthState::kEjected;
     mMetrics.Set("shuntjunction_endpoint_usable",
-                 isUsed ? 1 : 0,
+                 mTable.IsUsable(entry, mClock.Now()) ? 1 : 0,
                  { { "endpoint", entry.mInstance.mName } });
   }
 }
--- a/packages/state/include/shuntjunction/state/config_objects.h
+++ b/packages/state/include/shuntjunction/state/config_objects.h
@@ -39,6 +39,9 @@
 /// All configuration objects stand below this prefix in the platform.
 inline constexpr std::string_view kConfigPrefix = "config/";
 
+/// The object that holds the epoch of the configuration.
+inline constexpr std::string_view kEpochKey = "config/epoch/current";
+
 /// A team and how its requests are known.
 struct TeamConfig
 {
--- a/packages/state/include/shuntjunction/state/endpoint_table.h
+++ b/packages/state/include/shuntjunction/state/endpoint_table.h
@@ -80,6 +80,9 @@
   /// Endpoints of a model or service that may get new work, any order.
   std::vector<EndpointHandle> Usable(std::string_view aServes, TimePoint aNow);
 
+  /// Whether an endpoint is listed and neither leaving nor ejected.
+  bool IsUsable(const EndpointEntry& aEntry, TimePoint aNow) const;
+
   /// Whether any endpoint is listed for a model or service.
   bool IsServed(std::string_view aServes) const;
 
@@ -108,6 +111,8 @@
   const std::vector<EndpointEntry>& Entries() const { return mEntries; }
 
 private:
+  static bool IsLeaving(const EndpointEntry& aEntry, TimePoint aNow);
+
   EndpointTableSettings mSettings;
   std::vector<EndpointEntry> mEntries;
   std::unordered_map<std::string, std::uint32_t> mByName;
--- a/packages/state/src/config_store.cpp
+++ b/packages/state/src/config_store.cpp
@@ -11,8 +11,6 @@
 
 namespace {
 
-constexpr std::string_view kEpochKey = "config/epoch/current";
-
 /// Puts the good form of one object into a snapshot.
 void
 AddObject(ConfigSnapshot& aSnapshot, const RawObject& aObject)
--- a/packages/state/src/endpoint_table.cpp
+++ b/packages/state/src/endpoint_table.cpp
@@ -59,9 +59,7 @@
   }
   for (const std::uint32_t index : serving->second) {
     EndpointEntry& entry = mEntries[index];
-    const bool isLeaving = entry.mSaidLeavingAt != TimePoint() &&
-                           aNow < entry.mSaidLeavingAt + kLeavingMemory;
-    if (isLeaving || entry.mInstance.mIsLeaving) {
+    if (IsLeaving(entry, aNow)) {
       continue;
     }
     entry.mHealth.Tick(aNow);
@@ -76,6 +74,21 @@
   return usable;
 }
 
+bool
+EndpointTable::IsLeaving(const EndpointEntry& aEntry, TimePoint aNow)
+{
+  const bool hasSaidSo = aEntry.mSaidLeavingAt != TimePoint() &&
+                         aNow < aEntry.mSaidLeavingAt + kLeavingMemory;
+  return hasSaidSo || aEntry.mInstance.mIsLeaving;
+}
+
+bool
+EndpointTable::IsUsable(const EndpointEntry& aEntry, TimePoint aNow) const
+{
+  return aEntry.mIsListed && !IsLeaving(aEntry, aNow) &&
+         aEntry.mHealth.State() != HealthState::kEjected;
+}
+
 bool
 EndpointTable::IsServed(std::string_view aServes) const
 {
--- a/standins/fleet.cpp
+++ b/standins/fleet.cpp
@@ -151,13 +151,24 @@
 {
   std::string text = "{\"name\":\"" + aName + "\",\"role\":\"" + aRole +
                      "\",\"zone\":\"" + aZone + "\",\"platform\":\"" +
-                     Platform() + "\",\"secret\":\"" + mSettings.mSecret + "\"";
+                     Platform() + "\",\"secret\":\"" + mSettings.mSecret +
+                     "\",\"peers\":[" + Peers() + "]";
   if (!mSettings.mProcessExtra.empty()) {
     text += "," + mSettings.mProcessExtra;
   }
   return text;
 }
 
+std::string
+Fleet::Peers() const
+{
+  std::string peers;
+  for (const auto& address : mCompanions) {
+    peers += (peers.empty() ? "\"" : ",\"") + address + "\"";
+  }
+  return peers;
+}
+
 const std::string&
 Fleet::Platform() const
 {
@@ -217,11 +228,26 @@
         { mSettings.mBinaries + "/apps/shuntjunctiond",
           "--settings",
           WriteSettings(aName, text + "}}") });
+  mCompanions.push_back(Process(aName).mTraffic);
   List(aName, "companion", aZone, false);
 }
 
 void
 Fleet::StartRouter(const std::string& aName, const std::string& aZone)
+{
+  SpawnRouter(aName, aZone);
+  List(aName, "router", aZone, false);
+}
+
+void
+Fleet::RestartRouter(const std::string& aName, const std::string& aZone)
+{
+  Kill(aName);
+  SpawnRouter(aName, aZone);
+}
+
+void
+Fleet::SpawnRouter(const std::string& aName, const std::string& aZone)
 {
   std::string text = CommonSettings(aName, "router", aZone) +
                      ",\"router\":{\"listen\":\"127.0.0.1:0\"";
@@ -232,7 +258,6 @@
         { mSettings.mBinaries + "/apps/shuntjunctiond",
           "--settings",
           WriteSettings(aName, text + "}}") });
-  List(aName, "router", aZone, false);
 }
 
 void
@@ -404,6 +429,23 @@
   Die("the engines did not load " + aModel);
 }
 
+double
+Fleet::Metric(const std::string& aName, const std::string& aMetric) const
+{
+  HttpRequest request;
+  request.mTarget = "/metrics";
+  const auto answer = Call(Process(aName).mAdmin, request);
+  std::istringstream lines(answer ? answer->mBody : "");
+  double sum = 0;
+  for (std::string line; std::getline(lines, line);) {
+    const std::size_t end = line.find_first_of("{ ");
+    if (line.substr(0, end) == aMetric) {
+      sum += std::stod(line.substr(line.rfind(' ') + 1));
+    }
+  }
+  return sum;
+}
+
 std::pair<std::int64_t, double>
 Fleet::Usage(const std::string& aName) const
 {
--- a/standins/fleet.h
+++ b/standins/fleet.h
@@ -25,7 +25,7 @@
 {
   std::string mBinaries; ///< folder of the build
   std::string mFolder;   ///< for settings files and logs; made if absent
-  std::string mSecret = "a secret of the fleet's own";
+  std::string mSecret = "a secret of this fleet";
   std::string mRouterExtra;    ///< members of "router", as JSON text
   std::string mCompanionExtra; ///< members of "companion", as JSON text
   std::string mProcessExtra;   ///< members of the settings, as JSON text
@@ -63,6 +63,9 @@
   /// Starts a router and lists it in the platform.
   void StartRouter(const std::string& aName, const std::string& aZone);
 
+  /// Ends a router at once and starts it again; the list is left as it is.
+  void RestartRouter(const std::string& aName, const std::string& aZone);
+
   /// Sends a signal to a process.
   void Signal(const std::string& aName, int aSignal);
 
@@ -99,6 +102,9 @@
   /// Waits until a router's metrics show all endpoints in use.
   void AwaitEngines(const std::string& aModel, std::size_t aCount);
 
+  /// Value of a metric of a process, summed over all its labels.
+  double Metric(const std::string& aName, const std::string& aMetric) const;
+
   /// Peak resident memory in kilobytes and processor time in seconds.
   std::pair<std::int64_t, double> Usage(const std::string& aName) const;
 
@@ -114,6 +120,8 @@
 private:
   FleetProcess Spawn(const std::string& aName,
                      const std::vector<std::string>& aCommand);
+  void SpawnRouter(const std::string& aName, const std::string& aZone);
+  std::string Peers() const;
   std::string WriteSettings(const std::string& aName,
                             const std::string& aText) const;
   std::string CommonSettings(const std::string& aName,
@@ -125,6 +133,7 @@
 
   FleetSettings mSettings;
   std::map<std::string, FleetProcess> mProcesses;
+  std::vector<std::string> mCompanions;          ///< their addresses, for peers
   std::map<std::string, std::string> mAddresses; ///< of killed processes
 };
 
--- a/standins/platform_standin.cpp
+++ b/standins/platform_standin.cpp
@@ -236,6 +236,8 @@
   if (!mChanges.empty() && after + 1 < mChanges.front().mRevision) {
     co_return Refusal(410, "changes are forgotten");
   }
+  // One who knows more than the platform is told so at once.
+  const bool isFuture = after > mRevision;
   while (true) {
     // The newest change of each object is enough.
     std::map<std::string, const Change*> newest;
@@ -252,7 +254,7 @@
       }
     }
     const bool isOver = std::chrono::steady_clock::now() >= until;
-    if (!newest.empty() || isOver || mFaults.mIsDown) {
+    if (!newest.empty() || isOver || isFuture || mFaults.mIsDown) {
       json::array changes;
       for (const auto& [key, change] : newest) {
         changes.push_back(ObjectJson(key, change->mRevision, change->mValue));
--- /dev/null
+++ b/tests/configuration_test.cpp
@@ -0,0 +1,234 @@
+// The story of a configuration across the fleet: in force everywhere, never
+// back, racing operators told, new weights without a cut stream.
+
+#include <array>
+#include <cstdio>
+#include <thread>
+
+#include <fstream>
+
+#include <boost/json/object.hpp>
+#include <boost/json/value_to.hpp>
+
+#include "given_a_fleet.h"
+#include "shuntjunction/state/json_reader.h"
+
+namespace shuntjunction::standins {
+namespace {
+
+using state::Millis;
+
+class GivenOperators : public GivenAFleet
+{
+protected:
+  struct Result
+  {
+    int mCode = 0;
+    std::string mOutput;
+  };
+
+  /// Runs shuntctl as an operator would.
+  Result Ctl(const std::string& aArguments)
+  {
+    const std::string command = std::string(SHUNTJUNCTION_BINARIES) +
+                                "/apps/shuntctl " + aArguments + " 2>&1";
+    FILE* pipe = popen(command.c_str(), "r");
+    Result result;
+    std::array<char, 4096> buffer{};
+    while (std::fgets(buffer.data(), buffer.size(), pipe) != nullptr) {
+      result.mOutput += buffer.data();
+    }
+    result.mCode = WEXITSTATUS(pclose(pipe));
+    return result;
+  }
+
+  std::string Platform() { return "--platform " + mFleet.Platform() + " "; }
+
+  std::string File(const std::string& aName, const std::string& aText)
+  {
+    const std::string file = Settings().mFolder + "/" + aName;
+    std::ofstream(file) << aText;
+    return file;
+  }
+
+  std::uint64_t VersionOf(const std::string& aProcess)
+  {
+    transport::HttpRequest request;
+    request.mTarget = "/status";
+    request.mFields = { { "authorization",
+                          "Bearer " + FleetSettings().mSecret } };
+    const auto answer = Fleet::Call(mFleet.Process(aProcess).mAdmin, request);
+    const auto value = state::ParseJson(answer ? answer->mBody : "{}", "");
+    const auto* version = value->as_object().if_contains("version");
+    return version == nullptr ? 0 : version->to_number<std::uint64_t>();
+  }
+
+  bool AwaitVersion(const std::string& aProcess, std::uint64_t aVersion)
+  {
+    for (int i = 0; i < 1000 && VersionOf(aProcess) < aVersion; ++i) {
+      std::this_thread::sleep_for(Millis(10));
+    }
+    return VersionOf(aProcess) >= aVersion;
+  }
+};
+
+TEST_F(GivenOperators, AnAppliedTemplateIsInForceEverywhere)
+{
+  const auto file = File("template.json", R"({
+    // The morning's first dialysis slot.
+    "templates/dialysis-slot": {
+      "event": "dialysis", "levels": ["rules", "record"], "urgency": "urgent"
+    },
+    "parameters/north/dialysis-slot": {
+      "model": "crew-notes", "starts": ["06:30"], "sharedText": ["rules"]
+    },
+  })");
+  EXPECT_EQ(Ctl("diff " + Platform() + file).mCode, 0);
+  const auto applied = Ctl("apply " + Platform() + file + " --wait-ms 20000");
+  EXPECT_EQ(applied.mCode, 0) << applied.mOutput;
+  EXPECT_NE(applied.mOutput.find("in force on every live process"),
+            std::string::npos)
+    << applied.mOutput;
+  auto call = Call(0);
+  call.mFields = { { "x-template", "dialysis-slot" } };
+  ExpectAllWhole(CallAll({ call }));
+  const auto shown = Ctl("get " + Platform() + "templates --output json");
+  EXPECT_NE(shown.mOutput.find("dialysis-slot"), std::string::npos);
+}
+
+TEST_F(GivenOperators, BadInputIsRefusedBeforeItIsWritten)
+{
+  const auto bad = Ctl("apply " + Platform() +
+                       File("bad.json", R"({"models/m":{"weights":"x"}})"));
+  EXPECT_EQ(bad.mCode, 2) << bad.mOutput;
+  EXPECT_NE(bad.mOutput.find("models/m.weights"), std::string::npos)
+    << bad.mOutput;
+  EXPECT_EQ(Ctl("get " + Platform() + "models/m").mCode, 5);
+  EXPECT_EQ(Ctl("delete " + Platform() + "models/m").mCode, 5);
+}
+
+TEST_F(GivenOperators, RacingOperatorsGetAConflictThatNamesBothVersions)
+{
+  const auto file = File("m.json", R"({"models/m":{"weights":2}})");
+  EXPECT_EQ(Ctl("apply " + Platform() + file + " --if-revision 0").mCode, 0);
+  const auto second = Ctl("apply " + Platform() + file + " --if-revision 0");
+  EXPECT_EQ(second.mCode, 3) << second.mOutput;
+  EXPECT_NE(second.mOutput.find("revision 0"), std::string::npos);
+  EXPECT_NE(second.mOutput.find("the platform holds revision"),
+            std::string::npos)
+    << second.mOutput;
+}
+
+TEST_F(GivenOperators, ExplainSaysWhichEndpointAndWhy)
+{
+  const auto body = File("call.json", ChatBody(Call(0)));
+  ExpectAllWhole(CallAll({ Call(0) }));
+  const auto shown =
+    Ctl("explain --admin " + mFleet.Process("router-1").mAdmin + " --secret '" +
+        FleetSettings().mSecret + "' --team north " + body);
+  EXPECT_EQ(shown.mCode, 0) << shown.mOutput;
+  EXPECT_NE(shown.mOutput.find("chosen"), std::string::npos) << shown.mOutput;
+}
+
+TEST_F(GivenOperators, AStatusShowsEveryProcess)
+{
+  std::string shown;
+  for (int i = 0; i < 200; ++i) {
+    shown = Ctl("status " + Platform()).mOutput;
+    if (shown.find("router-2") != std::string::npos &&
+        shown.find("booking-2") != std::string::npos) {
+      break;
+    }
+    std::this_thread::sleep_for(Millis(50));
+  }
+  EXPECT_NE(shown.find("router-1"), std::string::npos) << shown;
+  EXPECT_NE(shown.find("endpoint-3"), std::string::npos) << shown;
+}
+
+class WhenThePlatformLies : public GivenOperators
+{};
+
+TEST_F(WhenThePlatformLies, StaleListsAreNotFollowed)
+{
+  mFleet.Apply("config/models/late", R"({"weights":5})");
+  const std::uint64_t newest = VersionOf("router-1");
+  ASSERT_TRUE(AwaitVersion("router-2", newest));
+  mFleet.SetFaults(R"({"staleBy":4})");
+  mFleet.RestartRouter("router-1", "zone-1");
+  mFleet.AwaitReady("router-1");
+  {
+    SCOPED_TRACE("the restarted router hears of the newer one from peers");
+    ExpectAllWhole(CallAll(Calls(6)));
+    EXPECT_TRUE(AwaitVersion("router-1", newest));
+  }
+  EXPECT_GE(VersionOf("router-2"), newest);
+}
+
+TEST_F(WhenThePlatformLies, ARestoredStoreIsFollowedOnlyWhenAdopted)
+{
+  mFleet.Apply("config/models/late", R"({"weights":5})");
+  transport::HttpRequest get;
+  get.mTarget = "/v1/objects/config/models/late";
+  const auto late = Fleet::Call(mFleet.Platform(), get);
+  const auto revision = state::ParseJson(late->mBody, "")
+                          ->as_object()
+                          .at("revision")
+                          .to_number<std::uint64_t>();
+  ASSERT_TRUE(AwaitVersion("router-1", revision));
+  transport::HttpRequest restore;
+  restore.mMethod = "POST";
+  restore.mTarget = "/restore?revision=" + std::to_string(revision - 1);
+  ASSERT_TRUE(Fleet::Call(mFleet.Platform(), restore).has_value());
+  std::this_thread::sleep_for(Millis(300));
+  EXPECT_EQ(VersionOf("router-1"), revision);
+  {
+    SCOPED_TRACE("adopted, it comes into force");
+    EXPECT_EQ(Ctl("adopt " + Platform()).mCode, 0);
+    for (int i = 0; i < 1000 && VersionOf("router-1") == revision; ++i) {
+      std::this_thread::sleep_for(Millis(10));
+    }
+    transport::HttpRequest models;
+    models.mTarget = "/v1/models";
+    EXPECT_EQ(Ask("router-1", models).mBody.find("\"late\""),
+              std::string::npos);
+  }
+}
+
+TEST_F(WhenThePlatformLies, ABadObjectLeavesTheLastGoodOneInForce)
+{
+  mFleet.Apply("config/models/crew-notes", R"({"weights":"many"})");
+  std::this_thread::sleep_for(Millis(300));
+  ExpectAllWhole(CallAll(Calls(6)));
+}
+
+class WhenWeightsChange : public GivenOperators
+{};
+
+TEST_F(WhenWeightsChange, StreamsStayWholeAndOfOneVersion)
+{
+  auto calls = Calls(18);
+  std::vector<CallerOutcome> outcomes = CallAll(calls, Millis(200), [&] {
+    mFleet.Apply("config/models/crew-notes", R"({"weights":2})");
+  });
+  ExpectAllWhole(outcomes);
+  const auto loaded = [&](const std::string& aEngine) {
+    transport::HttpRequest request;
+    request.mTarget = "/engine/state";
+    const auto answer = Fleet::Call(mFleet.Process(aEngine).mTraffic, request);
+    return answer->mBody.find("\"weights\":2") != std::string::npos;
+  };
+  for (std::size_t i = 1; i <= kEndpoints; ++i) {
+    const std::string engine = "engine-" + std::to_string(i);
+    for (int poll = 0; poll < 3000 && !loaded(engine); ++poll) {
+      std::this_thread::sleep_for(Millis(10));
+    }
+    EXPECT_TRUE(loaded(engine)) << engine;
+  }
+  for (auto& call : calls) {
+    call.mWeights = 2;
+  }
+  ExpectAllWhole(CallAll(calls));
+}
+
+} // namespace
+} // namespace shuntjunction::standins
--- /dev/null
+++ b/tests/given_a_fleet.h
@@ -0,0 +1,164 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "caller.h"
+#include "fleet.h"
+
+/// The fleet that the process tests begin with.
+namespace shuntjunction::standins {
+
+/// Two routers, three endpoints of one model, a plain service, two teams.
+class GivenAFleet : public ::testing::Test
+{
+protected:
+  static constexpr const char* kModel = "crew-notes";
+  static constexpr std::size_t kEndpoints = 3;
+
+  static FleetSettings Settings()
+  {
+    FleetSettings settings;
+    settings.mBinaries = SHUNTJUNCTION_BINARIES;
+    const auto* info = ::testing::UnitTest::GetInstance()->current_test_info();
+    settings.mFolder = settings.mBinaries + "/process-tests/" +
+                       info->test_suite_name() + "." + info->name();
+    settings.mProcessExtra = R"("platformTimeoutMs":500,"logLevel":"debug")";
+    settings.mRouterExtra = R"("defaultDeadlineMs":20000)";
+    settings.mCompanionExtra = R"("claimTimeoutMs":1500)";
+    return settings;
+  }
+
+  void SetUp() override
+  {
+    mFleet.StartPlatform();
+    for (const std::string team : { "north", "south" }) {
+      mFleet.Apply("config/teams/" + team,
+                   R"({"keyDigests":[")" + KeyDigest(team + "-key") + R"("]})");
+    }
+    mFleet.Apply(std::string("config/models/") + kModel, R"({"weights":1})");
+    mFleet.Apply("config/services/booking", R"({"urgency":"urgent"})");
+    for (std::size_t i = 1; i <= 2; ++i) {
+      mFleet.Apply("config/endpoints/booking-" + std::to_string(i),
+                   R"({"service":"booking"})");
+    }
+    for (std::size_t i = 1; i <= kEndpoints; ++i) {
+      const std::string number = std::to_string(i);
+      mFleet.Apply("config/endpoints/endpoint-" + number,
+                   R"({"model":"crew-notes"})");
+      mFleet.StartEngine("engine-" + number, EngineOptions());
+      mFleet.StartCompanion(
+        "endpoint-" + number, "engine-" + number, "zone-" + number);
+    }
+    // Two companions before one service: either may take a call.
+    mFleet.StartService("service", 100);
+    mFleet.StartCompanion("booking-1", "service", "zone-1", false);
+    mFleet.StartCompanion("booking-2", "service", "zone-2", false);
+    mFleet.StartRouter("router-1", "zone-1");
+    mFleet.StartRouter("router-2", "zone-2");
+    mFleet.AwaitEngines(kModel, kEndpoints);
+    for (const std::string name : { "router-1",
+                                    "router-2",
+                                    "endpoint-1",
+                                    "endpoint-2",
+                                    "endpoint-3",
+                                    "booking-1",
+                                    "booking-2" }) {
+      mFleet.AwaitReady(name);
+    }
+  }
+
+  virtual std::vector<std::string> EngineOptions()
+  {
+    return { "--micros-per-token", "10000" };
+  }
+
+  /// A call with a long shared prompt.
+  CallerCall Call(std::size_t aNumber, const std::string& aTeam = "north")
+  {
+    CallerCall call;
+    call.mRouter =
+      mFleet.Process(aNumber % 2 == 0 ? "router-1" : "router-2").mTraffic;
+    call.mKey = aTeam + "-key";
+    call.mModel = kModel;
+    call.mTokens = 60;
+    call.mLevels = { std::string(4000, 'r'),
+                     "patient " + std::to_string(aNumber % 4) +
+                       std::string(1500, 'p'),
+                     "trip " + std::to_string(aNumber) };
+    return call;
+  }
+
+  /// Makes calls at once and does something while they run.
+  std::vector<CallerOutcome> CallAll(
+    const std::vector<CallerCall>& aCalls,
+    state::Millis aWhen = state::Millis(0),
+    const std::function<void()>& aMeanwhile = [] {})
+  {
+    boost::asio::io_context context(1);
+    std::vector<CallerOutcome> outcomes(aCalls.size());
+    const auto run = [](CallerCall aCall,
+                        CallerOutcome* aOutcome) -> transport::Task<void> {
+      *aOutcome = co_await MakeCall(std::move(aCall));
+    };
+    for (std::size_t i = 0; i < aCalls.size(); ++i) {
+      transport::Spawn(context, run(aCalls[i], &outcomes[i]));
+    }
+    boost::asio::steady_timer timer(context, aWhen);
+    timer.async_wait([&](auto) { aMeanwhile(); });
+    context.run();
+    return outcomes;
+  }
+
+  std::vector<CallerCall> Calls(std::size_t aCount)
+  {
+    std::vector<CallerCall> calls;
+    for (std::size_t i = 0; i < aCount; ++i) {
+      calls.push_back(Call(i, i % 3 == 0 ? "south" : "north"));
+    }
+    return calls;
+  }
+
+  static void ExpectAllWhole(const std::vector<CallerOutcome>& aOutcomes)
+  {
+    for (std::size_t i = 0; i < aOutcomes.size(); ++i) {
+      EXPECT_EQ(aOutcomes[i].mEnd, CallerEnd::kWhole)
+        << "call " << i << " ended " << kCallerEndNames.Name(aOutcomes[i].mEnd)
+        << " with status " << aOutcomes[i].mStatus << ": "
+        << aOutcomes[i].mBody;
+    }
+  }
+
+  /// One HTTP call to a router with a team's key.
+  transport::HttpResponse Ask(const std::string& aRouter,
+                              transport::HttpRequest aRequest,
+                              const std::string& aKey = "north-key",
+                              std::int64_t aTimeoutMs = 20000)
+  {
+    aRequest.mFields.push_back({ "authorization", "Bearer " + aKey });
+    const auto answer =
+      Fleet::Call(mFleet.Process(aRouter).mTraffic, aRequest, aTimeoutMs);
+    if (!answer) {
+      transport::HttpResponse none;
+      none.mStatus = 0;
+      none.mBody = answer.error().Describe();
+      return none;
+    }
+    return *answer;
+  }
+
+  static std::string Field(const transport::HttpResponse& aResponse,
+                           std::string_view aName)
+  {
+    transport::HttpRequest fields;
+    fields.mFields = aResponse.mFields;
+    return std::string(fields.Field(aName));
+  }
+
+  Fleet mFleet{ Settings() };
+};
+
+} // namespace shuntjunction::standins
--- /dev/null
+++ b/tests/once_test.cpp
@@ -0,0 +1,230 @@
+// The story of a booking that must not be doubled: racing callers, lost
+// answers, a platform that is down, processes killed between two steps.
+
+#include <csignal>
+#include <thread>
+
+#include <boost/json/object.hpp>
+
+#include "given_a_fleet.h"
+#include "shuntjunction/state/json_reader.h"
+
+namespace shuntjunction::standins {
+namespace {
+
+class GivenABooking : public GivenAFleet
+{
+protected:
+  static transport::HttpRequest Booking(const std::string& aKey,
+                                        const std::string& aBody = "{}")
+  {
+    transport::HttpRequest request;
+    request.mMethod = "POST";
+    request.mTarget = "/services/booking/trips?crew=1";
+    request.mContentType = "application/json";
+    request.mBody = aBody;
+    request.mFields = { { "idempotency-key", aKey },
+                        { "x-not-repeatable", "true" } };
+    return request;
+  }
+
+  std::int64_t Runs(const std::string& aKey)
+  {
+    transport::HttpRequest audit;
+    audit.mTarget = "/audit";
+    const auto answer = Fleet::Call(mFleet.Process("service").mTraffic, audit);
+    const auto value = state::ParseJson(answer->mBody, "audit");
+    const auto* runs = value->as_object().if_contains(aKey);
+    return runs == nullptr ? 0 : runs->as_int64();
+  }
+
+  /// Asks until the outcome was recorded.
+  transport::HttpResponse AskUntilReplayed(const std::string& aKey)
+  {
+    transport::HttpResponse answer;
+    for (int i = 0; i < 200; ++i) {
+      answer = Ask("router-2", Booking(aKey));
+      if (answer.mStatus == 200) {
+        break;
+      }
+      std::this_thread::sleep_for(state::Millis(50));
+    }
+    return answer;
+  }
+};
+
+TEST_F(GivenABooking, ItRunsOnceAndIsAnsweredAgainFromItsRecord)
+{
+  const auto first = Ask("router-1", Booking("trip-1"));
+  EXPECT_EQ(first.mStatus, 200U) << first.mBody;
+  EXPECT_NE(first.mBody.find("POST /trips?crew=1"), std::string::npos);
+  const auto second = AskUntilReplayed("trip-1");
+  EXPECT_EQ(second.mStatus, 200U) << second.mBody;
+  EXPECT_EQ(second.mBody, first.mBody);
+  EXPECT_EQ(Field(second, "idempotent-replayed"), "true");
+  EXPECT_EQ(Runs("trip-1"), 1);
+}
+
+TEST_F(GivenABooking, TheSameKeyWithAnotherBodyIsAnError)
+{
+  Ask("router-1", Booking("trip-1", "{\"patient\":1}"));
+  const auto second = Ask("router-2", Booking("trip-1", "{\"patient\":2}"));
+  EXPECT_EQ(second.mStatus, 422U) << second.mBody;
+  EXPECT_EQ(Field(second, "x-run-state"), "key-reused");
+  EXPECT_EQ(Runs("trip-1"), 1);
+}
+
+TEST_F(GivenABooking, CallersRaceThroughBothRouters)
+{
+  constexpr int kKeys = 10;
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 4 * kKeys; ++i) {
+    callers.emplace_back([this, i] {
+      Ask(i % 2 == 0 ? "router-1" : "router-2",
+          Booking("race-" + std::to_string(i / 4)));
+    });
+  }
+  for (auto& caller : callers) {
+    caller.join();
+  }
+  for (int i = 0; i < kKeys; ++i) {
+    EXPECT_EQ(Runs("race-" + std::to_string(i)), 1);
+  }
+}
+
+class WhileThePlatformFails : public GivenABooking
+{};
+
+TEST_F(WhileThePlatformFails, DownMeansNotRunAndWhenToComeBack)
+{
+  mFleet.SetFaults(R"({"down":true})");
+  const auto refused = Ask("router-1", Booking("trip-1"));
+  EXPECT_EQ(refused.mStatus, 503U) << refused.mBody;
+  EXPECT_EQ(Field(refused, "x-run-state"), "not-run");
+  EXPECT_NE(Field(refused, "retry-after"), "");
+  EXPECT_EQ(Runs("trip-1"), 0);
+  {
+    SCOPED_TRACE("repeatable calls go on");
+    transport::HttpRequest get;
+    get.mTarget = "/services/booking/trips/1";
+    EXPECT_EQ(Ask("router-1", get).mStatus, 200U);
+    ExpectAllWhole(CallAll(Calls(4)));
+  }
+  {
+    SCOPED_TRACE("and the booking runs when the platform is back");
+    mFleet.SetFaults("{}");
+    EXPECT_EQ(AskUntilReplayed("trip-1").mStatus, 200U);
+    EXPECT_EQ(Runs("trip-1"), 1);
+  }
+}
+
+TEST_F(WhileThePlatformFails, LostAnswersAreSettledByReadingBack)
+{
+  mFleet.SetFaults(R"({"lostAnswers":1.0})");
+  const auto answer = Ask("router-1", Booking("trip-1"));
+  EXPECT_EQ(answer.mStatus, 200U) << answer.mBody;
+  EXPECT_EQ(Runs("trip-1"), 1);
+}
+
+TEST_F(WhileThePlatformFails, LostAndCutWritesNeverDoubleABooking)
+{
+  mFleet.SetFaults(R"({"lostAnswers":0.4,"lostWrites":0.3})");
+  for (int i = 0; i < 12; ++i) {
+    const std::string key = "trip-" + std::to_string(i);
+    for (int again = 0; again < 3; ++again) {
+      const auto answer =
+        Ask(again % 2 == 0 ? "router-1" : "router-2", Booking(key));
+      const std::int64_t runs = Runs(key);
+      EXPECT_LE(runs, 1);
+      if (Field(answer, "x-run-state") == "not-run" && again == 0) {
+        EXPECT_EQ(runs, 0) << answer.mBody;
+      }
+      if (answer.mStatus == 200) {
+        EXPECT_EQ(runs, 1);
+      }
+    }
+  }
+}
+
+class WhileProcessesDie : public GivenABooking
+{};
+
+TEST_F(WhileProcessesDie, ACompanionKilledAfterTheHandOverLeavesItUnknown)
+{
+  transport::HttpResponse answer;
+  std::thread caller([&] { answer = Ask("router-1", Booking("trip-1")); });
+  std::this_thread::sleep_for(state::Millis(50));
+  mFleet.Kill("booking-1");
+  mFleet.Kill("booking-2");
+  caller.join();
+  EXPECT_EQ(answer.mStatus, 502U) << answer.mBody;
+  EXPECT_EQ(Field(answer, "x-run-state"), "unknown");
+  {
+    SCOPED_TRACE("and it is never run again");
+    mFleet.StartCompanion("booking-1", "service", "zone-1", false);
+    mFleet.AwaitReady("booking-1");
+    const auto again = Ask("router-2", Booking("trip-1"));
+    EXPECT_NE(again.mStatus, 200U) << again.mBody;
+    EXPECT_LE(Runs("trip-1"), 1);
+  }
+}
+
+TEST_F(WhileProcessesDie, ARouterKilledMidWayLosesNoOutcome)
+{
+  std::thread caller([&] { Ask("router-1", Booking("trip-1")); });
+  std::this_thread::sleep_for(state::Millis(50));
+  mFleet.Kill("router-1");
+  caller.join();
+  const auto again = AskUntilReplayed("trip-1");
+  EXPECT_EQ(again.mStatus, 200U) << again.mBody;
+  EXPECT_EQ(Runs("trip-1"), 1);
+}
+
+TEST_F(WhileProcessesDie, AFrozenCompanionThatWakesRunsNothingTwice)
+{
+  mFleet.Signal("booking-1", SIGSTOP);
+  std::vector<std::string> keys;
+  for (int i = 0; i < 4; ++i) {
+    keys.push_back("trip-" + std::to_string(i));
+    Ask("router-1", Booking(keys.back()));
+  }
+  mFleet.Signal("booking-1", SIGCONT);
+  for (const auto& key : keys) {
+    AskUntilReplayed(key);
+  }
+  for (const auto& key : keys) {
+    EXPECT_LE(Runs(key), 1);
+  }
+}
+
+TEST_F(WhileProcessesDie, AnUnmarkedPostIsNotSentAgainAfterALoss)
+{
+  auto request = Booking("trip-1");
+  request.mFields.pop_back(); // Not marked, but POST is not idempotent.
+  transport::HttpResponse answer;
+  std::thread caller([&] { answer = Ask("router-1", request); });
+  std::this_thread::sleep_for(state::Millis(50));
+  mFleet.Kill("booking-1");
+  mFleet.Kill("booking-2");
+  caller.join();
+  EXPECT_EQ(answer.mStatus, 502U) << answer.mBody;
+  EXPECT_LE(Runs("trip-1"), 1);
+}
+
+TEST_F(WhileProcessesDie, ACompletionMayBeMarkedToo)
+{
+  auto call = Call(0);
+  call.mIsStream = false;
+  call.mFields = { { "idempotency-key", "notes-1" },
+                   { "x-not-repeatable", "1" } };
+  ExpectAllWhole(CallAll({ call }));
+  std::this_thread::sleep_for(state::Millis(200));
+  call.mRouter = mFleet.Process("router-2").mTraffic;
+  ExpectAllWhole(CallAll({ call }));
+  EXPECT_EQ(mFleet.Metric("router-1", "shuntjunction_prompt_blocks_total") +
+              mFleet.Metric("router-2", "shuntjunction_computed_blocks_total"),
+            mFleet.Metric("router-1", "shuntjunction_prompt_blocks_total"));
+}
+
+} // namespace
+} // namespace shuntjunction::standins
--- /dev/null
+++ b/tests/stop_test.cpp
@@ -0,0 +1,105 @@
+// The story of planned stops and of herds: nothing is cut, nothing new goes to
+// who leaves, and who restarts serves at once, the platform down included.
+
+#include <csignal>
+
+#include "given_a_fleet.h"
+
+namespace shuntjunction::standins {
+namespace {
+
+using state::Millis;
+
+constexpr Millis kHalfWay{ 250 };
+constexpr std::size_t kStreams = 18;
+
+class WhenAProcessStops : public GivenAFleet
+{};
+
+TEST_F(WhenAProcessStops, ARouterStopsAndCutsNone)
+{
+  ExpectAllWhole(CallAll(
+    Calls(kStreams), kHalfWay, [&] { mFleet.Signal("router-1", SIGTERM); }));
+  EXPECT_EQ(mFleet.WaitEnd("router-1"), 0);
+}
+
+TEST_F(WhenAProcessStops, ACompanionStopsAndCutsNone)
+{
+  ExpectAllWhole(CallAll(
+    Calls(kStreams), kHalfWay, [&] { mFleet.Signal("endpoint-2", SIGTERM); }));
+  EXPECT_EQ(mFleet.WaitEnd("endpoint-2"), 0);
+}
+
+TEST_F(WhenAProcessStops, AnEndpointThatLeavesGetsNothingNew)
+{
+  CallAll(
+    Calls(kStreams), kHalfWay, [&] { mFleet.Signal("endpoint-2", SIGTERM); });
+  mFleet.WaitEnd("endpoint-2");
+  // The platform's list still calls it live, and its engine still runs.
+  const auto executed = [&] {
+    transport::HttpRequest audit;
+    audit.mTarget = "/engine/audit";
+    return Fleet::Call(mFleet.Process("engine-2").mTraffic, audit)->mBody;
+  };
+  const std::string before = executed();
+  ExpectAllWhole(CallAll(Calls(kStreams)));
+  EXPECT_EQ(executed(), before);
+}
+
+TEST_F(WhenAProcessStops, TheListAloneTakesAnEndpointOut)
+{
+  mFleet.List("endpoint-2", "companion", "zone-2", true);
+  const auto usable = [&] {
+    return mFleet.Metric("router-1", "shuntjunction_endpoint_usable");
+  };
+  int polls = 0;
+  while (usable() > 4 && polls < 500) {
+    ++polls;
+  }
+  EXPECT_EQ(usable(), 4); // Two engines and both service companions.
+  ExpectAllWhole(CallAll(Calls(kStreams)));
+}
+
+TEST_F(WhenAProcessStops, EverythingStopsInTurnAndNoneIsCut)
+{
+  ExpectAllWhole(CallAll(Calls(kStreams), kHalfWay, [&] {
+    mFleet.Signal("router-1", SIGTERM);
+    mFleet.Signal("endpoint-1", SIGTERM);
+    mFleet.Signal("endpoint-2", SIGTERM);
+  }));
+}
+
+class WhenAHerdRestarts : public GivenAFleet
+{};
+
+TEST_F(WhenAHerdRestarts, RoutersServeAtOnce)
+{
+  mFleet.RestartRouter("router-1", "zone-1");
+  mFleet.RestartRouter("router-2", "zone-2");
+  mFleet.AwaitReady("router-1");
+  mFleet.AwaitReady("router-2");
+  ExpectAllWhole(CallAll(Calls(kStreams)));
+}
+
+TEST_F(WhenAHerdRestarts, ThePlatformDownIncluded)
+{
+  mFleet.SetFaults(R"({"down":true})");
+  mFleet.RestartRouter("router-1", "zone-1");
+  mFleet.RestartRouter("router-2", "zone-2");
+  mFleet.AwaitReady("router-1");
+  mFleet.AwaitReady("router-2");
+  ExpectAllWhole(CallAll(Calls(kStreams)));
+}
+
+TEST_F(WhenAHerdRestarts, ThePlatformHungIncluded)
+{
+  mFleet.SetFaults(R"({"hung":true})");
+  mFleet.RestartRouter("router-1", "zone-1");
+  mFleet.RestartRouter("router-2", "zone-2");
+  mFleet.AwaitReady("router-1");
+  mFleet.AwaitReady("router-2");
+  ExpectAllWhole(CallAll(Calls(kStreams)));
+}
+
+} // namespace
+} // namespace shuntjunction::standins
