--- /dev/null
+++ b/bench/policy.cpp
@@ -0,0 +1,314 @@
+// shuntpolicy: the policy before real processes. The same workload is put
+// through real routers and companions before engine stand-ins, once a policy,
+// and the measures of the brief stand side by side.
+
+#include <algorithm>
+#include <csignal>
+#include <functional>
+#include <iostream>
+#include <numeric>
+
+#include <CLI/CLI.hpp>
+#include <boost/json/object.hpp>
+
+#include "fleet.h"
+#include "shuntjunction/state/endpoint_chooser.h"
+#include "shuntjunction/state/json_reader.h"
+#include "workload.h"
+
+namespace shuntjunction::bench {
+namespace {
+
+using standins::CallerEnd;
+using standins::CallerOutcome;
+using standins::Fleet;
+
+/// What goes wrong during a run.
+enum class Trouble : std::uint8_t
+{
+  kNone,
+  kEngineKilled,
+  kHotShift,
+  kRoutersRestart,
+  kEventsLost,
+};
+
+constexpr state::EnumNames<Trouble, 5> kTroubleNames{
+  { "none", "engine-killed", "hot-shift", "routers-restart", "events-lost" }
+};
+
+struct Options
+{
+  std::string mBinaries;
+  std::string mFolder = "build/policy";
+  std::size_t mEndpoints = 10;
+  std::size_t mRouters = 3;
+  std::int64_t mMicrosPerBlock = 2000;
+  std::size_t mCacheBlocks = 400;
+  std::string mTrouble = "none";
+  std::vector<std::string> mPolicies{ "random",
+                                      "least-load",
+                                      "power-of-two",
+                                      "rendezvous",
+                                      "nested-groups" };
+  std::size_t mProbes = 3;
+  std::size_t mMinWidth = 3;
+  std::int64_t mFlightWaitMs = 400;
+  double mTargetLoad = 0.5;
+  WorkloadSettings mWorkload;
+};
+
+struct Measures
+{
+  std::string mPolicy;
+  std::size_t mCalls = 0;
+  std::size_t mWhole = 0;
+  std::size_t mWrong = 0;
+  double mHitRate = 0;
+  double mWaste = 0; ///< computed blocks over the unavoidable ones
+  std::vector<double> mFirst;
+  std::vector<double> mFirstInBurst;
+};
+
+double
+Percentile(std::vector<double> aValues, double aShare)
+{
+  if (aValues.empty()) {
+    return 0;
+  }
+  std::sort(aValues.begin(), aValues.end());
+  const auto at = static_cast<std::size_t>(
+    aShare * static_cast<double>(aValues.size() - 1) + 0.5);
+  return aValues[at];
+}
+
+void
+StartAll(Fleet& aFleet, const Options& aOptions)
+{
+  aFleet.StartPlatform();
+  for (std::size_t i = 0; i < aOptions.mWorkload.mTeams; ++i) {
+    const std::string team = "team-" + std::to_string(i);
+    aFleet.Apply("config/teams/" + team,
+                 R"({"keyDigests":[")" + standins::KeyDigest(team) + R"("]})");
+  }
+  aFleet.Apply("config/models/m", R"({"weights":1})");
+  const bool losesEvents = aOptions.mTrouble == "events-lost";
+  for (std::size_t i = 0; i < aOptions.mEndpoints; ++i) {
+    const std::string number = std::to_string(i);
+    aFleet.Apply("config/endpoints/e" + number, R"({"model":"m"})");
+    aFleet.StartEngine("engine" + number,
+                       { "--micros-per-block",
+                         std::to_string(aOptions.mMicrosPerBlock),
+                         "--cache-blocks",
+                         std::to_string(aOptions.mCacheBlocks),
+                         "--event-delay-ms",
+                         "50",
+                         "--event-loss",
+                         losesEvents ? "0.02" : "0",
+                         "--seed",
+                         number });
+    aFleet.StartCompanion(
+      "e" + number, "engine" + number, "zone-" + std::to_string(i % 4));
+  }
+  for (std::size_t i = 0; i < aOptions.mRouters; ++i) {
+    aFleet.StartRouter("r" + std::to_string(i),
+                       "zone-" + std::to_string(i % 4));
+  }
+  aFleet.AwaitEngines("m", aOptions.mEndpoints);
+  for (std::size_t i = 0; i < aOptions.mRouters; ++i) {
+    aFleet.AwaitReady("r" + std::to_string(i));
+  }
+}
+
+/// What the trouble does, half-way through the second burst.
+void
+Strike(Fleet& aFleet, const Options& aOptions)
+{
+  if (aOptions.mTrouble == "engine-killed") {
+    aFleet.Signal("engine0", SIGKILL);
+    aFleet.Signal("e0", SIGKILL);
+  } else if (aOptions.mTrouble == "routers-restart") {
+    for (std::size_t i = 0; i < aOptions.mRouters; ++i) {
+      const std::string name = "r" + std::to_string(i);
+      aFleet.Signal(name, SIGTERM);
+      aFleet.WaitEnd(name);
+      aFleet.StartRouter(name, "zone-" + std::to_string(i % 4));
+    }
+  }
+}
+
+/// Makes one call at its time; routers that stop are passed over as by a
+/// balancer.
+transport::Task<void>
+CallAt(const Fleet* aFleet,
+       const Options* aOptions,
+       const TimedCall* aTimed,
+       std::size_t aNumber,
+       std::chrono::steady_clock::time_point aBegin,
+       CallerOutcome* aOutcome)
+{
+  const std::chrono::duration<double> at(aTimed->mAt);
+  const auto due =
+    aBegin +
+    std::chrono::duration_cast<std::chrono::steady_clock::duration>(at);
+  co_await transport::Sleep(due - std::chrono::steady_clock::now());
+  standins::CallerCall call;
+  call.mKey = "team-" + std::to_string(aTimed->mTeam);
+  call.mModel = "m";
+  call.mTokens = aOptions->mWorkload.mTokens;
+  call.mLevels = aTimed->mLevels;
+  for (std::size_t i = 0; i < aOptions->mRouters; ++i) {
+    const std::string router =
+      "r" + std::to_string((aNumber + i) % aOptions->mRouters);
+    call.mRouter = aFleet->Process(router).mTraffic;
+    *aOutcome = co_await standins::MakeCall(call);
+    if (aOutcome->mEnd != CallerEnd::kNoConnection) {
+      break;
+    }
+  }
+}
+
+std::pair<double, double>
+EngineBlocks(const Fleet& aFleet, const Options& aOptions)
+{
+  double prompt = 0;
+  double computed = 0;
+  for (std::size_t i = 0; i < aOptions.mEndpoints; ++i) {
+    transport::HttpRequest request;
+    request.mTarget = "/engine/audit";
+    const auto answer = Fleet::Call(
+      aFleet.Process("engine" + std::to_string(i)).mTraffic, request);
+    const auto value = state::ParseJson(answer ? answer->mBody : "{}", "audit");
+    const auto& audit = value->as_object();
+    if (audit.contains("promptBlocks")) {
+      prompt += audit.at("promptBlocks").to_number<double>();
+      computed += audit.at("computedBlocks").to_number<double>();
+    }
+  }
+  return { prompt, computed };
+}
+
+Measures
+RunPolicy(const Options& aOptions, const std::string& aPolicy)
+{
+  standins::FleetSettings settings;
+  settings.mBinaries = aOptions.mBinaries;
+  settings.mFolder = aOptions.mFolder + "/" + aPolicy;
+  settings.mProcessExtra = R"({"logLevel":"warn"})";
+  settings.mRouterExtra =
+    R"({"chooser":{"policy":")" + aPolicy + R"(","probes":)" +
+    std::to_string(aOptions.mProbes) + R"(,"minWidth":)" +
+    std::to_string(aOptions.mMinWidth) + R"(,"targetLoad":)" +
+    std::to_string(aOptions.mTargetLoad) + "}}";
+  settings.mCompanionExtra = R"({"maxQueued":1000,"microsPerBlock":)" +
+                             std::to_string(aOptions.mMicrosPerBlock) +
+                             R"(,"flightWaitMs":)" +
+                             std::to_string(aOptions.mFlightWaitMs) + "}";
+  Fleet fleet(settings);
+  StartAll(fleet, aOptions);
+  const auto timed = MakeWorkload(aOptions.mWorkload);
+  std::vector<CallerOutcome> outcomes(timed.size());
+  boost::asio::io_context context(1);
+  const auto begin = std::chrono::steady_clock::now();
+  for (std::size_t i = 0; i < timed.size(); ++i) {
+    transport::Spawn(
+      context, CallAt(&fleet, &aOptions, &timed[i], i, begin, &outcomes[i]));
+  }
+  const std::chrono::duration<double> strikeAt(
+    aOptions.mWorkload.mBurstEvery * 2 - 0.05);
+  boost::asio::steady_timer timer(
+    context, std::chrono::duration_cast<std::chrono::nanoseconds>(strikeAt));
+  timer.async_wait([&](auto) { Strike(fleet, aOptions); });
+  context.run();
+  Measures measures;
+  measures.mPolicy = aPolicy;
+  measures.mCalls = timed.size();
+  for (std::size_t i = 0; i < timed.size(); ++i) {
+    if (outcomes[i].mEnd == CallerEnd::kWrong) {
+      ++measures.mWrong;
+    }
+    if (outcomes[i].mEnd != CallerEnd::kWhole) {
+      continue;
+    }
+    ++measures.mWhole;
+    const double first = outcomes[i].mFirstToken.count();
+    measures.mFirst.push_back(first);
+    if (timed[i].mIsBurst) {
+      measures.mFirstInBurst.push_back(first);
+    }
+  }
+  const auto [prompt, computed] = EngineBlocks(fleet, aOptions);
+  measures.mHitRate = prompt == 0 ? 0 : 1.0 - computed / prompt;
+  measures.mWaste =
+    computed / static_cast<double>(UnavoidableBlocks(timed)) - 1.0;
+  return measures;
+}
+
+void
+Print(const Measures& aMeasures)
+{
+  std::printf("| %-14s | %5zu | %5zu | %5zu | %5.3f | %6.2f | %5.0f | %5.0f | "
+              "%5.0f | %5.0f | %5.0f | %5.0f |\n",
+              aMeasures.mPolicy.c_str(),
+              aMeasures.mCalls,
+              aMeasures.mWhole,
+              aMeasures.mWrong,
+              aMeasures.mHitRate,
+              aMeasures.mWaste,
+              1000 * Percentile(aMeasures.mFirst, 0.5),
+              1000 * Percentile(aMeasures.mFirst, 0.95),
+              1000 * Percentile(aMeasures.mFirst, 0.99),
+              1000 * Percentile(aMeasures.mFirstInBurst, 0.5),
+              1000 * Percentile(aMeasures.mFirstInBurst, 0.95),
+              1000 * Percentile(aMeasures.mFirstInBurst, 0.99));
+  std::fflush(stdout);
+}
+
+} // namespace
+} // namespace shuntjunction::bench
+
+int
+main(int aCount, char** aArguments)
+{
+  using namespace shuntjunction::bench;
+  CLI::App app("Policies side by side on real processes.");
+  Options options;
+  app.add_option("--binaries", options.mBinaries)->required();
+  app.add_option("--folder", options.mFolder);
+  app.add_option("--endpoints", options.mEndpoints);
+  app.add_option("--routers", options.mRouters);
+  app.add_option("--micros-per-block", options.mMicrosPerBlock);
+  app.add_option("--cache-blocks", options.mCacheBlocks);
+  app.add_option("--policies", options.mPolicies);
+  app.add_option("--probes", options.mProbes);
+  app.add_option("--min-width", options.mMinWidth);
+  app.add_option("--flight-wait-ms", options.mFlightWaitMs);
+  app.add_option("--target-load", options.mTargetLoad);
+  app.add_option("--seed", options.mWorkload.mSeed);
+  app.add_option("--rate", options.mWorkload.mRequestsPerSecond);
+  app.add_option("--burst", options.mWorkload.mBurst);
+  app.add_option("--seconds", options.mWorkload.mSeconds);
+  app.add_option("--teams", options.mWorkload.mTeams);
+  app.add_option("--records", options.mWorkload.mRecords);
+  app.add_option(
+    "--trouble", options.mTrouble, "one of " + kTroubleNames.Allowed());
+  CLI11_PARSE(app, aCount, aArguments);
+  if (!kTroubleNames.Parse(options.mTrouble)) {
+    std::cerr << "--trouble is one of " << kTroubleNames.Allowed() << "\n";
+    return 2;
+  }
+  if (options.mTrouble == "hot-shift") {
+    options.mWorkload.mShiftAt = options.mWorkload.mBurstEvery * 2;
+  }
+  std::printf("trouble: %s, seed %llu\n\n",
+              options.mTrouble.c_str(),
+              static_cast<unsigned long long>(options.mWorkload.mSeed));
+  std::printf("| policy         | calls | whole | wrong | hits  | waste  | p50 "
+              "  | p95   | p99   | b p50 | b p95 | b p99 |\n");
+  std::printf("| -------------- | ----- | ----- | ----- | ----- | ------ | "
+              "----- | ----- | ----- | ----- | ----- | ----- |\n");
+  for (const auto& policy : options.mPolicies) {
+    Print(RunPolicy(options, policy));
+  }
+  return 0;
+}
--- a/packages/state/include/shuntjunction/state/settings.h
+++ b/packages/state/include/shuntjunction/state/settings.h
@@ -70,7 +70,6 @@
   std::int64_t mMaxAttempts = 4;    ///< tries of one request, the first too
   Millis mDefaultDeadline{ 30000 }; ///< for the first token
   Millis mProbeTimeout{ 25 };       ///< a later reply is not waited for
-  Millis mProbeReuse{ 20 };         ///< a reply this young is used again
   Millis mConnectTimeout{ 300 };    ///< to a companion
   Millis mTokenTimeout{ 10000 };    ///< between two tokens
   Millis mIdlePeerTimeout{ 60000 }; ///< an unused companion is let go
--- a/packages/state/src/settings.cpp
+++ b/packages/state/src/settings.cpp
@@ -107,8 +107,6 @@
     ReadMillis(aReader, "defaultDeadlineMs", aRouter.mDefaultDeadline);
   aRouter.mProbeTimeout =
     ReadMillis(aReader, "probeTimeoutMs", aRouter.mProbeTimeout);
-  aRouter.mProbeReuse =
-    ReadMillis(aReader, "probeReuseMs", aRouter.mProbeReuse);
   aRouter.mConnectTimeout =
     ReadMillis(aReader, "connectTimeoutMs", aRouter.mConnectTimeout);
   aRouter.mTokenTimeout =
--- a/packages/transport/src/http_client.cpp
+++ b/packages/transport/src/http_client.cpp
@@ -16,7 +16,7 @@
 namespace {
 
 constexpr std::size_t kMaxIdleConnections = 16;
-constexpr std::size_t kReadBytes = 16 * 1024;
+constexpr std::size_t kReadBytes = 16UL * 1024;
 
 http::request<http::string_body>
 ToBeast(const HttpRequest& aRequest, const std::string& aHost)
--- a/standins/fleet.h
+++ b/standins/fleet.h
@@ -5,6 +5,8 @@
 #include <string>
 #include <vector>
 
+#include <boost/json/object.hpp>
+
 #include "shuntjunction/state/error.h"
 #include "shuntjunction/transport/http_types.h"
 
@@ -26,9 +28,9 @@
   std::string mBinaries; ///< folder of the build
   std::string mFolder;   ///< for settings files and logs; made if absent
   std::string mSecret = "a secret of this fleet";
-  std::string mRouterExtra;    ///< members of "router", as JSON text
-  std::string mCompanionExtra; ///< members of "companion", as JSON text
-  std::string mProcessExtra;   ///< members of the settings, as JSON text
+  std::string mRouterExtra = "{}";    ///< further members of "router"
+  std::string mCompanionExtra = "{}"; ///< further members of "companion"
+  std::string mProcessExtra = "{}";   ///< further members of all settings
 };
 
 /// Starts, signals and ends processes; ends all of them when destroyed.
@@ -121,12 +123,11 @@
   FleetProcess Spawn(const std::string& aName,
                      const std::vector<std::string>& aCommand);
   void SpawnRouter(const std::string& aName, const std::string& aZone);
-  std::string Peers() const;
   std::string WriteSettings(const std::string& aName,
-                            const std::string& aText) const;
-  std::string CommonSettings(const std::string& aName,
-                             const std::string& aRole,
-                             const std::string& aZone) const;
+                            const boost::json::object& aSettings) const;
+  boost::json::object CommonSettings(const std::string& aName,
+                                     const std::string& aRole,
+                                     const std::string& aZone) const;
   void PutToPlatform(const std::string& aTarget,
                      const std::string& aBody,
                      const std::string& aMethod = "PUT");
--- a/standins/platform_standin.cpp
+++ b/standins/platform_standin.cpp
@@ -24,7 +24,7 @@
 constexpr Millis kWatchPoll{ 10 };
 constexpr Millis kHungPoll{ 50 };
 constexpr std::size_t kChangesKept = 20000;
-constexpr std::size_t kMaxValueBytes = 1024 * 1024;
+constexpr std::size_t kMaxValueBytes = 1024UL * 1024;
 
 std::uint64_t
 Number(const std::string& aText)
