Shared prefixes are warmed before an event's start

Ways weighed: routers that send warming requests (each would, and a herd of them), one elected warmer (needs a lease), companions that decide by a pure function of configuration, instances and time (chosen: no message, no lease).

Change: a companion that stands among the first warmEndpoints of a prefix's order computes it in the minute before a start, once, as ordinary work.

--- a/bench/policy.cpp
+++ b/bench/policy.cpp
@@ -3,13 +3,17 @@
 // and the measures of the brief stand side by side.
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <functional>
+#include <ctime>
 #include <iostream>
-#include <numeric>
+#include <thread>
 
 #include <CLI/CLI.hpp>
+#include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
 
 #include "fleet.h"
 #include "shuntjunction/state/endpoint_chooser.h"
@@ -55,6 +59,7 @@
   std::size_t mMinWidth = 3;
   std::int64_t mFlightWaitMs = 400;
   double mTargetLoad = 0.5;
+  bool mWarms = false;
   WorkloadSettings mWorkload;
 };
 
@@ -68,8 +73,15 @@
   double mWaste = 0; ///< computed blocks over the unavoidable ones
   std::vector<double> mFirst;
   std::vector<double> mFirstInBurst;
+  std::vector<double> mFirstCold; ///< in the first seconds of the run
 };
 
+/// How long a run counts as cold.
+constexpr double kColdSeconds = 1.0;
+
+/// Time for the companions to warm.
+constexpr state::Millis kWarmTime{ 3000 };
+
 double
 Percentile(std::vector<double> aValues, double aShare)
 {
@@ -82,6 +94,45 @@
   return aValues[at];
 }
 
+std::string
+RouterName(std::size_t aGeneration, std::size_t aNumber)
+{
+  return "r" + std::to_string(aGeneration) + "-" + std::to_string(aNumber);
+}
+
+void
+StartRouters(Fleet& aFleet, const Options& aOptions, std::size_t aGeneration)
+{
+  for (std::size_t i = 0; i < aOptions.mRouters; ++i) {
+    const std::string name = RouterName(aGeneration, i);
+    aFleet.StartRouter(name, "zone-" + std::to_string(i % 4));
+  }
+}
+
+/// Declares that the largest teams' event starts in the next minute, and
+/// gives the companions time to warm their rules.
+void
+Warm(Fleet& aFleet, const Options& aOptions)
+{
+  const auto now = std::chrono::system_clock::now() + std::chrono::seconds(30);
+  const std::time_t start = std::chrono::system_clock::to_time_t(now) + 30;
+  std::tm parts{};
+  gmtime_r(&start, &parts);
+  std::array<char, 6> text{};
+  std::strftime(text.data(), text.size(), "%H:%M", &parts);
+  for (std::size_t team = 0; team < aOptions.mWorkload.mTeams; ++team) {
+    const std::string name = "team-" + std::to_string(team);
+    aFleet.Apply("config/parameters/" + name + "/event",
+                 boost::json::serialize(boost::json::object{
+                   { "model", "m" },
+                   { "starts", boost::json::array{ text.data() } },
+                   { "sharedText",
+                     boost::json::array{ RuleText(aOptions.mWorkload, team) } },
+                   { "warmEndpoints", 3 } }));
+  }
+  std::this_thread::sleep_for(kWarmTime);
+}
+
 void
 StartAll(Fleet& aFleet, const Options& aOptions)
 {
@@ -110,41 +161,43 @@
     aFleet.StartCompanion(
       "e" + number, "engine" + number, "zone-" + std::to_string(i % 4));
   }
-  for (std::size_t i = 0; i < aOptions.mRouters; ++i) {
-    aFleet.StartRouter("r" + std::to_string(i),
-                       "zone-" + std::to_string(i % 4));
-  }
+  StartRouters(aFleet, aOptions, 0);
   aFleet.AwaitEngines("m", aOptions.mEndpoints);
   for (std::size_t i = 0; i < aOptions.mRouters; ++i) {
-    aFleet.AwaitReady("r" + std::to_string(i));
+    aFleet.AwaitReady(RouterName(0, i));
+  }
+  if (aOptions.mWarms) {
+    Warm(aFleet, aOptions);
   }
 }
 
-/// What the trouble does, half-way through the second burst.
+/// What the trouble does just before the second burst.
 void
-Strike(Fleet& aFleet, const Options& aOptions)
+Strike(Fleet& aFleet, const Options& aOptions, std::size_t& aGeneration)
 {
   if (aOptions.mTrouble == "engine-killed") {
     aFleet.Signal("engine0", SIGKILL);
     aFleet.Signal("e0", SIGKILL);
   } else if (aOptions.mTrouble == "routers-restart") {
+    // The balancer turns to the new ones as the old ones stop.
+    StartRouters(aFleet, aOptions, aGeneration + 1);
     for (std::size_t i = 0; i < aOptions.mRouters; ++i) {
-      const std::string name = "r" + std::to_string(i);
-      aFleet.Signal(name, SIGTERM);
-      aFleet.WaitEnd(name);
-      aFleet.StartRouter(name, "zone-" + std::to_string(i % 4));
+      aFleet.Signal(RouterName(aGeneration, i), SIGTERM);
+      aFleet.Unlist(RouterName(aGeneration, i));
     }
+    ++aGeneration;
   }
 }
 
-/// Makes one call at its time; routers that stop are passed over as by a
-/// balancer.
+/// Makes one call at its time; a router that does not answer is passed over
+/// as by a balancer.
 transport::Task<void>
 CallAt(const Fleet* aFleet,
        const Options* aOptions,
        const TimedCall* aTimed,
        std::size_t aNumber,
        std::chrono::steady_clock::time_point aBegin,
+       const std::size_t* aGeneration,
        CallerOutcome* aOutcome)
 {
   const std::chrono::duration<double> at(aTimed->mAt);
@@ -159,7 +212,7 @@
   call.mLevels = aTimed->mLevels;
   for (std::size_t i = 0; i < aOptions->mRouters; ++i) {
     const std::string router =
-      "r" + std::to_string((aNumber + i) % aOptions->mRouters);
+      RouterName(*aGeneration, (aNumber + i) % aOptions->mRouters);
     call.mRouter = aFleet->Process(router).mTraffic;
     *aOutcome = co_await standins::MakeCall(call);
     if (aOutcome->mEnd != CallerEnd::kNoConnection) {
@@ -209,16 +262,19 @@
   const auto timed = MakeWorkload(aOptions.mWorkload);
   std::vector<CallerOutcome> outcomes(timed.size());
   boost::asio::io_context context(1);
+  std::size_t generation = 0;
   const auto begin = std::chrono::steady_clock::now();
   for (std::size_t i = 0; i < timed.size(); ++i) {
     transport::Spawn(
-      context, CallAt(&fleet, &aOptions, &timed[i], i, begin, &outcomes[i]));
+      context,
+      CallAt(
+        &fleet, &aOptions, &timed[i], i, begin, &generation, &outcomes[i]));
   }
   const std::chrono::duration<double> strikeAt(
     aOptions.mWorkload.mBurstEvery * 2 - 0.05);
   boost::asio::steady_timer timer(
     context, std::chrono::duration_cast<std::chrono::nanoseconds>(strikeAt));
-  timer.async_wait([&](auto) { Strike(fleet, aOptions); });
+  timer.async_wait([&](auto) { Strike(fleet, aOptions, generation); });
   context.run();
   Measures measures;
   measures.mPolicy = aPolicy;
@@ -233,6 +289,9 @@
     ++measures.mWhole;
     const double first = outcomes[i].mFirstToken.count();
     measures.mFirst.push_back(first);
+    if (timed[i].mAt < kColdSeconds) {
+      measures.mFirstCold.push_back(first);
+    }
     if (timed[i].mIsBurst) {
       measures.mFirstInBurst.push_back(first);
     }
@@ -248,7 +307,7 @@
 Print(const Measures& aMeasures)
 {
   std::printf("| %-14s | %5zu | %5zu | %5zu | %5.3f | %6.2f | %5.0f | %5.0f | "
-              "%5.0f | %5.0f | %5.0f | %5.0f |\n",
+              "%5.0f | %5.0f | %5.0f | %5.0f | %5.0f |\n",
               aMeasures.mPolicy.c_str(),
               aMeasures.mCalls,
               aMeasures.mWhole,
@@ -260,7 +319,8 @@
               1000 * Percentile(aMeasures.mFirst, 0.99),
               1000 * Percentile(aMeasures.mFirstInBurst, 0.5),
               1000 * Percentile(aMeasures.mFirstInBurst, 0.95),
-              1000 * Percentile(aMeasures.mFirstInBurst, 0.99));
+              1000 * Percentile(aMeasures.mFirstInBurst, 0.99),
+              1000 * Percentile(aMeasures.mFirstCold, 0.95));
   std::fflush(stdout);
 }
 
@@ -279,7 +339,7 @@
   app.add_option("--routers", options.mRouters);
   app.add_option("--micros-per-block", options.mMicrosPerBlock);
   app.add_option("--cache-blocks", options.mCacheBlocks);
-  app.add_option("--policies", options.mPolicies);
+  app.add_option("--policies", options.mPolicies)->delimiter(',');
   app.add_option("--probes", options.mProbes);
   app.add_option("--min-width", options.mMinWidth);
   app.add_option("--flight-wait-ms", options.mFlightWaitMs);
@@ -290,6 +350,7 @@
   app.add_option("--seconds", options.mWorkload.mSeconds);
   app.add_option("--teams", options.mWorkload.mTeams);
   app.add_option("--records", options.mWorkload.mRecords);
+  app.add_flag("--warm", options.mWarms, "warm the rules before the run");
   app.add_option(
     "--trouble", options.mTrouble, "one of " + kTroubleNames.Allowed());
   CLI11_PARSE(app, aCount, aArguments);
@@ -304,9 +365,9 @@
               options.mTrouble.c_str(),
               static_cast<unsigned long long>(options.mWorkload.mSeed));
   std::printf("| policy         | calls | whole | wrong | hits  | waste  | p50 "
-              "  | p95   | p99   | b p50 | b p95 | b p99 |\n");
+              "  | p95   | p99   | b p50 | b p95 | b p99 | cold |\n");
   std::printf("| -------------- | ----- | ----- | ----- | ----- | ------ | "
-              "----- | ----- | ----- | ----- | ----- | ----- |\n");
+              "----- | ----- | ----- | ----- | ----- | ----- | ----- |\n");
   for (const auto& policy : options.mPolicies) {
     Print(RunPolicy(options, policy));
   }
--- a/bench/workload.cpp
+++ b/bench/workload.cpp
@@ -38,6 +38,12 @@
 
 } // namespace
 
+std::string
+RuleText(const WorkloadSettings& aSettings, std::size_t aTeam)
+{
+  return Text("rules of team " + std::to_string(aTeam), aSettings.mRuleBytes);
+}
+
 std::vector<TimedCall>
 MakeWorkload(const WorkloadSettings& aSettings)
 {
--- a/bench/workload.h
+++ b/bench/workload.h
@@ -37,6 +37,10 @@
   std::vector<std::string> mLevels;
 };
 
+/// The first prompt level of a team.
+std::string
+RuleText(const WorkloadSettings& aSettings, std::size_t aTeam);
+
 /// All requests of a workload, in the order of their times.
 std::vector<TimedCall>
 MakeWorkload(const WorkloadSettings& aSettings);
--- a/packages/coordination/include/shuntjunction/coordination/companion.h
+++ b/packages/coordination/include/shuntjunction/coordination/companion.h
@@ -16,6 +16,7 @@
 #include "shuntjunction/state/admission_queue.h"
 #include "shuntjunction/state/block_index.h"
 #include "shuntjunction/state/settings.h"
+#include "shuntjunction/state/warming.h"
 #include "shuntjunction/transport/frame_channel.h"
 
 /// The process beside each endpoint, which alone speaks to its backend.
@@ -80,6 +81,8 @@
   transport::Task<void> Accept();
   transport::Task<void> FollowState();
   transport::Task<void> FollowEvents();
+  transport::Task<void> FollowStarts();
+  void Warm(const state::WarmTask& aTask);
   void NoteState(const BackendState& aState);
   void NoteDown(const state::Error& aError);
 
@@ -90,6 +93,7 @@
   void BeginWork(const std::shared_ptr<Session>& aSession,
                  protocol::Submit aSubmit);
 
+  void Admit(const WorkPtr& aWork);
   transport::Task<void> RunWork(WorkPtr aWork);
   transport::Task<bool> AwaitAdmission(WorkPtr aWork);
   transport::Task<bool> AwaitClaim(WorkPtr aWork, ClaimVerdict& aVerdict);
@@ -128,6 +132,7 @@
   BackendState mState;
   std::uint64_t mNextTicket = 0;
   std::uint64_t mHeardVersion = 0;
+  std::unordered_map<state::PrefixHash, state::TimePoint> mWarmed;
   double mMicrosPerBlock = 0;
   std::size_t mActive = 0;
   int mFailedPolls = 0;
--- a/packages/coordination/src/companion.cpp
+++ b/packages/coordination/src/companion.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 
+#include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
+
 #include "shuntjunction/coordination/chat_api.h"
 #include "shuntjunction/state/digest.h"
 #include "shuntjunction/state/json_reader.h"
@@ -28,7 +31,9 @@
 constexpr Millis kEventsWait{ 5000 };
 constexpr Millis kEventsPause{ 200 };
 constexpr Millis kAcceptPause{ 50 };
-constexpr Millis kRetryElsewhere{ 100 }; ///< another endpoint is better
+constexpr Millis kStartsPoll{ 1000 };
+constexpr std::uint32_t kWarmWindow = 16; ///< above the one token asked for
+constexpr Millis kRetryElsewhere{ 100 };  ///< another endpoint is better
 constexpr Millis kRetryLater{ 1000 };
 constexpr Millis kAnswerTimeout{ 60000 }; ///< for the next piece of an answer
 constexpr int kPollsUntilDown = 3;
@@ -147,6 +152,7 @@
   transport::Spawn(mContext, FollowState());
   if (mBackend.IsEngine()) {
     transport::Spawn(mContext, FollowEvents());
+    transport::Spawn(mContext, FollowStarts());
   }
   return transport::LocalAddress(*mAcceptor);
 }
@@ -300,6 +306,67 @@
   }
 }
 
+// Warming ahead of an event's start.
+
+Task<void>
+Companion::FollowStarts()
+{
+  while (true) {
+    co_await transport::Sleep(kStartsPoll);
+    if (mIsLeaving || mIsPaused || mState.mIncarnation == 0) {
+      continue;
+    }
+    for (const auto& task : state::DueWarmTasks(*mConfig.mSnapshot,
+                                                *mConfig.mInstances,
+                                                mSettings.mName,
+                                                mClock.WallMillis())) {
+      Warm(task);
+    }
+  }
+}
+
+void
+Companion::Warm(const state::WarmTask& aTask)
+{
+  const state::CacheScope scope{ aTask.mTeam, aTask.mModel, mState.mWeights };
+  const auto chain = state::BuildPrefixChain(scope, aTask.Levels());
+  const auto all = static_cast<std::uint32_t>(chain.mBlocks.size());
+  const TimePoint now = mClock.Now();
+  if (all == 0 || aTask.mModel != mState.mModel ||
+      mIndex.CachedBlocks(std::span(chain.mBlocks)) == all) {
+    return;
+  }
+  // Computed already for this start, but its events are late or it was
+  // evicted again: once a start is enough.
+  const auto warmed = mWarmed.find(chain.mBlocks.back());
+  if (warmed != mWarmed.end() && now < warmed->second + state::kWarmLead) {
+    return;
+  }
+  std::erase_if(mWarmed, [&](const auto& aItem) {
+    return now >= aItem.second + state::kWarmLead;
+  });
+  mWarmed[chain.mBlocks.back()] = now;
+  boost::json::array messages;
+  for (const auto& text : aTask.mSharedText) {
+    messages.push_back(
+      boost::json::object{ { "role", "system" }, { "content", text } });
+  }
+  protocol::Submit submit;
+  submit.mRequestId = "warming";
+  submit.mTeam = aTask.mTeam;
+  submit.mServes = aTask.mModel;
+  submit.mDeadlineMs = static_cast<std::uint32_t>(
+    std::max<std::int64_t>(aTask.mUntilStart.count(), 1000));
+  submit.mWindow = kWarmWindow;
+  submit.mBody = boost::json::serialize(
+    boost::json::object{ { "model", aTask.mModel },
+                         { "max_tokens", 1 },
+                         { "messages", std::move(messages) } });
+  mMetrics.Count("shuntjunction_warmed_total");
+  Admit(std::make_shared<Work>(
+    mContext.get_executor(), nullptr, std::move(submit)));
+}
+
 // Connections from routers.
 
 Task<void>
@@ -456,18 +523,25 @@
     mMetrics.Count("shuntjunction_frames_unexpected_total");
     return;
   }
+  Admit(work);
+}
+
+void
+Companion::Admit(const WorkPtr& aWork)
+{
+  const auto& submit = aWork->mSubmit;
   if (submit.mKind != RequestKind::kService) {
     const auto body = state::ParseJson(submit.mBody, "body");
     if (body && body->is_object()) {
       const state::CacheScope scope{ submit.mTeam,
                                      submit.mServes,
                                      mState.mWeights };
-      work->mChain = state::BuildPrefixChain(
+      aWork->mChain = state::BuildPrefixChain(
         scope, PromptLevels(submit.mKind, body->as_object()));
     }
   }
   const TimePoint now = mClock.Now();
-  AdmissionTicket& ticket = work->mTicket;
+  AdmissionTicket& ticket = aWork->mTicket;
   ticket.mId = ++mNextTicket;
   ticket.mPriority = submit.mPriority;
   ticket.mTeam = submit.mTeam;
@@ -477,20 +551,20 @@
   if (team != mConfig.mSnapshot->mTeams.end()) {
     ticket.mTeamWeight = team->second.mWeight;
   }
-  const auto all = static_cast<std::uint32_t>(work->mChain.mBlocks.size());
+  const auto all = static_cast<std::uint32_t>(aWork->mChain.mBlocks.size());
   const std::uint32_t cached =
-    mIndex.CachedBlocks(std::span(work->mChain.mBlocks));
+    mIndex.CachedBlocks(std::span(aWork->mChain.mBlocks));
   ticket.mCostMicros =
     static_cast<std::int64_t>((all - cached) * mMicrosPerBlock);
-  for (const auto& level : work->mChain.mLevels) {
+  for (const auto& level : aWork->mChain.mLevels) {
     if (level.mBlocks > cached) {
       ticket.mMissingPrefix = level.mHash;
       break;
     }
   }
-  mWorkByTicket.emplace(ticket.mId, work);
+  mWorkByTicket.emplace(ticket.mId, aWork);
   Apply(mQueue.Enqueue(ticket, now));
-  transport::Spawn(mContext, RunWork(work));
+  transport::Spawn(mContext, RunWork(aWork));
   Pump();
 }
 
--- a/packages/state/include/shuntjunction/state/endpoint_chooser.h
+++ b/packages/state/include/shuntjunction/state/endpoint_chooser.h
@@ -16,6 +16,23 @@
 /// Most endpoints that one choice names.
 inline constexpr std::size_t kMaxCandidates = 8;
 
+/// Endpoints of a team's or prefix's group, at least.
+inline constexpr std::size_t kMinGroupWidth = 3;
+
+/// Placement key of a team's use of a model or service.
+std::uint64_t
+TeamPlacementKey(std::string_view aTeam, std::string_view aServes);
+
+/// The order in which a prefix nobody asks for is offered: the team's group,
+/// then the order of each prompt level within it.
+///
+/// Thread safety: pure.
+std::vector<RendezvousMember>
+NestedOrder(std::span<const RendezvousMember> aMembers,
+            std::uint64_t aTeamKey,
+            std::span<const PrefixLevel> aLevels,
+            std::size_t aWidth);
+
 /// The ways to choose; all but the first are baselines to measure against.
 enum class ChoicePolicy : std::uint8_t
 {
--- a/packages/state/src/chooser_nested_groups.cpp
+++ b/packages/state/src/chooser_nested_groups.cpp
@@ -3,21 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
-#include "shuntjunction/state/prefix_chain.h"
-
 namespace shuntjunction::state {
 
-namespace {
-
-/// Placement key of a team's use of a model.
-std::uint64_t
-TeamKey(const ChoiceQuery& aQuery)
-{
-  return PlacementHash(aQuery.mTeam, PlacementHash(aQuery.mServes));
-}
-
-} // namespace
-
 NestedGroupsChooser::NestedGroupsChooser(const ChooserSettings& aSettings,
                                          const EndpointTable& aTable,
                                          const std::size_t& aRouters,
@@ -58,7 +45,7 @@
                                 std::size_t aLimit,
                                 TimePoint aNow)
 {
-  const std::uint64_t teamKey = TeamKey(aQuery);
+  const std::uint64_t teamKey = TeamPlacementKey(aQuery.mTeam, aQuery.mServes);
   auto group = RendezvousOrder(Members(aUsable), teamKey, Width(teamKey, aNow));
   std::size_t width = group.size();
   for (const PrefixLevel& level : aQuery.mLevels) {
@@ -92,7 +79,8 @@
                               double aEngineSeconds,
                               TimePoint aNow)
 {
-  mDemand.Add(TeamKey(aQuery), aEngineSeconds, aNow);
+  mDemand.Add(
+    TeamPlacementKey(aQuery.mTeam, aQuery.mServes), aEngineSeconds, aNow);
   for (const PrefixLevel& level : aQuery.mLevels) {
     mDemand.Add(level.mHash, aEngineSeconds, aNow);
   }
--- a/packages/state/src/endpoint_chooser.cpp
+++ b/packages/state/src/endpoint_chooser.cpp
@@ -4,6 +4,7 @@
 
 #include "chooser_baselines.h"
 #include "chooser_nested_groups.h"
+#include "shuntjunction/state/prefix_chain.h"
 
 namespace shuntjunction::state {
 
@@ -24,6 +25,25 @@
   return std::max<std::int64_t>(left, 0);
 }
 
+std::uint64_t
+TeamPlacementKey(std::string_view aTeam, std::string_view aServes)
+{
+  return PlacementHash(aTeam, PlacementHash(aServes));
+}
+
+std::vector<RendezvousMember>
+NestedOrder(std::span<const RendezvousMember> aMembers,
+            std::uint64_t aTeamKey,
+            std::span<const PrefixLevel> aLevels,
+            std::size_t aWidth)
+{
+  auto group = RendezvousOrder(aMembers, aTeamKey, aWidth);
+  for (const PrefixLevel& level : aLevels) {
+    group = RendezvousOrder(group, level.mHash, group.size());
+  }
+  return group;
+}
+
 std::unique_ptr<EndpointChooser>
 MakeChooser(const ChooserSettings& aSettings,
             const EndpointTable& aTable,
