--- a/apps/ctl_commands.h
+++ b/apps/ctl_commands.h
@@ -70,8 +70,6 @@
   };
   using Row = std::vector<std::string>;
 
-  template<typename T>
-  T Run(transport::Task<T> aTask) const;
   state::Result<std::vector<Declared>> ReadDeclared() const;
   state::Result<std::optional<state::RawObject>> Read(
     const std::string& aKey) const;
--- a/bench/fleet_slopes.cpp
+++ b/bench/fleet_slopes.cpp
@@ -16,8 +16,6 @@
 namespace {
 
 using standins::CallerCall;
-using standins::CallerEnd;
-using standins::CallerOutcome;
 using standins::Fleet;
 using state::Millis;
 
@@ -59,26 +57,6 @@
   std::fflush(stdout);
 }
 
-std::vector<CallerOutcome>
-CallAll(const std::vector<CallerCall>& aCalls,
-        Millis aWhen,
-        const std::function<void()>& aMeanwhile)
-{
-  boost::asio::io_context context(1);
-  std::vector<CallerOutcome> outcomes(aCalls.size());
-  const auto run = [](CallerCall aCall,
-                      CallerOutcome* aOutcome) -> transport::Task<void> {
-    *aOutcome = co_await standins::MakeCall(std::move(aCall));
-  };
-  for (std::size_t i = 0; i < aCalls.size(); ++i) {
-    transport::Spawn(context, run(aCalls[i], &outcomes[i]));
-  }
-  boost::asio::steady_timer timer(context, aWhen);
-  timer.async_wait([&](auto) { aMeanwhile(); });
-  context.run();
-  return outcomes;
-}
-
 /// A router, an endpoint and a team of their own for each measurement.
 class OneOfEach
 {
@@ -152,12 +130,12 @@
   for (const std::size_t streams : { 50U, 100U, 200U, 400U }) {
     OneOfEach one(
       aBinaries, "streams-" + std::to_string(streams), kMicrosPerToken);
-    CallAll(one.Calls(1, 2), Millis(0), [] {});
+    standins::MakeCalls(one.Calls(1, 2));
     const auto routerBefore = Resident(one.mFleet, "r");
     const auto companionBefore = Resident(one.mFleet, "e");
     std::int64_t routerAfter = 0;
     std::int64_t companionAfter = 0;
-    CallAll(one.Calls(streams, 10), kAllOpen, [&] {
+    standins::MakeCalls(one.Calls(streams, 10), kAllOpen, [&] {
       routerAfter = Resident(one.mFleet, "r");
       companionAfter = Resident(one.mFleet, "e");
     });
@@ -178,10 +156,10 @@
   constexpr std::size_t kStreams = 20;
   for (const std::uint32_t tokens : { 500U, 1000U, 2000U, 4000U }) {
     OneOfEach one(aBinaries, "tokens-" + std::to_string(tokens), 1000);
-    CallAll(one.Calls(1, 2), Millis(0), [] {});
+    standins::MakeCalls(one.Calls(1, 2));
     const double routerBefore = one.mFleet.Usage("r").second;
     const double companionBefore = one.mFleet.Usage("e").second;
-    CallAll(one.Calls(kStreams, tokens), Millis(0), [] {});
+    standins::MakeCalls(one.Calls(kStreams, tokens));
     const double size = static_cast<double>(kStreams) * tokens;
     router.push_back(
       { size, 1e6 * (one.mFleet.Usage("r").second - routerBefore) });
@@ -199,12 +177,12 @@
   std::vector<Point> companion;
   for (const std::size_t requests : { 250U, 500U, 1000U, 2000U }) {
     OneOfEach one(aBinaries, "requests-" + std::to_string(requests), 1000);
-    CallAll(one.Calls(1, 2), Millis(0), [] {});
+    standins::MakeCalls(one.Calls(1, 2));
     const double routerBefore = one.mFleet.Usage("r").second;
     const double companionBefore = one.mFleet.Usage("e").second;
     constexpr std::size_t kAtOnce = 50;
     for (std::size_t done = 0; done < requests; done += kAtOnce) {
-      CallAll(one.Calls(kAtOnce, 1), Millis(0), [] {});
+      standins::MakeCalls(one.Calls(kAtOnce, 1));
     }
     const auto size = static_cast<double>(requests);
     router.push_back(
@@ -225,13 +203,13 @@
   constexpr std::size_t kRequests = 40;
   for (const std::size_t blocks : { 64U, 128U, 256U, 512U }) {
     OneOfEach one(aBinaries, "events-" + std::to_string(blocks), 1000);
-    CallAll(one.Calls(1, 2), Millis(0), [] {});
+    standins::MakeCalls(one.Calls(1, 2));
     const double before = one.mFleet.Usage("e").second;
     for (std::size_t i = 0; i < kRequests; ++i) {
       auto calls = one.Calls(1, 1);
       calls[0].mLevels = { "prompt " + std::to_string(i) +
                            std::string(blocks * 256, 'p') };
-      CallAll(calls, Millis(0), [] {});
+      standins::MakeCalls(calls);
     }
     std::this_thread::sleep_for(Millis(500)); // The events come late.
     const auto size = static_cast<double>(kRequests * blocks);
@@ -296,7 +274,7 @@
       if (aIsDirect) {
         calls[0].mRouter = one.mFleet.Process("engine").mTraffic;
       }
-      const auto outcome = CallAll(calls, Millis(0), [] {}).front();
+      const auto outcome = standins::MakeCalls(calls).front();
       first.push_back(1000 * outcome.mFirstToken.count());
       whole.push_back(1000 * outcome.mWholeTime.count());
     }
--- a/bench/policy.cpp
+++ b/bench/policy.cpp
@@ -55,8 +55,8 @@
                                       "power-of-two",
                                       "rendezvous",
                                       "nested-groups" };
-  std::size_t mProbes = 3;
-  std::size_t mMinWidth = 3;
+  std::size_t mProbes = 2;
+  std::size_t mMinWidth = 2;
   std::int64_t mFlightWaitMs = 400;
   double mTargetLoad = 0.5;
   bool mWarms = false;
--- a/packages/coordination/include/shuntjunction/coordination/router.h
+++ b/packages/coordination/include/shuntjunction/coordination/router.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -103,6 +104,8 @@
     std::vector<state::EndpointHandle> aCandidates);
   std::int64_t CostMicros(const Probed& aProbed,
                           const state::ChoiceQuery& aQuery) const;
+  std::optional<Probed> Cheapest(const std::vector<Probed>& aProbed,
+                                 const state::ChoiceQuery& aQuery) const;
   transport::Task<state::EndpointHandle> Choose(
     state::ChoiceQuery aQuery,
     state::Priority aPriority,
--- /dev/null
+++ b/packages/coordination/src/companion_warming.cpp
@@ -0,0 +1,83 @@
+// Warming ahead of an event's start: see state/warming.h for who warms what.
+
+#include <algorithm>
+
+#include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
+
+#include "companion_parts.h"
+
+namespace shuntjunction::coordination {
+
+using state::Millis;
+using state::TimePoint;
+using transport::Task;
+
+namespace {
+
+constexpr Millis kStartsPoll{ 1000 };
+constexpr Millis kMinWarmTime{ 1000 };
+constexpr std::uint32_t kWarmWindow = 16; ///< above the one token asked for
+
+} // namespace
+
+Task<void>
+Companion::FollowStarts()
+{
+  while (true) {
+    co_await transport::Sleep(kStartsPoll);
+    if (mIsLeaving || mIsPaused || mState.mIncarnation == 0) {
+      continue;
+    }
+    for (const auto& task : state::DueWarmTasks(*mConfig.mSnapshot,
+                                                *mConfig.mInstances,
+                                                mSettings.mName,
+                                                mClock.WallMillis())) {
+      Warm(task);
+    }
+  }
+}
+
+void
+Companion::Warm(const state::WarmTask& aTask)
+{
+  const state::CacheScope scope{ aTask.mTeam, aTask.mModel, mState.mWeights };
+  const auto chain = state::BuildPrefixChain(scope, aTask.Levels());
+  const auto all = static_cast<std::uint32_t>(chain.mBlocks.size());
+  const TimePoint now = mClock.Now();
+  if (all == 0 || aTask.mModel != mState.mModel ||
+      mIndex.CachedBlocks(std::span(chain.mBlocks)) == all) {
+    return;
+  }
+  // Computed already for this start, but its events are late or it was
+  // evicted again: once a start is enough.
+  const auto warmed = mWarmed.find(chain.mBlocks.back());
+  if (warmed != mWarmed.end() && now < warmed->second + state::kWarmLead) {
+    return;
+  }
+  std::erase_if(mWarmed, [&](const auto& aItem) {
+    return now >= aItem.second + state::kWarmLead;
+  });
+  mWarmed[chain.mBlocks.back()] = now;
+  boost::json::array messages;
+  for (const auto& text : aTask.mSharedText) {
+    messages.push_back(
+      boost::json::object{ { "role", "system" }, { "content", text } });
+  }
+  protocol::Submit submit;
+  submit.mRequestId = "warming";
+  submit.mTeam = aTask.mTeam;
+  submit.mServes = aTask.mModel;
+  submit.mDeadlineMs = static_cast<std::uint32_t>(
+    std::max(aTask.mUntilStart, kMinWarmTime).count());
+  submit.mWindow = kWarmWindow;
+  submit.mBody = boost::json::serialize(
+    boost::json::object{ { "model", aTask.mModel },
+                         { "max_tokens", 1 },
+                         { "messages", std::move(messages) } });
+  mMetrics.Count("shuntjunction_warmed_total");
+  Admit(std::make_shared<Work>(
+    mContext.get_executor(), nullptr, std::move(submit)));
+}
+
+} // namespace shuntjunction::coordination
--- a/packages/coordination/src/router.cpp
+++ b/packages/coordination/src/router.cpp
@@ -305,6 +305,22 @@
          (isNear ? 0 : mSettings.mRouter.mChooser.mZoneCostMicros);
 }
 
+std::optional<Router::Probed>
+Router::Cheapest(const std::vector<Probed>& aProbed,
+                 const ChoiceQuery& aQuery) const
+{
+  std::optional<Probed> best;
+  for (const auto& one : aProbed) {
+    if (!one.mHasReplied || !one.mReply.mIsAccepting) {
+      continue;
+    }
+    if (!best || CostMicros(one, aQuery) < CostMicros(*best, aQuery)) {
+      best = one;
+    }
+  }
+  return best;
+}
+
 Task<EndpointHandle>
 Router::Choose(ChoiceQuery aQuery,
                Priority aPriority,
@@ -321,25 +337,13 @@
   }
   const bool asks = mChooser->AsksFirst(aQuery);
   const std::size_t limit = asks ? mSettings.mRouter.mChooser.mProbes : 1;
-  auto candidates = mChooser->Candidates(aQuery, usable, limit, now);
+  const auto candidates = mChooser->Candidates(aQuery, usable, limit, now);
   if (!asks || candidates.size() < 2) {
     co_return candidates.empty() ? EndpointHandle{} : candidates.front();
   }
   const auto probed = co_await ProbeAll(aQuery, aPriority, candidates);
-  EndpointHandle best;
-  std::int64_t lowest = 0;
-  for (const auto& one : probed) {
-    if (!one.mHasReplied || !one.mReply.mIsAccepting) {
-      continue;
-    }
-    const std::int64_t cost = CostMicros(one, aQuery);
-    if (!best.IsValid() || cost < lowest) {
-      best = one.mHandle;
-      lowest = cost;
-    }
-  }
-  if (best.IsValid()) {
-    co_return best;
+  if (const auto best = Cheapest(probed, aQuery)) {
+    co_return best->mHandle;
   }
   // None of them takes it: the least loaded of all as far as is known.
   const auto least = std::min_element(
--- a/packages/state/include/shuntjunction/state/endpoint_chooser.h
+++ b/packages/state/include/shuntjunction/state/endpoint_chooser.h
@@ -17,7 +17,7 @@
 inline constexpr std::size_t kMaxCandidates = 8;
 
 /// Endpoints of a team's or prefix's group, at least.
-inline constexpr std::size_t kMinGroupWidth = 3;
+inline constexpr std::size_t kMinGroupWidth = 2;
 
 /// Placement key of a team's use of a model or service.
 std::uint64_t
@@ -61,7 +61,7 @@
 struct ChooserSettings
 {
   ChoicePolicy mPolicy = ChoicePolicy::kNestedGroups;
-  std::size_t mProbes = 3;      ///< endpoints asked for their cost
+  std::size_t mProbes = 2;      ///< endpoints asked for their cost
   std::size_t mMinWidth = 3;    ///< endpoints of a group, at least
   double mTargetLoad = 0.5;     ///< share of an endpoint's time planned for
   std::uint32_t mMinBlocks = 4; ///< shorter prompts are placed by load alone
--- a/packages/state/include/shuntjunction/state/settings.h
+++ b/packages/state/include/shuntjunction/state/settings.h
@@ -112,7 +112,8 @@
   Millis mPlatformTimeout{ 1000 };
   Millis mWatchTimeout{ 30000 }; ///< longest that one watch waits
   Millis mDrainTimeout{ 60000 }; ///< longest that a stop waits for streams
-  /// A router that stops still takes requests so long, until its balancer knows.
+  /// A router that stops still takes requests so long, until its balancer
+  /// knows.
   Millis mStopNotice{ 2000 };
   LogFormat mLogFormat = LogFormat::kText;
   LogLevel mLogLevel = LogLevel::kInfo;
--- a/standins/caller.cpp
+++ b/standins/caller.cpp
@@ -187,4 +187,23 @@
   co_return outcome;
 }
 
+std::vector<CallerOutcome>
+MakeCalls(const std::vector<CallerCall>& aCalls,
+          Millis aWhen,
+          const std::function<void()>& aMeanwhile)
+{
+  boost::asio::io_context context(1);
+  std::vector<CallerOutcome> outcomes(aCalls.size());
+  const auto run = [](CallerCall aCall, CallerOutcome* aOutcome) -> Task<void> {
+    *aOutcome = co_await MakeCall(std::move(aCall));
+  };
+  for (std::size_t i = 0; i < aCalls.size(); ++i) {
+    transport::Spawn(context, run(aCalls[i], &outcomes[i]));
+  }
+  boost::asio::steady_timer timer(context, aWhen);
+  timer.async_wait([&](auto) { aMeanwhile(); });
+  context.run();
+  return outcomes;
+}
+
 } // namespace shuntjunction::standins
--- a/standins/caller.h
+++ b/standins/caller.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -60,6 +61,15 @@
 transport::Task<CallerOutcome>
 MakeCall(CallerCall aCall);
 
+/// Makes calls at once, and does something while they run.
+///
+/// Blocks until all have ended; outcomes stand in the order of the calls.
+std::vector<CallerOutcome>
+MakeCalls(
+  const std::vector<CallerCall>& aCalls,
+  state::Millis aWhen = state::Millis(0),
+  const std::function<void()>& aMeanwhile = [] {});
+
 /// Body of a chat call.
 std::string
 ChatBody(const CallerCall& aCall);
--- a/standins/demo.cpp
+++ b/standins/demo.cpp
@@ -73,12 +73,7 @@
 std::vector<CallerOutcome>
 CallAll(const Fleet& aFleet, const std::function<void()>& aHalfWay)
 {
-  boost::asio::io_context context(1);
-  std::vector<CallerOutcome> outcomes(kCalls);
-  const auto run = [](CallerCall aCall,
-                      CallerOutcome* aOutcome) -> transport::Task<void> {
-    *aOutcome = co_await standins::MakeCall(std::move(aCall));
-  };
+  std::vector<CallerCall> calls;
   for (std::size_t i = 0; i < kCalls; ++i) {
     const bool isNorth = i % 2 == 0;
     CallerCall call;
@@ -90,15 +85,9 @@
                           6000),
                      Text("record of patient " + std::to_string(i % 6), 2500),
                      "draft the crew notes of trip " + std::to_string(i) };
-    transport::Spawn(context, run(std::move(call), &outcomes[i]));
+    calls.push_back(std::move(call));
   }
-  std::thread half([&] {
-    std::this_thread::sleep_for(kUntilKill);
-    aHalfWay();
-  });
-  context.run();
-  half.join();
-  return outcomes;
+  return standins::MakeCalls(calls, kUntilKill, aHalfWay);
 }
 
 bool
--- a/standins/fleet.cpp
+++ b/standins/fleet.cpp
@@ -23,6 +23,7 @@
 #include "shuntjunction/state/json_reader.h"
 #include "shuntjunction/state/settings.h"
 #include "shuntjunction/transport/http_client.h"
+#include "shuntjunction/transport/run_task.h"
 
 namespace shuntjunction::standins {
 
@@ -315,21 +316,8 @@
   if (!address) {
     return tl::unexpected(address.error());
   }
-  boost::asio::io_context context;
-  state::Result<HttpResponse> outcome =
-    state::Fail(state::ErrorCode::kInternal, "fleet.call", aAddress, "no end");
-  const auto call =
-    [](state::Address aPeer,
-       HttpRequest aCall,
-       Millis aTimeout,
-       state::Result<HttpResponse>* aOutcome) -> transport::Task<void> {
-    transport::HttpClient client(aPeer, kMaxAnswerBytes);
-    *aOutcome = co_await client.Send(std::move(aCall), aTimeout);
-  };
-  transport::Spawn(context,
-                   call(*address, aRequest, Millis(aTimeoutMs), &outcome));
-  context.run();
-  return outcome;
+  transport::HttpClient client(*address, kMaxAnswerBytes);
+  return transport::RunTask(client.Send(aRequest, Millis(aTimeoutMs)));
 }
 
 void
--- a/tests/callers_test.cpp
+++ b/tests/callers_test.cpp
@@ -134,7 +134,7 @@
     calls[i].mFields = { { "x-request-timeout-ms", "4000" } };
   }
   int whole = 0;
-  for (const auto& outcome : CallAll(calls)) {
+  for (const auto& outcome : MakeCalls(calls)) {
     if (outcome.mEnd == CallerEnd::kWhole) {
       ++whole;
       continue;
--- a/tests/configuration_test.cpp
+++ b/tests/configuration_test.cpp
@@ -91,7 +91,7 @@
     << applied.mOutput;
   auto call = Call(0);
   call.mFields = { { "x-template", "dialysis-slot" } };
-  ExpectAllWhole(CallAll({ call }));
+  ExpectAllWhole(MakeCalls({ call }));
   const auto shown = Ctl("get " + Platform() + "templates --output json");
   EXPECT_NE(shown.mOutput.find("dialysis-slot"), std::string::npos);
 }
@@ -122,7 +122,7 @@
 TEST_F(GivenOperators, ExplainSaysWhichEndpointAndWhy)
 {
   const auto body = File("call.json", ChatBody(Call(0)));
-  ExpectAllWhole(CallAll({ Call(0) }));
+  ExpectAllWhole(MakeCalls({ Call(0) }));
   const auto shown =
     Ctl("explain --admin " + mFleet.Process("router-1").mAdmin + " --secret '" +
         FleetSettings().mSecret + "' --team north " + body);
@@ -186,7 +186,7 @@
   mFleet.AwaitReady("router-1");
   {
     SCOPED_TRACE("the restarted router hears of the newer one from peers");
-    ExpectAllWhole(CallAll(Calls(6)));
+    ExpectAllWhole(MakeCalls(Calls(6)));
     EXPECT_TRUE(AwaitVersion("router-1", newest));
   }
   EXPECT_GE(VersionOf("router-2"), newest);
@@ -230,7 +230,7 @@
 {
   mFleet.Apply("config/models/crew-notes", R"({"weights":"many"})");
   std::this_thread::sleep_for(Millis(300));
-  ExpectAllWhole(CallAll(Calls(6)));
+  ExpectAllWhole(MakeCalls(Calls(6)));
 }
 
 class WhenWeightsChange : public GivenOperators
@@ -239,7 +239,7 @@
 TEST_F(WhenWeightsChange, StreamsStayWholeAndOfOneVersion)
 {
   auto calls = Calls(18);
-  std::vector<CallerOutcome> outcomes = CallAll(calls, Millis(200), [&] {
+  std::vector<CallerOutcome> outcomes = MakeCalls(calls, Millis(200), [&] {
     mFleet.Apply("config/models/crew-notes", R"({"weights":2})");
   });
   ExpectAllWhole(outcomes);
@@ -259,7 +259,7 @@
   for (auto& call : calls) {
     call.mWeights = 2;
   }
-  ExpectAllWhole(CallAll(calls));
+  ExpectAllWhole(MakeCalls(calls));
 }
 
 } // namespace
--- a/tests/given_a_fleet.h
+++ b/tests/given_a_fleet.h
@@ -93,27 +93,6 @@
     return call;
   }
 
-  /// Makes calls at once and does something while they run.
-  std::vector<CallerOutcome> CallAll(
-    const std::vector<CallerCall>& aCalls,
-    state::Millis aWhen = state::Millis(0),
-    const std::function<void()>& aMeanwhile = [] {})
-  {
-    boost::asio::io_context context(1);
-    std::vector<CallerOutcome> outcomes(aCalls.size());
-    const auto run = [](CallerCall aCall,
-                        CallerOutcome* aOutcome) -> transport::Task<void> {
-      *aOutcome = co_await MakeCall(std::move(aCall));
-    };
-    for (std::size_t i = 0; i < aCalls.size(); ++i) {
-      transport::Spawn(context, run(aCalls[i], &outcomes[i]));
-    }
-    boost::asio::steady_timer timer(context, aWhen);
-    timer.async_wait([&](auto) { aMeanwhile(); });
-    context.run();
-    return outcomes;
-  }
-
   std::vector<CallerCall> Calls(std::size_t aCount)
   {
     std::vector<CallerCall> calls;
--- a/tests/once_test.cpp
+++ b/tests/once_test.cpp
@@ -109,7 +109,7 @@
     transport::HttpRequest get;
     get.mTarget = "/services/booking/trips/1";
     EXPECT_EQ(Ask("router-1", get).mStatus, 200U);
-    ExpectAllWhole(CallAll(Calls(4)));
+    ExpectAllWhole(MakeCalls(Calls(4)));
   }
   {
     SCOPED_TRACE("and the booking runs when the platform is back");
@@ -218,10 +218,10 @@
   call.mIsStream = false;
   call.mFields = { { "idempotency-key", "notes-1" },
                    { "x-not-repeatable", "1" } };
-  ExpectAllWhole(CallAll({ call }));
+  ExpectAllWhole(MakeCalls({ call }));
   std::this_thread::sleep_for(state::Millis(200));
   call.mRouter = mFleet.Process("router-2").mTraffic;
-  ExpectAllWhole(CallAll({ call }));
+  ExpectAllWhole(MakeCalls({ call }));
   EXPECT_EQ(mFleet.Metric("router-1", "shuntjunction_prompt_blocks_total") +
               mFleet.Metric("router-2", "shuntjunction_computed_blocks_total"),
             mFleet.Metric("router-1", "shuntjunction_prompt_blocks_total"));
--- a/tests/stop_test.cpp
+++ b/tests/stop_test.cpp
@@ -18,7 +18,7 @@
 
 TEST_F(WhenAProcessStops, ARouterStopsAndCutsNone)
 {
-  ExpectAllWhole(CallAll(
+  ExpectAllWhole(MakeCalls(
     Calls(kStreams), kHalfWay, [&] { mFleet.Signal("router-1", SIGTERM); }));
   EXPECT_EQ(mFleet.WaitEnd("router-1"), 0);
 }
@@ -38,20 +38,20 @@
   auto call = Call(0);
   call.mRouter = mFleet.Process("router-1").mTraffic;
   call.mTokens = 100; // Longer than the notice: it is cut by neither.
-  ExpectAllWhole(CallAll({ call }));
+  ExpectAllWhole(MakeCalls({ call }));
   EXPECT_EQ(mFleet.WaitEnd("router-1"), 0);
 }
 
 TEST_F(WhenAProcessStops, ACompanionStopsAndCutsNone)
 {
-  ExpectAllWhole(CallAll(
+  ExpectAllWhole(MakeCalls(
     Calls(kStreams), kHalfWay, [&] { mFleet.Signal("endpoint-2", SIGTERM); }));
   EXPECT_EQ(mFleet.WaitEnd("endpoint-2"), 0);
 }
 
 TEST_F(WhenAProcessStops, AnEndpointThatLeavesGetsNothingNew)
 {
-  CallAll(
+  MakeCalls(
     Calls(kStreams), kHalfWay, [&] { mFleet.Signal("endpoint-2", SIGTERM); });
   mFleet.WaitEnd("endpoint-2");
   // The platform's list still calls it live, and its engine still runs.
@@ -61,7 +61,7 @@
     return Fleet::Call(mFleet.Process("engine-2").mTraffic, audit)->mBody;
   };
   const std::string before = executed();
-  ExpectAllWhole(CallAll(Calls(kStreams)));
+  ExpectAllWhole(MakeCalls(Calls(kStreams)));
   EXPECT_EQ(executed(), before);
 }
 
@@ -76,12 +76,12 @@
     ++polls;
   }
   EXPECT_EQ(usable(), 4); // Two engines and both service companions.
-  ExpectAllWhole(CallAll(Calls(kStreams)));
+  ExpectAllWhole(MakeCalls(Calls(kStreams)));
 }
 
 TEST_F(WhenAProcessStops, EverythingStopsInTurnAndNoneIsCut)
 {
-  ExpectAllWhole(CallAll(Calls(kStreams), kHalfWay, [&] {
+  ExpectAllWhole(MakeCalls(Calls(kStreams), kHalfWay, [&] {
     mFleet.Signal("router-1", SIGTERM);
     mFleet.Signal("endpoint-1", SIGTERM);
     mFleet.Signal("endpoint-2", SIGTERM);
@@ -89,35 +89,33 @@
 }
 
 class WhenAHerdRestarts : public GivenAFleet
-{};
+{
+protected:
+  void ExpectServedAtOnce()
+  {
+    mFleet.RestartRouter("router-1", "zone-1");
+    mFleet.RestartRouter("router-2", "zone-2");
+    mFleet.AwaitReady("router-1");
+    mFleet.AwaitReady("router-2");
+    ExpectAllWhole(MakeCalls(Calls(kStreams)));
+  }
+};
 
 TEST_F(WhenAHerdRestarts, RoutersServeAtOnce)
 {
-  mFleet.RestartRouter("router-1", "zone-1");
-  mFleet.RestartRouter("router-2", "zone-2");
-  mFleet.AwaitReady("router-1");
-  mFleet.AwaitReady("router-2");
-  ExpectAllWhole(CallAll(Calls(kStreams)));
+  ExpectServedAtOnce();
 }
 
 TEST_F(WhenAHerdRestarts, ThePlatformDownIncluded)
 {
   mFleet.SetFaults(R"({"down":true})");
-  mFleet.RestartRouter("router-1", "zone-1");
-  mFleet.RestartRouter("router-2", "zone-2");
-  mFleet.AwaitReady("router-1");
-  mFleet.AwaitReady("router-2");
-  ExpectAllWhole(CallAll(Calls(kStreams)));
+  ExpectServedAtOnce();
 }
 
 TEST_F(WhenAHerdRestarts, ThePlatformHungIncluded)
 {
   mFleet.SetFaults(R"({"hung":true})");
-  mFleet.RestartRouter("router-1", "zone-1");
-  mFleet.RestartRouter("router-2", "zone-2");
-  mFleet.AwaitReady("router-1");
-  mFleet.AwaitReady("router-2");
-  ExpectAllWhole(CallAll(Calls(kStreams)));
+  ExpectServedAtOnce();
 }
 
 } // namespace
--- a/tests/stream_failure_test.cpp
+++ b/tests/stream_failure_test.cpp
@@ -18,24 +18,24 @@
 
 TEST_F(WhileStreamsRun, WithoutAFaultAllAreWhole)
 {
-  ExpectAllWhole(CallAll(Calls(kStreams)));
+  ExpectAllWhole(MakeCalls(Calls(kStreams)));
 }
 
 TEST_F(WhileStreamsRun, AnEngineIsKilled)
 {
   ExpectAllWhole(
-    CallAll(Calls(kStreams), kHalfWay, [&] { mFleet.Kill("engine-2"); }));
+    MakeCalls(Calls(kStreams), kHalfWay, [&] { mFleet.Kill("engine-2"); }));
 }
 
 TEST_F(WhileStreamsRun, ACompanionIsKilled)
 {
   ExpectAllWhole(
-    CallAll(Calls(kStreams), kHalfWay, [&] { mFleet.Kill("endpoint-2"); }));
+    MakeCalls(Calls(kStreams), kHalfWay, [&] { mFleet.Kill("endpoint-2"); }));
 }
 
 TEST_F(WhileStreamsRun, TwoEndpointsAreKilledTogether)
 {
-  ExpectAllWhole(CallAll(Calls(kStreams), kHalfWay, [&] {
+  ExpectAllWhole(MakeCalls(Calls(kStreams), kHalfWay, [&] {
     mFleet.Kill("engine-1");
     mFleet.Kill("endpoint-3");
   }));
@@ -43,19 +43,19 @@
 
 TEST_F(WhileStreamsRun, ACompanionIsFrozenAndWakesWithLateTokens)
 {
-  const auto outcomes = CallAll(
+  const auto outcomes = MakeCalls(
     Calls(kStreams), kHalfWay, [&] { mFleet.Signal("endpoint-2", SIGSTOP); });
   ExpectAllWhole(outcomes);
   mFleet.Signal("endpoint-2", SIGCONT);
   {
     SCOPED_TRACE("it takes work again");
-    ExpectAllWhole(CallAll(Calls(kStreams)));
+    ExpectAllWhole(MakeCalls(Calls(kStreams)));
   }
 }
 
 TEST_F(WhileStreamsRun, AnEngineIsFrozenForALongTime)
 {
-  const auto outcomes = CallAll(
+  const auto outcomes = MakeCalls(
     Calls(kStreams), kHalfWay, [&] { mFleet.Signal("engine-2", SIGSTOP); });
   ExpectAllWhole(outcomes);
   mFleet.Signal("engine-2", SIGCONT);
@@ -63,16 +63,16 @@
 
 TEST_F(WhileStreamsRun, AnEngineCrashesAndComesBackEmpty)
 {
-  ExpectAllWhole(CallAll(Calls(kStreams)));
+  ExpectAllWhole(MakeCalls(Calls(kStreams)));
   mFleet.Kill("engine-2");
   mFleet.StartEngine("engine-2", EngineOptions());
   mFleet.AwaitEngines(kModel, kEndpoints);
-  ExpectAllWhole(CallAll(Calls(kStreams)));
+  ExpectAllWhole(MakeCalls(Calls(kStreams)));
 }
 
 TEST_F(WhileStreamsRun, AllEndpointsDieAndNoStreamLooksWhole)
 {
-  const auto outcomes = CallAll(Calls(kStreams), kHalfWay, [&] {
+  const auto outcomes = MakeCalls(Calls(kStreams), kHalfWay, [&] {
     for (const std::string name : { "engine-1", "engine-2", "engine-3" }) {
       mFleet.Kill(name);
     }
@@ -92,7 +92,7 @@
   auto calls = Calls(6);
   calls[0].mReadPause = Millis(100);
   calls[0].mTokens = 400;
-  const auto outcomes = CallAll(calls);
+  const auto outcomes = MakeCalls(calls);
   ExpectAllWhole(outcomes);
   EXPECT_LT(outcomes[1].mWholeTime, outcomes[0].mWholeTime);
 }
@@ -144,17 +144,17 @@
 TEST_F(WithTwoTeams, ByteIdenticalPromptsAreComputedForEach)
 {
   std::vector<CallerCall> one{ Call(0, "north") };
-  ExpectAllWhole(CallAll(one));
+  ExpectAllWhole(MakeCalls(one));
   const double first = Computed();
   EXPECT_GT(first, 10);
   {
     SCOPED_TRACE("the same team finds its blocks");
-    ExpectAllWhole(CallAll(one));
+    ExpectAllWhole(MakeCalls(one));
     EXPECT_EQ(Computed(), first);
   }
   {
     SCOPED_TRACE("another team finds nothing");
-    ExpectAllWhole(CallAll({ Call(0, "south") }));
+    ExpectAllWhole(MakeCalls({ Call(0, "south") }));
     EXPECT_EQ(Computed(), 2 * first);
   }
 }
