--- a/bench/policy.cpp
+++ b/bench/policy.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <csignal>
 #include <functional>
 #include <ctime>
@@ -90,7 +91,7 @@
   }
   std::sort(aValues.begin(), aValues.end());
   const auto at = static_cast<std::size_t>(
-    aShare * static_cast<double>(aValues.size() - 1) + 0.5);
+    std::lround(aShare * static_cast<double>(aValues.size() - 1)));
   return aValues[at];
 }
 
--- a/packages/state/src/warming.cpp
+++ b/packages/state/src/warming.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr std::int64_t kMinute = 60000;
-constexpr std::int64_t kDay = 24 * 60 * kMinute;
+constexpr std::int64_t kDay = 24L * 60 * kMinute;
 
 /// Endpoints of a model that are listed and not leaving.
 std::vector<RendezvousMember>
--- a/packages/state/tests/warming_test.cpp
+++ b/packages/state/tests/warming_test.cpp
@@ -14,9 +14,9 @@
 
 TEST(GivenAStart, TheTimeUntilItIsCountedOverMidnight)
 {
-  EXPECT_EQ(UntilStart("06:30", kSixOClock), Millis(30 * 60 * 1000));
+  EXPECT_EQ(UntilStart("06:30", kSixOClock), Millis(30L * 60 * 1000));
   EXPECT_EQ(UntilStart("05:59", kSixOClock),
-            Millis(24LL * 3600 * 1000 - 60 * 1000));
+            Millis(24LL * 3600 * 1000 - 60L * 1000));
   EXPECT_EQ(UntilStart("06:00", kSixOClock), Millis(0));
 }
 
--- a/tests/once_test.cpp
+++ b/tests/once_test.cpp
@@ -78,7 +78,7 @@
 {
   constexpr int kKeys = 10;
   std::vector<std::thread> callers;
-  callers.reserve(4 * kKeys);
+  callers.reserve(4UL * kKeys);
   for (int i = 0; i < 4 * kKeys; ++i) {
     callers.emplace_back([this, i] {
       Ask(i % 2 == 0 ? "router-1" : "router-2",
