--- a/apps/ctl_processes.cpp
+++ b/apps/ctl_processes.cpp
@@ -58,34 +58,18 @@
     const auto* value = aStatus.if_contains(aKey);
     return value == nullptr ? std::string("-") : Shown(*value);
   };
+  const Row head{ "name",     "role",  "zone",    "epoch", "version",
+                  "stopping", "model", "weights", "admin", "quarantined" };
   std::vector<Row> rows;
   for (const auto& status : *statuses) {
     Row row;
-    for (const std::string_view key : { "name",
-                                        "role",
-                                        "zone",
-                                        "epoch",
-                                        "version",
-                                        "stopping",
-                                        "model",
-                                        "weights",
-                                        "admin",
-                                        "quarantined" }) {
+    row.reserve(head.size());
+    for (const auto& key : head) {
       row.push_back(text(status, key));
     }
     rows.push_back(std::move(row));
   }
-  Print({ "name",
-          "role",
-          "zone",
-          "epoch",
-          "version",
-          "stopping",
-          "model",
-          "weights",
-          "admin",
-          "quarantined" },
-        rows);
+  Print(head, rows);
   return Code(ExitCode::kDone);
 }
 
--- a/packages/coordination/include/shuntjunction/coordination/peer_link.h
+++ b/packages/coordination/include/shuntjunction/coordination/peer_link.h
@@ -86,9 +86,6 @@
   /// A version to put into a message: zero when the companion was told it.
   std::uint64_t VersionNews(std::uint64_t aVersion);
 
-  /// Closes the connection; attempts hear LinkDown.
-  void Shut(std::string_view aWhy);
-
   /// Whether it is open.
   bool IsOpen() const { return mChannel && mChannel->IsOpen(); }
 
--- a/packages/coordination/src/peer_link.cpp
+++ b/packages/coordination/src/peer_link.cpp
@@ -193,14 +193,6 @@
   return mChannel ? mChannel->VersionNews(aVersion) : 0;
 }
 
-void
-PeerLink::Shut(std::string_view aWhy)
-{
-  if (mChannel) {
-    Down(aWhy);
-  }
-}
-
 void
 PeerLink::Down(std::string_view aWhy)
 {
--- a/tests/stream_failure_test.cpp
+++ b/tests/stream_failure_test.cpp
@@ -129,11 +129,6 @@
 class WithTwoTeams : public GivenAFleet
 {
 protected:
-  static std::string Cached(const CallerOutcome& aOutcome)
-  {
-    return aOutcome.mBody;
-  }
-
   double Computed()
   {
     return mFleet.Metric("router-1", "shuntjunction_computed_blocks_total") +
