The default group is as wide as what is asked

What was measured was not what ran.

Change: the default is kMinGroupWidth, as warming uses it; a team's group is never narrower than the number of probes; the benchmark takes the product's defaults, so that the two cannot part again.

A state test asks 50 times by default settings and finds the same endpoints.

--- a/bench/policy.cpp
+++ b/bench/policy.cpp
@@ -19,6 +19,7 @@
 #include "fleet.h"
 #include "shuntjunction/state/endpoint_chooser.h"
 #include "shuntjunction/state/json_reader.h"
+#include "shuntjunction/state/settings.h"
 #include "workload.h"
 
 namespace shuntjunction::bench {
@@ -56,8 +57,9 @@
                                       "power-of-two",
                                       "rendezvous",
                                       "nested-groups" };
-  std::size_t mProbes = 2;
-  std::size_t mMinWidth = 2;
+  std::size_t mProbes = state::ChooserSettings().mProbes;
+  std::size_t mMinWidth = state::ChooserSettings().mMinWidth;
+  std::int64_t mProbeTimeoutMs = state::RouterSettings().mProbeTimeout.count();
   std::int64_t mFlightWaitMs = 400;
   double mTargetLoad = 0.5;
   bool mWarms = false;
@@ -253,7 +255,8 @@
     R"({"chooser":{"policy":")" + aPolicy + R"(","probes":)" +
     std::to_string(aOptions.mProbes) + R"(,"minWidth":)" +
     std::to_string(aOptions.mMinWidth) + R"(,"targetLoad":)" +
-    std::to_string(aOptions.mTargetLoad) + "}}";
+    std::to_string(aOptions.mTargetLoad) + R"(},"probeTimeoutMs":)" +
+    std::to_string(aOptions.mProbeTimeoutMs) + "}";
   settings.mCompanionExtra = R"({"maxQueued":1000,"microsPerBlock":)" +
                              std::to_string(aOptions.mMicrosPerBlock) +
                              R"(,"flightWaitMs":)" +
@@ -343,6 +346,7 @@
   app.add_option("--policies", options.mPolicies)->delimiter(',');
   app.add_option("--probes", options.mProbes);
   app.add_option("--min-width", options.mMinWidth);
+  app.add_option("--probe-timeout-ms", options.mProbeTimeoutMs);
   app.add_option("--flight-wait-ms", options.mFlightWaitMs);
   app.add_option("--target-load", options.mTargetLoad);
   app.add_option("--seed", options.mWorkload.mSeed);
--- a/packages/state/include/shuntjunction/state/endpoint_chooser.h
+++ b/packages/state/include/shuntjunction/state/endpoint_chooser.h
@@ -62,7 +62,9 @@
 {
   ChoicePolicy mPolicy = ChoicePolicy::kNestedGroups;
   std::size_t mProbes = 2;      ///< endpoints asked for their cost
-  std::size_t mMinWidth = 3;    ///< endpoints of a group, at least
+  /// Endpoints of a group, at least. More than mProbes makes each request ask
+  /// a random part of its group, so that a prefix is computed in all of it.
+  std::size_t mMinWidth = kMinGroupWidth;
   double mTargetLoad = 0.5;     ///< share of an endpoint's time planned for
   std::uint32_t mMinBlocks = 4; ///< shorter prompts are placed by load alone
   std::string mZone;            ///< of this router, preferred on near ties
--- a/packages/state/src/chooser_nested_groups.cpp
+++ b/packages/state/src/chooser_nested_groups.cpp
@@ -46,7 +46,8 @@
                                 TimePoint aNow)
 {
   const std::uint64_t teamKey = TeamPlacementKey(aQuery.mTeam, aQuery.mServes);
-  auto group = RendezvousOrder(Members(aUsable), teamKey, Width(teamKey, aNow));
+  auto group = RendezvousOrder(
+    Members(aUsable), teamKey, std::max(Width(teamKey, aNow), aLimit));
   std::size_t width = group.size();
   for (const PrefixLevel& level : aQuery.mLevels) {
     width = std::min(width, Width(level.mHash, aNow));
--- a/packages/state/tests/placement_test.cpp
+++ b/packages/state/tests/placement_test.cpp
@@ -221,12 +221,14 @@
     return query;
   }
 
-  std::set<std::uint32_t> Asked(EndpointChooser& aChooser, int aTimes)
+  std::set<std::uint32_t> Asked(EndpointChooser& aChooser,
+                                int aTimes,
+                                std::size_t aLimit = 3)
   {
     std::set<std::uint32_t> asked;
     for (int i = 0; i < aTimes; ++i) {
       for (const auto handle :
-           aChooser.Candidates(Query(), Usable(), 3, mClock.Now())) {
+           aChooser.Candidates(Query(), Usable(), aLimit, mClock.Now())) {
         asked.insert(handle.mIndex);
       }
     }
@@ -257,6 +259,13 @@
   EXPECT_EQ(Asked(*chooser, 50).size(), 3U);
 }
 
+TEST_F(AnswerPolicies, AsSetByDefaultAColdPrefixIsAlwaysAskedOfTheSame)
+{
+  auto chooser = Make(ChoicePolicy::kNestedGroups);
+  const std::size_t probes = ChooserSettings().mProbes;
+  EXPECT_EQ(Asked(*chooser, 50, probes).size(), probes);
+}
+
 TEST_F(AnswerPolicies, AHotPrefixWidensByItsDemand)
 {
   auto chooser = Make(ChoicePolicy::kNestedGroups);
