A few watchers a zone; the others ask them

Cause: every process watched the platform, which counts each waiting watch: 100 calls a second at the target and 1,000 answers at once for each change, while the platform's rates grow more slowly than the fleet.

Ruled out: elected watchers (a lease that lapses while its holder sleeps); in-band news alone (a process without traffic hears nothing).

Change: state::WatchersOf names three companions a zone by the rendezvous order of the list; other processes ask another of them each second, over connections that stay open, for configuration and instances newer than theirs. Where none answers they watch for themselves. Fleets below 64 processes all watch, as before. A process that listed after a deletion held a lower version for ever and would have asked for the whole text each second; it now takes the version over from a peer with the same objects (its test failed first). The feed's counters, which had no reader, are metrics.

What it costs: the whole text for each change, 8.8 KB a second at the target by arithmetic.

--- a/bench/fleet_slopes.cpp
+++ b/bench/fleet_slopes.cpp
@@ -2,6 +2,7 @@
 // streams, tokens, requests, idle time; and what they add to a direct call.
 
 #include <algorithm>
+#include <functional>
 #include <iostream>
 #include <thread>
 
@@ -148,50 +149,60 @@
   PrintFit("companion: memory by open streams", "KB", companion);
 }
 
+/// Processor time of both processes for work of several sizes.
+///
+/// @param aWork  does the work of a size before a fleet; returns what it counts
 void
-MeasureTokens(const std::string& aBinaries)
+MeasureProcessorTime(
+  const std::string& aBinaries,
+  const std::string& aWhat,
+  const std::vector<std::uint32_t>& aSizes,
+  const std::function<double(OneOfEach&, std::uint32_t)>& aWork)
 {
   std::vector<Point> router;
   std::vector<Point> companion;
-  constexpr std::size_t kStreams = 20;
-  for (const std::uint32_t tokens : { 500U, 1000U, 2000U, 4000U }) {
-    OneOfEach one(aBinaries, "tokens-" + std::to_string(tokens), 1000);
+  for (const std::uint32_t size : aSizes) {
+    OneOfEach one(aBinaries, aWhat + "-" + std::to_string(size), 1000);
     standins::MakeCalls(one.Calls(1, 2));
     const double routerBefore = one.mFleet.Usage("r").second;
     const double companionBefore = one.mFleet.Usage("e").second;
-    standins::MakeCalls(one.Calls(kStreams, tokens));
-    const double size = static_cast<double>(kStreams) * tokens;
+    const double done = aWork(one, size);
     router.push_back(
-      { size, 1e6 * (one.mFleet.Usage("r").second - routerBefore) });
+      { done, 1e6 * (one.mFleet.Usage("r").second - routerBefore) });
     companion.push_back(
-      { size, 1e6 * (one.mFleet.Usage("e").second - companionBefore) });
+      { done, 1e6 * (one.mFleet.Usage("e").second - companionBefore) });
   }
-  PrintFit("router: processor time by tokens", "us", router);
-  PrintFit("companion: processor time by tokens", "us", companion);
+  PrintFit("router: processor time by " + aWhat, "us", router);
+  PrintFit("companion: processor time by " + aWhat, "us", companion);
+}
+
+void
+MeasureTokens(const std::string& aBinaries)
+{
+  MeasureProcessorTime(aBinaries,
+                       "tokens",
+                       { 500, 1000, 2000, 4000 },
+                       [](OneOfEach& aOne, std::uint32_t aTokens) {
+                         constexpr std::size_t kStreams = 20;
+                         standins::MakeCalls(aOne.Calls(kStreams, aTokens));
+                         return static_cast<double>(kStreams) * aTokens;
+                       });
 }
 
 void
 MeasureRequests(const std::string& aBinaries)
 {
-  std::vector<Point> router;
-  std::vector<Point> companion;
-  for (const std::size_t requests : { 250U, 500U, 1000U, 2000U }) {
-    OneOfEach one(aBinaries, "requests-" + std::to_string(requests), 1000);
-    standins::MakeCalls(one.Calls(1, 2));
-    const double routerBefore = one.mFleet.Usage("r").second;
-    const double companionBefore = one.mFleet.Usage("e").second;
-    constexpr std::size_t kAtOnce = 50;
-    for (std::size_t done = 0; done < requests; done += kAtOnce) {
-      standins::MakeCalls(one.Calls(kAtOnce, 1));
-    }
-    const auto size = static_cast<double>(requests);
-    router.push_back(
-      { size, 1e6 * (one.mFleet.Usage("r").second - routerBefore) });
-    companion.push_back(
-      { size, 1e6 * (one.mFleet.Usage("e").second - companionBefore) });
-  }
-  PrintFit("router: processor time by requests of 10 KB", "us", router);
-  PrintFit("companion: processor time by requests of 10 KB", "us", companion);
+  MeasureProcessorTime(aBinaries,
+                       "requests of 10 KB",
+                       { 250, 500, 1000, 2000 },
+                       [](OneOfEach& aOne, std::uint32_t aRequests) {
+                         constexpr std::size_t kAtOnce = 50;
+                         for (std::size_t done = 0; done < aRequests;
+                              done += kAtOnce) {
+                           standins::MakeCalls(aOne.Calls(kAtOnce, 1));
+                         }
+                         return static_cast<double>(aRequests);
+                       });
 }
 
 void
@@ -221,45 +232,128 @@
            companion);
 }
 
-void
-MeasurePropagation(const std::string& aBinaries)
+/// Seconds until a new model is known to all routers.
+double
+TimeToBeInForce(Fleet& aFleet,
+                const std::vector<std::string>& aRouters,
+                const std::string& aModel)
+{
+  const auto begin = std::chrono::steady_clock::now();
+  aFleet.Apply("config/models/" + aModel, R"({"weights":1})");
+  for (const auto& name : aRouters) {
+    transport::HttpRequest request;
+    request.mTarget = "/v1/models";
+    request.mFields = { { "authorization", "Bearer k" } };
+    bool isInForce = false;
+    while (!isInForce) {
+      const auto answer = Fleet::Call(aFleet.Process(name).mTraffic, request);
+      isInForce = answer && answer->mBody.find(aModel) != std::string::npos;
+    }
+  }
+  const std::chrono::duration<double> time =
+    std::chrono::steady_clock::now() - begin;
+  return time.count();
+}
+
+double
+PlatformCalls(const Fleet& aFleet)
 {
-  constexpr std::size_t kRouters = 12;
-  constexpr int kChanges = 20;
-  OneOfEach one(aBinaries, "propagation", 1000);
-  std::vector<std::string> names{ "r" };
-  for (std::size_t i = 1; i < kRouters; ++i) {
-    names.push_back("r" + std::to_string(i));
-    one.mFleet.StartRouter(names.back(), "z");
-    one.mFleet.AwaitReady(names.back());
+  transport::HttpRequest request;
+  request.mTarget = "/counts";
+  const auto answer = Fleet::Call(aFleet.Platform(), request);
+  const auto value = state::ParseJson(answer->mBody, "counts");
+  double sum = 0;
+  for (const auto& item : value->as_object()) {
+    sum += item.value().to_number<double>();
+  }
+  return sum;
+}
+
+/// A fleet of some routers and four companions of one zone.
+class ManyRouters
+{
+public:
+  /// @param aWatchers  settings of the watching, as JSON
+  ManyRouters(const std::string& aBinaries,
+              std::size_t aRouters,
+              const std::string& aWatchers)
+    : mFleet(Settings(aBinaries, aWatchers))
+  {
+    mFleet.StartPlatform();
+    mFleet.Apply("config/teams/t",
+                 R"({"keyDigests":[")" + standins::KeyDigest("k") + R"("]})");
+    mFleet.StartService("service", 1);
+    for (const std::string name : { "c0", "c1", "c2", "c3" }) {
+      mFleet.Apply("config/endpoints/" + name, R"({"service":"s"})");
+      mFleet.StartCompanion(name, "service", "z", false);
+    }
+    for (std::size_t i = 0; i < aRouters; ++i) {
+      mRouters.push_back("r" + std::to_string(i));
+      mFleet.StartRouter(mRouters.back(), "z");
+    }
+    for (const auto& name : mRouters) {
+      mFleet.AwaitReady(name);
+    }
   }
-  std::vector<double> times;
-  for (int change = 0; change < kChanges; ++change) {
-    const std::string model = "model-" + std::to_string(change);
-    const auto begin = std::chrono::steady_clock::now();
-    one.mFleet.Apply("config/models/" + model, R"({"weights":1})");
-    for (const auto& name : names) {
-      transport::HttpRequest request;
-      request.mTarget = "/v1/models";
-      request.mFields = { { "authorization", "Bearer k" } };
-      bool isInForce = false;
-      while (!isInForce) {
-        const auto answer =
-          Fleet::Call(one.mFleet.Process(name).mTraffic, request);
-        isInForce = answer && answer->mBody.find(model) != std::string::npos;
+
+  Fleet mFleet;
+  std::vector<std::string> mRouters;
+
+private:
+  static standins::FleetSettings Settings(const std::string& aBinaries,
+                                          const std::string& aWatchers)
+  {
+    standins::FleetSettings settings;
+    settings.mBinaries = aBinaries;
+    settings.mFolder = "build/slopes/routers";
+    settings.mProcessExtra =
+      R"({"logLevel":"warn","watchTimeoutMs":2000,"watchers":)" + aWatchers +
+      "}";
+    return settings;
+  }
+};
+
+/// What the platform is asked by watchers and by all, and how fast a change is
+/// in force. Watches of 2 s stand for the usual 30 s.
+void
+MeasureWatching(const std::string& aBinaries)
+{
+  constexpr double kSeconds = 10;
+  constexpr int kChanges = 10;
+  constexpr Millis kSettled{ 6000 };
+  for (const bool isFew : { false, true }) {
+    std::vector<Point> calls;
+    std::vector<Point> bytes;
+    std::vector<Point> slowest;
+    for (const std::size_t routers : { 8U, 16U, 32U, 64U }) {
+      ManyRouters many(aBinaries,
+                       routers,
+                       isFew ? R"({"allBelow":0})" : R"({"allBelow":999})");
+      Fleet& fleet = many.mFleet;
+      std::this_thread::sleep_for(kSettled);
+      const auto asked = [&] {
+        return fleet.Metric("r0", "shuntjunction_config_peer_bytes");
+      };
+      const double callsBefore = PlatformCalls(fleet);
+      const double bytesBefore = asked();
+      std::this_thread::sleep_for(std::chrono::duration<double>(kSeconds));
+      const auto size = static_cast<double>(routers);
+      calls.push_back(
+        { size, (PlatformCalls(fleet) - callsBefore) / kSeconds });
+      bytes.push_back({ size, (asked() - bytesBefore) / kSeconds });
+      double worst = 0;
+      for (int i = 0; i < kChanges; ++i) {
+        worst = std::max(
+          worst,
+          TimeToBeInForce(fleet, many.mRouters, "model-" + std::to_string(i)));
       }
+      slowest.push_back({ size, 1000 * worst });
     }
-    const std::chrono::duration<double, std::milli> time =
-      std::chrono::steady_clock::now() - begin;
-    times.push_back(time.count());
+    const std::string who = isFew ? "three watch" : "all watch";
+    PrintFit("platform calls a second by routers, " + who, "", calls);
+    PrintFit("bytes a second that a router asks, " + who, "B", bytes);
+    PrintFit("longest of 10 changes by routers, " + who, "ms", slowest);
   }
-  std::sort(times.begin(), times.end());
-  std::printf("| a change, from its write to in force on %zu routers | median "
-              "%.0f ms, longest of %d %.0f ms |\n",
-              kRouters,
-              times[kChanges / 2],
-              kChanges,
-              times.back());
 }
 
 void
@@ -292,20 +386,6 @@
   measure(true);
 }
 
-double
-PlatformCalls(const Fleet& aFleet)
-{
-  transport::HttpRequest request;
-  request.mTarget = "/counts";
-  const auto answer = Fleet::Call(aFleet.Platform(), request);
-  const auto value = state::ParseJson(answer->mBody, "counts");
-  double sum = 0;
-  for (const auto& item : value->as_object()) {
-    sum += item.value().to_number<double>();
-  }
-  return sum;
-}
-
 void
 MeasureIdle(const std::string& aBinaries)
 {
@@ -334,19 +414,27 @@
 main(int aCount, char** aArguments)
 {
   using namespace shuntjunction::bench;
+  using Measure = void (*)(const std::string&);
+  const std::vector<std::pair<std::string, Measure>> measures{
+    { "streams", MeasureStreams },   { "tokens", MeasureTokens },
+    { "requests", MeasureRequests }, { "events", MeasureEvents },
+    { "watching", MeasureWatching }, { "added", MeasureAdded },
+    { "idle", MeasureIdle }
+  };
   CLI::App app("What real processes cost by what grows.");
   std::string binaries;
+  std::vector<std::string> only;
   app.add_option("--binaries", binaries)->required();
+  app.add_option("--only", only, "measurements to make; all by default")
+    ->delimiter(',');
   CLI11_PARSE(app, aCount, aArguments);
   std::printf("| slope | points (size: value) | fit | largest residue |\n");
   std::printf("| --- | --- | --- | --- |\n");
-  MeasureStreams(binaries);
-  MeasureTokens(binaries);
-  MeasureRequests(binaries);
-  MeasureEvents(binaries);
-  std::printf("\n| measurement | result |\n| --- | --- |\n");
-  MeasureAdded(binaries);
-  MeasureIdle(binaries);
-  MeasurePropagation(binaries);
+  for (const auto& [name, measure] : measures) {
+    if (only.empty() ||
+        std::find(only.begin(), only.end(), name) != only.end()) {
+      measure(binaries);
+    }
+  }
   return 0;
 }
--- a/packages/coordination/include/shuntjunction/coordination/config_feed.h
+++ b/packages/coordination/include/shuntjunction/coordination/config_feed.h
@@ -8,9 +8,10 @@
 
 #include "shuntjunction/coordination/log.h"
 #include "shuntjunction/coordination/platform.h"
+#include "shuntjunction/coordination/snapshot_client.h"
 #include "shuntjunction/protocol/messages.h"
 #include "shuntjunction/state/config_store.h"
-#include "shuntjunction/transport/frame_channel.h"
+#include "shuntjunction/state/watchers.h"
 
 /// Keeps the configuration and the list of instances up to date.
 namespace shuntjunction::coordination {
@@ -25,13 +26,14 @@
     std::make_shared<const state::ConfigSnapshot>();
   SharedInstances mInstances =
     std::make_shared<const std::vector<state::InstanceInfo>>();
+  std::uint64_t mInstancesRevision = 0;     ///< of mInstances
   std::shared_ptr<const std::string> mText; ///< null before the first
 
   /// Version in force.
   std::uint64_t Version() const { return mSnapshot->mVersion.Packed(); }
 
   /// Answer to a peer that asks for what is newer than it has.
-  protocol::SnapshotReply ReplyTo(std::uint64_t aHave) const;
+  protocol::SnapshotReply ReplyTo(const protocol::SnapshotRequest& aHave) const;
 };
 
 /// Settings of a ConfigFeed.
@@ -39,7 +41,9 @@
 {
   std::string mName;               ///< of this instance
   std::string mSecret;             ///< shared by the system's processes
+  std::string mZone;               ///< availability zone
   std::vector<std::string> mPeers; ///< to ask when the platform is down
+  state::WatcherSettings mWatchers;
   state::Millis mWatchTimeout{ 30000 };
   state::Millis mRetryPause{ 500 }; ///< after a failed call; jittered
 };
@@ -52,9 +56,17 @@
   std::uint64_t mOlderRefused = 0; ///< answers older than what is in force
   std::uint64_t mGaps = 0;
   std::uint64_t mFromPeers = 0;
+  std::uint64_t mWatcherQuestions = 0;
+  std::uint64_t mWatchersSilent = 0; ///< rounds in which none answered
+  std::uint64_t mPeerBytes = 0;      ///< both ways, in frames
 };
 
-/// Follows the platform, and peers while the platform is down.
+/// Follows the platform, or those who follow it.
+///
+/// In a large fleet a few companions of each availability zone watch the
+/// platform; all others ask one of them, another each time, and hear of new
+/// versions in-band besides. Where none of them answers, a process watches
+/// itself. While the platform is down, the peers of the settings are asked.
 ///
 /// Thread safety: none; lives on the control thread. The callback is called
 /// there too.
@@ -78,7 +90,11 @@
   /// Version in force.
   state::ConfigVersion Version() const { return mStore.Version(); }
 
-  const ConfigFeedCounters& Counters() const { return mCounters; }
+  /// What it met so far.
+  ConfigFeedCounters Counters() const;
+
+  /// Whether this process watches the platform itself.
+  bool IsWatching() const { return !mHasWatchers; }
 
 private:
   transport::Task<void> FollowConfig();
@@ -87,7 +103,12 @@
   transport::Task<bool> WatchOnce();
   transport::Task<bool> IsEpochInForce();
   transport::Task<void> AskPeers();
+  transport::Task<bool> AskWatchers();
+  transport::Task<bool> Ask(std::string aAddress);
+  transport::Task<void> PauseUntilAsked();
+  bool IsWatcher() const;
   transport::Task<void> PauseAfterFailure();
+  state::Millis Jittered(state::Millis aPause);
   void Publish();
   void LogInForce() const;
   std::string PeerText() const;
@@ -102,7 +123,9 @@
     std::make_shared<const std::vector<state::InstanceInfo>>();
   std::uint64_t mInstancesRevision = 0;
   ConfigFeedCounters mCounters;
-  transport::ChannelCounters mChannelCounters;
+  SnapshotClient mPeers;
+  std::uint64_t mRefusedVersion = 0; ///< of a peer with an older snapshot
+  bool mHasWatchers = false;         ///< one answered the last question
   state::RandomSource mRandom;
   Log mLog;
   bool mWasRestoreReported = false;
--- a/packages/coordination/include/shuntjunction/coordination/peer_link.h
+++ b/packages/coordination/include/shuntjunction/coordination/peer_link.h
@@ -51,7 +51,8 @@
   virtual void OnPeerSnapshot(const std::string& aEndpoint,
                               std::string aText) = 0;
   /// The configuration in force, for the companion that asks for it.
-  virtual protocol::SnapshotReply Snapshot(std::uint64_t aHave) = 0;
+  virtual protocol::SnapshotReply Snapshot(
+    const protocol::SnapshotRequest& aHave) = 0;
 };
 
 /// Connects on demand, carries many attempts, and closes when idle.
--- a/packages/coordination/include/shuntjunction/coordination/router.h
+++ b/packages/coordination/include/shuntjunction/coordination/router.h
@@ -91,7 +91,8 @@
   void OnPeerLeaving(const std::string& aEndpoint) override;
   void OnPeerOpen(const std::string& aEndpoint) override;
   void OnPeerSnapshot(const std::string& aEndpoint, std::string aText) override;
-  protocol::SnapshotReply Snapshot(std::uint64_t aHave) override;
+  protocol::SnapshotReply Snapshot(
+    const protocol::SnapshotRequest& aHave) override;
 
   transport::Task<void> TickLinks();
   std::shared_ptr<PeerLink> Link(state::EndpointHandle aHandle);
--- a/packages/coordination/src/companion.cpp
+++ b/packages/coordination/src/companion.cpp
@@ -299,7 +299,7 @@
     }
   } else if (const auto* request =
                std::get_if<protocol::SnapshotRequest>(&aMessage)) {
-    aSession->Channel().Send(mConfig.ReplyTo(request->mHave));
+    aSession->Channel().Send(mConfig.ReplyTo(*request));
   } else if (auto* reply = std::get_if<protocol::SnapshotReply>(&aMessage)) {
     if (!reply->mText.empty()) {
       mOnPeerSnapshot(std::move(reply->mText), aSession->Channel().Peer());
--- a/packages/coordination/src/config_feed.cpp
+++ b/packages/coordination/src/config_feed.cpp
@@ -19,8 +19,8 @@
 
 namespace {
 
-constexpr Millis kPeerTimeout{ 1000 };
 constexpr std::size_t kPeersAsked = 3;
+constexpr Millis kFirstWatch{ 500 };
 constexpr double kJitter = 0.5; ///< share by which a pause may be longer
 
 } // namespace
@@ -33,6 +33,7 @@
   , mSettings(aSettings)
   , mPlatform(aPlatform)
   , mOnConfig(std::move(aOnConfig))
+  , mPeers(aContext, aSettings.mName, aSettings.mSecret)
   , mRandom(state::PlacementHash(state::RandomNonce()))
   , mLog("config")
 {
@@ -51,6 +52,7 @@
   PublishedConfig published;
   published.mSnapshot = mStore.Current();
   published.mInstances = mInstances;
+  published.mInstancesRevision = mInstancesRevision;
   published.mText = std::make_shared<const std::string>(PeerText());
   mOnConfig(std::move(published));
 }
@@ -126,8 +128,11 @@
 {
   ++mCounters.mPlatformCalls;
   const std::uint64_t after = mStore.Cursor().mRevision;
-  const auto watch = co_await mPlatform.Watch(
-    std::string(state::kConfigPrefix), after, mSettings.mWatchTimeout);
+  // Whether this process watches at all is known with the instances.
+  const Millis wait =
+    mInstances->empty() ? kFirstWatch : mSettings.mWatchTimeout;
+  const auto watch =
+    co_await mPlatform.Watch(std::string(state::kConfigPrefix), after, wait);
   if (!watch) {
     ++mCounters.mPlatformErrors;
     mLog.Warn("the watch failed: " + watch.error().Describe() + ".");
@@ -174,6 +179,14 @@
 {
   bool isListed = false;
   while (true) {
+    if (isListed && !IsWatcher()) {
+      mHasWatchers = co_await AskWatchers();
+      if (mHasWatchers) {
+        co_await PauseUntilAsked();
+        continue;
+      }
+    }
+    mHasWatchers = false;
     const bool isGood = isListed ? co_await WatchOnce() : co_await ListAll();
     if (isGood) {
       isListed = true;
@@ -186,42 +199,69 @@
   }
 }
 
+ConfigFeedCounters
+ConfigFeed::Counters() const
+{
+  ConfigFeedCounters counters = mCounters;
+  const auto& peers = mPeers.Counters();
+  counters.mPeerBytes = peers.mBytesIn + peers.mBytesOut;
+  return counters;
+}
+
+// Peers.
+
+bool
+ConfigFeed::IsWatcher() const
+{
+  return state::IsWatcher(
+    *mInstances, mSettings.mName, mSettings.mZone, mSettings.mWatchers);
+}
+
+Task<bool>
+ConfigFeed::Ask(std::string aAddress)
+{
+  protocol::SnapshotRequest have;
+  have.mHave = std::max(Version().Packed(), mRefusedVersion);
+  have.mHaveInstances = mInstancesRevision;
+  const auto reply = co_await mPeers.Ask(aAddress, have);
+  if (!reply) {
+    mLog.Debug("no snapshot: " + reply.error().Describe() + ".");
+    co_return false;
+  }
+  if (!reply->mText.empty()) {
+    TakePeerText(reply->mText, aAddress);
+    // What is older here is not asked for again and again.
+    if (reply->mVersion > Version().Packed()) {
+      mRefusedVersion = reply->mVersion;
+    }
+  }
+  co_return true;
+}
+
+Task<bool>
+ConfigFeed::AskWatchers()
+{
+  ++mCounters.mWatcherQuestions;
+  auto watchers = state::WatchersOf(
+    *mInstances, mSettings.mZone, mSettings.mWatchers.mPerZone);
+  std::shuffle(watchers.begin(), watchers.end(), mRandom);
+  for (const auto& watcher : watchers) {
+    if (co_await Ask(watcher.mAddress)) {
+      co_return true;
+    }
+  }
+  ++mCounters.mWatchersSilent;
+  co_return false;
+}
+
 Task<void>
 ConfigFeed::AskPeers()
 {
   auto peers = mSettings.mPeers;
   std::shuffle(peers.begin(), peers.end(), mRandom);
   peers.resize(std::min(peers.size(), kPeersAsked));
-  const transport::ChannelIdentity identity{ mSettings.mName,
-                                             mSettings.mSecret,
-                                             Version().Packed() };
   for (const auto& peer : peers) {
-    const auto address = state::ParseAddress(peer);
-    if (!address) {
-      continue;
-    }
-    const auto channel = co_await transport::ConnectChannel(
-      *address, identity, kPeerTimeout, mChannelCounters);
-    if (!channel) {
-      mLog.Debug("no snapshot: " + channel.error().Describe() + ".");
-      continue;
-    }
-    (*channel)->Send(protocol::SnapshotRequest{ Version().Packed() });
-    asio::steady_timer timer(mContext, kPeerTimeout);
-    timer.async_wait([weak = std::weak_ptr(*channel)](auto aError) {
-      const auto open = weak.lock();
-      if (!aError && open) {
-        open->Close();
-      }
-    });
-    auto message = co_await (*channel)->Receive();
-    timer.cancel();
-    const auto* reply =
-      message ? std::get_if<protocol::SnapshotReply>(&*message) : nullptr;
-    if (reply != nullptr && !reply->mText.empty()) {
-      TakePeerText(reply->mText, peer);
-    }
-    (*channel)->Close();
+    co_await Ask(peer);
   }
 }
 
@@ -267,13 +307,24 @@
   }
 }
 
+Millis
+ConfigFeed::Jittered(Millis aPause)
+{
+  std::uniform_real_distribution<double> jitter(1.0, 1.0 + kJitter);
+  const auto pause = static_cast<double>(aPause.count());
+  return Millis(static_cast<std::int64_t>(pause * jitter(mRandom)));
+}
+
 Task<void>
 ConfigFeed::PauseAfterFailure()
 {
-  std::uniform_real_distribution<double> jitter(1.0, 1.0 + kJitter);
-  const auto pause = static_cast<double>(mSettings.mRetryPause.count());
-  co_await transport::Sleep(
-    Millis(static_cast<std::int64_t>(pause * jitter(mRandom))));
+  co_await transport::Sleep(Jittered(mSettings.mRetryPause));
+}
+
+Task<void>
+ConfigFeed::PauseUntilAsked()
+{
+  co_await transport::Sleep(Jittered(mSettings.mWatchers.mAskInterval));
 }
 
 Task<void>
@@ -281,6 +332,10 @@
 {
   bool isFirst = true;
   while (true) {
+    if (!isFirst && mHasWatchers) {
+      co_await PauseUntilAsked();
+      continue;
+    }
     ++mCounters.mPlatformCalls;
     const std::uint64_t after = isFirst ? 0 : mInstancesRevision;
     const auto list =
@@ -304,11 +359,13 @@
 }
 
 protocol::SnapshotReply
-PublishedConfig::ReplyTo(std::uint64_t aHave) const
+PublishedConfig::ReplyTo(const protocol::SnapshotRequest& aHave) const
 {
   protocol::SnapshotReply reply;
   reply.mVersion = Version();
-  if (mText && reply.mVersion > aHave) {
+  const bool hasNewInstances =
+    aHave.mHaveInstances != 0 && mInstancesRevision > aHave.mHaveInstances;
+  if (mText && (reply.mVersion > aHave.mHave || hasNewInstances)) {
     reply.mText = *mText;
   }
   return reply;
--- a/packages/coordination/src/daemon.cpp
+++ b/packages/coordination/src/daemon.cpp
@@ -62,8 +62,10 @@
 {
   ConfigFeedSettings feed;
   feed.mName = aSettings.mName;
+  feed.mZone = aSettings.mZone;
   feed.mSecret = aSettings.mSecret;
   feed.mPeers = aSettings.mPeers;
+  feed.mWatchers = aSettings.mWatchers;
   feed.mWatchTimeout = aSettings.mWatchTimeout;
   return feed;
 }
@@ -253,11 +255,32 @@
     while (true) {
       asio::post(mControl, [this, text = json::serialize(StatusObject())] {
         mStatus.Set(text);
+        asio::post(
+          mTraffic,
+          [this, counters = mFeed.Counters(), isWatching = mFeed.IsWatching()] {
+            SetFeedGauges(counters, isWatching);
+          });
       });
       co_await transport::Sleep(kStatusInterval);
     }
   }
 
+  void SetFeedGauges(const ConfigFeedCounters& aCounters, bool aIsWatching)
+  {
+    const auto set = [&](std::string_view aName, std::uint64_t aValue) {
+      mMetrics.Set(aName, static_cast<double>(aValue));
+    };
+    set("shuntjunction_config_platform_calls", aCounters.mPlatformCalls);
+    set("shuntjunction_config_platform_errors", aCounters.mPlatformErrors);
+    set("shuntjunction_config_older_refused", aCounters.mOlderRefused);
+    set("shuntjunction_config_gaps", aCounters.mGaps);
+    set("shuntjunction_config_from_peers", aCounters.mFromPeers);
+    set("shuntjunction_config_watcher_questions", aCounters.mWatcherQuestions);
+    set("shuntjunction_config_watchers_silent", aCounters.mWatchersSilent);
+    set("shuntjunction_config_peer_bytes", aCounters.mPeerBytes);
+    set("shuntjunction_config_watching", aIsWatching ? 1 : 0);
+  }
+
   // The stop.
 
   void BeginStop()
--- a/packages/coordination/src/peer_link.cpp
+++ b/packages/coordination/src/peer_link.cpp
@@ -93,7 +93,9 @@
 {
   const auto self = shared_from_this();
   const transport::ChannelIdentity identity{
-    mSettings.mName, mSettings.mSecret, mListener.Snapshot(UINT64_MAX).mVersion
+    mSettings.mName,
+    mSettings.mSecret,
+    mListener.Snapshot({ UINT64_MAX, UINT64_MAX }).mVersion
   };
   auto channel = co_await transport::ConnectChannel(
     mAddress, identity, mSettings.mRouter.mConnectTimeout, mCounters);
@@ -142,7 +144,7 @@
     return;
   }
   if (const auto* request = std::get_if<protocol::SnapshotRequest>(&aMessage)) {
-    Send(mListener.Snapshot(request->mHave));
+    Send(mListener.Snapshot(*request));
     return;
   }
   if (auto* reply = std::get_if<protocol::SnapshotReply>(&aMessage)) {
--- a/packages/coordination/src/router.cpp
+++ b/packages/coordination/src/router.cpp
@@ -208,7 +208,7 @@
 }
 
 protocol::SnapshotReply
-Router::Snapshot(std::uint64_t aHave)
+Router::Snapshot(const protocol::SnapshotRequest& aHave)
 {
   return mConfig.ReplyTo(aHave);
 }
--- /dev/null
+++ b/packages/coordination/src/snapshot_client.cpp
@@ -0,0 +1,82 @@
+#include "shuntjunction/coordination/snapshot_client.h"
+
+#include "shuntjunction/state/settings.h"
+
+namespace shuntjunction::coordination {
+
+namespace asio = boost::asio;
+using state::Millis;
+using state::Result;
+using transport::FrameChannel;
+using transport::Task;
+
+namespace {
+
+constexpr Millis kPeerTimeout{ 1000 };
+
+} // namespace
+
+SnapshotClient::SnapshotClient(asio::io_context& aContext,
+                               std::string aName,
+                               std::string aSecret)
+  : mContext(aContext)
+  , mName(std::move(aName))
+  , mSecret(std::move(aSecret))
+{
+}
+
+Task<Result<SnapshotClient::ChannelPtr>>
+SnapshotClient::Open(std::string aAddress, std::uint64_t aVersion)
+{
+  const auto kept = mKept.find(aAddress);
+  if (kept != mKept.end() && kept->second->IsOpen()) {
+    co_return kept->second;
+  }
+  const auto address = state::ParseAddress(aAddress);
+  if (!address) {
+    co_return tl::unexpected(address.error());
+  }
+  const transport::ChannelIdentity identity{ mName, mSecret, aVersion };
+  auto channel = co_await transport::ConnectChannel(
+    *address, identity, kPeerTimeout, mCounters);
+  if (!channel) {
+    co_return tl::unexpected(channel.error());
+  }
+  if (mKept.size() >= kMaxKeptPeers) {
+    mKept.begin()->second->Close();
+    mKept.erase(mKept.begin());
+  }
+  mKept[aAddress] = *channel;
+  co_return *channel;
+}
+
+Task<Result<protocol::SnapshotReply>>
+SnapshotClient::Ask(std::string aAddress, protocol::SnapshotRequest aHave)
+{
+  const auto opened = co_await Open(aAddress, aHave.mHave);
+  if (!opened) {
+    co_return tl::unexpected(opened.error());
+  }
+  const ChannelPtr channel = *opened;
+  channel->Send(aHave);
+  asio::steady_timer timer(mContext, kPeerTimeout);
+  timer.async_wait([weak = std::weak_ptr(channel)](auto aError) {
+    const auto open = weak.lock();
+    if (!aError && open) {
+      open->Close();
+    }
+  });
+  while (true) {
+    auto message = co_await channel->Receive();
+    if (!message) {
+      mKept.erase(aAddress);
+      co_return tl::unexpected(message.error());
+    }
+    // Other news of the peer is for those who send it work.
+    if (auto* reply = std::get_if<protocol::SnapshotReply>(&*message)) {
+      co_return std::move(*reply);
+    }
+  }
+}
+
+} // namespace shuntjunction::coordination
--- a/packages/protocol/include/shuntjunction/protocol/messages.h
+++ b/packages/protocol/include/shuntjunction/protocol/messages.h
@@ -186,10 +186,11 @@
   std::string mNode;
 };
 
-/// Asks for the configuration in force if it is newer.
+/// Asks for configuration and instances if either is newer.
 struct SnapshotRequest
 {
-  std::uint64_t mHave = 0;
+  std::uint64_t mHave = 0;          ///< ConfigVersion::Packed
+  std::uint64_t mHaveInstances = 0; ///< revision of the list; 0: any will do
 };
 
 /// The configuration in force; no text when it is not newer.
--- a/packages/protocol/src/codec.cpp
+++ b/packages/protocol/src/codec.cpp
@@ -268,7 +268,9 @@
 Offset<void>
 Pack(FlatBufferBuilder& aBuilder, const SnapshotRequest& aMessage)
 {
-  return wire::CreateSnapshotRequest(aBuilder, aMessage.mHave).Union();
+  return wire::CreateSnapshotRequest(
+           aBuilder, aMessage.mHave, aMessage.mHaveInstances)
+    .Union();
 }
 
 Offset<void>
@@ -445,7 +447,7 @@
 SnapshotRequest
 Unpack(const wire::SnapshotRequest& aWire)
 {
-  return { aWire.have() };
+  return { aWire.have(), aWire.have_instances() };
 }
 
 SnapshotReply
--- a/packages/state/include/shuntjunction/state/config_store.h
+++ b/packages/state/include/shuntjunction/state/config_store.h
@@ -143,6 +143,11 @@
   static bool SameContent(const Objects& aLeft, const Objects& aRight);
   void Publish();
 
+  /// Takes over a peer's version for the same objects: a deletion leaves none
+  /// that would tell it to a process that listed after it.
+  bool AdoptNewest(std::uint64_t aNewest,
+                   const std::vector<RawObject>& aObjects);
+
   Objects mObjects;
   ConfigVersion mCursor;
   std::uint64_t mNewestChange = 0; ///< within the present epoch
--- a/packages/state/include/shuntjunction/state/settings.h
+++ b/packages/state/include/shuntjunction/state/settings.h
@@ -8,6 +8,7 @@
 #include "shuntjunction/state/admission_queue.h"
 #include "shuntjunction/state/endpoint_chooser.h"
 #include "shuntjunction/state/retry_budget.h"
+#include "shuntjunction/state/watchers.h"
 
 /// Settings of a process, read once from its settings file.
 namespace shuntjunction::state {
@@ -111,6 +112,7 @@
   std::vector<std::string> mPeers; ///< frame addresses to take snapshots from
   Millis mPlatformTimeout{ 1000 };
   Millis mWatchTimeout{ 30000 }; ///< longest that one watch waits
+  WatcherSettings mWatchers;
   Millis mDrainTimeout{ 60000 }; ///< longest that a stop waits for streams
   /// A router that stops still takes requests so long, until its balancer
   /// knows.
--- a/packages/state/src/config_store.cpp
+++ b/packages/state/src/config_store.cpp
@@ -246,6 +246,7 @@
   }
   return boost::json::serialize(
     boost::json::object{ { "revision", mCursor.mRevision },
+                         { "newest", mNewestChange },
                          { "objects", std::move(raw) },
                          { "lastGood", std::move(good) } });
 }
@@ -265,6 +266,8 @@
   JsonReader reader(*value, "snapshot");
   const auto revision =
     static_cast<std::uint64_t>(reader.Integer("revision", 0, INT64_MAX));
+  const auto newest =
+    static_cast<std::uint64_t>(reader.Integer("newest", 0, INT64_MAX, 0));
   const auto readAll = [&](std::string_view aKey) {
     std::vector<RawObject> objects;
     const auto* list = reader.Find(aKey);
@@ -295,7 +298,26 @@
     }
     Publish();
   }
-  return outcome;
+  return AdoptNewest(newest, objects) ? MergeOutcome::kApplied : outcome;
+}
+
+bool
+ConfigStore::AdoptNewest(std::uint64_t aNewest,
+                         const std::vector<RawObject>& aObjects)
+{
+  if (aNewest <= mNewestChange || aNewest > mCursor.mRevision) {
+    return false;
+  }
+  Objects objects;
+  for (const auto& object : aObjects) {
+    Take(objects, object);
+  }
+  if (!SameContent(objects, mObjects)) {
+    return false;
+  }
+  mNewestChange = aNewest;
+  Publish();
+  return true;
 }
 
 } // namespace shuntjunction::state
--- a/packages/state/src/settings.cpp
+++ b/packages/state/src/settings.cpp
@@ -66,6 +66,17 @@
     aReader.Integer("streamWindow", 1, kMaxCount, aLimits.mStreamWindow);
 }
 
+void
+ReadWatchers(JsonReader& aReader, WatcherSettings& aWatchers)
+{
+  aWatchers.mPerZone = static_cast<std::size_t>(aReader.Integer(
+    "perZone", 1, kMaxCount, static_cast<std::int64_t>(aWatchers.mPerZone)));
+  aWatchers.mAllBelow = static_cast<std::size_t>(aReader.Integer(
+    "allBelow", 0, kMaxCount, static_cast<std::int64_t>(aWatchers.mAllBelow)));
+  aWatchers.mAskInterval =
+    ReadMillis(aReader, "askIntervalMs", aWatchers.mAskInterval);
+}
+
 void
 ReadChooser(JsonReader& aReader, ChooserSettings& aChooser)
 {
@@ -217,6 +228,9 @@
   ReadNested(reader, "limits", [&](JsonReader& aNested) {
     ReadLimits(aNested, settings.mLimits);
   });
+  ReadNested(reader, "watchers", [&](JsonReader& aNested) {
+    ReadWatchers(aNested, settings.mWatchers);
+  });
   ReadNested(reader, "router", [&](JsonReader& aNested) {
     ReadRouter(aNested, settings.mRouter);
   });
--- a/packages/state/tests/config_test.cpp
+++ b/packages/state/tests/config_test.cpp
@@ -206,6 +206,24 @@
   }
 }
 
+TEST_F(InForce, OneWhoListedAfterADeletionTakesItsVersionFromPeers)
+{
+  mStore.ApplyChanges(12, { { "config/models/m", 12, "" } });
+  ConfigStore late;
+  late.ApplyList(20, {});
+  EXPECT_LT(late.Version(), mStore.Version());
+  EXPECT_EQ(*late.ApplyPeer(mStore.Serialize(), "p"), MergeOutcome::kApplied);
+  EXPECT_EQ(late.Version(), mStore.Version());
+  EXPECT_EQ(late.Cursor().mRevision, 20U);
+  {
+    SCOPED_TRACE("but not for other objects");
+    ConfigStore other;
+    other.ApplyList(20, { Model(3, 1) });
+    EXPECT_EQ(*other.ApplyPeer(mStore.Serialize(), "p"), MergeOutcome::kOlder);
+    EXPECT_EQ(other.Version().mRevision, 3U);
+  }
+}
+
 TEST_F(InForce, HalfASnapshotOfAPeerIsRefusedWhole)
 {
   const std::string text = mStore.Serialize();
--- a/tests/configuration_test.cpp
+++ b/tests/configuration_test.cpp
@@ -2,6 +2,7 @@
 // back, racing operators told, new weights without a cut stream.
 
 #include <array>
+#include <csignal>
 #include <cstdio>
 #include <thread>
 
@@ -21,6 +22,8 @@
 class GivenOperators : public GivenAFleet
 {
 protected:
+  using GivenAFleet::GivenAFleet;
+
   struct Result
   {
     int mCode = 0;
@@ -149,6 +152,104 @@
   EXPECT_TRUE(showsAll()) << shown;
 }
 
+class WithOneWatcherAZone : public GivenOperators
+{
+protected:
+  WithOneWatcherAZone()
+    : GivenOperators(FewWatchers())
+  {
+  }
+
+  static FleetSettings FewWatchers()
+  {
+    auto settings = Settings();
+    settings.mProcessExtra =
+      R"({"platformTimeoutMs":500,"stopNoticeMs":400,"logLevel":"debug",)"
+      R"("watchTimeoutMs":1000,"watchers":{"perZone":1,"allBelow":0,"askIntervalMs":200}})";
+    return settings;
+  }
+
+  void SetUp() override
+  {
+    GivenOperators::SetUp();
+    // One of three companions' zones each.
+    for (int i = 0; i < 1000 && Watching().size() != 3; ++i) {
+      std::this_thread::sleep_for(Millis(20));
+    }
+    ASSERT_EQ(Watching().size(), 3U);
+  }
+
+  std::vector<std::string> Watching()
+  {
+    std::vector<std::string> watching;
+    for (const std::string name : { "router-1",
+                                    "router-2",
+                                    "endpoint-1",
+                                    "endpoint-2",
+                                    "endpoint-3",
+                                    "booking-1",
+                                    "booking-2" }) {
+      if (mFleet.Metric(name, "shuntjunction_config_watching") > 0) {
+        watching.push_back(name);
+      }
+    }
+    return watching;
+  }
+
+  /// Changes the configuration and waits for it on both routers.
+  void ExpectAChangeOnTheRouters()
+  {
+    mFleet.Apply("config/models/late", R"({"weights":5})");
+    const auto hasLate = [&](const std::string& aRouter) {
+      transport::HttpRequest models;
+      models.mTarget = "/v1/models";
+      return Ask(aRouter, models).mBody.find("\"late\"") != std::string::npos;
+    };
+    for (const std::string router : { "router-1", "router-2" }) {
+      for (int i = 0; i < 1000 && !hasLate(router); ++i) {
+        std::this_thread::sleep_for(Millis(20));
+      }
+      EXPECT_TRUE(hasLate(router)) << router;
+    }
+  }
+};
+
+TEST_F(WithOneWatcherAZone, AChangeReachesThoseWhoDoNotWatch)
+{
+  ExpectAChangeOnTheRouters();
+}
+
+TEST_F(WithOneWatcherAZone, AChangeArrivesThoughAllWatchersAreKilled)
+{
+  for (const auto& watcher : Watching()) {
+    mFleet.Kill(watcher);
+  }
+  ExpectAChangeOnTheRouters();
+}
+
+TEST_F(WithOneWatcherAZone, AChangeArrivesThoughAllWatchersAreFrozen)
+{
+  for (const auto& watcher : Watching()) {
+    mFleet.Signal(watcher, SIGSTOP);
+  }
+  ExpectAChangeOnTheRouters();
+}
+
+TEST_F(WithOneWatcherAZone, AnInstanceThatIsListedLaterIsHeardOf)
+{
+  mFleet.Apply("config/endpoints/endpoint-4", R"({"model":"crew-notes"})");
+  mFleet.StartEngine("engine-4", EngineOptions());
+  mFleet.StartCompanion("endpoint-4", "engine-4", "zone-3");
+  const auto usable = [&] {
+    return mFleet.Metric("router-1", "shuntjunction_endpoint_usable");
+  };
+  constexpr double kAll = 6; // Four before engines, two before the service.
+  for (int i = 0; i < 1000 && usable() < kAll; ++i) {
+    std::this_thread::sleep_for(Millis(20));
+  }
+  EXPECT_EQ(usable(), kAll);
+}
+
 class WhenThePlatformLies : public GivenOperators
 {
 protected:
--- a/tests/given_a_fleet.h
+++ b/tests/given_a_fleet.h
@@ -16,6 +16,11 @@
 class GivenAFleet : public ::testing::Test
 {
 protected:
+  explicit GivenAFleet(const FleetSettings& aSettings = Settings())
+    : mFleet(aSettings)
+  {
+  }
+
   static constexpr const char* kModel = "crew-notes";
   static constexpr std::size_t kEndpoints = 3;
 
@@ -138,7 +143,7 @@
     return std::string(fields.Field(aName));
   }
 
-  Fleet mFleet{ Settings() };
+  Fleet mFleet;
 };
 
 } // namespace shuntjunction::standins
