--- a/packages/coordination/include/shuntjunction/coordination/engine_orders.h
+++ b/packages/coordination/include/shuntjunction/coordination/engine_orders.h
@@ -11,6 +11,7 @@
 #include "shuntjunction/coordination/metrics.h"
 #include "shuntjunction/coordination/platform.h"
 #include "shuntjunction/state/config_store.h"
+#include "shuntjunction/state/order_machine.h"
 
 /// Brings an engine in line with the configuration.
 namespace shuntjunction::coordination {
@@ -18,10 +19,7 @@
 /// Orders the companion's own engine to serve what the configuration names.
 ///
 /// Before an order the companion takes no new work and waits for running
-/// streams; it takes the next fencing number of its endpoint by a conditional
-/// write, and looks again just before the order that the number is still its
-/// own. An engine that checks numbers refuses what comes too late; for one
-/// that ignores them the second look leaves a gap of one call.
+/// streams; state::OrderMachine decides by whose fencing number it may order.
 ///
 /// Endpoints of one model change one third at a time, in an order that every
 /// companion computes alike, so that the model is served throughout.
@@ -49,8 +47,10 @@
   transport::Task<void> Reconcile();
   transport::Task<void> WaitForStreams();
   transport::Task<bool> IsMyTurn(std::string aModel, std::uint32_t aWeights);
-  transport::Task<state::Result<std::uint64_t>> TakeFence();
-  transport::Task<bool> HoldsFence(std::uint64_t aFence);
+  transport::Task<bool> Run(state::OrderMachine& aMachine, BackendOrder aOrder);
+  transport::Task<void> Give(BackendOrder aOrder);
+  transport::Task<state::Result<state::HeldFence>> ReadFence();
+  transport::Task<void> PauseAfterFailure();
   std::optional<BackendOrder> Wanted() const;
   bool IsInLine(const BackendOrder& aOrder) const;
 
@@ -63,7 +63,6 @@
   Log mLog;
   std::shared_ptr<const state::ConfigSnapshot> mConfig;
   state::RandomSource mRandom;
-  std::string mNonce;
   std::string mFenceKey;
   std::optional<state::TimePoint> mWaitsSince;
 };
--- a/packages/coordination/src/engine_orders.cpp
+++ b/packages/coordination/src/engine_orders.cpp
@@ -4,7 +4,6 @@
 #include <vector>
 
 #include <boost/json/object.hpp>
-#include <boost/json/serialize.hpp>
 
 #include "shuntjunction/coordination/status_writer.h"
 #include "shuntjunction/state/digest.h"
@@ -14,8 +13,8 @@
 namespace shuntjunction::coordination {
 
 namespace json = boost::json;
-using state::JsonReader;
 using state::Millis;
+using state::OrderStep;
 using state::Result;
 using transport::Task;
 
@@ -24,42 +23,12 @@
 constexpr Millis kLookInterval{ 300 };
 constexpr Millis kFailurePause{ 1000 };
 constexpr Millis kStreamPoll{ 20 };
+constexpr int kMaxSteps = 12;       ///< of one order, reads again included
 constexpr std::size_t kBatches = 3; ///< a model's endpoints change in so many
 
 /// Longest wait for the batches before; then a lost companion is passed over.
 constexpr Millis kMaxTurnWait{ 60000 };
 
-struct FenceRecord
-{
-  std::uint64_t mFence = 0;
-  std::string mHolder;
-};
-
-Result<FenceRecord>
-ReadFenceRecord(const std::string& aText)
-{
-  const auto value = state::ParseJson(aText, "fence");
-  if (!value) {
-    return tl::unexpected(value.error());
-  }
-  JsonReader reader(*value, "fence");
-  FenceRecord record;
-  record.mFence =
-    static_cast<std::uint64_t>(reader.Integer("fence", 0, INT64_MAX));
-  record.mHolder = reader.Text("holder");
-  if (auto done = reader.Finish(); !done) {
-    return tl::unexpected(done.error());
-  }
-  return record;
-}
-
-std::string
-WriteFenceRecord(const FenceRecord& aRecord)
-{
-  return json::serialize(
-    json::object{ { "fence", aRecord.mFence }, { "holder", aRecord.mHolder } });
-}
-
 } // namespace
 
 EngineOrders::EngineOrders(boost::asio::io_context& aContext,
@@ -77,7 +46,6 @@
   , mLog("orders")
   , mConfig(std::make_shared<const state::ConfigSnapshot>())
   , mRandom(state::PlacementHash(state::RandomNonce()))
-  , mNonce(state::RandomNonce())
   , mFenceKey("orders/" + aSettings.mName)
 {
 }
@@ -133,40 +101,101 @@
 Task<void>
 EngineOrders::Reconcile()
 {
-  auto order = Wanted();
+  const auto wanted = Wanted();
   const bool isUp = mCompanion.LastState().mIncarnation != 0;
-  if (!order || !isUp || IsInLine(*order)) {
+  if (!wanted || !isUp || IsInLine(*wanted)) {
     mWaitsSince.reset();
     co_return;
   }
-  if (!co_await IsMyTurn(order->mModel, order->mWeights)) {
+  if (!co_await IsMyTurn(wanted->mModel, wanted->mWeights)) {
     co_return;
   }
-  const auto fence = co_await TakeFence();
-  if (!fence) {
-    mLog.Warn("no fencing number: " + fence.error().Describe() + ".");
-    co_await transport::Sleep(kFailurePause);
-    co_return;
+  state::OrderMachine machine(state::RandomNonce(),
+                              mCompanion.LastState().mFence);
+  const bool isOver = co_await Run(machine, *wanted);
+  co_await mCompanion.Refresh();
+  mCompanion.PauseAdmission(false);
+  if (!isOver) {
+    mMetrics.Count("shuntjunction_orders_total", { { "outcome", "lost" } });
+    co_await PauseAfterFailure();
   }
-  order->mFence = *fence;
-  mCompanion.PauseAdmission(true);
-  co_await WaitForStreams();
-  if (co_await HoldsFence(*fence)) {
-    mLog.Info("ordering " + order->mModel + ", weights version " +
-              std::to_string(order->mWeights) + ", with fencing number " +
-              std::to_string(*fence) + ".");
-    const auto done = co_await mBackend.Order(*order);
-    mMetrics.Count("shuntjunction_orders_total",
-                   { { "outcome", done ? "done" : "failed" } });
-    if (!done) {
-      mLog.Warn("the order failed: " + done.error().Describe() + ".");
-      std::uniform_int_distribution<std::int64_t> jitter(
-        kFailurePause.count(), 2 * kFailurePause.count());
-      co_await transport::Sleep(Millis(jitter(mRandom)));
+}
+
+Task<bool>
+EngineOrders::Run(state::OrderMachine& aMachine, BackendOrder aOrder)
+{
+  for (int step = 0; step < kMaxSteps; ++step) {
+    switch (aMachine.Step()) {
+      case OrderStep::kReadFence:
+      case OrderStep::kLookAgain:
+        aMachine.FenceRead(co_await ReadFence());
+        break;
+      case OrderStep::kTakeFence:
+        aMachine.FenceWritten(
+          co_await mPlatform.Write(mFenceKey,
+                                   state::WriteFenceRecord(aMachine.Next()),
+                                   aMachine.Revision()));
+        break;
+      case OrderStep::kDrain:
+        mCompanion.PauseAdmission(true);
+        co_await WaitForStreams();
+        aMachine.Drained();
+        break;
+      case OrderStep::kOrder:
+        aOrder.mFence = aMachine.Fence();
+        co_await Give(aOrder);
+        aMachine.Ordered();
+        break;
+      case OrderStep::kOver:
+        co_return true;
+      case OrderStep::kLost:
+        mLog.Info("no order: the fencing number is another's, or unsure.");
+        co_return false;
     }
   }
-  co_await mCompanion.Refresh();
-  mCompanion.PauseAdmission(false);
+  mLog.Warn("no order: the platform does not answer.");
+  co_return false;
+}
+
+Task<void>
+EngineOrders::Give(BackendOrder aOrder)
+{
+  mLog.Info("ordering " + aOrder.mModel + ", weights version " +
+            std::to_string(aOrder.mWeights) + ", with fencing number " +
+            std::to_string(aOrder.mFence) + ".");
+  const auto done = co_await mBackend.Order(aOrder);
+  mMetrics.Count("shuntjunction_orders_total",
+                 { { "outcome", done ? "done" : "failed" } });
+  if (!done) {
+    mLog.Warn("the order failed: " + done.error().Describe() + ".");
+    co_await PauseAfterFailure();
+  }
+}
+
+Task<Result<state::HeldFence>>
+EngineOrders::ReadFence()
+{
+  const auto found = co_await mPlatform.Read(mFenceKey);
+  if (!found) {
+    co_return tl::unexpected(found.error());
+  }
+  state::HeldFence held;
+  if (*found) {
+    const auto record = state::ReadFenceRecord((*found)->mValue);
+    if (!record) {
+      co_return tl::unexpected(record.error());
+    }
+    held = { *record, (*found)->mRevision };
+  }
+  co_return held;
+}
+
+Task<void>
+EngineOrders::PauseAfterFailure()
+{
+  std::uniform_int_distribution<std::int64_t> jitter(kFailurePause.count(),
+                                                     2 * kFailurePause.count());
+  co_await transport::Sleep(Millis(jitter(mRandom)));
 }
 
 Task<void>
@@ -230,46 +259,4 @@
   co_return changed == before;
 }
 
-Task<Result<std::uint64_t>>
-EngineOrders::TakeFence()
-{
-  const auto found = co_await mPlatform.Read(mFenceKey);
-  if (!found) {
-    co_return tl::unexpected(found.error());
-  }
-  FenceRecord record;
-  std::uint64_t revision = 0;
-  if (*found) {
-    const auto read = ReadFenceRecord((*found)->mValue);
-    if (!read) {
-      co_return tl::unexpected(read.error());
-    }
-    record = *read;
-    revision = (*found)->mRevision;
-  }
-  if (record.mHolder == mNonce) {
-    co_return record.mFence;
-  }
-  // The engine's own number counts as well: the platform may be restored.
-  record.mFence = std::max(record.mFence, mCompanion.LastState().mFence) + 1;
-  record.mHolder = mNonce;
-  const auto written =
-    co_await mPlatform.Write(mFenceKey, WriteFenceRecord(record), revision);
-  if (!written) {
-    co_return tl::unexpected(written.error());
-  }
-  co_return record.mFence;
-}
-
-Task<bool>
-EngineOrders::HoldsFence(std::uint64_t aFence)
-{
-  const auto found = co_await mPlatform.Read(mFenceKey);
-  if (!found || !*found) {
-    co_return false;
-  }
-  const auto record = ReadFenceRecord((*found)->mValue);
-  co_return record && record->mFence == aFence && record->mHolder == mNonce;
-}
-
 } // namespace shuntjunction::coordination
--- a/packages/state/src/claim_machine.cpp
+++ b/packages/state/src/claim_machine.cpp
@@ -35,7 +35,9 @@
 struct OutOfTimeEvent
 {};
 
-struct ClaimDef : public msm::front::state_machine_def<ClaimDef>
+struct ClaimDef
+  : public msm::front::state_machine_def<ClaimDef>
+  , public IgnoresOthers
 {
   // States.
   using Create = MachineState<ClaimStep::kCreate>;
@@ -62,11 +64,7 @@
   > {};
   // clang-format on
 
-  /// An event that means nothing in a state is no error.
-  template<typename Event, typename Fsm>
-  void no_transition(const Event&, Fsm&, int)
-  {
-  }
+  using IgnoresOthers::no_transition;
 
   ClaimStep mCurrent = ClaimStep::kCreate;
   std::string mNonce;
--- a/packages/state/src/endpoint_health.cpp
+++ b/packages/state/src/endpoint_health.cpp
@@ -30,7 +30,9 @@
   TimePoint mNow;
 };
 
-struct HealthDef : public msm::front::state_machine_def<HealthDef>
+struct HealthDef
+  : public msm::front::state_machine_def<HealthDef>
+  , public IgnoresOthers
 {
   // States.
   using Healthy = MachineState<HealthState::kHealthy>;
@@ -101,11 +103,7 @@
   > {};
   // clang-format on
 
-  /// An event that means nothing in a state is no error.
-  template<typename Event, typename Fsm>
-  void no_transition(const Event&, Fsm&, int)
-  {
-  }
+  using IgnoresOthers::no_transition;
 
   HealthState mCurrent = HealthState::kHealthy;
   HealthSettings mSettings;
--- a/packages/state/src/request_life.cpp
+++ b/packages/state/src/request_life.cpp
@@ -28,7 +28,9 @@
 struct SettledEvent
 {};
 
-struct RequestDef : public msm::front::state_machine_def<RequestDef>
+struct RequestDef
+  : public msm::front::state_machine_def<RequestDef>
+  , public IgnoresOthers
 {
   // States.
   using Unsent = MachineState<RequestState::kUnsent>;
@@ -81,11 +83,7 @@
   > {};
   // clang-format on
 
-  /// An event that means nothing in a state is no error.
-  template<typename Event, typename Fsm>
-  void no_transition(const Event&, Fsm&, int)
-  {
-  }
+  using IgnoresOthers::no_transition;
 
   RequestState mCurrent = RequestState::kUnsent;
   Repeatability mRepeatability = Repeatability::kRepeatable;
--- a/packages/state/tests/history.cpp
+++ b/packages/state/tests/history.cpp
@@ -1,5 +1,7 @@
 #include "history.h"
 
+#include <algorithm>
+
 namespace shuntjunction::state::history {
 
 Violations
@@ -75,4 +77,39 @@
   return violations;
 }
 
+Violations
+CheckFencesRise(const History& aHistory)
+{
+  Violations violations;
+  std::uint64_t highest = 0;
+  for (const auto& order : aHistory.mObeyed) {
+    if (order.mFence < highest) {
+      violations.push_back("fencing number " + std::to_string(order.mFence) +
+                           " was obeyed after " + std::to_string(highest));
+    }
+    highest = std::max(highest, order.mFence);
+  }
+  return violations;
+}
+
+Violations
+CheckOneHolderOrders(const History& aHistory)
+{
+  Violations violations;
+  std::map<std::uint64_t, std::string> holders;
+  for (const auto& order : aHistory.mObeyed) {
+    const auto [holder, isNew] =
+      holders.try_emplace(order.mFence, order.mHolder);
+    if (!isNew && holder->second != order.mHolder) {
+      violations.push_back("two holders of " + std::to_string(order.mFence));
+    }
+    if (order.mTakenAtLook > order.mFence) {
+      violations.push_back(order.mHolder + " ordered with " +
+                           std::to_string(order.mFence) + " though it saw " +
+                           std::to_string(order.mTakenAtLook));
+    }
+  }
+  return violations;
+}
+
 } // namespace shuntjunction::state::history
--- a/packages/state/tests/history.h
+++ b/packages/state/tests/history.h
@@ -46,6 +46,14 @@
   std::uint64_t mVersion = 0; ///< ConfigVersion::Packed
 };
 
+/// An order that an engine obeyed.
+struct Obeyed
+{
+  std::string mHolder;
+  std::uint64_t mFence = 0;
+  std::uint64_t mTakenAtLook = 0; ///< highest number at its holder's last look
+};
+
 /// Everything of one run, in the order in which it happened.
 struct History
 {
@@ -54,6 +62,7 @@
   std::vector<TokenGot> mTokens;
   std::vector<StreamEnded> mStreams;
   std::vector<InForce> mInForce;
+  std::vector<Obeyed> mObeyed;
   std::map<int, std::vector<std::string>> mRightTokens; ///< by request
 };
 
@@ -77,4 +86,13 @@
 Violations
 CheckConfigNeverReverts(const History& aHistory);
 
+/// An engine that checks fencing numbers never obeys an older one.
+Violations
+CheckFencesRise(const History& aHistory);
+
+/// A fencing number is one holder's, and no order is given by who could see
+/// that a later holder has taken the next one.
+Violations
+CheckOneHolderOrders(const History& aHistory);
+
 } // namespace shuntjunction::state::history
--- a/packages/state/tests/history_test.cpp
+++ b/packages/state/tests/history_test.cpp
@@ -70,5 +70,22 @@
   EXPECT_EQ(CheckConfigNeverReverts(mHistory).size(), 1U);
 }
 
+TEST_F(GivenAHistory, AnOldFencingNumberIsRejected)
+{
+  mHistory.mObeyed = { { "a", 1, 1 }, { "b", 2, 2 }, { "b", 2, 2 } };
+  EXPECT_TRUE(CheckFencesRise(mHistory).empty());
+  EXPECT_TRUE(CheckOneHolderOrders(mHistory).empty());
+  mHistory.mObeyed.push_back({ "a", 1, 1 });
+  EXPECT_EQ(CheckFencesRise(mHistory).size(), 1U);
+}
+
+TEST_F(GivenAHistory, TwoHoldersOfANumberAndOneWhoSawALaterAreRejected)
+{
+  mHistory.mObeyed = { { "a", 1, 1 }, { "b", 1, 1 } };
+  EXPECT_EQ(CheckOneHolderOrders(mHistory).size(), 1U);
+  mHistory.mObeyed = { { "a", 1, 2 } };
+  EXPECT_EQ(CheckOneHolderOrders(mHistory).size(), 1U);
+}
+
 } // namespace
 } // namespace shuntjunction::state::history
--- a/standins/engine_standin.cpp
+++ b/standins/engine_standin.cpp
@@ -232,6 +232,12 @@
     aExchange.Abort();
     co_return;
   }
+  if (std::uniform_real_distribution<double>(0, 1)(mRandom) <
+      mSettings.mFailShare) {
+    --mRunning;
+    co_await aExchange.Respond(Refusal(500, "failed"));
+    co_return;
+  }
   const std::size_t hits = Hits(*job);
   co_await Prefill(*job, hits);
   Store(*job);
--- a/standins/engine_standin.h
+++ b/standins/engine_standin.h
@@ -29,6 +29,7 @@
   std::uint32_t mDefaultTokens = 32;   ///< of an answer, unless asked otherwise
   std::int64_t mEventDelayMs = 20;     ///< cache events are so late
   double mEventLoss = 0;               ///< share of cache events that are lost
+  double mFailShare = 0;               ///< of requests answered with an error
   std::int64_t mLoadMs = 100;          ///< to load weights
   bool mChecksFences = true;           ///< refuses old fencing numbers
   std::string mModel;                  ///< loaded at the start; may be empty
--- a/standins/fleet.cpp
+++ b/standins/fleet.cpp
@@ -237,6 +237,14 @@
   List(aName, "companion", aZone, false);
 }
 
+void
+Fleet::Rename(const std::string& aName, const std::string& aNewName)
+{
+  auto known = mProcesses.extract(aName);
+  known.key() = aNewName;
+  mProcesses.insert(std::move(known));
+}
+
 void
 Fleet::StartRouter(const std::string& aName, const std::string& aZone)
 {
--- a/standins/fleet.h
+++ b/standins/fleet.h
@@ -77,6 +77,10 @@
   /// Ends a process at once and forgets it.
   void Kill(const std::string& aName);
 
+  /// Knows a process by another name from now on, as the platform does with
+  /// an instance that it takes for lost.
+  void Rename(const std::string& aName, const std::string& aNewName);
+
   /// Whether a process is known and has not ended.
   bool IsRunning(const std::string& aName);
 
--- a/standins/standin_main.cpp
+++ b/standins/standin_main.cpp
@@ -48,6 +48,7 @@
   aCommand.add_option("--tokens", aSettings.mDefaultTokens);
   aCommand.add_option("--event-delay-ms", aSettings.mEventDelayMs);
   aCommand.add_option("--event-loss", aSettings.mEventLoss);
+  aCommand.add_option("--fail-share", aSettings.mFailShare);
   aCommand.add_option("--load-ms", aSettings.mLoadMs);
   aCommand.add_option("--model", aSettings.mModel);
   aCommand.add_option("--weights", aSettings.mWeights);
--- /dev/null
+++ b/tests/orders_test.cpp
@@ -0,0 +1,122 @@
+// The story of orders to engines: an instance is replaced while its companion
+// is only paused, so that two companions believe they may order one engine.
+
+#include <csignal>
+#include <thread>
+
+#include <boost/json/object.hpp>
+
+#include "given_a_fleet.h"
+#include "shuntjunction/state/json_reader.h"
+
+namespace shuntjunction::standins {
+namespace {
+
+using state::Millis;
+
+class GivenAReplacedInstance : public GivenAFleet
+{
+protected:
+  /// The platform takes endpoint-1 for lost; it was only paused.
+  void Replace(const std::string& aPaused)
+  {
+    mFleet.Signal("endpoint-1", SIGSTOP);
+    mFleet.Rename("endpoint-1", aPaused);
+    mFleet.StartCompanion("endpoint-1", "engine-1", "zone-1");
+    mFleet.AwaitReady("endpoint-1");
+  }
+
+  void OrderWeights(std::uint32_t aWeights)
+  {
+    mFleet.Apply(std::string("config/models/") + kModel,
+                 R"({"weights":)" + std::to_string(aWeights) + "}");
+  }
+
+  std::uint64_t Audit(const std::string& aEngine, const std::string& aField)
+  {
+    transport::HttpRequest request;
+    request.mTarget = aField == "weights" ? "/engine/state" : "/engine/audit";
+    const auto answer = Fleet::Call(mFleet.Process(aEngine).mTraffic, request);
+    const auto value = state::ParseJson(answer ? answer->mBody : "{}", aEngine);
+    const auto* field = value->as_object().if_contains(aField);
+    return field == nullptr ? 0 : field->to_number<std::uint64_t>();
+  }
+
+  void ExpectAllLoad(std::uint32_t aWeights)
+  {
+    for (std::size_t i = 1; i <= kEndpoints; ++i) {
+      const std::string engine = "engine-" + std::to_string(i);
+      for (int poll = 0; poll < 3000 && Audit(engine, "weights") != aWeights;
+           ++poll) {
+        std::this_thread::sleep_for(Millis(10));
+      }
+      EXPECT_EQ(Audit(engine, "weights"), aWeights) << engine;
+    }
+  }
+
+  void ExpectWholeAnswersOf(std::uint32_t aWeights)
+  {
+    auto calls = Calls(12);
+    for (auto& call : calls) {
+      call.mWeights = aWeights;
+      call.mTokens = 20;
+    }
+    ExpectAllWhole(MakeCalls(calls));
+  }
+
+  /// Both companions hear of the newest weights, each in its own state.
+  void ExpectTheNewestToStay()
+  {
+    OrderWeights(2);
+    Replace("paused");
+    ExpectAllLoad(2);
+    mFleet.Signal("paused", SIGCONT);
+    OrderWeights(3);
+    ExpectAllLoad(3);
+    ExpectWholeAnswersOf(3);
+    EXPECT_EQ(Audit("engine-1", "weights"), 3U);
+  }
+};
+
+class OnEnginesThatCheckNumbers : public GivenAReplacedInstance
+{};
+
+TEST_F(OnEnginesThatCheckNumbers, TheNewestWeightsStay)
+{
+  ExpectTheNewestToStay();
+}
+
+TEST_F(OnEnginesThatCheckNumbers, APauseInTheMidstOfAnOrderDoesNoHarm)
+{
+  mFleet.SetFaults(R"({"slowMs":60})");
+  for (const int pauseAfter : { 400, 700 }) {
+    SCOPED_TRACE(pauseAfter);
+    OrderWeights(2);
+    std::this_thread::sleep_for(Millis(pauseAfter));
+    const std::string paused = "paused-" + std::to_string(pauseAfter);
+    Replace(paused);
+    ExpectAllLoad(2);
+    OrderWeights(3);
+    mFleet.Signal(paused, SIGCONT);
+    ExpectAllLoad(3);
+    mFleet.Kill(paused);
+  }
+  ExpectWholeAnswersOf(3);
+}
+
+class OnEnginesThatIgnoreNumbers : public GivenAReplacedInstance
+{
+protected:
+  std::vector<std::string> EngineOptions() override
+  {
+    return { "--micros-per-token", "10000", "--ignores-fences" };
+  }
+};
+
+TEST_F(OnEnginesThatIgnoreNumbers, TheNewestWeightsStay)
+{
+  ExpectTheNewestToStay();
+}
+
+} // namespace
+} // namespace shuntjunction::standins
--- a/tests/stop_test.cpp
+++ b/tests/stop_test.cpp
@@ -1,6 +1,7 @@
 // The story of planned stops and of herds: nothing is cut, nothing new goes to
 // who leaves, and who restarts serves at once, the platform down included.
 
+#include <algorithm>
 #include <csignal>
 
 #include "given_a_fleet.h"
@@ -49,6 +50,33 @@
   EXPECT_EQ(mFleet.WaitEnd("endpoint-2"), 0);
 }
 
+class WithoutTimeToDrain : public GivenAFleet
+{
+protected:
+  WithoutTimeToDrain()
+    : GivenAFleet(NoDrain())
+  {
+  }
+
+  static FleetSettings NoDrain()
+  {
+    auto settings = Settings();
+    settings.mProcessExtra = R"({"stopNoticeMs":1,"drainTimeoutMs":1})";
+    return settings;
+  }
+};
+
+TEST_F(WithoutTimeToDrain, ARouterThatStopsCutsItsStreams)
+{
+  const auto outcomes = MakeCalls(
+    Calls(kStreams), kHalfWay, [&] { mFleet.Signal("router-1", SIGTERM); });
+  const auto cut =
+    std::count_if(outcomes.begin(), outcomes.end(), [](const auto& aOutcome) {
+      return aOutcome.mEnd != CallerEnd::kWhole;
+    });
+  EXPECT_GT(cut, 0);
+}
+
 TEST_F(WhenAProcessStops, AnEndpointThatLeavesGetsNothingNew)
 {
   MakeCalls(
--- a/tests/stream_failure_test.cpp
+++ b/tests/stream_failure_test.cpp
@@ -3,7 +3,10 @@
 
 #include <csignal>
 
+#include <boost/json/object.hpp>
+
 #include "given_a_fleet.h"
+#include "shuntjunction/state/json_reader.h"
 
 namespace shuntjunction::standins {
 namespace {
@@ -154,5 +157,24 @@
   }
 }
 
+TEST_F(WithTwoTeams, WithoutASaltTheEngineWouldShareThem)
+{
+  const auto computed = [&] {
+    transport::HttpRequest audit;
+    audit.mTarget = "/engine/audit";
+    const auto answer = Fleet::Call(mFleet.Process("engine-1").mTraffic, audit);
+    const auto value = state::ParseJson(answer->mBody, "audit");
+    return value->as_object().at("computedBlocks").to_number<double>();
+  };
+  auto call = Call(0, "north");
+  call.mRouter = mFleet.Process("engine-1").mTraffic;
+  ExpectAllWhole(MakeCalls({ call }));
+  const double first = computed();
+  EXPECT_GT(first, 10);
+  call.mKey = "south-key";
+  ExpectAllWhole(MakeCalls({ call }));
+  EXPECT_EQ(computed(), first);
+}
+
 } // namespace
 } // namespace shuntjunction::standins
