--- a/packages/coordination/include/shuntjunction/coordination/claim_keeper.h
+++ b/packages/coordination/include/shuntjunction/coordination/claim_keeper.h
@@ -18,8 +18,9 @@
 struct ClaimVerdict
 {
   state::ClaimStep mStep = state::ClaimStep::kUndecided;
-  state::ClaimRecord mRecord; ///< own record, or the other's
-  std::string mKey;           ///< of the record in the platform
+  state::ClaimRecord mRecord;  ///< own record, or the other's
+  std::string mKey;            ///< of the record in the platform
+  std::uint64_t mRevision = 0; ///< of the own record; 0 when not known
 };
 
 /// Settles claims by conditional writes and reads back what is unsure.
@@ -55,7 +56,7 @@
 private:
   transport::Task<void> Delete(std::string aKey, std::string aNonce);
   transport::Task<state::Result<std::optional<state::ClaimRecord>>> ReadRecord(
-    std::string aKey);
+    ClaimVerdict& aVerdict);
 
   boost::asio::io_context& mContext;
   Platform& mPlatform;
@@ -65,8 +66,4 @@
   std::size_t mPending = 0;
 };
 
-/// Platform key of a claim.
-std::string
-ClaimKey(std::string_view aTeam, std::string_view aKey);
-
 } // namespace shuntjunction::coordination
--- a/packages/coordination/src/claim_keeper.cpp
+++ b/packages/coordination/src/claim_keeper.cpp
@@ -1,5 +1,6 @@
 #include "shuntjunction/coordination/claim_keeper.h"
 
+#include "shuntjunction/state/claim_retention.h"
 #include "shuntjunction/state/digest.h"
 
 namespace shuntjunction::coordination {
@@ -40,12 +41,6 @@
 
 } // namespace
 
-std::string
-ClaimKey(std::string_view aTeam, std::string_view aKey)
-{
-  return "claims/" + std::string(aTeam) + "/" + state::Sha256Hex(aKey);
-}
-
 ClaimKeeper::ClaimKeeper(boost::asio::io_context& aContext,
                          Platform& aPlatform,
                          const state::Clock& aClock,
@@ -59,9 +54,10 @@
 }
 
 Task<Result<std::optional<ClaimRecord>>>
-ClaimKeeper::ReadRecord(std::string aKey)
+ClaimKeeper::ReadRecord(ClaimVerdict& aVerdict)
 {
-  auto object = co_await mPlatform.Read(std::move(aKey));
+  aVerdict.mRevision = 0;
+  auto object = co_await mPlatform.Read(aVerdict.mKey);
   if (!object) {
     co_return tl::unexpected(object.error());
   }
@@ -72,6 +68,9 @@
   if (!record) {
     co_return tl::unexpected(record.error());
   }
+  if (record->mNonce == aVerdict.mRecord.mNonce) {
+    aVerdict.mRevision = (*object)->mRevision;
+  }
   co_return std::optional<ClaimRecord>(std::move(*record));
 }
 
@@ -83,7 +82,7 @@
 {
   ClaimMachine machine(state::RandomNonce(), std::move(aDigest));
   ClaimVerdict verdict;
-  verdict.mKey = ClaimKey(aTeam, aKey);
+  verdict.mKey = state::ClaimKey(aTeam, aKey);
   verdict.mRecord = machine.Own(mClock.WallMillis());
   while (machine.Step() == ClaimStep::kCreate ||
          machine.Step() == ClaimStep::kReadBack) {
@@ -96,9 +95,10 @@
       const auto written = co_await mPlatform.Write(
         verdict.mKey, state::WriteClaimRecord(verdict.mRecord), 0);
       isAnswered = written || written.error().mCode == ErrorCode::kConflict;
+      verdict.mRevision = written.value_or(0);
       machine.CreateAnswered(written);
     } else {
-      const auto found = co_await ReadRecord(verdict.mKey);
+      const auto found = co_await ReadRecord(verdict);
       isAnswered = found.has_value();
       machine.ReadAnswered(found);
     }
@@ -130,20 +130,23 @@
     co_return;
   }
   for (int i = 0; i < kBackgroundTries; ++i) {
-    const auto object = co_await mPlatform.Read(aVerdict.mKey);
-    if (object && *object) {
-      const auto found = state::ReadClaimRecord((*object)->mValue);
-      if (!found || found->mNonce != aVerdict.mRecord.mNonce ||
-          found->mIsDone) {
+    if (aVerdict.mRevision == 0) {
+      const auto found = co_await ReadRecord(aVerdict);
+      const bool isOthers = found && *found && aVerdict.mRevision == 0;
+      if (isOthers || (found && *found && (*found)->mIsDone)) {
         co_return;
       }
+    }
+    if (aVerdict.mRevision != 0) {
       const auto written =
         co_await mPlatform.Write(aVerdict.mKey,
                                  state::WriteClaimRecord(aVerdict.mRecord),
-                                 (*object)->mRevision);
+                                 aVerdict.mRevision);
       if (written) {
         co_return;
       }
+      // A lost answer may have recorded it: look before the next try.
+      aVerdict.mRevision = 0;
     }
     co_await transport::Sleep(kBackgroundPause);
   }
--- /dev/null
+++ b/packages/coordination/src/claim_sweeper.cpp
@@ -0,0 +1,93 @@
+#include "shuntjunction/coordination/claim_sweeper.h"
+
+#include <algorithm>
+#include <numeric>
+
+#include "shuntjunction/state/claim_retention.h"
+#include "shuntjunction/state/digest.h"
+#include "shuntjunction/state/prefix_chain.h"
+
+namespace shuntjunction::coordination {
+
+using state::Millis;
+using transport::Task;
+
+namespace {
+
+constexpr std::int64_t kLooksInRetention = 8;
+constexpr Millis kDeletePause{ 50 }; ///< leaves the platform to others
+
+} // namespace
+
+ClaimSweeper::ClaimSweeper(boost::asio::io_context& aContext,
+                           ClaimSweeperSettings aSettings,
+                           Platform& aPlatform,
+                           const state::Clock& aClock,
+                           Metrics& aMetrics)
+  : mContext(aContext)
+  , mSettings(std::move(aSettings))
+  , mPlatform(aPlatform)
+  , mClock(aClock)
+  , mMetrics(aMetrics)
+  , mLog("claims")
+  , mTurns(state::kClaimShards)
+{
+  // Companions that start together do not list together.
+  std::iota(mTurns.begin(), mTurns.end(), 0);
+  state::RandomSource random(state::PlacementHash(state::RandomNonce()));
+  std::shuffle(mTurns.begin(), mTurns.end(), random);
+}
+
+void
+ClaimSweeper::Start()
+{
+  transport::Spawn(mContext, Follow());
+}
+
+void
+ClaimSweeper::TakeInstances(SharedInstances aInstances)
+{
+  mInstances = std::move(aInstances);
+}
+
+Task<void>
+ClaimSweeper::Follow()
+{
+  const auto pause =
+    mSettings.mRetention / (kLooksInRetention * std::ssize(mTurns));
+  while (true) {
+    for (const std::size_t shard : mTurns) {
+      co_await transport::Sleep(pause);
+      if (state::IsSweeperOf(*mInstances, mSettings.mName, shard)) {
+        co_await Sweep(shard);
+      }
+    }
+  }
+}
+
+Task<std::size_t>
+ClaimSweeper::Sweep(std::size_t aShard)
+{
+  const std::string prefix = state::ClaimShardPrefix(aShard);
+  const auto list = co_await mPlatform.List(prefix);
+  if (!list) {
+    mLog.Debug("not swept: " + list.error().Describe() + ".");
+    co_return 0;
+  }
+  std::size_t deleted = 0;
+  for (const auto& claim : state::ExpiredClaims(
+         list->mObjects, mClock.WallMillis(), mSettings.mRetention)) {
+    const auto done = co_await mPlatform.Delete(claim.mKey, claim.mRevision);
+    if (!done) {
+      mLog.Debug("not deleted: " + done.error().Describe() + ".");
+      break;
+    }
+    ++deleted;
+    co_await transport::Sleep(kDeletePause);
+  }
+  mMetrics.Count(
+    "shuntjunction_claims_expired_total", {}, static_cast<double>(deleted));
+  co_return deleted;
+}
+
+} // namespace shuntjunction::coordination
--- a/packages/coordination/src/daemon.cpp
+++ b/packages/coordination/src/daemon.cpp
@@ -11,6 +11,7 @@
 #include <boost/json/serialize.hpp>
 
 #include "shuntjunction/coordination/admin.h"
+#include "shuntjunction/coordination/claim_sweeper.h"
 #include "shuntjunction/coordination/companion.h"
 #include "shuntjunction/coordination/config_feed.h"
 #include "shuntjunction/coordination/engine_orders.h"
@@ -168,6 +169,14 @@
                                              mClock,
                                              mMetrics,
                                              PeerTextTaker());
+    mSweeper = std::make_unique<ClaimSweeper>(
+      mTraffic,
+      ClaimSweeperSettings{ mSettings.mName,
+                            mSettings.mCompanion.mClaimRetention },
+      mTrafficPlatform,
+      mClock,
+      mMetrics);
+    mSweeper->Start();
     if (mBackend->IsEngine()) {
       mOrders = std::make_unique<EngineOrders>(mTraffic,
                                                mSettings,
@@ -216,6 +225,7 @@
         mRouter->TakeConfig(config);
       } else {
         mCompanion->TakeConfig(config);
+        mSweeper->TakeInstances(config.mInstances);
       }
       if (mOrders) {
         mOrders->TakeConfig(config.mSnapshot);
@@ -336,6 +346,7 @@
   std::unique_ptr<Backend> mBackend;
   std::unique_ptr<Router> mRouter;
   std::unique_ptr<Companion> mCompanion;
+  std::unique_ptr<ClaimSweeper> mSweeper;
   std::unique_ptr<EngineOrders> mOrders;
   std::unique_ptr<Admin> mAdmin;
   std::unique_ptr<transport::HttpServer> mServer;
--- a/packages/state/include/shuntjunction/state/endpoint_chooser.h
+++ b/packages/state/include/shuntjunction/state/endpoint_chooser.h
@@ -61,7 +61,7 @@
 struct ChooserSettings
 {
   ChoicePolicy mPolicy = ChoicePolicy::kNestedGroups;
-  std::size_t mProbes = 2;      ///< endpoints asked for their cost
+  std::size_t mProbes = 2; ///< endpoints asked for their cost
   /// Endpoints of a group, at least. More than mProbes makes each request ask
   /// a random part of its group, so that a prefix is computed in all of it.
   std::size_t mMinWidth = kMinGroupWidth;
--- a/packages/state/include/shuntjunction/state/settings.h
+++ b/packages/state/include/shuntjunction/state/settings.h
@@ -97,7 +97,8 @@
   std::int64_t mMicrosPerBlock = 4000; ///< assumed until it was measured
   Millis mBackendTimeout{ 2000 };      ///< for the backend to connect
   Millis mClaimTimeout{ 2000 };        ///< to settle a claim
-  Millis mPollInterval{ 500 };         ///< of the engine's load and state
+  Millis mClaimRetention{ 24L * 3600 * 1000 }; ///< then its key is free again
+  Millis mPollInterval{ 500 }; ///< of the engine's load and state
 };
 
 /// All settings of a shuntjunctiond process.
--- a/packages/state/src/settings.cpp
+++ b/packages/state/src/settings.cpp
@@ -13,6 +13,11 @@
 constexpr std::int64_t kMaxBytes = 1LL << 30;
 constexpr std::size_t kMinSecretBytes = 16;
 
+/// Longer than any request may take, so that no retry of it finds its claim
+/// deleted.
+constexpr Millis kMinClaimRetention{ 2L * 3600 * 1000 };
+constexpr Millis kMaxClaimRetention{ 30L * 24 * 3600 * 1000 };
+
 Millis
 ReadMillis(JsonReader& aReader, std::string_view aKey, Millis aDefault)
 {
@@ -149,6 +154,11 @@
     ReadMillis(aReader, "backendTimeoutMs", aCompanion.mBackendTimeout);
   aCompanion.mClaimTimeout =
     ReadMillis(aReader, "claimTimeoutMs", aCompanion.mClaimTimeout);
+  aCompanion.mClaimRetention =
+    Millis(aReader.Integer("claimRetentionMs",
+                           kMinClaimRetention.count(),
+                           kMaxClaimRetention.count(),
+                           aCompanion.mClaimRetention.count()));
   aCompanion.mPollInterval =
     ReadMillis(aReader, "pollIntervalMs", aCompanion.mPollInterval);
 }
