Changes alone travel between peers

Ruled out: changes without a check (two histories of a restored platform would mix); smaller text (a quarter at best by compression; still grows with teams).

Change: each process keeps its last 256 changes (128 KB) and answers with those since the asker's version. They carry a digest of the keys and revisions that they lead to; what does not fit is refused as a whole and the whole is asked for. Instances travel apart from the configuration.

--- a/bench/fleet_slopes.cpp
+++ b/bench/fleet_slopes.cpp
@@ -356,6 +356,37 @@
   }
 }
 
+/// What a process that does not watch asks for one change, by the size of the
+/// configuration.
+void
+MeasureChangeBytes(const std::string& aBinaries)
+{
+  constexpr int kChanges = 10;
+  std::vector<Point> bytes;
+  for (const std::size_t teams : { 50U, 100U, 200U, 400U }) {
+    ManyRouters many(aBinaries, 4, R"({"allBelow":0})");
+    Fleet& fleet = many.mFleet;
+    for (std::size_t i = 0; i < teams; ++i) {
+      const std::string team = "team-" + std::to_string(i);
+      fleet.Apply("config/teams/" + team,
+                  R"({"keyDigests":[")" + standins::KeyDigest(team) + R"("]})");
+    }
+    TimeToBeInForce(fleet, many.mRouters, "first");
+    const auto asked = [&] {
+      return fleet.Metric("r0", "shuntjunction_config_peer_bytes");
+    };
+    std::this_thread::sleep_for(Millis(2000));
+    const double before = asked();
+    for (int i = 0; i < kChanges; ++i) {
+      TimeToBeInForce(fleet, many.mRouters, "model-" + std::to_string(i));
+    }
+    std::this_thread::sleep_for(Millis(1000)); // The gauge lags.
+    bytes.push_back(
+      { static_cast<double>(teams), (asked() - before) / kChanges });
+  }
+  PrintFit("bytes asked a change by teams, questions included", "B", bytes);
+}
+
 void
 MeasureAdded(const std::string& aBinaries)
 {
@@ -419,7 +450,7 @@
     { "streams", MeasureStreams },   { "tokens", MeasureTokens },
     { "requests", MeasureRequests }, { "events", MeasureEvents },
     { "watching", MeasureWatching }, { "added", MeasureAdded },
-    { "idle", MeasureIdle }
+    { "idle", MeasureIdle },         { "change-bytes", MeasureChangeBytes }
   };
   CLI::App app("What real processes cost by what grows.");
   std::string binaries;
--- a/packages/coordination/include/shuntjunction/coordination/companion.h
+++ b/packages/coordination/include/shuntjunction/coordination/companion.h
@@ -28,9 +28,6 @@
 class Companion
 {
 public:
-  /// Passes a peer's snapshot on to the control thread.
-  using OnPeerSnapshot = std::function<void(std::string, std::string)>;
-
   /// @param aSettings, aBackend, aPlatform, aClock, aMetrics  outlive it
   Companion(boost::asio::io_context& aContext,
             const state::Settings& aSettings,
@@ -38,7 +35,7 @@
             Platform& aPlatform,
             const state::Clock& aClock,
             Metrics& aMetrics,
-            OnPeerSnapshot aOnPeerSnapshot);
+            PeerSnapshotTaker aOnPeerSnapshot);
   ~Companion();
   Companion(const Companion&) = delete;
   Companion& operator=(const Companion&) = delete;
@@ -118,7 +115,7 @@
   Backend& mBackend;
   const state::Clock& mClock;
   Metrics& mMetrics;
-  OnPeerSnapshot mOnPeerSnapshot;
+  PeerSnapshotTaker mOnPeerSnapshot;
   ClaimKeeper mClaims;
   Log mLog;
   PublishedConfig mConfig;
--- a/packages/coordination/include/shuntjunction/coordination/config_feed.h
+++ b/packages/coordination/include/shuntjunction/coordination/config_feed.h
@@ -28,14 +28,26 @@
     std::make_shared<const std::vector<state::InstanceInfo>>();
   std::uint64_t mInstancesRevision = 0;     ///< of mInstances
   std::shared_ptr<const std::string> mText; ///< null before the first
+  std::shared_ptr<const std::string> mInstancesText;
+  std::shared_ptr<const state::RecentChanges> mRecent;
 
   /// Version in force.
   std::uint64_t Version() const { return mSnapshot->mVersion.Packed(); }
 
+  /// Asks a peer for what is newer than this.
+  protocol::SnapshotRequest RequestNewer() const
+  {
+    return { Version(), mInstancesRevision };
+  }
+
   /// Answer to a peer that asks for what is newer than it has.
   protocol::SnapshotReply ReplyTo(const protocol::SnapshotRequest& aHave) const;
 };
 
+/// Passes a peer's snapshot on to the control thread.
+using PeerSnapshotTaker =
+  std::function<void(protocol::SnapshotReply, std::string)>;
+
 /// Settings of a ConfigFeed.
 struct ConfigFeedSettings
 {
@@ -85,7 +97,8 @@
   void Start();
 
   /// Takes a configuration that a peer sent.
-  void TakePeerText(const std::string& aText, const std::string& aPeer);
+  void TakePeerSnapshot(const protocol::SnapshotReply& aReply,
+                        const std::string& aPeer);
 
   /// Version in force.
   state::ConfigVersion Version() const { return mStore.Version(); }
@@ -111,7 +124,9 @@
   state::Millis Jittered(state::Millis aPause);
   void Publish();
   void LogInForce() const;
-  std::string PeerText() const;
+  std::string InstancesText() const;
+  bool TakePeerConfig(const std::string& aText, const std::string& aPeer);
+  bool TakePeerInstances(const std::string& aText, const std::string& aPeer);
   void NoteOutcome(state::MergeOutcome aOutcome, std::uint64_t aRevision);
 
   boost::asio::io_context& mContext;
@@ -124,6 +139,7 @@
   std::uint64_t mInstancesRevision = 0;
   ConfigFeedCounters mCounters;
   SnapshotClient mPeers;
+  bool mWantsWhole = false;          ///< a peer's changes did not fit
   std::uint64_t mRefusedVersion = 0; ///< of a peer with an older snapshot
   bool mHasWatchers = false;         ///< one answered the last question
   state::RandomSource mRandom;
--- a/packages/coordination/include/shuntjunction/coordination/peer_link.h
+++ b/packages/coordination/include/shuntjunction/coordination/peer_link.h
@@ -49,7 +49,7 @@
   virtual void OnPeerOpen(const std::string& aEndpoint) = 0;
   /// The companion sent its configuration.
   virtual void OnPeerSnapshot(const std::string& aEndpoint,
-                              std::string aText) = 0;
+                              protocol::SnapshotReply aReply) = 0;
   /// The configuration in force, for the companion that asks for it.
   virtual protocol::SnapshotReply Snapshot(
     const protocol::SnapshotRequest& aHave) = 0;
--- a/packages/coordination/include/shuntjunction/coordination/router.h
+++ b/packages/coordination/include/shuntjunction/coordination/router.h
@@ -45,15 +45,12 @@
   , public LinkListener
 {
 public:
-  /// Passes a peer's snapshot on to the control thread.
-  using OnPeerText = std::function<void(std::string, std::string)>;
-
   /// @param aSettings, aClock, aMetrics  outlive the router
   Router(boost::asio::io_context& aContext,
          const state::Settings& aSettings,
          const state::Clock& aClock,
          Metrics& aMetrics,
-         OnPeerText aOnPeerSnapshot);
+         PeerSnapshotTaker aOnPeerSnapshot);
   ~Router() override;
   Router(const Router&) = delete;
   Router& operator=(const Router&) = delete;
@@ -90,7 +87,8 @@
                      std::uint64_t aVersion) override;
   void OnPeerLeaving(const std::string& aEndpoint) override;
   void OnPeerOpen(const std::string& aEndpoint) override;
-  void OnPeerSnapshot(const std::string& aEndpoint, std::string aText) override;
+  void OnPeerSnapshot(const std::string& aEndpoint,
+                      protocol::SnapshotReply aReply) override;
   protocol::SnapshotReply Snapshot(
     const protocol::SnapshotRequest& aHave) override;
 
@@ -117,7 +115,7 @@
   const state::Settings& mSettings;
   const state::Clock& mClock;
   Metrics& mMetrics;
-  OnPeerText mOnPeerSnapshot;
+  PeerSnapshotTaker mOnPeerSnapshot;
   Log mLog;
   PublishedConfig mConfig;
   std::size_t mRouters = 1;
--- a/packages/coordination/src/companion.cpp
+++ b/packages/coordination/src/companion.cpp
@@ -29,7 +29,7 @@
                      Platform& aPlatform,
                      const state::Clock& aClock,
                      Metrics& aMetrics,
-                     OnPeerSnapshot aOnPeerSnapshot)
+                     PeerSnapshotTaker aOnPeerSnapshot)
   : mContext(aContext)
   , mSettings(aSettings)
   , mBackend(aBackend)
@@ -301,9 +301,7 @@
                std::get_if<protocol::SnapshotRequest>(&aMessage)) {
     aSession->Channel().Send(mConfig.ReplyTo(*request));
   } else if (auto* reply = std::get_if<protocol::SnapshotReply>(&aMessage)) {
-    if (!reply->mText.empty()) {
-      mOnPeerSnapshot(std::move(reply->mText), aSession->Channel().Peer());
-    }
+    mOnPeerSnapshot(std::move(*reply), aSession->Channel().Peer());
   } else {
     mMetrics.Count("shuntjunction_frames_unexpected_total");
   }
@@ -314,7 +312,7 @@
 {
   if (aVersion > ConfigVersion() && aVersion > mHeardVersion) {
     mHeardVersion = aVersion;
-    aSession.Channel().Send(protocol::SnapshotRequest{ ConfigVersion() });
+    aSession.Channel().Send(mConfig.RequestNewer());
   }
 }
 
--- a/packages/coordination/src/config_feed.cpp
+++ b/packages/coordination/src/config_feed.cpp
@@ -53,7 +53,11 @@
   published.mSnapshot = mStore.Current();
   published.mInstances = mInstances;
   published.mInstancesRevision = mInstancesRevision;
-  published.mText = std::make_shared<const std::string>(PeerText());
+  published.mText = std::make_shared<const std::string>(mStore.Serialize());
+  published.mInstancesText =
+    std::make_shared<const std::string>(InstancesText());
+  published.mRecent =
+    std::make_shared<const state::RecentChanges>(mStore.Recent());
   mOnConfig(std::move(published));
 }
 
@@ -72,16 +76,14 @@
 }
 
 std::string
-ConfigFeed::PeerText() const
+ConfigFeed::InstancesText() const
 {
   json::array instances;
   for (const auto& instance : *mInstances) {
     instances.push_back(WriteInstance(instance));
   }
-  return json::serialize(
-    json::object{ { "config", mStore.Serialize() },
-                  { "instancesRevision", mInstancesRevision },
-                  { "instances", std::move(instances) } });
+  return json::serialize(json::object{ { "revision", mInstancesRevision },
+                                       { "instances", std::move(instances) } });
 }
 
 void
@@ -221,19 +223,18 @@
 ConfigFeed::Ask(std::string aAddress)
 {
   protocol::SnapshotRequest have;
-  have.mHave = std::max(Version().Packed(), mRefusedVersion);
+  have.mHave = mWantsWhole ? 0 : std::max(Version().Packed(), mRefusedVersion);
   have.mHaveInstances = mInstancesRevision;
   const auto reply = co_await mPeers.Ask(aAddress, have);
   if (!reply) {
     mLog.Debug("no snapshot: " + reply.error().Describe() + ".");
     co_return false;
   }
-  if (!reply->mText.empty()) {
-    TakePeerText(reply->mText, aAddress);
-    // What is older here is not asked for again and again.
-    if (reply->mVersion > Version().Packed()) {
-      mRefusedVersion = reply->mVersion;
-    }
+  mWantsWhole = false;
+  TakePeerSnapshot(*reply, aAddress);
+  // What is older here is not asked for again and again.
+  if (!mWantsWhole && reply->mVersion > Version().Packed()) {
+    mRefusedVersion = reply->mVersion;
   }
   co_return true;
 }
@@ -266,45 +267,69 @@
 }
 
 void
-ConfigFeed::TakePeerText(const std::string& aText, const std::string& aPeer)
+ConfigFeed::TakePeerSnapshot(const protocol::SnapshotReply& aReply,
+                             const std::string& aPeer)
 {
-  const auto refuse = [&](const state::Error& aError) {
-    mLog.Warn("a snapshot of " + aPeer + " was refused: " + aError.Describe() +
-              ".");
-  };
-  const auto value = state::ParseJson(aText, "snapshot");
-  if (!value) {
-    refuse(value.error());
-    return;
+  const bool hasNewInstances = TakePeerInstances(aReply.mInstances, aPeer);
+  const bool hasNewConfig = TakePeerConfig(aReply.mText, aPeer);
+  if (hasNewInstances || hasNewConfig) {
+    Publish();
   }
-  state::JsonReader reader(*value, "snapshot");
-  const std::string config = reader.Text("config");
-  const auto revision = static_cast<std::uint64_t>(
-    reader.Integer("instancesRevision", 0, INT64_MAX));
-  const auto instances = ReadInstances(reader);
-  if (const auto done = reader.Finish(); !done) {
-    refuse(done.error());
-    return;
+}
+
+bool
+ConfigFeed::TakePeerConfig(const std::string& aText, const std::string& aPeer)
+{
+  if (aText.empty()) {
+    return false;
   }
-  const auto outcome = mStore.ApplyPeer(config, aPeer);
+  const auto outcome = mStore.ApplyPeer(aText, aPeer);
   if (!outcome) {
-    refuse(outcome.error());
-    return;
+    const bool isUnfit = outcome.error().mCode == state::ErrorCode::kConflict;
+    mWantsWhole = mWantsWhole || isUnfit;
+    mLog.Warn("a snapshot of " + aPeer +
+              " was refused: " + outcome.error().Describe() + ".");
+    return false;
+  }
+  if (*outcome != MergeOutcome::kApplied) {
+    return false;
+  }
+  ++mCounters.mFromPeers;
+  mLog.Info("took a snapshot from " + aPeer + ".");
+  LogInForce();
+  return true;
+}
+
+bool
+ConfigFeed::TakePeerInstances(const std::string& aText,
+                              const std::string& aPeer)
+{
+  if (aText.empty()) {
+    return false;
   }
-  const bool hasNewInstances = revision > mInstancesRevision;
-  if (hasNewInstances) {
-    mInstancesRevision = revision;
-    mInstances =
-      std::make_shared<const std::vector<state::InstanceInfo>>(instances);
+  const auto refuse = [&](const state::Error& aError) {
+    mLog.Warn("the instances of " + aPeer +
+              " were refused: " + aError.Describe() + ".");
+    return false;
+  };
+  const auto value = state::ParseJson(aText, "instances");
+  if (!value) {
+    return refuse(value.error());
   }
-  if (*outcome == MergeOutcome::kApplied) {
-    ++mCounters.mFromPeers;
-    mLog.Info("took a snapshot from " + aPeer + ".");
-    LogInForce();
+  state::JsonReader reader(*value, "instances");
+  const auto revision =
+    static_cast<std::uint64_t>(reader.Integer("revision", 0, INT64_MAX));
+  auto instances = ReadInstances(reader);
+  if (const auto done = reader.Finish(); !done) {
+    return refuse(done.error());
   }
-  if (hasNewInstances || *outcome == MergeOutcome::kApplied) {
-    Publish();
+  if (revision <= mInstancesRevision) {
+    return false;
   }
+  mInstancesRevision = revision;
+  mInstances = std::make_shared<const std::vector<state::InstanceInfo>>(
+    std::move(instances));
+  return true;
 }
 
 Millis
@@ -363,10 +388,18 @@
 {
   protocol::SnapshotReply reply;
   reply.mVersion = Version();
-  const bool hasNewInstances =
-    aHave.mHaveInstances != 0 && mInstancesRevision > aHave.mHaveInstances;
-  if (mText && (reply.mVersion > aHave.mHave || hasNewInstances)) {
-    reply.mText = *mText;
+  if (!mText) {
+    return reply;
+  }
+  if (reply.mVersion > aHave.mHave) {
+    const auto have = state::ConfigVersion::Unpack(aHave.mHave);
+    reply.mText = mRecent->TextSince(have.mEpoch, have.mRevision);
+    if (reply.mText.empty()) {
+      reply.mText = *mText;
+    }
+  }
+  if (mInstancesRevision > aHave.mHaveInstances) {
+    reply.mInstances = *mInstancesText;
   }
   return reply;
 }
--- a/packages/coordination/src/daemon.cpp
+++ b/packages/coordination/src/daemon.cpp
@@ -151,7 +151,7 @@
   Result<Address> StartRouter()
   {
     mRouter = std::make_unique<Router>(
-      mTraffic, mSettings, mClock, mMetrics, PeerTextTaker());
+      mTraffic, mSettings, mClock, mMetrics, SnapshotTaker());
     mRouter->Start();
     mServer = std::make_unique<transport::HttpServer>(
       mTraffic, mSettings.mLimits, *mRouter);
@@ -168,7 +168,7 @@
                                              mTrafficPlatform,
                                              mClock,
                                              mMetrics,
-                                             PeerTextTaker());
+                                             SnapshotTaker());
     mSweeper = std::make_unique<ClaimSweeper>(
       mTraffic,
       ClaimSweeperSettings{ mSettings.mName,
@@ -206,12 +206,12 @@
   }
 
   /// Passes a peer's snapshot from the traffic to the control thread.
-  std::function<void(std::string, std::string)> PeerTextTaker()
+  PeerSnapshotTaker SnapshotTaker()
   {
-    return [this](std::string aText, std::string aPeer) {
+    return [this](protocol::SnapshotReply aReply, std::string aPeer) {
       asio::post(mControl,
-                 [this, text = std::move(aText), peer = std::move(aPeer)] {
-                   mFeed.TakePeerText(text, peer);
+                 [this, reply = std::move(aReply), peer = std::move(aPeer)] {
+                   mFeed.TakePeerSnapshot(reply, peer);
                  });
     };
   }
--- a/packages/coordination/src/peer_link.cpp
+++ b/packages/coordination/src/peer_link.cpp
@@ -148,9 +148,7 @@
     return;
   }
   if (auto* reply = std::get_if<protocol::SnapshotReply>(&aMessage)) {
-    if (!reply->mText.empty()) {
-      mListener.OnPeerSnapshot(mEndpoint, std::move(reply->mText));
-    }
+    mListener.OnPeerSnapshot(mEndpoint, std::move(*reply));
     return;
   }
   const protocol::StreamId id = StreamOf(aMessage);
--- a/packages/coordination/src/router.cpp
+++ b/packages/coordination/src/router.cpp
@@ -52,7 +52,7 @@
                const state::Settings& aSettings,
                const state::Clock& aClock,
                Metrics& aMetrics,
-               OnPeerText aOnPeerSnapshot)
+               PeerSnapshotTaker aOnPeerSnapshot)
   : mContext(aContext)
   , mSettings(aSettings)
   , mClock(aClock)
@@ -178,7 +178,7 @@
   mHeardVersion = aVersion;
   const auto handle = mTable.Find(aEndpoint);
   if (handle.IsValid()) {
-    Link(handle)->Send(protocol::SnapshotRequest{ own });
+    Link(handle)->Send(mConfig.RequestNewer());
   }
 }
 
@@ -202,9 +202,10 @@
 }
 
 void
-Router::OnPeerSnapshot(const std::string& aEndpoint, std::string aText)
+Router::OnPeerSnapshot(const std::string& aEndpoint,
+                       protocol::SnapshotReply aReply)
 {
-  mOnPeerSnapshot(std::move(aText), aEndpoint);
+  mOnPeerSnapshot(std::move(aReply), aEndpoint);
 }
 
 protocol::SnapshotReply
--- a/packages/protocol/include/shuntjunction/protocol/messages.h
+++ b/packages/protocol/include/shuntjunction/protocol/messages.h
@@ -190,14 +190,15 @@
 struct SnapshotRequest
 {
   std::uint64_t mHave = 0;          ///< ConfigVersion::Packed
-  std::uint64_t mHaveInstances = 0; ///< revision of the list; 0: any will do
+  std::uint64_t mHaveInstances = 0; ///< revision of the list
 };
 
-/// The configuration in force; no text when it is not newer.
+/// The configuration in force and the instances, as far as they are newer.
 struct SnapshotReply
 {
   std::uint64_t mVersion = 0;
-  std::string mText;
+  std::string mText;      ///< whole, or the changes since the one asked with
+  std::string mInstances; ///< the whole list
 };
 
 /// Any message.
--- a/packages/protocol/src/codec.cpp
+++ b/packages/protocol/src/codec.cpp
@@ -277,7 +277,9 @@
 Pack(FlatBufferBuilder& aBuilder, const SnapshotReply& aMessage)
 {
   const auto text = aBuilder.CreateString(aMessage.mText);
-  return wire::CreateSnapshotReply(aBuilder, aMessage.mVersion, text).Union();
+  const auto instances = aBuilder.CreateString(aMessage.mInstances);
+  return wire::CreateSnapshotReply(aBuilder, aMessage.mVersion, text, instances)
+    .Union();
 }
 
 // Unpacking: one function a message.
@@ -453,7 +455,7 @@
 SnapshotReply
 Unpack(const wire::SnapshotReply& aWire)
 {
-  return { aWire.version(), TextOf(aWire.text()) };
+  return { aWire.version(), TextOf(aWire.text()), TextOf(aWire.instances()) };
 }
 
 /// Names of the messages, in the order of Message.
--- a/packages/state/include/shuntjunction/state/config_store.h
+++ b/packages/state/include/shuntjunction/state/config_store.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "shuntjunction/state/config_objects.h"
+#include "shuntjunction/state/recent_changes.h"
 
 /// The configuration in force, which never goes backwards.
 namespace shuntjunction::state {
@@ -33,16 +34,6 @@
   }
 };
 
-/// An object as the platform holds it.
-struct RawObject
-{
-  std::string mKey;
-  std::uint64_t mRevision = 0; ///< platform revision of its last change
-  std::string mValue;          ///< JSON text; empty when it was deleted
-
-  bool operator==(const RawObject&) const = default;
-};
-
 /// An object that was not put in force, and why.
 struct QuarantinedObject
 {
@@ -113,7 +104,11 @@
   MergeOutcome ApplyChanges(std::uint64_t aRevision,
                             const std::vector<RawObject>& aChanges);
 
-  /// Takes a whole configuration from a peer, as Serialize wrote it.
+  /// Takes a configuration from a peer: whole, as Serialize wrote it, or the
+  /// changes since an older one, as RecentChanges wrote them.
+  ///
+  /// Changes are taken only where they lead to the peer's own objects.
+  /// @return kConflict when changes do not fit: ask for the whole
   Result<MergeOutcome> ApplyPeer(std::string_view aText,
                                  std::string_view aPeer);
 
@@ -123,6 +118,9 @@
   /// The configuration in force; never null.
   std::shared_ptr<const ConfigSnapshot> Current() const { return mCurrent; }
 
+  /// The latest changes, for peers that lack only these.
+  const RecentChanges& Recent() const { return mRecent; }
+
   /// Version in force.
   ConfigVersion Version() const { return mCurrent->mVersion; }
 
@@ -148,7 +146,14 @@
   bool AdoptNewest(std::uint64_t aNewest,
                    const std::vector<RawObject>& aObjects);
 
+  static std::uint64_t Digest(const Objects& aObjects);
+  void RestartRecent();
+  void AddRecent(const std::vector<RawObject>& aChanges);
+  Result<MergeOutcome> ApplyPeerChanges(std::string_view aText,
+                                        std::string_view aPeer);
+
   Objects mObjects;
+  RecentChanges mRecent;
   ConfigVersion mCursor;
   std::uint64_t mNewestChange = 0; ///< within the present epoch
   std::shared_ptr<const ConfigSnapshot> mCurrent;
--- a/packages/state/src/config_store.cpp
+++ b/packages/state/src/config_store.cpp
@@ -5,6 +5,7 @@
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
 
+#include "raw_object.h"
 #include "shuntjunction/state/json_reader.h"
 
 namespace shuntjunction::state {
@@ -70,25 +71,6 @@
   return CheckConfigObject(aObject.mKey, *value);
 }
 
-boost::json::object
-ToJson(const RawObject& aObject)
-{
-  return { { "key", aObject.mKey },
-           { "revision", aObject.mRevision },
-           { "value", aObject.mValue } };
-}
-
-RawObject
-ReadRaw(JsonReader& aReader)
-{
-  RawObject object;
-  object.mKey = aReader.Text("key");
-  object.mRevision =
-    static_cast<std::uint64_t>(aReader.Integer("revision", 0, INT64_MAX));
-  object.mValue = aReader.Text("value");
-  return object;
-}
-
 } // namespace
 
 const TeamConfig*
@@ -183,6 +165,7 @@
   mObjects = std::move(objects);
   mNewestChange = isNewEpoch ? 0 : mNewestChange;
   Publish();
+  RestartRecent();
   return MergeOutcome::kApplied;
 }
 
@@ -202,11 +185,17 @@
   }
   // The epoch only rises, whatever an operator writes.
   const std::uint64_t epoch = EpochOf(mObjects);
-  if (epoch > mCursor.mEpoch) {
+  const bool isNewEpoch = epoch > mCursor.mEpoch;
+  if (isNewEpoch) {
     mNewestChange = 0;
     mCursor.mEpoch = epoch;
   }
   Publish();
+  if (isNewEpoch) {
+    RestartRecent();
+  } else {
+    AddRecent(aChanges);
+  }
   return MergeOutcome::kApplied;
 }
 
@@ -239,9 +228,9 @@
   boost::json::array raw;
   boost::json::array good;
   for (const auto& [key, held] : mObjects) {
-    raw.push_back(ToJson(held.mRaw));
+    raw.push_back(WriteRawObject(held.mRaw));
     if (!held.mReason.empty() && !held.mGood.mValue.empty()) {
-      good.push_back(ToJson(held.mGood));
+      good.push_back(WriteRawObject(held.mGood));
     }
   }
   return boost::json::serialize(
@@ -254,6 +243,9 @@
 Result<MergeOutcome>
 ConfigStore::ApplyPeer(std::string_view aText, std::string_view aPeer)
 {
+  if (IsConfigChanges(aText)) {
+    return ApplyPeerChanges(aText, aPeer);
+  }
   auto refuse = [&](Error aError) {
     aError.mStep = "config.peer";
     aError.mPeer = aPeer;
@@ -268,22 +260,8 @@
     static_cast<std::uint64_t>(reader.Integer("revision", 0, INT64_MAX));
   const auto newest =
     static_cast<std::uint64_t>(reader.Integer("newest", 0, INT64_MAX, 0));
-  const auto readAll = [&](std::string_view aKey) {
-    std::vector<RawObject> objects;
-    const auto* list = reader.Find(aKey);
-    if (list == nullptr || !list->is_array()) {
-      reader.Note(aKey, "absent", "a list of objects");
-      return objects;
-    }
-    for (const auto& item : list->as_array()) {
-      JsonReader object(item, aKey);
-      objects.push_back(ReadRaw(object));
-      reader.Merge(object.Finish());
-    }
-    return objects;
-  };
-  const auto objects = readAll("objects");
-  const auto lastGood = readAll("lastGood");
+  const auto objects = ReadRawObjects(reader, "objects");
+  const auto lastGood = ReadRawObjects(reader, "lastGood");
   if (const auto done = reader.Finish(); !done) {
     return refuse(done.error());
   }
@@ -317,7 +295,76 @@
   }
   mNewestChange = aNewest;
   Publish();
+  RestartRecent();
   return true;
 }
 
+// Changes alone.
+
+std::uint64_t
+ConfigStore::Digest(const Objects& aObjects)
+{
+  std::uint64_t digest = 0;
+  for (const auto& [key, held] : aObjects) {
+    if (!held.mRaw.mValue.empty()) {
+      digest += ContentDigest(held.mRaw);
+    }
+  }
+  return digest;
+}
+
+void
+ConfigStore::RestartRecent()
+{
+  mRecent.Restart(mCursor.mEpoch, mNewestChange);
+  mRecent.Complete(mCursor.mRevision, Digest(mObjects));
+}
+
+void
+ConfigStore::AddRecent(const std::vector<RawObject>& aChanges)
+{
+  mRecent.Add(aChanges);
+  mRecent.Complete(mCursor.mRevision, Digest(mObjects));
+}
+
+Result<MergeOutcome>
+ConfigStore::ApplyPeerChanges(std::string_view aText, std::string_view aPeer)
+{
+  const auto changes = ReadConfigChanges(aText, aPeer);
+  if (!changes) {
+    return tl::unexpected<Error>(changes.error());
+  }
+  const auto refuse = [&](std::string_view aWhy) {
+    return Fail(ErrorCode::kConflict, "config.changes", aPeer, aWhy);
+  };
+  if (changes->mEpoch != mCursor.mEpoch || mNewestChange < changes->mSince) {
+    return refuse("they do not follow on");
+  }
+  if (changes->mNewest <= mNewestChange) {
+    return MergeOutcome::kUnchanged;
+  }
+  if (changes->mCursor < mCursor.mRevision) {
+    // Everything up to there is held already, and so is its version.
+    if (Digest(mObjects) != changes->mDigest) {
+      return MergeOutcome::kOlder;
+    }
+    mNewestChange = changes->mNewest;
+    Publish();
+    RestartRecent();
+    return MergeOutcome::kApplied;
+  }
+  Objects objects = mObjects;
+  for (const auto& change : changes->mChanges) {
+    Take(objects, change);
+  }
+  if (Digest(objects) != changes->mDigest) {
+    return refuse("they lead to other objects than the peer's");
+  }
+  mObjects = std::move(objects);
+  mCursor.mRevision = changes->mCursor;
+  Publish();
+  AddRecent(changes->mChanges);
+  return MergeOutcome::kApplied;
+}
+
 } // namespace shuntjunction::state
--- a/packages/state/tests/config_test.cpp
+++ b/packages/state/tests/config_test.cpp
@@ -262,8 +262,9 @@
         Watch(store);
         break;
       case 5: // A peer passes its configuration on.
-        (void)store.ApplyPeer(mStores[aChoice / 32 % kProcesses].Serialize(),
-                              "peer");
+        (void)store.ApplyPeer(
+          PeerText(mStores[aChoice / 32 % kProcesses], store.Version()),
+          "peer");
         break;
       case 6: // The process restarts with nothing: a new life.
         store = ConfigStore();
@@ -319,6 +320,13 @@
              });
   }
 
+  /// The changes since a version where they reach back, or all.
+  static std::string PeerText(const ConfigStore& aPeer, ConfigVersion aHave)
+  {
+    auto text = aPeer.Recent().TextSince(aHave.mEpoch, aHave.mRevision);
+    return text.empty() ? aPeer.Serialize() : text;
+  }
+
   /// An operator changes or deletes one of three objects.
   void Change(std::uint8_t aChoice)
   {
--- /dev/null
+++ b/packages/state/tests/recent_changes_test.cpp
@@ -0,0 +1,113 @@
+// The story of changes that travel alone: they bring a peer to the same
+// objects, or it asks for the whole.
+
+#include <gtest/gtest.h>
+
+#include "shuntjunction/state/config_store.h"
+
+namespace shuntjunction::state {
+namespace {
+
+RawObject
+Model(const std::string& aName, std::uint64_t aRevision)
+{
+  return { "config/models/" + aName,
+           aRevision,
+           R"({"weights":)" + std::to_string(aRevision) + "}" };
+}
+
+class GivenTwoProcesses : public ::testing::Test
+{
+protected:
+  void SetUp() override
+  {
+    mWatcher.ApplyList(10, { Model("a", 4), Model("b", 8) });
+    ASSERT_TRUE(mOther.ApplyPeer(mWatcher.Serialize(), "w").has_value());
+    ASSERT_EQ(mOther.Version(), mWatcher.Version());
+  }
+
+  std::string Text() const
+  {
+    const auto have = mOther.Version();
+    return mWatcher.Recent().TextSince(have.mEpoch, have.mRevision);
+  }
+
+  ConfigStore mWatcher;
+  ConfigStore mOther;
+};
+
+TEST_F(GivenTwoProcesses, OnlyChangesTravel)
+{
+  mWatcher.ApplyChanges(12, { Model("c", 12) });
+  mWatcher.ApplyChanges(15, { Model("d", 14), { "config/models/a", 15, "" } });
+  const std::string text = Text();
+  EXPECT_EQ(text.find("models/b"), std::string::npos) << text;
+  EXPECT_EQ(*mOther.ApplyPeer(text, "w"), MergeOutcome::kApplied);
+  EXPECT_EQ(mOther.Version(), mWatcher.Version());
+  EXPECT_EQ(mOther.Current()->mModels.size(), 3U);
+  EXPECT_FALSE(mOther.Current()->mModels.contains("a"));
+  {
+    SCOPED_TRACE("twice is once");
+    EXPECT_EQ(*mOther.ApplyPeer(text, "w"), MergeOutcome::kUnchanged);
+  }
+  {
+    SCOPED_TRACE("and it passes them on itself");
+    mWatcher.ApplyChanges(20, { Model("e", 20) });
+    ASSERT_TRUE(mOther.ApplyPeer(Text(), "w").has_value());
+    ConfigStore third;
+    third.ApplyList(15, { Model("b", 8), Model("c", 12), Model("d", 14) });
+    const auto passed = mOther.Recent().TextSince(0, 15);
+    ASSERT_FALSE(passed.empty());
+    EXPECT_FALSE(third.ApplyPeer(passed, "o")); // It lacks version 15.
+    EXPECT_EQ(*third.ApplyPeer(mOther.Serialize(), "o"),
+              MergeOutcome::kApplied);
+  }
+}
+
+TEST_F(GivenTwoProcesses, ChangesThatLeadElsewhereAreRefusedWhole)
+{
+  // The other has seen a change that the watcher never did: two histories.
+  mOther.ApplyChanges(11, { Model("x", 11) });
+  mWatcher.ApplyChanges(12, { Model("c", 12) });
+  const auto refused = mOther.ApplyPeer(Text(), "w");
+  ASSERT_FALSE(refused.has_value());
+  EXPECT_EQ(refused.error().mCode, ErrorCode::kConflict);
+  EXPECT_EQ(refused.error().mPeer, "w");
+  EXPECT_FALSE(mOther.Current()->mModels.contains("c"));
+  EXPECT_EQ(mOther.Version().mRevision, 11U);
+}
+
+TEST_F(GivenTwoProcesses, ChangesThatDoNotFollowOnAreRefused)
+{
+  mWatcher.ApplyChanges(12, { Model("c", 12) });
+  const std::string text = mWatcher.Recent().TextSince(0, 12);
+  ASSERT_FALSE(text.empty());
+  EXPECT_FALSE(mOther.ApplyPeer(text, "w").has_value());
+  EXPECT_FALSE(mOther.ApplyPeer(text.substr(0, text.size() / 2), "w"));
+  EXPECT_FALSE(mOther.Current()->mModels.contains("c"));
+}
+
+TEST_F(GivenTwoProcesses, ADeletionBeforeTheListIsTakenOverByContent)
+{
+  mWatcher.ApplyChanges(12, { { "config/models/a", 12, "" } });
+  ConfigStore late;
+  late.ApplyList(30, { Model("b", 8) });
+  const auto text = mWatcher.Recent().TextSince(0, late.Version().mRevision);
+  EXPECT_EQ(*late.ApplyPeer(text, "w"), MergeOutcome::kApplied);
+  EXPECT_EQ(late.Version(), mWatcher.Version());
+  EXPECT_EQ(late.Cursor().mRevision, 30U);
+}
+
+TEST_F(GivenTwoProcesses, WhatIsKeptIsBounded)
+{
+  for (std::uint64_t i = 0; i < 2 * kMaxRecentChanges; ++i) {
+    mWatcher.ApplyChanges(100 + i, { Model("m" + std::to_string(i), 100 + i) });
+  }
+  EXPECT_TRUE(Text().empty());
+  const std::uint64_t newest = mWatcher.Version().mRevision;
+  EXPECT_FALSE(mWatcher.Recent().TextSince(0, newest - 10).empty());
+  EXPECT_TRUE(mWatcher.Recent().TextSince(1, newest - 10).empty());
+}
+
+} // namespace
+} // namespace shuntjunction::state
