A zone cut off from the platform

Change: the platform stand-in has a second address that can be cut alone; what was sent through it takes effect when it is healed, though its callers have given up. And one of a weight store that gives one load a second.

Left: links between regions were not cut; a silent cut is noticed when the watch ends, 30 s.

--- a/standins/fleet.cpp
+++ b/standins/fleet.cpp
@@ -144,6 +144,7 @@
   }
   process.mTraffic = TextOf(line->as_object(), "traffic");
   process.mAdmin = TextOf(line->as_object(), "admin");
+  process.mFar = TextOf(line->as_object(), "far");
   mProcesses[aName] = process;
   return process;
 }
@@ -166,7 +167,9 @@
   settings["name"] = aName;
   settings["role"] = aRole;
   settings["zone"] = aZone;
-  settings["platform"] = Platform();
+  const bool isFar = aZone == mSettings.mFarZone;
+  settings["platform"] =
+    isFar ? Process(std::string(kPlatformName)).mFar : Platform();
   settings["secret"] = mSettings.mSecret;
   json::array peers;
   for (const auto& address : mCompanions) {
--- a/standins/fleet.h
+++ b/standins/fleet.h
@@ -19,6 +19,7 @@
   int mPid = 0;
   std::string mTraffic; ///< address that it takes traffic on
   std::string mAdmin;   ///< address of its operators' port; empty for stand-ins
+  std::string mFar;     ///< second address of the platform
   std::string mLog;     ///< file that its log goes to
 };
 
@@ -31,6 +32,7 @@
   std::string mRouterExtra = "{}";    ///< further members of "router"
   std::string mCompanionExtra = "{}"; ///< further members of "companion"
   std::string mProcessExtra = "{}";   ///< further members of all settings
+  std::string mFarZone; ///< its processes reach the platform by its far door
 };
 
 /// Starts, signals and ends processes; ends all of them when destroyed.
--- a/standins/platform_standin.cpp
+++ b/standins/platform_standin.cpp
@@ -332,6 +332,7 @@
   PlatformFaults faults;
   faults.mIsDown = reader.Flag("down", false);
   faults.mIsHung = reader.Flag("hung", false);
+  faults.mIsFarCut = reader.Flag("farCut", false);
   faults.mSlowMs = reader.Integer("slowMs", 0, 60000, 0);
   faults.mLostAnswers = reader.Number("lostAnswers", 0, 1, 0);
   faults.mLostWrites = reader.Number("lostWrites", 0, 1, 0);
@@ -358,4 +359,19 @@
   return Reply(200, json::object{ { "revision", mRevision } });
 }
 
+Task<void>
+FarDoor::Handle(HttpExchange& aExchange)
+{
+  while (mPlatform.Faults().mIsFarCut) {
+    co_await transport::Sleep(kHungPoll);
+  }
+  co_await mPlatform.Handle(aExchange);
+}
+
+HttpResponse
+FarDoor::Refusal(unsigned aStatus, std::string_view aText)
+{
+  return mPlatform.Refusal(aStatus, aText);
+}
+
 } // namespace shuntjunction::standins
--- a/standins/platform_standin.h
+++ b/standins/platform_standin.h
@@ -16,6 +16,7 @@
 {
   bool mIsDown = false;       ///< every call is answered 503, without effect
   bool mIsHung = false;       ///< no call is answered
+  bool mIsFarCut = false;     ///< no call through the far door is answered
   std::int64_t mSlowMs = 0;   ///< added to every call
   double mLostAnswers = 0;    ///< share of writes cut off after their effect
   double mLostWrites = 0;     ///< share of writes cut off before it
@@ -94,4 +95,25 @@
   std::mt19937_64 mRandom;
 };
 
+/// A second address of the platform, for processes that may be cut off alone.
+///
+/// While it is cut, calls through it are held up; they take effect when it is
+/// healed, though their callers have long given up.
+class FarDoor final : public transport::HttpHandler
+{
+public:
+  /// @param aPlatform  outlives the door
+  explicit FarDoor(PlatformStandin& aPlatform)
+    : mPlatform(aPlatform)
+  {
+  }
+
+  transport::Task<void> Handle(transport::HttpExchange& aExchange) override;
+  transport::HttpResponse Refusal(unsigned aStatus,
+                                  std::string_view aText) override;
+
+private:
+  PlatformStandin& mPlatform;
+};
+
 } // namespace shuntjunction::standins
--- a/standins/standin_main.cpp
+++ b/standins/standin_main.cpp
@@ -4,6 +4,8 @@
 
 #include <CLI/CLI.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
 
 #include "engine_standin.h"
 #include "platform_standin.h"
@@ -13,25 +15,37 @@
 
 using namespace shuntjunction;
 
-/// Serves a handler until a signal comes.
+/// A handler and the address it is served at.
+struct Door
+{
+  std::string mName; ///< of the address in the line that is printed
+  transport::HttpHandler* mHandler = nullptr;
+  std::string mListen;
+};
+
+/// Serves handlers until a signal comes.
 int
-Serve(boost::asio::io_context& aContext,
-      transport::HttpHandler& aHandler,
-      const std::string& aListen)
+Serve(boost::asio::io_context& aContext, const std::vector<Door>& aDoors)
 {
   state::LimitSettings limits;
   limits.mMaxBodyBytes = 64L * 1024 * 1024;
   limits.mMaxConnections = 100000;
-  transport::HttpServer server(aContext, limits, aHandler);
-  const auto address = state::ParseAddress(aListen);
-  const auto bound =
-    address ? server.Start(*address)
-            : state::Result<state::Address>(tl::unexpected(address.error()));
-  if (!bound) {
-    std::cerr << bound.error().Describe() << "\n";
-    return 1;
+  std::vector<std::unique_ptr<transport::HttpServer>> servers;
+  boost::json::object addresses;
+  for (const auto& door : aDoors) {
+    servers.push_back(std::make_unique<transport::HttpServer>(
+      aContext, limits, *door.mHandler));
+    const auto address = state::ParseAddress(door.mListen);
+    const auto bound =
+      address ? servers.back()->Start(*address)
+              : state::Result<state::Address>(tl::unexpected(address.error()));
+    if (!bound) {
+      std::cerr << bound.error().Describe() << "\n";
+      return 1;
+    }
+    addresses[door.mName] = bound->Text();
   }
-  std::cout << R"({"traffic":")" << bound->Text() << R"("})" << std::endl;
+  std::cout << boost::json::serialize(addresses) << std::endl;
   boost::asio::signal_set signals(aContext, SIGTERM, SIGINT);
   signals.async_wait([&](auto, int) { aContext.stop(); });
   aContext.run();
@@ -78,12 +92,15 @@
   boost::asio::io_context context(1);
   if (*platform) {
     standins::PlatformStandin standin(seed);
-    return Serve(context, standin, listen);
+    standins::FarDoor far(standin);
+    return Serve(
+      context,
+      { { "traffic", &standin, listen }, { "far", &far, "127.0.0.1:0" } });
   }
   if (*service) {
     standins::ServiceStandin standin{ state::Millis(delayMs) };
-    return Serve(context, standin, listen);
+    return Serve(context, { { "traffic", &standin, listen } });
   }
   standins::EngineStandin standin(context, engine);
-  return Serve(context, standin, listen);
+  return Serve(context, { { "traffic", &standin, listen } });
 }
--- a/tests/once_test.cpp
+++ b/tests/once_test.cpp
@@ -4,55 +4,11 @@
 #include <csignal>
 #include <thread>
 
-#include <boost/json/object.hpp>
-
-#include "given_a_fleet.h"
-#include "shuntjunction/state/json_reader.h"
+#include "given_a_booking.h"
 
 namespace shuntjunction::standins {
 namespace {
 
-class GivenABooking : public GivenAFleet
-{
-protected:
-  static transport::HttpRequest Booking(const std::string& aKey,
-                                        const std::string& aBody = "{}")
-  {
-    transport::HttpRequest request;
-    request.mMethod = "POST";
-    request.mTarget = "/services/booking/trips?crew=1";
-    request.mContentType = "application/json";
-    request.mBody = aBody;
-    request.mFields = { { "idempotency-key", aKey },
-                        { "x-not-repeatable", "true" } };
-    return request;
-  }
-
-  std::int64_t Runs(const std::string& aKey)
-  {
-    transport::HttpRequest audit;
-    audit.mTarget = "/audit";
-    const auto answer = Fleet::Call(mFleet.Process("service").mTraffic, audit);
-    const auto value = state::ParseJson(answer->mBody, "audit");
-    const auto* runs = value->as_object().if_contains(aKey);
-    return runs == nullptr ? 0 : runs->as_int64();
-  }
-
-  /// Asks until the outcome was recorded.
-  transport::HttpResponse AskUntilReplayed(const std::string& aKey)
-  {
-    transport::HttpResponse answer;
-    for (int i = 0; i < 200; ++i) {
-      answer = Ask("router-2", Booking(aKey));
-      if (answer.mStatus == 200) {
-        break;
-      }
-      std::this_thread::sleep_for(state::Millis(50));
-    }
-    return answer;
-  }
-};
-
 TEST_F(GivenABooking, ItRunsOnceAndIsAnsweredAgainFromItsRecord)
 {
   const auto first = Ask("router-1", Booking("trip-1"));
--- a/tests/orders_test.cpp
+++ b/tests/orders_test.cpp
@@ -104,6 +104,15 @@
   ExpectWholeAnswersOf(3);
 }
 
+TEST_F(OnEnginesThatCheckNumbers, AWeightStoreWithALimitServesAllInTheEnd)
+{
+  mFleet.SetFaults(R"({"weightsPerSecond":1})");
+  auto outcomes = MakeCalls(Calls(18), Millis(200), [&] { OrderWeights(2); });
+  ExpectAllWhole(outcomes);
+  ExpectAllLoad(2);
+  ExpectWholeAnswersOf(2);
+}
+
 class OnEnginesThatIgnoreNumbers : public GivenAReplacedInstance
 {
 protected:
