A client never outlives its context; logic that stood twice

Two reports a call site, all of this one cause.

Change: RunTask takes a context that outlives what the task leaves open; shuntctl has one context and one platform client for all its calls, where each call built its own.

--- a/apps/ctl_commands.cpp
+++ b/apps/ctl_commands.cpp
@@ -32,43 +32,38 @@
   : mOptions(aOptions)
   , mOut(aOut)
   , mErr(aErr)
+  , mPlatform(
+      state::ParseAddress(mOptions.mPlatform).value_or(state::Address{}),
+      kTimeout)
 {
 }
 
-// Calls, each on a context of its own.
+// Calls.
 
 Result<std::optional<RawObject>>
-Commands::Read(const std::string& aKey) const
+Commands::Read(const std::string& aKey)
 {
-  coordination::HttpPlatform platform(
-    state::ParseAddress(mOptions.mPlatform).value_or(state::Address{}),
-    kTimeout);
-  return transport::RunTask(platform.Read(aKey));
+  return transport::RunTask(mContext, mPlatform.Read(aKey));
 }
 
 Result<coordination::ObjectList>
-Commands::List(std::string aPrefix) const
+Commands::List(std::string aPrefix)
 {
-  coordination::HttpPlatform platform(
-    state::ParseAddress(mOptions.mPlatform).value_or(state::Address{}),
-    kTimeout);
-  return transport::RunTask(platform.List(std::move(aPrefix)));
+  return transport::RunTask(mContext, mPlatform.List(std::move(aPrefix)));
 }
 
 Result<std::uint64_t>
 Commands::Write(const std::string& aKey,
                 const std::string& aValue,
-                std::uint64_t aIfRevision) const
+                std::uint64_t aIfRevision)
 {
-  coordination::HttpPlatform platform(
-    state::ParseAddress(mOptions.mPlatform).value_or(state::Address{}),
-    kTimeout);
-  auto written = transport::RunTask(platform.Write(aKey, aValue, aIfRevision));
+  auto written =
+    transport::RunTask(mContext, mPlatform.Write(aKey, aValue, aIfRevision));
   if (written || written.error().mCode != ErrorCode::kTimeout) {
     return written;
   }
   // The answer was lost: what stands there now tells whether it took effect.
-  const auto found = transport::RunTask(platform.Read(aKey));
+  const auto found = transport::RunTask(mContext, mPlatform.Read(aKey));
   if (found && *found && (*found)->mValue == aValue &&
       (*found)->mRevision != aIfRevision) {
     return (*found)->mRevision;
@@ -77,13 +72,14 @@
 }
 
 Result<HttpResponse>
-Commands::Ask(HttpRequest aRequest) const
+Commands::Ask(HttpRequest aRequest)
 {
   transport::HttpClient client(
     state::ParseAddress(mOptions.mAdmin).value_or(state::Address{}),
     kMaxAnswerBytes);
   aRequest.mFields.push_back({ "authorization", "Bearer " + mOptions.mSecret });
-  return transport::RunTask(client.Send(std::move(aRequest), kTimeout));
+  return transport::RunTask(mContext,
+                            client.Send(std::move(aRequest), kTimeout));
 }
 
 // What is shown.
@@ -300,10 +296,8 @@
   }
   const std::uint64_t expected =
     mOptions.mIfRevision.value_or((*found)->mRevision);
-  coordination::HttpPlatform platform(
-    state::ParseAddress(mOptions.mPlatform).value_or(state::Address{}),
-    kTimeout);
-  const auto deleted = transport::RunTask(platform.Delete(key, expected));
+  const auto deleted =
+    transport::RunTask(mContext, mPlatform.Delete(key, expected));
   if (!deleted) {
     return deleted.error().mCode == ErrorCode::kConflict
              ? Conflict(key, expected)
--- a/apps/ctl_commands.h
+++ b/apps/ctl_commands.h
@@ -8,7 +8,7 @@
 
 #include <boost/json/object.hpp>
 
-#include "shuntjunction/coordination/platform.h"
+#include "shuntjunction/coordination/http_platform.h"
 #include "shuntjunction/state/error.h"
 #include "shuntjunction/transport/http_types.h"
 
@@ -71,17 +71,14 @@
   using Row = std::vector<std::string>;
 
   state::Result<std::vector<Declared>> ReadDeclared() const;
-  state::Result<std::optional<state::RawObject>> Read(
-    const std::string& aKey) const;
-  state::Result<coordination::ObjectList> List(std::string aPrefix) const;
+  state::Result<std::optional<state::RawObject>> Read(const std::string& aKey);
+  state::Result<coordination::ObjectList> List(std::string aPrefix);
   state::Result<std::uint64_t> Write(const std::string& aKey,
                                      const std::string& aValue,
-                                     std::uint64_t aIfRevision) const;
-  state::Result<std::vector<boost::json::object>> Statuses() const;
-  state::Result<transport::HttpResponse> Ask(
-    transport::HttpRequest aRequest) const;
-  state::Result<std::vector<std::string>> NotInForce(
-    std::uint64_t aRevision) const;
+                                     std::uint64_t aIfRevision);
+  state::Result<std::vector<boost::json::object>> Statuses();
+  state::Result<transport::HttpResponse> Ask(transport::HttpRequest aRequest);
+  state::Result<std::vector<std::string>> NotInForce(std::uint64_t aRevision);
   int ApplyOne(const Declared& aDeclared, std::uint64_t& aHighest);
   int AwaitInForce(std::uint64_t aRevision);
   int Fail(const state::Error& aError);
@@ -92,6 +89,8 @@
   Options mOptions;
   std::ostream& mOut;
   std::ostream& mErr;
+  boost::asio::io_context mContext{ 1 }; ///< outlives the connections
+  coordination::HttpPlatform mPlatform;
 };
 
 } // namespace shuntjunction::ctl
--- a/apps/ctl_processes.cpp
+++ b/apps/ctl_processes.cpp
@@ -31,7 +31,7 @@
 } // namespace
 
 Result<std::vector<json::object>>
-Commands::Statuses() const
+Commands::Statuses()
 {
   const auto list = List(std::string(coordination::kStatusPrefix));
   if (!list) {
@@ -83,11 +83,9 @@
   std::uint64_t after = list->mRevision;
   std::int64_t seen = 0;
   while (mOptions.mChanges == 0 || seen < mOptions.mChanges) {
-    coordination::HttpPlatform platform(
-      state::ParseAddress(mOptions.mPlatform).value_or(state::Address{}),
-      kTimeout);
     const auto watch = transport::RunTask(
-      platform.Watch(std::string(state::kConfigPrefix), after, kWatchWait));
+      mContext,
+      mPlatform.Watch(std::string(state::kConfigPrefix), after, kWatchWait));
     if (!watch) {
       return Fail(watch.error());
     }
@@ -197,12 +195,10 @@
 }
 
 Result<std::vector<std::string>>
-Commands::NotInForce(std::uint64_t aRevision) const
+Commands::NotInForce(std::uint64_t aRevision)
 {
-  coordination::HttpPlatform platform(
-    state::ParseAddress(mOptions.mPlatform).value_or(state::Address{}),
-    kTimeout);
-  const auto live = transport::RunTask(platform.Instances(0, Millis(0)));
+  const auto live =
+    transport::RunTask(mContext, mPlatform.Instances(0, Millis(0)));
   const auto statuses = Statuses();
   if (!live || !statuses) {
     return tl::unexpected(live ? statuses.error() : live.error());
--- a/packages/coordination/include/shuntjunction/coordination/peer_link.h
+++ b/packages/coordination/include/shuntjunction/coordination/peer_link.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "shuntjunction/coordination/log.h"
+#include "shuntjunction/coordination/metrics.h"
 #include "shuntjunction/protocol/messages.h"
 #include "shuntjunction/state/clock.h"
 #include "shuntjunction/state/settings.h"
@@ -18,6 +19,11 @@
 /// A router's connection to one companion.
 namespace shuntjunction::coordination {
 
+/// Shows what passed over a process's channels.
+void
+SetChannelGauges(Metrics& aMetrics,
+                 const transport::ChannelCounters& aCounters);
+
 /// The link broke: no more messages follow.
 struct LinkDown
 {
--- a/packages/coordination/src/companion.cpp
+++ b/packages/coordination/src/companion.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "companion_parts.h"
+#include "shuntjunction/coordination/peer_link.h"
 
 namespace shuntjunction::coordination {
 
@@ -125,12 +126,7 @@
                static_cast<double>(mIndex.Gaps()));
   mMetrics.Set("shuntjunction_companion_micros_per_block", mMicrosPerBlock);
   mMetrics.Set("shuntjunction_backend_up", mState.mIncarnation != 0 ? 1 : 0);
-  mMetrics.Set("shuntjunction_frame_bytes_in",
-               static_cast<double>(mChannelCounters.mBytesIn));
-  mMetrics.Set("shuntjunction_frame_bytes_out",
-               static_cast<double>(mChannelCounters.mBytesOut));
-  mMetrics.Set("shuntjunction_frames_bad",
-               static_cast<double>(mChannelCounters.mBadFrames));
+  SetChannelGauges(mMetrics, mChannelCounters);
 }
 
 // The backend: its state and its cache.
--- /dev/null
+++ b/packages/coordination/src/config_feed_peers.cpp
@@ -0,0 +1,140 @@
+// What a feed takes from peers: from its zone's watchers in a large fleet, from
+// any of its settings while the platform is down.
+
+#include <algorithm>
+
+#include "shuntjunction/coordination/config_feed.h"
+#include "shuntjunction/state/json_reader.h"
+
+namespace shuntjunction::coordination {
+
+using state::MergeOutcome;
+using transport::Task;
+
+namespace {
+
+constexpr std::size_t kPeersAsked = 3;
+
+} // namespace
+
+bool
+ConfigFeed::IsWatcher() const
+{
+  return state::IsWatcher(
+    *mInstances, mSettings.mName, mSettings.mZone, mSettings.mWatchers);
+}
+
+Task<bool>
+ConfigFeed::Ask(std::string aAddress)
+{
+  protocol::SnapshotRequest have;
+  have.mHave = mWantsWhole ? 0 : std::max(Version().Packed(), mRefusedVersion);
+  have.mHaveInstances = mInstancesRevision;
+  const auto reply = co_await mPeers.Ask(aAddress, have);
+  if (!reply) {
+    mLog.Debug("no snapshot: " + reply.error().Describe() + ".");
+    co_return false;
+  }
+  mWantsWhole = false;
+  TakePeerSnapshot(*reply, aAddress);
+  // What is older here is not asked for again and again.
+  if (!mWantsWhole && reply->mVersion > Version().Packed()) {
+    mRefusedVersion = reply->mVersion;
+  }
+  co_return true;
+}
+
+Task<bool>
+ConfigFeed::AskWatchers()
+{
+  ++mCounters.mWatcherQuestions;
+  auto watchers = state::WatchersOf(
+    *mInstances, mSettings.mZone, mSettings.mWatchers.mPerZone);
+  std::shuffle(watchers.begin(), watchers.end(), mRandom);
+  for (const auto& watcher : watchers) {
+    if (co_await Ask(watcher.mAddress)) {
+      co_return true;
+    }
+  }
+  ++mCounters.mWatchersSilent;
+  co_return false;
+}
+
+Task<void>
+ConfigFeed::AskPeers()
+{
+  auto peers = mSettings.mPeers;
+  std::shuffle(peers.begin(), peers.end(), mRandom);
+  peers.resize(std::min(peers.size(), kPeersAsked));
+  for (const auto& peer : peers) {
+    co_await Ask(peer);
+  }
+}
+
+void
+ConfigFeed::TakePeerSnapshot(const protocol::SnapshotReply& aReply,
+                             const std::string& aPeer)
+{
+  const bool hasNewInstances = TakePeerInstances(aReply.mInstances, aPeer);
+  const bool hasNewConfig = TakePeerConfig(aReply.mText, aPeer);
+  if (hasNewInstances || hasNewConfig) {
+    Publish();
+  }
+}
+
+bool
+ConfigFeed::TakePeerConfig(const std::string& aText, const std::string& aPeer)
+{
+  if (aText.empty()) {
+    return false;
+  }
+  const auto outcome = mStore.ApplyPeer(aText, aPeer);
+  if (!outcome) {
+    const bool isUnfit = outcome.error().mCode == state::ErrorCode::kConflict;
+    mWantsWhole = mWantsWhole || isUnfit;
+    mLog.Warn("a snapshot of " + aPeer +
+              " was refused: " + outcome.error().Describe() + ".");
+    return false;
+  }
+  if (*outcome != MergeOutcome::kApplied) {
+    return false;
+  }
+  ++mCounters.mFromPeers;
+  mLog.Info("took a snapshot from " + aPeer + ".");
+  LogInForce();
+  return true;
+}
+
+bool
+ConfigFeed::TakePeerInstances(const std::string& aText,
+                              const std::string& aPeer)
+{
+  if (aText.empty()) {
+    return false;
+  }
+  const auto refuse = [&](const state::Error& aError) {
+    mLog.Warn("the instances of " + aPeer +
+              " were refused: " + aError.Describe() + ".");
+    return false;
+  };
+  const auto value = state::ParseJson(aText, "instances");
+  if (!value) {
+    return refuse(value.error());
+  }
+  state::JsonReader reader(*value, "instances");
+  const auto revision =
+    static_cast<std::uint64_t>(reader.Integer("revision", 0, INT64_MAX));
+  auto instances = ReadInstances(reader);
+  if (const auto done = reader.Finish(); !done) {
+    return refuse(done.error());
+  }
+  if (revision <= mInstancesRevision) {
+    return false;
+  }
+  mInstancesRevision = revision;
+  mInstances = std::make_shared<const std::vector<state::InstanceInfo>>(
+    std::move(instances));
+  return true;
+}
+
+} // namespace shuntjunction::coordination
--- a/packages/coordination/src/http_platform.cpp
+++ b/packages/coordination/src/http_platform.cpp
@@ -32,37 +32,13 @@
 ReadObject(const boost::json::value& aValue)
 {
   JsonReader reader(aValue, "object");
-  RawObject object;
-  object.mKey = reader.Text("key");
-  object.mRevision =
-    static_cast<std::uint64_t>(reader.Integer("revision", 0, INT64_MAX));
-  object.mValue = reader.Text("value");
+  RawObject object = state::ReadRawObject(reader);
   if (const auto done = reader.Finish(); !done) {
     return tl::unexpected(done.error());
   }
   return object;
 }
 
-std::vector<RawObject>
-ReadObjects(JsonReader& aReader, std::string_view aKey)
-{
-  std::vector<RawObject> objects;
-  const auto* list = aReader.Find(aKey);
-  if (list == nullptr || !list->is_array()) {
-    aReader.Note(aKey, "absent", "a list of objects");
-    return objects;
-  }
-  for (const auto& item : list->as_array()) {
-    auto object = ReadObject(item);
-    if (!object) {
-      aReader.Merge(tl::unexpected(object.error()));
-      break;
-    }
-    objects.push_back(std::move(*object));
-  }
-  return objects;
-}
-
 std::uint64_t
 ReadRevision(JsonReader& aReader)
 {
@@ -137,7 +113,7 @@
   JsonReader reader(*value, "list");
   ObjectList list;
   list.mRevision = ReadRevision(reader);
-  list.mObjects = ReadObjects(reader, "objects");
+  list.mObjects = state::ReadRawObjects(reader, "objects");
   if (const auto done = reader.Finish(); !done) {
     co_return BadAnswer(done.error(), kStep, mClient.Peer().Text());
   }
@@ -235,7 +211,7 @@
   }
   JsonReader reader(*value, "watch");
   watch.mRevision = ReadRevision(reader);
-  watch.mChanges = ReadObjects(reader, "changes");
+  watch.mChanges = state::ReadRawObjects(reader, "changes");
   if (const auto done = reader.Finish(); !done) {
     co_return BadAnswer(done.error(), kStep, mClient.Peer().Text());
   }
--- a/packages/coordination/src/peer_link.cpp
+++ b/packages/coordination/src/peer_link.cpp
@@ -50,6 +50,17 @@
 
 } // namespace
 
+void
+SetChannelGauges(Metrics& aMetrics, const transport::ChannelCounters& aCounters)
+{
+  aMetrics.Set("shuntjunction_frame_bytes_in",
+               static_cast<double>(aCounters.mBytesIn));
+  aMetrics.Set("shuntjunction_frame_bytes_out",
+               static_cast<double>(aCounters.mBytesOut));
+  aMetrics.Set("shuntjunction_frames_bad",
+               static_cast<double>(aCounters.mBadFrames));
+}
+
 PeerLink::PeerLink(asio::io_context& aContext,
                    std::string aEndpoint,
                    state::Address aAddress,
--- a/packages/coordination/src/router.cpp
+++ b/packages/coordination/src/router.cpp
@@ -113,12 +113,7 @@
   mMetrics.Set("shuntjunction_links_open", static_cast<double>(open));
   mMetrics.Set("shuntjunction_late_frames_dropped",
                static_cast<double>(dropped));
-  mMetrics.Set("shuntjunction_frame_bytes_in",
-               static_cast<double>(mChannelCounters.mBytesIn));
-  mMetrics.Set("shuntjunction_frame_bytes_out",
-               static_cast<double>(mChannelCounters.mBytesOut));
-  mMetrics.Set("shuntjunction_frames_bad",
-               static_cast<double>(mChannelCounters.mBadFrames));
+  SetChannelGauges(mMetrics, mChannelCounters);
   for (const auto& entry : mTable.Entries()) {
     mMetrics.Set("shuntjunction_endpoint_usable",
                  mTable.IsUsable(entry, mClock.Now()) ? 1 : 0,
--- a/packages/coordination/src/snapshot_client.cpp
+++ b/packages/coordination/src/snapshot_client.cpp
@@ -57,7 +57,7 @@
   if (!opened) {
     co_return tl::unexpected(opened.error());
   }
-  const ChannelPtr channel = *opened;
+  const ChannelPtr& channel = *opened;
   channel->Send(aHave);
   asio::steady_timer timer(mContext, kPeerTimeout);
   timer.async_wait([weak = std::weak_ptr(channel)](auto aError) {
--- a/packages/coordination/tests/claims_test.cpp
+++ b/packages/coordination/tests/claims_test.cpp
@@ -7,6 +7,7 @@
 #include "shuntjunction/coordination/claim_keeper.h"
 #include "shuntjunction/coordination/claim_sweeper.h"
 #include "shuntjunction/state/claim_retention.h"
+#include "shuntjunction/transport/run_task.h"
 
 namespace shuntjunction::coordination {
 namespace {
@@ -20,13 +21,7 @@
   template<typename T>
   T Run(transport::Task<T> aTask)
   {
-    std::optional<T> result;
-    transport::asio::co_spawn(
-      mContext, std::move(aTask), [&](std::exception_ptr, T aValue) {
-        result = std::move(aValue);
-      });
-    Settle();
-    return std::move(*result);
+    return transport::RunTask(mContext, std::move(aTask));
   }
 
   void Settle()
--- a/packages/state/include/shuntjunction/state/config_objects.h
+++ b/packages/state/include/shuntjunction/state/config_objects.h
@@ -8,22 +8,13 @@
 #include <boost/json/value.hpp>
 
 #include "shuntjunction/state/error.h"
+#include "shuntjunction/state/raw_object.h"
 #include "shuntjunction/state/request_types.h"
 #include "shuntjunction/state/team_limiter.h"
 
 /// The kinds of object that operators declare.
 namespace shuntjunction::state {
 
-/// An object as the platform holds it.
-struct RawObject
-{
-  std::string mKey;
-  std::uint64_t mRevision = 0; ///< platform revision of its last change
-  std::string mValue;          ///< JSON text; empty when it was deleted
-
-  bool operator==(const RawObject&) const = default;
-};
-
 /// Kinds of configuration object; the name is the middle part of its key,
 /// "config/teams/riga".
 enum class ConfigKind : std::uint8_t
--- a/packages/state/include/shuntjunction/state/endpoint_table.h
+++ b/packages/state/include/shuntjunction/state/endpoint_table.h
@@ -83,9 +83,6 @@
   /// Whether an endpoint is listed and neither leaving nor ejected.
   bool IsUsable(const EndpointEntry& aEntry, TimePoint aNow) const;
 
-  /// Whether any endpoint is listed for a model or service.
-  bool IsServed(std::string_view aServes) const;
-
   /// The entry of a handle.
   ///
   /// @pre  the handle came from this table and is valid
--- a/packages/state/src/endpoint_table.cpp
+++ b/packages/state/src/endpoint_table.cpp
@@ -89,12 +89,6 @@
          aEntry.mHealth.State() != HealthState::kEjected;
 }
 
-bool
-EndpointTable::IsServed(std::string_view aServes) const
-{
-  return mByServes.contains(std::string(aServes));
-}
-
 EndpointHandle
 EndpointTable::Find(std::string_view aName) const
 {
--- a/packages/state/src/raw_object.cpp
+++ b/packages/state/src/raw_object.cpp
@@ -1,7 +1,9 @@
-#include "raw_object.h"
+#include "shuntjunction/state/raw_object.h"
 
 #include <boost/json/array.hpp>
 
+#include "shuntjunction/state/json_reader.h"
+
 namespace shuntjunction::state {
 
 boost::json::object
@@ -12,6 +14,17 @@
            { "value", aObject.mValue } };
 }
 
+RawObject
+ReadRawObject(JsonReader& aReader)
+{
+  RawObject object;
+  object.mKey = aReader.Text("key");
+  object.mRevision =
+    static_cast<std::uint64_t>(aReader.Integer("revision", 0, INT64_MAX));
+  object.mValue = aReader.Text("value");
+  return object;
+}
+
 std::vector<RawObject>
 ReadRawObjects(JsonReader& aReader, std::string_view aKey)
 {
@@ -23,12 +36,7 @@
   }
   for (const auto& item : list->as_array()) {
     JsonReader reader(item, aKey);
-    RawObject object;
-    object.mKey = reader.Text("key");
-    object.mRevision =
-      static_cast<std::uint64_t>(reader.Integer("revision", 0, INT64_MAX));
-    object.mValue = reader.Text("value");
-    objects.push_back(std::move(object));
+    objects.push_back(ReadRawObject(reader));
     aReader.Merge(reader.Finish());
   }
   return objects;
--- a/packages/state/src/recent_changes.cpp
+++ b/packages/state/src/recent_changes.cpp
@@ -5,7 +5,6 @@
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
 
-#include "raw_object.h"
 #include "shuntjunction/state/json_reader.h"
 #include "shuntjunction/state/prefix_chain.h"
 
--- a/packages/state/tests/at_most_once_test.cpp
+++ b/packages/state/tests/at_most_once_test.cpp
@@ -1,13 +1,12 @@
 // The story of a request that must not be repeated: claims under lost answers,
 // late writes, crashes, racing routers and pauses.
 
-#include <random>
-
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 #include <rapidcheck/gtest.h>
 
 #include "claim_world.h"
+#include "schedules.h"
 
 namespace shuntjunction::state::history {
 namespace {
@@ -192,18 +191,12 @@
   static Found Search(const ClaimMechanisms& aMechanisms)
   {
     constexpr int kSchedules = 5000;
-    constexpr std::size_t kSteps = 160;
     Found found;
-    for (int seed = 0; seed < kSchedules; ++seed) {
-      std::mt19937 random(static_cast<unsigned>(seed));
-      std::vector<std::uint8_t> schedule(kSteps);
-      for (auto& step : schedule) {
-        step = static_cast<std::uint8_t>(random());
-      }
-      const History history = ClaimWorld(aMechanisms).Run(schedule);
+    ForSchedules(kSchedules, [&](const auto& aSchedule) {
+      const History history = ClaimWorld(aMechanisms).Run(aSchedule);
       found.mTwice += CheckAtMostOnce(history).empty() ? 0 : 1;
       found.mFalseNotRun += CheckNotRunIsTrue(history).empty() ? 0 : 1;
-    }
+    });
     return found;
   }
 };
--- a/packages/state/tests/claim_retention_test.cpp
+++ b/packages/state/tests/claim_retention_test.cpp
@@ -22,6 +22,7 @@
 TEST(GivenCompanions, EachShardIsSweptByOneOfThem)
 {
   std::vector<InstanceInfo> instances;
+  instances.reserve(8);
   for (int i = 0; i < 7; ++i) {
     instances.push_back({ "c" + std::to_string(i), "", "z", "companion" });
   }
--- a/packages/state/tests/order_test.cpp
+++ b/packages/state/tests/order_test.cpp
@@ -2,13 +2,12 @@
 // order, on engines that check fencing numbers and on engines that ignore them.
 
 #include <array>
-#include <random>
-
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 #include <rapidcheck/gtest.h>
 
 #include "history.h"
+#include "schedules.h"
 #include "shuntjunction/state/order_machine.h"
 
 namespace shuntjunction::state::history {
@@ -272,18 +271,12 @@
   static Found Search(const OrderMechanisms& aMechanisms)
   {
     constexpr int kSchedules = 3000;
-    constexpr std::size_t kSteps = 160;
     Found found;
-    for (int seed = 0; seed < kSchedules; ++seed) {
-      std::mt19937 random(static_cast<unsigned>(seed));
-      std::vector<std::uint8_t> schedule(kSteps);
-      for (auto& step : schedule) {
-        step = static_cast<std::uint8_t>(random());
-      }
-      const History history = OrderWorld(aMechanisms).Run(schedule);
+    ForSchedules(kSchedules, [&](const auto& aSchedule) {
+      const History history = OrderWorld(aMechanisms).Run(aSchedule);
       found.mOlderObeyed += CheckFencesRise(history).empty() ? 0 : 1;
       found.mOthersNumber += CheckOneHolderOrders(history).empty() ? 0 : 1;
-    }
+    });
     return found;
   }
 };
--- /dev/null
+++ b/packages/state/tests/schedules.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <cstdint>
+#include <random>
+#include <vector>
+
+/// Schedules for searches by a fixed seed.
+namespace shuntjunction::state::history {
+
+/// Runs a function on so many random schedules of 160 bytes.
+template<typename Function>
+void
+ForSchedules(int aCount, Function aRun)
+{
+  constexpr std::size_t kSteps = 160;
+  for (int seed = 0; seed < aCount; ++seed) {
+    std::mt19937 random(static_cast<unsigned>(seed));
+    std::vector<std::uint8_t> schedule(kSteps);
+    for (auto& step : schedule) {
+      step = static_cast<std::uint8_t>(random());
+    }
+    aRun(schedule);
+  }
+}
+
+} // namespace shuntjunction::state::history
--- a/packages/transport/include/shuntjunction/transport/run_task.h
+++ b/packages/transport/include/shuntjunction/transport/run_task.h
@@ -8,21 +8,25 @@
 /// Coroutines from code that is none.
 namespace shuntjunction::transport {
 
-/// Runs a coroutine to its end on a context of its own.
+/// Runs a coroutine to its end, beside whatever else the context runs.
 ///
 /// For command lines, tests and benchmarks; blocks the calling thread.
+/// @param aContext  outlives all that the coroutine leaves open: a client keeps
+///                  its connections, and they belong to this context
 template<typename T>
 T
-RunTask(Task<T> aTask)
+RunTask(asio::io_context& aContext, Task<T> aTask)
 {
-  asio::io_context context(1);
   std::optional<T> outcome;
   const auto run = [](Task<T> aInner,
-                      std::optional<T>* aOutcome) -> Task<void> {
+                      std::optional<T>* aOutcome,
+                      asio::io_context* aRuns) -> Task<void> {
     *aOutcome = co_await std::move(aInner);
+    aRuns->stop();
   };
-  Spawn(context, run(std::move(aTask), &outcome));
-  context.run();
+  Spawn(aContext, run(std::move(aTask), &outcome, &aContext));
+  aContext.restart();
+  aContext.run();
   return std::move(*outcome);
 }
 
--- a/packages/transport/tests/frame_channel_test.cpp
+++ b/packages/transport/tests/frame_channel_test.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
+#include "shuntjunction/transport/run_task.h"
 #include "shuntjunction/transport/frame_channel.h"
 #include "shuntjunction/transport/mailbox.h"
 
@@ -57,17 +58,7 @@
   template<typename T>
   T Run(Task<T> aTask)
   {
-    std::optional<T> outcome;
-    const auto run = [](Task<T> aInner,
-                        std::optional<T>* aOutcome,
-                        asio::io_context* aContext) -> Task<void> {
-      *aOutcome = co_await std::move(aInner);
-      aContext->stop();
-    };
-    Spawn(mContext, run(std::move(aTask), &outcome, &mContext));
-    mContext.restart();
-    mContext.run();
-    return std::move(*outcome);
+    return RunTask(mContext, std::move(aTask));
   }
 
   auto Connect(const std::string& aSecret)
--- a/standins/fleet.cpp
+++ b/standins/fleet.cpp
@@ -327,8 +327,9 @@
   if (!address) {
     return tl::unexpected(address.error());
   }
+  boost::asio::io_context context(1);
   transport::HttpClient client(*address, kMaxAnswerBytes);
-  return transport::RunTask(client.Send(aRequest, Millis(aTimeoutMs)));
+  return transport::RunTask(context, client.Send(aRequest, Millis(aTimeoutMs)));
 }
 
 void
--- a/tests/configuration_test.cpp
+++ b/tests/configuration_test.cpp
@@ -135,16 +135,13 @@
 
 TEST_F(GivenOperators, AStatusShowsEveryProcess)
 {
-  const std::vector<std::string> names{ "router-1",   "router-2",
-                                        "endpoint-1", "endpoint-2",
-                                        "endpoint-3", "booking-1",
-                                        "booking-2" };
   std::string shown;
   const auto showsAll = [&] {
     shown = Ctl("status " + Platform()).mOutput;
-    return std::all_of(names.begin(), names.end(), [&](const auto& aName) {
-      return shown.find(aName) != std::string::npos;
-    });
+    return std::all_of(
+      kDaemons.begin(), kDaemons.end(), [&](const std::string aName) {
+        return shown.find(aName) != std::string::npos;
+      });
   };
   for (int i = 0; i < 300 && !showsAll(); ++i) {
     std::this_thread::sleep_for(Millis(50));
@@ -182,13 +179,7 @@
   std::vector<std::string> Watching()
   {
     std::vector<std::string> watching;
-    for (const std::string name : { "router-1",
-                                    "router-2",
-                                    "endpoint-1",
-                                    "endpoint-2",
-                                    "endpoint-3",
-                                    "booking-1",
-                                    "booking-2" }) {
+    for (const std::string name : kDaemons) {
       if (mFleet.Metric(name, "shuntjunction_config_watching") > 0) {
         watching.push_back(name);
       }
--- a/tests/given_a_fleet.h
+++ b/tests/given_a_fleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <functional>
 #include <string>
 #include <vector>
@@ -23,6 +24,10 @@
 
   static constexpr const char* kModel = "crew-notes";
   static constexpr std::size_t kEndpoints = 3;
+  static constexpr std::array kDaemons{ "router-1",   "router-2",
+                                        "endpoint-1", "endpoint-2",
+                                        "endpoint-3", "booking-1",
+                                        "booking-2" };
 
   static FleetSettings Settings()
   {
@@ -66,13 +71,7 @@
     mFleet.StartRouter("router-1", "zone-1");
     mFleet.StartRouter("router-2", "zone-2");
     mFleet.AwaitEngines(kModel, kEndpoints);
-    for (const std::string name : { "router-1",
-                                    "router-2",
-                                    "endpoint-1",
-                                    "endpoint-2",
-                                    "endpoint-3",
-                                    "booking-1",
-                                    "booking-2" }) {
+    for (const std::string name : kDaemons) {
       mFleet.AwaitReady(name);
     }
   }
