Who is cut off silently hears of a change from companions

Cause: a process whose link to the platform is cut without a word notices it when its watch ends, 30 s later; until then an idle one heard of no change. The test for it passed at first without the mechanism: the stand-in's far door let the watch that was already waiting answer, and the first watch is short. Both are mended in the stand-in and in the test's beginning, which now waits for one change before the cut.

Ruled out: shorter watches (each is a call at the platform).

Change: a process that watches asks one of three companions of its own, named by rendezvous, each second besides. The roles of instances are constants in one place.

--- a/packages/coordination/include/shuntjunction/coordination/config_feed.h
+++ b/packages/coordination/include/shuntjunction/coordination/config_feed.h
@@ -78,7 +78,9 @@
 /// In a large fleet a few companions of each availability zone watch the
 /// platform; all others ask one of them, another each time, and hear of new
 /// versions in-band besides. Where none of them answers, a process watches
-/// itself. While the platform is down, the peers of the settings are asked.
+/// itself. Who watches asks a companion now and then as well, since one that is
+/// cut off silently learns of it only when its watch ends. While the platform
+/// is down, the peers of the settings are asked.
 ///
 /// Thread safety: none; lives on the control thread. The callback is called
 /// there too.
@@ -117,7 +119,8 @@
   transport::Task<bool> IsEpochInForce();
   transport::Task<void> AskPeers();
   transport::Task<bool> AskWatchers();
-  transport::Task<bool> Ask(std::string aAddress);
+  transport::Task<void> FollowCompanions();
+  transport::Task<bool> Ask(SnapshotClient& aClient, std::string aAddress);
   transport::Task<void> PauseUntilAsked();
   bool IsWatcher() const;
   transport::Task<void> PauseAfterFailure();
@@ -138,7 +141,8 @@
     std::make_shared<const std::vector<state::InstanceInfo>>();
   std::uint64_t mInstancesRevision = 0;
   ConfigFeedCounters mCounters;
-  SnapshotClient mPeers;
+  SnapshotClient mPeers;             ///< used by FollowConfig
+  SnapshotClient mCompanions;        ///< used by FollowCompanions
   bool mWantsWhole = false;          ///< a peer's changes did not fit
   std::uint64_t mRefusedVersion = 0; ///< of a peer with an older snapshot
   bool mHasWatchers = false;         ///< one answered the last question
--- a/packages/coordination/src/config_feed.cpp
+++ b/packages/coordination/src/config_feed.cpp
@@ -33,6 +33,7 @@
   , mPlatform(aPlatform)
   , mOnConfig(std::move(aOnConfig))
   , mPeers(aContext, aSettings.mName, aSettings.mSecret)
+  , mCompanions(aContext, aSettings.mName, aSettings.mSecret)
   , mRandom(state::PlacementHash(state::RandomNonce()))
   , mLog("config")
 {
@@ -43,6 +44,7 @@
 {
   transport::Spawn(mContext, FollowConfig());
   transport::Spawn(mContext, FollowInstances());
+  transport::Spawn(mContext, FollowCompanions());
 }
 
 void
@@ -204,8 +206,10 @@
 ConfigFeed::Counters() const
 {
   ConfigFeedCounters counters = mCounters;
-  const auto& peers = mPeers.Counters();
-  counters.mPeerBytes = peers.mBytesIn + peers.mBytesOut;
+  for (const auto* client : { &mPeers, &mCompanions }) {
+    const auto& passed = client->Counters();
+    counters.mPeerBytes += passed.mBytesIn + passed.mBytesOut;
+  }
   return counters;
 }
 
--- a/packages/coordination/src/config_feed_peers.cpp
+++ b/packages/coordination/src/config_feed_peers.cpp
@@ -25,12 +25,12 @@
 }
 
 Task<bool>
-ConfigFeed::Ask(std::string aAddress)
+ConfigFeed::Ask(SnapshotClient& aClient, std::string aAddress)
 {
   protocol::SnapshotRequest have;
   have.mHave = mWantsWhole ? 0 : std::max(Version().Packed(), mRefusedVersion);
   have.mHaveInstances = mInstancesRevision;
-  const auto reply = co_await mPeers.Ask(aAddress, have);
+  const auto reply = co_await aClient.Ask(aAddress, have);
   if (!reply) {
     mLog.Debug("no snapshot: " + reply.error().Describe() + ".");
     co_return false;
@@ -52,7 +52,7 @@
     *mInstances, mSettings.mZone, mSettings.mWatchers.mPerZone);
   std::shuffle(watchers.begin(), watchers.end(), mRandom);
   for (const auto& watcher : watchers) {
-    if (co_await Ask(watcher.mAddress)) {
+    if (co_await Ask(mPeers, watcher.mAddress)) {
       co_return true;
     }
   }
@@ -60,6 +60,23 @@
   co_return false;
 }
 
+Task<void>
+ConfigFeed::FollowCompanions()
+{
+  while (true) {
+    co_await PauseUntilAsked();
+    if (mHasWatchers) {
+      continue;
+    }
+    const auto peers =
+      state::PeersOf(*mInstances, mSettings.mName, kPeersAsked);
+    if (!peers.empty()) {
+      std::uniform_int_distribution<std::size_t> any(0, peers.size() - 1);
+      co_await Ask(mCompanions, peers[any(mRandom)].mAddress);
+    }
+  }
+}
+
 Task<void>
 ConfigFeed::AskPeers()
 {
@@ -67,7 +84,7 @@
   std::shuffle(peers.begin(), peers.end(), mRandom);
   peers.resize(std::min(peers.size(), kPeersAsked));
   for (const auto& peer : peers) {
-    co_await Ask(peer);
+    co_await Ask(mPeers, peer);
   }
 }
 
--- a/packages/coordination/src/router.cpp
+++ b/packages/coordination/src/router.cpp
@@ -23,7 +23,6 @@
 
 constexpr Millis kLinkTick{ 250 };
 constexpr std::string_view kServicesPath = "/services/";
-constexpr std::string_view kRouterRole = "router";
 
 } // namespace
 
@@ -84,7 +83,7 @@
   const auto& instances = *mConfig.mInstances;
   const auto routers = std::count_if(
     instances.begin(), instances.end(), [](const auto& aInstance) {
-      return aInstance.mRole == kRouterRole && !aInstance.mIsLeaving;
+      return aInstance.mRole == state::kRouterRole && !aInstance.mIsLeaving;
     });
   mRouters = std::max<std::size_t>(1, static_cast<std::size_t>(routers));
   mTable.Update(*mConfig.mSnapshot, instances);
--- a/packages/state/include/shuntjunction/state/endpoint_table.h
+++ b/packages/state/include/shuntjunction/state/endpoint_table.h
@@ -14,13 +14,17 @@
 /// The endpoints that a router knows, with what it has seen of each.
 namespace shuntjunction::state {
 
+/// Roles of instances in the platform's list.
+inline constexpr std::string_view kCompanionRole = "companion";
+inline constexpr std::string_view kRouterRole = "router";
+
 /// An instance as the platform lists it.
 struct InstanceInfo
 {
   std::string mName;
   std::string mAddress; ///< "host:port" of its frames; IP numbers only
   std::string mZone;    ///< availability zone
-  std::string mRole;    ///< "router" or "companion"
+  std::string mRole;    ///< kRouterRole or kCompanionRole
   bool mIsLeaving = false;
 
   bool operator==(const InstanceInfo&) const = default;
--- a/packages/state/src/claim_retention.cpp
+++ b/packages/state/src/claim_retention.cpp
@@ -15,7 +15,6 @@
 namespace {
 
 constexpr std::string_view kClaimsPrefix = "claims/";
-constexpr std::string_view kCompanionRole = "companion";
 constexpr std::size_t kShardDigits = 3; ///< 16^3 are kClaimShards
 
 } // namespace
--- a/packages/state/src/watchers.cpp
+++ b/packages/state/src/watchers.cpp
@@ -9,30 +9,54 @@
 
 namespace {
 
-constexpr std::string_view kCompanionRole = "companion";
 constexpr std::string_view kWatchersKey = "watchers";
 
-} // namespace
-
+/// The first companions for a key that stay and pass a filter.
+template<typename Filter>
 std::vector<InstanceInfo>
-WatchersOf(const std::vector<InstanceInfo>& aInstances,
-           std::string_view aZone,
-           std::size_t aCount)
+FirstCompanions(const std::vector<InstanceInfo>& aInstances,
+                std::uint64_t aKey,
+                std::size_t aCount,
+                Filter aFilter)
 {
   std::vector<RendezvousMember> members;
   for (std::uint32_t i = 0; i < aInstances.size(); ++i) {
     const InstanceInfo& instance = aInstances[i];
-    if (instance.mRole == kCompanionRole && instance.mZone == aZone &&
-        !instance.mIsLeaving) {
+    if (instance.mRole == kCompanionRole && !instance.mIsLeaving &&
+        aFilter(instance)) {
       members.push_back({ { i }, PlacementHash(instance.mName) });
     }
   }
-  const std::uint64_t key = PlacementHash(kWatchersKey);
-  std::vector<InstanceInfo> watchers;
-  for (const auto& member : RendezvousOrder(members, key, aCount)) {
-    watchers.push_back(aInstances[member.mHandle.mIndex]);
+  std::vector<InstanceInfo> companions;
+  for (const auto& member : RendezvousOrder(members, aKey, aCount)) {
+    companions.push_back(aInstances[member.mHandle.mIndex]);
   }
-  return watchers;
+  return companions;
+}
+
+} // namespace
+
+std::vector<InstanceInfo>
+WatchersOf(const std::vector<InstanceInfo>& aInstances,
+           std::string_view aZone,
+           std::size_t aCount)
+{
+  return FirstCompanions(
+    aInstances,
+    PlacementHash(kWatchersKey),
+    aCount,
+    [&](const InstanceInfo& aOne) { return aOne.mZone == aZone; });
+}
+
+std::vector<InstanceInfo>
+PeersOf(const std::vector<InstanceInfo>& aInstances,
+        std::string_view aName,
+        std::size_t aCount)
+{
+  return FirstCompanions(
+    aInstances, PlacementHash(aName), aCount, [&](const InstanceInfo& aOne) {
+      return aOne.mName != aName;
+    });
 }
 
 bool
--- a/packages/state/tests/admission_test.cpp
+++ b/packages/state/tests/admission_test.cpp
@@ -143,6 +143,11 @@
   const auto refusals = Enqueue(late);
   ASSERT_EQ(refusals.size(), 1U);
   EXPECT_EQ(refusals[0].mReason, RefusalReason::kTooLate);
+  {
+    SCOPED_TRACE("it is the look at the deadline that refuses: else it waits");
+    EXPECT_TRUE(Enqueue(Ticket(Priority::kUrgent)).empty());
+    EXPECT_EQ(mQueue.Queued(), 2U);
+  }
 }
 
 TEST_F(WithDeadlines, WhatHasWaitedTooLongIsRefusedWithoutBeingAsked)
--- a/packages/state/tests/stream_test.cpp
+++ b/packages/state/tests/stream_test.cpp
@@ -1,13 +1,12 @@
 // The story of a stream: tokens once and in order over several attempts, and
 // never an end that looks whole before it is.
 
-#include <random>
-
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 #include <rapidcheck/gtest.h>
 
 #include "history.h"
+#include "schedules.h"
 #include "shuntjunction/state/stream_gate.h"
 
 namespace shuntjunction::state::history {
@@ -84,13 +83,19 @@
   EXPECT_TRUE(mGate.Completes(next, 4));
 }
 
+/// What may be taken out, to see that the promise then breaks.
+struct StreamMechanisms
+{
+  bool mHasGate = true;   ///< attempts and offsets are looked at
+  bool mCountsEnd = true; ///< an end counts only after all its tokens
+};
+
 /// Frames of several attempts, lost, doubled, late and crossed.
 class StreamWorld
 {
 public:
-  /// @param aHasGate  false to see what happens without it
-  explicit StreamWorld(bool aHasGate)
-    : mHasGate(aHasGate)
+  explicit StreamWorld(const StreamMechanisms& aMechanisms)
+    : mMechanisms(aMechanisms)
   {
     for (int i = 0; i < kTokens; ++i) {
       mHistory.mRightTokens[1].push_back("t" + std::to_string(i));
@@ -170,13 +175,13 @@
     const Frame frame = *at;
     mFlying.erase(at);
     if (frame.mIsEnd) {
-      if (!mHasGate || mGate.Completes(frame.mAttempt, kTokens)) {
+      if (Completes(frame.mAttempt)) {
         mHistory.mStreams.push_back({ 1, true });
         mIsOver = true;
       }
       return;
     }
-    const Verdict verdict = mHasGate
+    const Verdict verdict = mMechanisms.mHasGate
                               ? mGate.Offer(frame.mAttempt, frame.mOffset, 1)
                               : Verdict::kDeliver;
     if (verdict == Verdict::kDeliver) {
@@ -187,7 +192,16 @@
     }
   }
 
-  bool mHasGate;
+  bool Completes(const AttemptId& aAttempt) const
+  {
+    if (!mMechanisms.mHasGate) {
+      return true;
+    }
+    return mMechanisms.mCountsEnd ? mGate.Completes(aAttempt, kTokens)
+                                  : mGate.Matches(aAttempt);
+  }
+
+  StreamMechanisms mMechanisms;
   History mHistory;
   StreamGate mGate;
   AttemptId mAttempt;
@@ -200,25 +214,43 @@
               AreInOrderAndWholeOrDoNotLookWhole,
               (const std::vector<std::uint8_t>& aSchedule))
 {
-  RC_ASSERT(CheckStreams(StreamWorld(true).Run(aSchedule)).empty());
+  RC_ASSERT(CheckStreams(StreamWorld({}).Run(aSchedule)).empty());
 }
 
-TEST(WithoutTheGate, StreamsAreScrambledOrCut)
+class WithoutAStreamsMechanism : public ::testing::Test
 {
-  int broken = 0;
-  int whole = 0;
-  for (unsigned seed = 0; seed < 500; ++seed) {
-    std::mt19937 random(seed);
-    std::vector<std::uint8_t> schedule(120);
-    for (auto& step : schedule) {
-      step = static_cast<std::uint8_t>(random());
-    }
-    broken += CheckStreams(StreamWorld(false).Run(schedule)).empty() ? 0 : 1;
-    whole += StreamWorld(true).Run(schedule).mStreams.front().mLooksWhole;
+protected:
+  /// Schedules of 500 after which a stream was scrambled, cut or another's.
+  static int Broken(const StreamMechanisms& aMechanisms)
+  {
+    int broken = 0;
+    ForSchedules(500, [&](const auto& aSchedule) {
+      const auto history = StreamWorld(aMechanisms).Run(aSchedule);
+      broken += CheckStreams(history).empty() ? 0 : 1;
+    });
+    return broken;
   }
-  EXPECT_GT(broken, 0);
+};
+
+TEST_F(WithoutAStreamsMechanism, NoneTakenOutSomeStreamsEndAndNoneIsBroken)
+{
+  EXPECT_EQ(Broken({}), 0);
+  int whole = 0;
+  ForSchedules(500, [&](const auto& aSchedule) {
+    whole += StreamWorld({}).Run(aSchedule).mStreams.front().mLooksWhole;
+  });
   EXPECT_GT(whole, 0) << "the schedules must let some streams end";
 }
 
+TEST_F(WithoutAStreamsMechanism, WithoutTheGateStreamsAreScrambled)
+{
+  EXPECT_GT(Broken({ .mHasGate = false }), 0);
+}
+
+TEST_F(WithoutAStreamsMechanism, WithoutTheCountACutStreamLooksWhole)
+{
+  EXPECT_GT(Broken({ .mCountsEnd = false }), 0);
+}
+
 } // namespace
 } // namespace shuntjunction::state::history
--- a/packages/state/tests/watchers_test.cpp
+++ b/packages/state/tests/watchers_test.cpp
@@ -89,6 +89,21 @@
   EXPECT_EQ(Watching(mInstances), 6U + 20U);
 }
 
+TEST_F(GivenAFleetOfThreeZones, EachHasAFewPeersOfItsOwnAndNeverItself)
+{
+  std::set<std::string> asked;
+  for (const auto& instance : mInstances) {
+    const auto peers = PeersOf(mInstances, instance.mName, 3);
+    ASSERT_EQ(peers.size(), 3U);
+    for (const auto& peer : peers) {
+      EXPECT_NE(peer.mName, instance.mName);
+      EXPECT_EQ(peer.mRole, "companion");
+      asked.insert(peer.mName);
+    }
+  }
+  EXPECT_GT(asked.size(), 50U);
+}
+
 TEST_F(GivenAFleetOfThreeZones, InASmallFleetAllWatch)
 {
   mInstances.resize(mSettings.mAllBelow - 1);
--- a/standins/platform_standin.cpp
+++ b/standins/platform_standin.cpp
@@ -73,6 +73,21 @@
 Task<void>
 PlatformStandin::Handle(HttpExchange& aExchange)
 {
+  co_await Serve(aExchange, false);
+}
+
+Task<void>
+PlatformStandin::HeldUp(bool aIsFar)
+{
+  while (aIsFar && mFaults.mIsFarCut) {
+    co_await transport::Sleep(kHungPoll);
+  }
+}
+
+Task<void>
+PlatformStandin::Serve(HttpExchange& aExchange, bool aIsFar)
+{
+  co_await HeldUp(aIsFar);
   const HttpRequest& request = aExchange.Request();
   const std::string_view path = request.Path();
   const bool isControl =
@@ -97,6 +112,7 @@
     co_return;
   }
   auto response = co_await Answer(request);
+  co_await HeldUp(aIsFar);
   if (isWrite && Chance(mFaults.mLostAnswers)) {
     aExchange.Abort();
     co_return;
@@ -362,10 +378,7 @@
 Task<void>
 FarDoor::Handle(HttpExchange& aExchange)
 {
-  while (mPlatform.Faults().mIsFarCut) {
-    co_await transport::Sleep(kHungPoll);
-  }
-  co_await mPlatform.Handle(aExchange);
+  co_await mPlatform.Serve(aExchange, true);
 }
 
 HttpResponse
--- a/standins/platform_standin.h
+++ b/standins/platform_standin.h
@@ -47,6 +47,9 @@
   transport::HttpResponse Refusal(unsigned aStatus,
                                   std::string_view aText) override;
 
+  /// Serves a call that came through the far door or not.
+  transport::Task<void> Serve(transport::HttpExchange& aExchange, bool aIsFar);
+
   /// Faults in force; may be changed at any time.
   PlatformFaults& Faults() { return mFaults; }
 
@@ -64,6 +67,7 @@
   };
   using Objects = std::map<std::string, Object>;
 
+  transport::Task<void> HeldUp(bool aIsFar);
   transport::Task<transport::HttpResponse> Answer(
     const transport::HttpRequest& aRequest);
   transport::HttpResponse AnswerList(const transport::HttpRequest& aRequest);
@@ -97,8 +101,9 @@
 
 /// A second address of the platform, for processes that may be cut off alone.
 ///
-/// While it is cut, calls through it are held up; they take effect when it is
-/// healed, though their callers have long given up.
+/// While it is cut, calls through it are held up and so are the answers to
+/// earlier ones; calls take effect when it is healed, though their callers have
+/// long given up.
 class FarDoor final : public transport::HttpHandler
 {
 public:
--- a/tests/partition_test.cpp
+++ b/tests/partition_test.cpp
@@ -22,14 +22,16 @@
   {
     auto settings = Settings();
     settings.mFarZone = "zone-2";
-    settings.mProcessExtra =
-      R"({"platformTimeoutMs":500,"stopNoticeMs":400,"watchTimeoutMs":1000})";
+    settings.mProcessExtra = R"({"platformTimeoutMs":500,"stopNoticeMs":400})";
     return settings;
   }
 
   void SetUp() override
   {
     GivenABooking::SetUp();
+    // Once a change has come, the next watch waits its whole 30 s.
+    mFleet.Apply("config/models/early", R"({"weights":5})");
+    ExpectInForce("router-2", "early");
     mFleet.SetFaults(R"({"farCut":true})");
   }
 
