--- a/packages/state/include/shuntjunction/state/recent_changes.h
+++ b/packages/state/include/shuntjunction/state/recent_changes.h
@@ -63,7 +63,8 @@
   void Complete(std::uint64_t aCursor, std::uint64_t aDigest);
 
   /// Text for a peer that has a version; empty where these changes do not
-  /// reach back so far, or where it is not of this epoch.
+  /// reach back so far, or where it is not of this epoch. Zero asks for the
+  /// whole, which changes never are.
   std::string TextSince(std::uint64_t aEpoch, std::uint64_t aHave) const;
 
 private:
--- a/packages/state/src/recent_changes.cpp
+++ b/packages/state/src/recent_changes.cpp
@@ -117,7 +117,7 @@
 std::string
 RecentChanges::TextSince(std::uint64_t aEpoch, std::uint64_t aHave) const
 {
-  if (aEpoch != mKept.mEpoch || aHave < mKept.mSince) {
+  if (aHave == 0 || aEpoch != mKept.mEpoch || aHave < mKept.mSince) {
     return {};
   }
   ConfigChanges changes = mKept;
--- a/packages/state/tests/recent_changes_test.cpp
+++ b/packages/state/tests/recent_changes_test.cpp
@@ -98,6 +98,15 @@
   EXPECT_EQ(late.Cursor().mRevision, 30U);
 }
 
+TEST_F(GivenTwoProcesses, WhoAsksForTheWholeIsNeverGivenChanges)
+{
+  // All that this one ever had are changes, so that they reach back to zero.
+  ConfigStore young;
+  young.ApplyChanges(3, { Model("a", 3) });
+  EXPECT_TRUE(young.Recent().TextSince(0, 0).empty());
+  EXPECT_FALSE(young.Recent().TextSince(0, 3).empty());
+}
+
 TEST_F(GivenTwoProcesses, WhatIsKeptIsBounded)
 {
   for (std::uint64_t i = 0; i < 2 * kMaxRecentChanges; ++i) {
--- a/standins/fleet.cpp
+++ b/standins/fleet.cpp
@@ -8,6 +8,7 @@
 #include <fstream>
 #include <iostream>
 #include <sstream>
+#include <set>
 #include <thread>
 
 #include <fcntl.h>
@@ -40,10 +41,17 @@
 constexpr std::string_view kPlatformName = "platform";
 constexpr std::string_view kAnyPort = "127.0.0.1:0";
 
+/// Processes that were started and not yet waited for.
+std::set<int> sStarted;
+
+/// Ends the program, and before it what it has started: nobody else would.
 [[noreturn]] void
 Die(const std::string& aText)
 {
   std::cerr << "fleet: " << aText << "\n";
+  for (const int pid : sStarted) {
+    kill(pid, SIGKILL);
+  }
   std::abort();
 }
 
@@ -100,6 +108,7 @@
   for (const auto& [name, process] : mProcesses) {
     int status = 0;
     waitpid(process.mPid, &status, 0);
+    sStarted.erase(process.mPid);
   }
 }
 
@@ -137,6 +146,7 @@
   if (failed != 0) {
     Die(aName + " cannot be started: " + std::strerror(failed));
   }
+  sStarted.insert(process.mPid);
   const auto line = state::ParseJson(ReadLine(output[0]), aName);
   close(output[0]);
   if (!line || !line->is_object()) {
@@ -288,6 +298,7 @@
   if (waitpid(Process(aName).mPid, &status, 0) < 0) {
     Die("no process " + aName);
   }
+  sStarted.erase(Process(aName).mPid);
   mProcesses.erase(aName);
   return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
 }
