--- a/apps/shuntjunctiond.cpp
+++ b/apps/shuntjunctiond.cpp
@@ -1,5 +1,7 @@
-// shuntjunctiond: a router or a companion, by its settings.
+// shuntjunctiond: a router or a companion, by its settings; or, before the
+// users' platform, a relay or the companion of an engine behind relays.
 
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -7,7 +9,13 @@
 #include <CLI/CLI.hpp>
 
 #include "shuntjunction/coordination/daemon.h"
+#include "shuntjunction/coordination/fleet_daemon.h"
 #include "shuntjunction/coordination/log.h"
+#include "shuntjunction/platform/boot_settings.h"
+#include "shuntjunction/platform/call_codec.h"
+#include "shuntjunction/platform/engine_calls.h"
+#include "shuntjunction/platform/object_codec.h"
+#include "shuntjunction/platform/object_store.h"
 #include "shuntjunction/state/settings.h"
 
 namespace {
@@ -17,8 +25,14 @@
 constexpr int kExitBadSettings = 2;
 constexpr int kExitNotStarted = 3;
 
-state::Result<state::Settings>
-ReadFile(const std::string& aFile)
+/// Of a call to the platform's store, beside the wait of a watch.
+constexpr state::Millis kStoreTimeout{ 700 };
+
+/// Of a call to the engine on this machine.
+constexpr state::Millis kEngineTimeout{ 500 };
+
+state::Result<std::string>
+ReadText(const std::string& aFile)
 {
   std::ifstream stream(aFile);
   if (!stream) {
@@ -29,7 +43,60 @@
   }
   std::ostringstream text;
   text << stream.rdbuf();
-  return state::ReadSettings(text.str(), aFile);
+  return text.str();
+}
+
+state::Result<state::Settings>
+ReadFile(const std::string& aFile)
+{
+  const auto text = ReadText(aFile);
+  if (!text) {
+    return tl::unexpected(text.error());
+  }
+  return state::ReadSettings(*text, aFile);
+}
+
+state::Result<coordination::FleetSettings>
+ReadBootFile(const std::string& aFile)
+{
+  const auto text = ReadText(aFile);
+  if (!text) {
+    return tl::unexpected(text.error());
+  }
+  return platform::ReadBootSettings(*text, aFile);
+}
+
+/// Runs a process before the users' platform, as its settings file says.
+int
+RunFleetProcess(const std::string& aFile, bool aIsCheck)
+{
+  const auto settings = ReadBootFile(aFile);
+  if (!settings) {
+    std::cerr << settings.error().Describe() << "\n";
+    return kExitBadSettings;
+  }
+  if (aIsCheck) {
+    std::cout << aFile << " is good.\n";
+    return 0;
+  }
+  const auto store = state::ParseAddress(settings->mPlatform);
+  platform::ObjectStore objects(*store, kStoreTimeout);
+  const platform::ObjectCodec objectCodec;
+  const platform::CallCodec callCodec;
+  const auto engine = state::ParseAddress(settings->mEngine);
+  platform::EngineCalls engineCalls(engine.value_or(state::Address{}),
+                                    kEngineTimeout);
+  coordination::FleetDaemon daemon(
+    *settings,
+    coordination::FleetAdapter{ objects, objectCodec, callCodec, &engineCalls },
+    [aFile] { return ReadBootFile(aFile); });
+  const auto started = daemon.Start();
+  if (!started) {
+    std::cerr << started.error().Describe() << "\n";
+    return kExitNotStarted;
+  }
+  daemon.Run();
+  return 0;
 }
 
 } // namespace
@@ -40,12 +107,15 @@
   CLI::App app("shuntjunction: a router or companion process.");
   std::string file;
   bool isCheck = false;
-  app.add_option("--settings", file, "settings file, JSON with comments")
-    ->required();
+  app.add_option("--settings", file, "settings file, JSON with comments");
   app.add_flag("--check", isCheck, "check the settings and exit");
   app.set_version_flag("--version", SHUNTJUNCTION_VERSION);
   CLI11_PARSE(app, aCount, aArguments);
 
+  const char* bootFile = std::getenv(platform::kBootFileVariable);
+  if (file.empty() && bootFile != nullptr) {
+    return RunFleetProcess(bootFile, isCheck);
+  }
   const auto settings = ReadFile(file);
   if (!settings) {
     std::cerr << settings.error().Describe() << "\n";
--- /dev/null
+++ b/packages/coordination/include/shuntjunction/coordination/engine_control.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "shuntjunction/state/error.h"
+#include "shuntjunction/state/relay_config.h"
+#include "shuntjunction/transport/task.h"
+
+/// What a companion asks of the engine beside it.
+namespace shuntjunction::coordination {
+
+/// What an engine says of itself.
+struct EngineReport
+{
+  std::vector<state::LoadedModel> mModels;
+  bool mIsOrderRunning = false; ///< an order is being carried out
+  std::uint64_t mOrdersTaken = 0;
+  std::int64_t mQueued = 0;
+  std::int64_t mActive = 0;
+};
+
+/// An order to load other weights.
+struct LoadOrder
+{
+  std::string mEndpointId; ///< any other engine must refuse the order
+  std::string mModel;
+  std::uint64_t mVersion = 0;
+  std::string mHolder;            ///< who orders
+  std::uint64_t mFence = 0;       ///< higher than that of any earlier order
+  std::uint64_t mOrdersTaken = 0; ///< by the engine, when this was decided
+};
+
+/// What became of an order.
+enum class OrderOutcome : std::uint8_t
+{
+  kUnderWay,
+  kInForce,    ///< the engine has these weights already
+  kSuperseded, ///< another order runs, or came first
+  kFenced,     ///< a higher fencing number was seen
+  kWrongEngine,
+  kRefused,
+};
+
+/// Names of OrderOutcome.
+inline constexpr state::EnumNames<OrderOutcome, 6> kOrderOutcomeNames{
+  { "under-way", "in-force", "superseded", "fenced", "wrong-engine", "refused" }
+};
+
+/// An engine's control calls.
+///
+/// Thread safety: none; used on one thread.
+/// Errors: kUnavailable when the call had no effect, kTimeout when its effect
+/// is unknown.
+class EngineControl
+{
+public:
+  virtual ~EngineControl() = default;
+
+  /// Asks for the engine's report.
+  virtual transport::Task<state::Result<EngineReport>> Report() = 0;
+
+  /// Gives an order.
+  virtual transport::Task<state::Result<OrderOutcome>> Order(
+    LoadOrder aOrder) = 0;
+};
+
+} // namespace shuntjunction::coordination
--- /dev/null
+++ b/packages/coordination/include/shuntjunction/coordination/relay.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "shuntjunction/coordination/event_log.h"
+#include "shuntjunction/coordination/metrics.h"
+#include "shuntjunction/coordination/relay_codec.h"
+#include "shuntjunction/coordination/relay_feed.h"
+#include "shuntjunction/coordination/relay_settings.h"
+
+/// Takes callers' requests and passes each on to an endpoint of its route.
+namespace shuntjunction::coordination {
+
+/// What a relay is built from; all parts outlive it.
+struct RelayParts
+{
+  transport::asio::io_context& mContext;
+  const FleetSettings& mSettings;
+  const RelayCodec& mCodec;
+  const state::Clock& mClock;
+  const state::Freshness& mConfigConfirmed;
+  EventLog& mLog;
+  Metrics& mMetrics;
+};
+
+/// The relay of one process.
+///
+/// Thread safety: none; used on the thread of its context.
+class Relay
+{
+public:
+  explicit Relay(const RelayParts& aParts);
+  ~Relay();
+  Relay(const Relay&) = delete;
+  Relay& operator=(const Relay&) = delete;
+
+  /// Begins to accept callers.
+  state::Result<state::Address> Start();
+
+  /// Takes a newer view of the platform's objects.
+  void TakeView(std::shared_ptr<const RelayView> aView);
+
+  /// Sets how many relays share the retry budget.
+  void SetRelayCount(std::size_t aCount);
+
+  /// Whether the balancer may send connections here.
+  bool IsReady() const;
+
+  /// Begins a stop: unready at once, still serving.
+  void BeginStop();
+
+  /// Refuses new requests and closes connections that rest.
+  void RefuseNew();
+
+  /// Requests that are being served.
+  std::size_t Active() const;
+
+  /// Open connections of callers.
+  std::size_t Connections() const;
+
+  struct Core; ///< private to coordination
+
+private:
+  std::shared_ptr<Core> mCore;
+};
+
+} // namespace shuntjunction::coordination
--- /dev/null
+++ b/packages/coordination/include/shuntjunction/coordination/relay_feed.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "shuntjunction/coordination/event_log.h"
+#include "shuntjunction/coordination/platform.h"
+#include "shuntjunction/coordination/relay_codec.h"
+#include "shuntjunction/state/endpoint_directory.h"
+#include "shuntjunction/state/freshness.h"
+#include "shuntjunction/state/relay_config.h"
+
+/// What a process believes of the platform's objects.
+namespace shuntjunction::coordination {
+
+/// Weights that were named for a model.
+struct NamedWeightsNews
+{
+  std::uint64_t mVersion = 0;
+  state::TimePoint mKnownAt; ///< when this process learned of them
+};
+
+/// A consistent view, replaced as a whole.
+struct RelayView
+{
+  std::shared_ptr<const state::RelayConfig> mConfig =
+    std::make_shared<const state::RelayConfig>();
+  std::vector<state::EndpointInfo> mEndpoints;
+  std::map<std::string, NamedWeightsNews, std::less<>> mWeights;
+};
+
+/// Settings of a RelayFeed.
+struct RelayFeedSettings
+{
+  /// Longest wait of a watch on the configuration. Each return confirms that
+  /// nothing changed, and keys need that within a few seconds.
+  state::Millis mConfigWait{ 2000 };
+  /// Longest wait of the other watches.
+  state::Millis mListWait{ 20000 };
+  /// Pause before the list is watched again, so that several changes are taken
+  /// by one call.
+  state::Millis mListPause{ 150 };
+  state::Millis mFirstPause{ 100 }; ///< after a failed call
+  state::Millis mLongestPause{ 600 };
+  bool mWatchesConfig = true;
+};
+
+/// Keeps a view of configuration, endpoints and named weights.
+///
+/// Configuration never falls back in a process's life.
+/// Thread safety: none; used on the thread of its context, but Confirmed.
+class RelayFeed
+{
+public:
+  using Taker = std::function<void(std::shared_ptr<const RelayView>)>;
+
+  /// @param aTake  called on the feed's thread with each new view
+  /// The other parts outlive the feed.
+  RelayFeed(transport::asio::io_context& aContext,
+            const RelayFeedSettings& aSettings,
+            Platform& aPlatform,
+            const StoreCodec& aCodec,
+            const state::Clock& aClock,
+            EventLog& aLog,
+            Taker aTake);
+  ~RelayFeed();
+  RelayFeed(const RelayFeed&) = delete;
+  RelayFeed& operator=(const RelayFeed&) = delete;
+
+  /// Begins to follow the platform.
+  void Start();
+
+  /// When the configuration was last confirmed; may be asked from any thread.
+  const state::Freshness& Confirmed() const { return mConfirmed; }
+
+private:
+  struct Topic;
+
+  transport::Task<void> Follow(Topic& aTopic);
+  transport::Task<state::Result<void>> ListOnce(Topic& aTopic);
+  transport::Task<state::Result<void>> WatchOnce(Topic& aTopic);
+  transport::Task<void> ExpireLapsed();
+  void NoteTrouble(Topic& aTopic, const state::Error& aError);
+  void NoteSuccess(Topic& aTopic);
+  void TakeConfig(const state::RawObject& aObject);
+  void TakeEndpoint(const state::RawObject& aObject);
+  void TakeWeights(const state::RawObject& aObject);
+  void TakeEndpointList(const std::vector<state::RawObject>& aObjects);
+  void Publish();
+
+  transport::asio::io_context& mContext;
+  RelayFeedSettings mSettings;
+  Platform& mPlatform;
+  const StoreCodec& mCodec;
+  const state::Clock& mClock;
+  EventLog& mLog;
+  Taker mTake;
+  std::unique_ptr<Topic> mConfigTopic;
+  std::unique_ptr<Topic> mEndpointTopic;
+  std::unique_ptr<Topic> mWeightsTopic;
+  state::EndpointDirectory mDirectory;
+  state::Freshness mConfirmed;
+  RelayView mView;
+  state::RandomSource mRandom;
+};
+
+} // namespace shuntjunction::coordination
--- /dev/null
+++ b/packages/coordination/include/shuntjunction/coordination/weights_keeper.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "shuntjunction/coordination/engine_control.h"
+#include "shuntjunction/coordination/event_log.h"
+#include "shuntjunction/coordination/platform.h"
+#include "shuntjunction/coordination/relay_feed.h"
+#include "shuntjunction/coordination/relay_settings.h"
+
+/// Brings the engine beside a companion to the weights that were named.
+namespace shuntjunction::coordination {
+
+/// What a WeightsKeeper is built from; all parts outlive it.
+struct WeightsKeeperParts
+{
+  transport::asio::io_context& mContext;
+  const FleetSettings& mSettings;
+  Platform& mPlatform;
+  const StoreCodec& mCodec;
+  EngineControl& mEngine;
+  const state::Clock& mClock;
+  EventLog& mLog;
+};
+
+/// Orders one engine, alone: only the process beside an engine does.
+///
+/// Fencing numbers start from the revision of an object that each life of the
+/// process writes first, so that they never fall although nothing is kept.
+/// Thread safety: none; used on the thread of its context.
+class WeightsKeeper
+{
+public:
+  explicit WeightsKeeper(const WeightsKeeperParts& aParts);
+  WeightsKeeper(const WeightsKeeper&) = delete;
+  WeightsKeeper& operator=(const WeightsKeeper&) = delete;
+
+  /// Begins to keep the engine's weights.
+  void Start();
+
+  /// Takes a newer view of the platform's objects.
+  void TakeView(std::shared_ptr<const RelayView> aView);
+
+private:
+  /// What the engine is to load, and when.
+  struct Task
+  {
+    std::string mEndpointId;
+    state::NamedWeights mWeights;
+    state::TimePoint mFrom;
+  };
+
+  transport::Task<void> Run();
+  transport::Task<void> TakeFence();
+  std::optional<Task> NextTask() const;
+  const state::EndpointInfo* OwnEndpoint() const;
+  transport::Task<void> Carry(Task aTask);
+  transport::Task<void> WaitFor(state::Millis aTime);
+
+  WeightsKeeperParts mParts;
+  std::shared_ptr<const RelayView> mView = std::make_shared<RelayView>();
+  transport::asio::steady_timer mWake;
+  std::uint64_t mFence = 0;
+  /// What the engine reported last; its listed entry lags behind.
+  std::optional<state::NamedWeights> mLoaded;
+  std::string mLoadedBy; ///< id of the engine that reported it
+};
+
+} // namespace shuntjunction::coordination
--- /dev/null
+++ b/packages/coordination/src/fleet_daemon.cpp
@@ -0,0 +1,339 @@
+#include "shuntjunction/coordination/fleet_daemon.h"
+
+#include <thread>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include "shuntjunction/coordination/relay.h"
+#include "shuntjunction/coordination/weights_keeper.h"
+#include "shuntjunction/transport/http_server.h"
+
+namespace shuntjunction::coordination {
+
+using state::Millis;
+using state::Result;
+using transport::HttpExchange;
+using transport::HttpResponse;
+using transport::Task;
+namespace asio = transport::asio;
+
+namespace {
+
+using WorkGuard = asio::executor_work_guard<asio::io_context::executor_type>;
+
+constexpr std::string_view kPart = "process";
+constexpr std::string_view kMetricsPath = "/metrics";
+
+/// The balancer asks once a second and leaves after two refusals; until then
+/// new connections still come.
+constexpr Millis kStopNotice{ 2600 };
+
+/// Before the grace ends, requests that run are left to their end; new ones
+/// are refused from this share of it on.
+constexpr double kRefuseShare = 0.75;
+
+/// Share of the grace after which the process ends whatever runs.
+constexpr double kEndShare = 0.94;
+
+constexpr Millis kStopPoll{ 25 };
+
+HttpResponse
+Text(unsigned aStatus, std::string aText)
+{
+  HttpResponse response;
+  response.mStatus = aStatus;
+  response.mContentType = "text/plain";
+  response.mBody = std::move(aText);
+  return response;
+}
+
+/// Answers one path by a function.
+class PathHandler final : public transport::HttpHandler
+{
+public:
+  PathHandler(std::string aPath, std::function<HttpResponse()> aAnswer)
+    : mPath(std::move(aPath))
+    , mAnswer(std::move(aAnswer))
+  {
+  }
+
+  Task<void> Handle(HttpExchange& aExchange) override
+  {
+    const bool isKnown = aExchange.Request().Path() == mPath;
+    HttpResponse answer = isKnown ? mAnswer() : Refusal(404, "no such");
+    co_await aExchange.Respond(std::move(answer));
+  }
+
+  HttpResponse Refusal(unsigned aStatus, std::string_view aText) override
+  {
+    return Text(aStatus, std::string(aText) + "\n");
+  }
+
+private:
+  std::string mPath;
+  std::function<HttpResponse()> mAnswer;
+};
+
+/// One path on a port of its own.
+struct PathServer
+{
+  PathServer(asio::io_context& aContext,
+             std::string aPath,
+             std::function<HttpResponse()> aAnswer)
+    : mHandler(std::move(aPath), std::move(aAnswer))
+    , mServer(aContext, mLimits, mHandler)
+  {
+  }
+
+  state::LimitSettings mLimits;
+  PathHandler mHandler;
+  transport::HttpServer mServer;
+};
+
+} // namespace
+
+class FleetDaemon::Impl
+{
+public:
+  Impl(const FleetSettings& aSettings,
+       const FleetAdapter& aAdapter,
+       Reload aReload)
+    : mSettings(aSettings)
+    , mAdapter(aAdapter)
+    , mReload(std::move(aReload))
+    , mLog(EventLogSettings{}, mClock)
+    , mControlGuard(asio::make_work_guard(mControl))
+    , mSignals(mTraffic, SIGTERM, SIGINT, SIGHUP)
+    , mFeed(mControl,
+            FeedSettings(aSettings),
+            aAdapter.mPlatform,
+            aAdapter.mStoreCodec,
+            mClock,
+            mLog,
+            [this](std::shared_ptr<const RelayView> aView) {
+              TakeView(std::move(aView));
+            })
+  {
+  }
+
+  ~Impl()
+  {
+    mControl.stop();
+    if (mControlThread.joinable()) {
+      mControlThread.join();
+    }
+  }
+
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  Result<void> Start()
+  {
+    const bool isRelay = mSettings.mRole == FleetRole::kRelay;
+    const auto started = isRelay ? StartRelay() : StartCompanion();
+    if (!started) {
+      return started;
+    }
+    AwaitSignal();
+    mFeed.Start();
+    mControlThread = std::thread([this] { mControl.run(); });
+    mLog.Write(EventLine(kPart, "start")
+                 .Add("name", mSettings.mName)
+                 .Add("role", kFleetRoleNames.Name(mSettings.mRole))
+                 .Add("zone", mSettings.mZone)
+                 .Add("listen", mSettings.mListen)
+                 .Add("engine", mSettings.mEngine));
+    return {};
+  }
+
+  void Run()
+  {
+    const auto guard = asio::make_work_guard(mTraffic);
+    mTraffic.run();
+  }
+
+private:
+  static RelayFeedSettings FeedSettings(const FleetSettings& aSettings)
+  {
+    RelayFeedSettings feed;
+    feed.mWatchesConfig = aSettings.mRole == FleetRole::kRelay;
+    return feed;
+  }
+
+  Result<void> StartRelay()
+  {
+    mRelay = std::make_unique<Relay>(RelayParts{ mTraffic,
+                                                 mSettings,
+                                                 mAdapter.mRelayCodec,
+                                                 mClock,
+                                                 mFeed.Confirmed(),
+                                                 mLog,
+                                                 mMetrics });
+    const auto address = mRelay->Start();
+    if (!address) {
+      return tl::unexpected(address.error());
+    }
+    return Serve(
+      mReadiness, mSettings.mReadiness, mSettings.mReadinessPath, [this] {
+        return mRelay->IsReady() ? Text(200, "ready\n")
+                                 : Text(503, "not ready\n");
+      });
+  }
+
+  Result<void> StartCompanion()
+  {
+    mKeeper =
+      std::make_unique<WeightsKeeper>(WeightsKeeperParts{ mControl,
+                                                          mSettings,
+                                                          mAdapter.mPlatform,
+                                                          mAdapter.mStoreCodec,
+                                                          *mAdapter.mEngine,
+                                                          mClock,
+                                                          mLog });
+    mKeeper->Start();
+    return {};
+  }
+
+  Result<void> Serve(std::unique_ptr<PathServer>& aServer,
+                     const std::string& aAddress,
+                     std::string aPath,
+                     std::function<HttpResponse()> aAnswer)
+  {
+    if (aAddress.empty()) {
+      return {};
+    }
+    const auto address = state::ParseAddress(aAddress);
+    if (!address) {
+      return tl::unexpected(address.error());
+    }
+    aServer = std::make_unique<PathServer>(
+      mTraffic, std::move(aPath), std::move(aAnswer));
+    const auto bound = aServer->mServer.Start(*address);
+    if (!bound) {
+      return tl::unexpected(bound.error());
+    }
+    return {};
+  }
+
+  /// On the control thread: hands a view to whom it concerns.
+  void TakeView(std::shared_ptr<const RelayView> aView)
+  {
+    if (mKeeper) {
+      mKeeper->TakeView(std::move(aView));
+      return;
+    }
+    asio::post(mTraffic, [this, view = std::move(aView)]() mutable {
+      const bool wasReady = mRelay->IsReady();
+      mRelay->TakeView(std::move(view));
+      if (!wasReady && mRelay->IsReady()) {
+        mLog.Write(EventLine(kPart, "ready"));
+      }
+    });
+  }
+
+  void AwaitSignal()
+  {
+    mSignals.async_wait([this](const auto& aError, int aSignal) {
+      if (aError) {
+        return;
+      }
+      if (aSignal == SIGHUP) {
+        ReadSettingsAgain();
+      } else {
+        BeginStop();
+      }
+      AwaitSignal();
+    });
+  }
+
+  void ReadSettingsAgain()
+  {
+    const auto settings = mReload();
+    EventLine line(kPart, "reload");
+    if (settings) {
+      // Ports and names hold for a process's life; bounds may change.
+      mSettings.mBounds = settings->mBounds;
+      line.Add("outcome", "taken");
+    } else {
+      line.Add("outcome", "refused").Add("error", settings.error().Describe());
+    }
+    mLog.Write(std::move(line));
+  }
+
+  void BeginStop()
+  {
+    if (std::exchange(mIsStopping, true)) {
+      return;
+    }
+    mLog.Write(EventLine(kPart, "stopping"));
+    if (!mRelay) {
+      mTraffic.stop();
+      return;
+    }
+    mRelay->BeginStop();
+    transport::Spawn(mTraffic, FinishStop());
+  }
+
+  Task<void> FinishStop()
+  {
+    const auto begun = mClock.Now();
+    const auto grace =
+      static_cast<double>(mSettings.mBounds.mStopGrace.count());
+    const auto after = [&](double aShare) {
+      return begun + Millis(static_cast<std::int64_t>(grace * aShare));
+    };
+    co_await transport::Sleep(kStopNotice);
+    while (mRelay->Connections() > 0 && mClock.Now() < after(kEndShare)) {
+      if (mClock.Now() >= after(kRefuseShare)) {
+        mRelay->RefuseNew();
+      }
+      co_await transport::Sleep(kStopPoll);
+    }
+    mLog.Write(EventLine(kPart, "stopped")
+                 .Add("cut", mRelay->Active())
+                 .Add("connections", mRelay->Connections()));
+    mTraffic.stop();
+  }
+
+  FleetSettings mSettings;
+  FleetAdapter mAdapter;
+  Reload mReload;
+  state::SystemClock mClock;
+  EventLog mLog;
+  Metrics mMetrics;
+  asio::io_context mControl{ 1 };
+  asio::io_context mTraffic{ 1 };
+  WorkGuard mControlGuard;
+  asio::signal_set mSignals;
+  RelayFeed mFeed;
+  std::unique_ptr<Relay> mRelay;
+  std::unique_ptr<WeightsKeeper> mKeeper;
+  std::unique_ptr<PathServer> mReadiness;
+  bool mIsStopping = false;
+  std::thread mControlThread;
+};
+
+FleetDaemon::FleetDaemon(const FleetSettings& aSettings,
+                         const FleetAdapter& aAdapter,
+                         Reload aReload)
+  : mImpl(std::make_unique<Impl>(aSettings, aAdapter, std::move(aReload)))
+{
+}
+
+FleetDaemon::~FleetDaemon() = default;
+
+Result<void>
+FleetDaemon::Start()
+{
+  return mImpl->Start();
+}
+
+void
+FleetDaemon::Run()
+{
+  mImpl->Run();
+}
+
+} // namespace shuntjunction::coordination
--- /dev/null
+++ b/packages/coordination/src/relay.cpp
@@ -0,0 +1,141 @@
+#include "shuntjunction/coordination/relay.h"
+
+#include <random>
+
+#include "relay_core.h"
+#include "relay_session.h"
+#include "shuntjunction/transport/frame_channel.h"
+
+namespace shuntjunction::coordination {
+
+using state::Millis;
+using transport::Task;
+namespace asio = transport::asio;
+
+namespace {
+
+constexpr Millis kStaleInterval{ 500 };
+constexpr Millis kAcceptPause{ 50 };
+
+Task<void>
+Accept(std::shared_ptr<Relay::Core> aCore)
+{
+  const auto acceptor = aCore->mAcceptor;
+  while (acceptor->is_open()) {
+    auto [error, socket] = co_await acceptor->async_accept(transport::kAsTuple);
+    if (error) {
+      co_await transport::Sleep(kAcceptPause);
+      continue;
+    }
+    transport::SetSilenceLimits(socket, transport::SilenceLimits{});
+    const auto session =
+      std::make_shared<RelaySession>(aCore, std::move(socket));
+    transport::Spawn(aCore->mParts.mContext, session->Run());
+  }
+}
+
+Task<void>
+CloseStaleConnections(std::shared_ptr<Relay::Core> aCore)
+{
+  while (true) {
+    co_await transport::Sleep(kStaleInterval);
+    aCore->mEndpoints.CloseStale(aCore->mParts.mClock.Now());
+  }
+}
+
+} // namespace
+
+Relay::Core::Core(const RelayParts& aParts)
+  : mParts(aParts)
+  , mEndpoints(RelayEndpointSettings{})
+  , mLedger(mLimits.mMaxParts)
+  , mRandom(std::random_device{}())
+{
+}
+
+bool
+Relay::Core::AreKeysFresh() const
+{
+  const auto age = mParts.mConfigConfirmed.Age(mParts.mClock.Now());
+  return age < mParts.mSettings.mBounds.mKeyRemoval - mLimits.mFreshnessMargin;
+}
+
+void
+Relay::Core::CloseIdleSessions()
+{
+  const auto sessions = mSessions;
+  for (auto* session : sessions) {
+    session->CloseIfIdle();
+  }
+}
+
+Relay::Relay(const RelayParts& aParts)
+  : mCore(std::make_shared<Core>(aParts))
+{
+}
+
+Relay::~Relay() = default;
+
+state::Result<state::Address>
+Relay::Start()
+{
+  const auto address = state::ParseAddress(mCore->mParts.mSettings.mListen);
+  if (!address) {
+    return tl::unexpected(address.error());
+  }
+  auto acceptor = transport::Listen(mCore->mParts.mContext, *address);
+  if (!acceptor) {
+    return tl::unexpected(acceptor.error());
+  }
+  mCore->mAcceptor = *acceptor;
+  transport::Spawn(mCore->mParts.mContext, Accept(mCore));
+  transport::Spawn(mCore->mParts.mContext, CloseStaleConnections(mCore));
+  return transport::LocalAddress(*mCore->mAcceptor);
+}
+
+void
+Relay::TakeView(std::shared_ptr<const RelayView> aView)
+{
+  mCore->mView = std::move(aView);
+  mCore->mEndpoints.Update(mCore->mView->mEndpoints);
+}
+
+void
+Relay::SetRelayCount(std::size_t aCount)
+{
+  mCore->mRelayCount = std::max<std::size_t>(aCount, 1);
+}
+
+bool
+Relay::IsReady() const
+{
+  return !mCore->mIsStopping && mCore->mView->mConfig->Version() != 0 &&
+         mCore->AreKeysFresh();
+}
+
+void
+Relay::BeginStop()
+{
+  mCore->mIsStopping = true;
+}
+
+void
+Relay::RefuseNew()
+{
+  mCore->mIsRefusing = true;
+  mCore->CloseIdleSessions();
+}
+
+std::size_t
+Relay::Active() const
+{
+  return mCore->mActive;
+}
+
+std::size_t
+Relay::Connections() const
+{
+  return mCore->mSessions.size();
+}
+
+} // namespace shuntjunction::coordination
--- /dev/null
+++ b/packages/coordination/src/relay_choice_view.cpp
@@ -0,0 +1,163 @@
+#include "relay_choice_view.h"
+
+#include <algorithm>
+
+#include "shuntjunction/state/prefix_chain.h"
+
+namespace shuntjunction::coordination {
+
+using state::Millis;
+using state::RelayCandidate;
+using state::TimePoint;
+
+namespace {
+
+/// Engines of a service as candidates, with those that may not be taken left
+/// out.
+class CandidateList
+{
+public:
+  CandidateList(Relay::Core& aCore, const RelayAsk& aAsk)
+    : mCore(aCore)
+    , mAsk(aAsk)
+    , mNow(aCore.mParts.mClock.Now())
+  {
+    const auto& weights = aCore.mView->mWeights;
+    const auto found = weights.find(aAsk.mCall->mModel);
+    if (!aAsk.mCall->mModel.empty() && found != weights.end()) {
+      mNamed = found->second;
+      mOrder = state::LoadOrder(aCore.mView->mEndpoints,
+                                aAsk.mService,
+                                { aAsk.mCall->mModel, mNamed.mVersion });
+    }
+    for (const auto& endpoint : aCore.mEndpoints.Serving(aAsk.mService)) {
+      Add(endpoint);
+    }
+  }
+
+  const std::vector<RelayCandidate>& Candidates() const { return mCandidates; }
+  const RelayEndpointPtr& At(std::size_t aIndex) const
+  {
+    return mEndpoints[aIndex];
+  }
+  std::uint64_t Newest() const { return mNamed.mVersion; }
+
+private:
+  void Add(const RelayEndpointPtr& aEndpoint)
+  {
+    const auto& tried = *mAsk.mTried;
+    const bool isTried =
+      std::find(tried.begin(), tried.end(), aEndpoint->mInfo.mId) !=
+      tried.end();
+    if (isTried || mNow < aEndpoint->mClosedUntil) {
+      return;
+    }
+    RelayCandidate candidate;
+    if (!mAsk.mCall->mModel.empty()) {
+      candidate.mVersion = aEndpoint->mInfo.VersionOf(mAsk.mCall->mModel);
+      if (candidate.mVersion == 0 || IsClosedForLoad(*aEndpoint, candidate)) {
+        return;
+      }
+    }
+    candidate.mNameHash = aEndpoint->mNameHash;
+    candidate.mIsSameZone =
+      aEndpoint->mInfo.mZone == mCore.mParts.mSettings.mZone;
+    candidate.mIsSuspect = mNow < aEndpoint->mSuspectUntil;
+    candidate.mRunning = aEndpoint->mRunning;
+    candidate.mSlots = aEndpoint->mInfo.mSlots;
+    candidate.mQueuedTokens = aEndpoint->mUnreadTokens;
+    mCandidates.push_back(candidate);
+    mEndpoints.push_back(aEndpoint);
+  }
+
+  /// Whether an engine on older weights is about to load, or too old.
+  bool IsClosedForLoad(const RelayEndpoint& aEndpoint,
+                       const RelayCandidate& aCandidate) const
+  {
+    if (aCandidate.mVersion >= mNamed.mVersion) {
+      return false;
+    }
+    const auto& settings = mCore.mParts.mSettings;
+    const auto age = mNow - mNamed.mKnownAt;
+    if (age >= settings.mBounds.mWeightsLimit - mCore.mLimits.mWeightsMargin) {
+      return true;
+    }
+    const auto turn =
+      state::TurnOf(mOrder, aEndpoint.mInfo.mId, settings.mLoadTurns);
+    return turn && age >= *turn - settings.mLoadTurns.mClose &&
+           age < *turn + mCore.mLimits.mLoadPatience;
+  }
+
+  Relay::Core& mCore;
+  const RelayAsk& mAsk;
+  TimePoint mNow;
+  NamedWeightsNews mNamed;
+  std::vector<std::string> mOrder;
+  std::vector<RelayCandidate> mCandidates;
+  std::vector<RelayEndpointPtr> mEndpoints;
+};
+
+std::string
+SaltOf(const RelayAsk& aAsk, std::uint64_t aWeights)
+{
+  std::string salt = aAsk.mCall->mModel + "." + std::to_string(aWeights);
+  if (!aAsk.mIsolatedTeam.empty()) {
+    salt += ".";
+    salt += aAsk.mIsolatedTeam;
+  }
+  return salt;
+}
+
+/// Names where the shared part may be fetched from and saved to.
+void
+FillPartSource(Relay::Core& aCore, RelayPick& aPick)
+{
+  const auto& stores = aCore.mView->mConfig->Rules().mPartStores;
+  const std::string store = stores.empty() ? "" : stores.front().mAddress;
+  const auto& record = aCore.mLedger.At(aPick.mSalt, aPick.mPart);
+  aPick.mPartSource = store;
+  if (!record.mIsSaved) {
+    aPick.mPartStore = store;
+  }
+  const auto holder = aCore.mEndpoints.Find(record.mHolder);
+  const auto age = aCore.mParts.mClock.Now() - record.mServedAt;
+  if (holder && holder != aPick.mEndpoint && age < aCore.mLimits.mPartMemory) {
+    aPick.mPartSource = holder->mInfo.mAddress;
+  }
+}
+
+} // namespace
+
+std::optional<RelayPick>
+ChooseEndpoint(Relay::Core& aCore, const RelayAsk& aAsk)
+{
+  const CandidateList list(aCore, aAsk);
+  const auto& candidates = list.Candidates();
+  const auto& settings = aCore.mParts.mSettings.mChoice;
+  const auto allowed =
+    state::PreferNewest(candidates, list.Newest(), aCore.mLimits.mNewestShare);
+  const auto& parts = aAsk.mCall->mParts;
+  std::optional<std::size_t> index;
+  if (parts.size() >= 2) {
+    const auto key = state::PlacementHash(parts[parts.size() - 2].mId);
+    index = state::ChooseByPart(candidates, allowed, key, settings);
+  } else {
+    index = state::ChooseByLoad(candidates, allowed, settings, aCore.mRandom);
+  }
+  if (!index) {
+    return std::nullopt;
+  }
+  RelayPick pick;
+  pick.mEndpoint = list.At(*index);
+  pick.mWeights = candidates[*index].mVersion;
+  if (pick.mWeights != 0) {
+    pick.mSalt = SaltOf(aAsk, pick.mWeights);
+  }
+  if (parts.size() >= 2) {
+    pick.mPart = parts[parts.size() - 2].mId;
+    FillPartSource(aCore, pick);
+  }
+  return pick;
+}
+
+} // namespace shuntjunction::coordination
--- /dev/null
+++ b/packages/coordination/src/relay_choice_view.h
@@ -0,0 +1,33 @@
+#pragma once
+
+// Private to coordination: the choice of an endpoint for a relayed request.
+
+#include "relay_core.h"
+
+namespace shuntjunction::coordination {
+
+/// What a choice needs to know of a request.
+struct RelayAsk
+{
+  std::string_view mService;
+  const CallFacts* mCall = nullptr;
+  std::string_view mIsolatedTeam; ///< empty: parts are shared
+  const std::vector<std::string>* mTried = nullptr;
+};
+
+/// An endpoint, and how the request is handed to it.
+struct RelayPick
+{
+  RelayEndpointPtr mEndpoint;
+  std::uint64_t mWeights = 0; ///< 0 for a plain service
+  std::string mSalt;
+  std::string mPart;       ///< id of the last shared part; empty: none
+  std::string mPartSource; ///< address
+  std::string mPartStore;  ///< address to save to; empty: not
+};
+
+/// Chooses an endpoint; empty when none may take the request now.
+std::optional<RelayPick>
+ChooseEndpoint(Relay::Core& aCore, const RelayAsk& aAsk);
+
+} // namespace shuntjunction::coordination
--- /dev/null
+++ b/packages/coordination/src/relay_core.h
@@ -0,0 +1,82 @@
+#pragma once
+
+// Private to coordination: what a relay, its sessions and runs share.
+
+#include <set>
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include "relay_endpoint.h"
+#include "shuntjunction/coordination/relay.h"
+#include "shuntjunction/state/part_ledger.h"
+#include "shuntjunction/state/window_budget.h"
+
+namespace shuntjunction::coordination {
+
+class RelaySession;
+
+/// Times and sizes of a relay that are no settings of its operators.
+struct RelayLimits
+{
+  /// Margin by which a confirmation of the keys must be younger than allowed:
+  /// covers the way of a hand-over to an endpoint.
+  state::Millis mFreshnessMargin{ 300 };
+  /// A connection that rested longer is not used for a request that may run
+  /// only once: its endpoint may close it at that moment.
+  state::Millis mOnceMaxRest{ 1000 };
+  /// Share of the latency objective for which a request may wait for an
+  /// endpoint to open; callers can still come back in time then.
+  double mWaitShare = 0.2;
+  /// Answers up to this size are read whole before any of it is passed on.
+  std::size_t mMaxHeldAnswer = 64UL * 1024;
+  /// Bytes read ahead on a connection.
+  std::size_t mReadAhead = 64UL * 1024;
+  /// Share of the process's memory for bodies of requests.
+  double mBodyShare = 0.3;
+  /// Parts of prompts that are remembered.
+  std::size_t mMaxParts = 4096;
+  /// A part that an endpoint served so long ago may have left its memory.
+  state::Millis mPartMemory{ 4000 };
+  /// Longest wait behind another request that reads the same part.
+  state::Millis mPartWait{ 350 };
+  /// Within this of the bound, older weights get no request.
+  state::Millis mWeightsMargin{ 1500 };
+  /// Share of a model's engines on the newest weights from which on the others
+  /// are passed over.
+  double mNewestShare = 0.34;
+  /// An engine that did not load its weights so long after its turn is used
+  /// again meanwhile.
+  state::Millis mLoadPatience{ 2500 };
+};
+
+/// A relay's state.
+struct Relay::Core : std::enable_shared_from_this<Relay::Core>
+{
+  explicit Core(const RelayParts& aParts);
+
+  /// Whether a key may still be taken as valid.
+  bool AreKeysFresh() const;
+
+  /// Seconds to name in a refusal, as text.
+  void CloseIdleSessions();
+
+  RelayParts mParts;
+  RelayLimits mLimits;
+  RelayEndpoints mEndpoints;
+  state::PartLedger mLedger;
+  std::map<std::string, state::WindowBudget> mBudgets; ///< by service
+  std::shared_ptr<const RelayView> mView = std::make_shared<RelayView>();
+  state::RandomSource mRandom;
+  std::shared_ptr<transport::asio::ip::tcp::acceptor> mAcceptor;
+  std::set<RelaySession*> mSessions;
+  std::size_t mActive = 0;
+  std::size_t mBodyBytes = 0;
+  std::size_t mRelayCount = kAssumedRelays;
+  bool mIsStopping = false;
+  bool mIsRefusing = false;
+
+  /// Relays that are assumed to share a budget until they are counted.
+  static constexpr std::size_t kAssumedRelays = 16;
+};
+
+} // namespace shuntjunction::coordination
--- /dev/null
+++ b/packages/coordination/src/relay_endpoint.cpp
@@ -0,0 +1,170 @@
+#include "relay_endpoint.h"
+
+#include <algorithm>
+#include <charconv>
+#include <set>
+
+#include "shuntjunction/state/prefix_chain.h"
+
+namespace shuntjunction::coordination {
+
+using state::EndpointInfo;
+using state::Millis;
+using state::TimePoint;
+
+namespace {
+
+constexpr std::string_view kTimeoutWord = "timeout=";
+
+/// The whole seconds that a Keep-Alive field names; empty when it names none.
+std::optional<Millis>
+KeepAliveLimit(std::string_view aValue)
+{
+  const auto at = aValue.find(kTimeoutWord);
+  const auto digits = at == std::string_view::npos
+                        ? aValue
+                        : aValue.substr(at + kTimeoutWord.size());
+  int seconds = 0;
+  const auto [end, error] =
+    std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  if (error != std::errc() || seconds < 0) {
+    return std::nullopt;
+  }
+  return std::chrono::seconds(seconds);
+}
+
+} // namespace
+
+RelayEndpoints::RelayEndpoints(const RelayEndpointSettings& aSettings)
+  : mSettings(aSettings)
+{
+}
+
+void
+RelayEndpoints::Update(const std::vector<EndpointInfo>& aListed)
+{
+  std::set<std::string_view> listed;
+  for (const auto& info : aListed) {
+    listed.insert(info.mId);
+    auto& entry = mById[info.mId];
+    if (!entry) {
+      entry = std::make_shared<RelayEndpoint>();
+      entry->mNameHash = state::PlacementHash(info.mId);
+    }
+    entry->mInfo = info;
+  }
+  std::erase_if(mById, [&](const auto& aItem) {
+    const bool isGone = !listed.contains(aItem.first);
+    if (isGone) {
+      aItem.second->mIsListed = false;
+      aItem.second->mIdle.clear();
+    }
+    return isGone;
+  });
+}
+
+std::vector<RelayEndpointPtr>
+RelayEndpoints::Listed(std::string_view aService) const
+{
+  std::vector<RelayEndpointPtr> listed;
+  for (const auto& [id, endpoint] : mById) {
+    if (endpoint->mInfo.mService == aService) {
+      listed.push_back(endpoint);
+    }
+  }
+  return listed;
+}
+
+std::vector<RelayEndpointPtr>
+RelayEndpoints::Serving(std::string_view aService) const
+{
+  auto serving = Listed(aService);
+  std::erase_if(
+    serving, [](const auto& aEndpoint) { return aEndpoint->mInfo.mIsLeaving; });
+  return serving;
+}
+
+RelayEndpointPtr
+RelayEndpoints::Find(std::string_view aId) const
+{
+  const auto found = mById.find(aId);
+  return found == mById.end() ? nullptr : found->second;
+}
+
+EndpointConnection
+RelayEndpoints::TakeIdle(RelayEndpoint& aEndpoint,
+                         Millis aMaxRest,
+                         TimePoint aNow)
+{
+  while (!aEndpoint.mIdle.empty()) {
+    auto connection = std::move(aEndpoint.mIdle.back());
+    aEndpoint.mIdle.pop_back();
+    const auto rest = aNow - connection.mIdleSince;
+    const bool isSound =
+      !connection.mReader->IsClosed() && connection.mReader->Buffered().empty();
+    if (isSound && rest < std::min(aMaxRest, connection.mIdleLimit)) {
+      connection.mIsReused = true;
+      return connection;
+    }
+    connection.mReader->Close(false);
+  }
+  return {};
+}
+
+void
+RelayEndpoints::PutIdle(RelayEndpoint& aEndpoint,
+                        EndpointConnection aConnection,
+                        std::string_view aKeepAlive,
+                        TimePoint aNow)
+{
+  if (!aEndpoint.mIsListed || aEndpoint.mInfo.mIsLeaving) {
+    aConnection.mReader->Close(false);
+    return;
+  }
+  auto limit = mSettings.mIdleLimit;
+  if (const auto named = KeepAliveLimit(aKeepAlive)) {
+    limit = Millis(static_cast<std::int64_t>(
+      static_cast<double>(named->count()) * mSettings.mIdleShare));
+  }
+  aConnection.mIdleSince = aNow;
+  aConnection.mIdleLimit = limit;
+  aEndpoint.mIdle.push_back(std::move(aConnection));
+}
+
+void
+RelayEndpoints::CloseStale(TimePoint aNow)
+{
+  for (auto& [id, endpoint] : mById) {
+    std::erase_if(endpoint->mIdle, [&](const auto& aConnection) {
+      const bool isStale =
+        aConnection.mReader->IsClosed() ||
+        !aConnection.mReader->Buffered().empty() ||
+        aNow - aConnection.mIdleSince >= aConnection.mIdleLimit;
+      if (isStale) {
+        aConnection.mReader->Close(false);
+      }
+      return isStale;
+    });
+  }
+}
+
+void
+RelayEndpoints::NoteFailure(RelayEndpoint& aEndpoint, TimePoint aNow)
+{
+  if (++aEndpoint.mFailures < mSettings.mFailuresToSuspect) {
+    return;
+  }
+  aEndpoint.mSuspicion = std::clamp(aEndpoint.mSuspicion * 2,
+                                    mSettings.mFirstSuspicion,
+                                    mSettings.mLongestSuspicion);
+  aEndpoint.mSuspectUntil = aNow + aEndpoint.mSuspicion;
+}
+
+void
+RelayEndpoints::NoteSuccess(RelayEndpoint& aEndpoint)
+{
+  aEndpoint.mFailures = 0;
+  aEndpoint.mSuspicion = Millis(0);
+}
+
+} // namespace shuntjunction::coordination
--- /dev/null
+++ b/packages/coordination/src/relay_endpoint.h
@@ -0,0 +1,112 @@
+#pragma once
+
+// Private to coordination: endpoints as a relay knows and reaches them.
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "shuntjunction/state/relay_config.h"
+#include "shuntjunction/transport/relay_message.h"
+#include "shuntjunction/transport/socket_reader.h"
+
+namespace shuntjunction::coordination {
+
+/// A connection to an endpoint, used by one request at a time.
+struct EndpointConnection
+{
+  std::shared_ptr<transport::SocketReader> mReader;
+  state::TimePoint mIdleSince;
+  state::Millis mIdleLimit{ 0 }; ///< reused only before it rested so long
+  bool mIsReused = false;
+};
+
+/// Settings of RelayEndpoints.
+struct RelayEndpointSettings
+{
+  /// Of a new connection; the endpoints' zones are milliseconds apart.
+  state::Millis mConnectTimeout{ 400 };
+  /// Rest after which a connection whose endpoint names no limit is dropped.
+  state::Millis mIdleLimit{ 4000 };
+  /// Share of an endpoint's own limit that is used: the rest covers the way.
+  double mIdleShare = 0.5;
+  /// Failures in a row that make an endpoint suspect.
+  int mFailuresToSuspect = 2;
+  state::Millis mFirstSuspicion{ 500 };
+  state::Millis mLongestSuspicion{ 4000 };
+  /// Rest of an endpoint that refused for want of room.
+  state::Millis mFullPause{ 50 };
+  /// Share of an endpoint's connections that one relay may open.
+  double mConnectionShare = 0.2;
+  transport::SilenceLimits mSilence;
+};
+
+/// One endpoint as a relay knows it.
+struct RelayEndpoint
+{
+  state::EndpointInfo mInfo;
+  std::uint64_t mNameHash = 0;
+  bool mIsListed = true;
+  std::vector<EndpointConnection> mIdle; ///< the freshest last
+  std::int64_t mOpenConnections = 0;
+  std::int64_t mRunning = 0;      ///< requests of this relay there
+  std::int64_t mUnreadTokens = 0; ///< of this relay's, whose answer waits
+  int mFailures = 0;              ///< in a row
+  state::Millis mSuspicion{ 0 };
+  state::TimePoint mSuspectUntil;
+  state::TimePoint mClosedUntil; ///< refused for want of room, or loads
+};
+
+using RelayEndpointPtr = std::shared_ptr<RelayEndpoint>;
+
+/// All endpoints of a relay.
+///
+/// Thread safety: none; owned by the traffic thread.
+class RelayEndpoints
+{
+public:
+  explicit RelayEndpoints(const RelayEndpointSettings& aSettings);
+
+  /// Takes the list; connections of endpoints that went are closed.
+  void Update(const std::vector<state::EndpointInfo>& aListed);
+
+  /// Endpoints of a service that may get new work.
+  std::vector<RelayEndpointPtr> Serving(std::string_view aService) const;
+
+  /// All listed endpoints of a service, leaving ones too.
+  std::vector<RelayEndpointPtr> Listed(std::string_view aService) const;
+
+  /// The endpoint of an id; null when it is not listed.
+  RelayEndpointPtr Find(std::string_view aId) const;
+
+  /// Takes a connection that rested; empty reader when there is none.
+  ///
+  /// @param aMaxRest  longest rest that is accepted
+  EndpointConnection TakeIdle(RelayEndpoint& aEndpoint,
+                              state::Millis aMaxRest,
+                              state::TimePoint aNow);
+
+  /// Gives a connection back after a whole answer.
+  ///
+  /// @param aKeepAlive  value of the answer's Keep-Alive field
+  void PutIdle(RelayEndpoint& aEndpoint,
+               EndpointConnection aConnection,
+               std::string_view aKeepAlive,
+               state::TimePoint aNow);
+
+  /// Closes connections that rested too long.
+  void CloseStale(state::TimePoint aNow);
+
+  /// Notes that a request failed there, or that it went well.
+  void NoteFailure(RelayEndpoint& aEndpoint, state::TimePoint aNow);
+  void NoteSuccess(RelayEndpoint& aEndpoint);
+
+  const RelayEndpointSettings& Settings() const { return mSettings; }
+
+private:
+  RelayEndpointSettings mSettings;
+  std::map<std::string, RelayEndpointPtr, std::less<>> mById;
+};
+
+} // namespace shuntjunction::coordination
--- /dev/null
+++ b/packages/coordination/src/relay_run.cpp
@@ -0,0 +1,419 @@
+#include "relay_run.h"
+
+#include <array>
+#include <cstdio>
+
+#include <random>
+
+#include <boost/asio/write.hpp>
+
+#include "shuntjunction/state/prefix_chain.h"
+
+namespace shuntjunction::coordination {
+
+using state::Millis;
+using state::RouteKind;
+using transport::RelayRequest;
+using transport::Task;
+
+namespace {
+
+constexpr std::string_view kPart = "relay";
+constexpr std::string_view kBearer = "Bearer ";
+
+constexpr unsigned kUnauthorized = 401;
+constexpr unsigned kNoRoute = 404;
+constexpr unsigned kBadGateway = 502;
+constexpr unsigned kUnavailable = 503;
+constexpr unsigned kTimedOut = 504;
+
+/// How long a refused caller is told to stay away.
+constexpr Millis kRetrySoon{ 100 };
+/// The same when the platform's store cannot be reached.
+constexpr Millis kRetryLater{ 1000 };
+
+/// Endpoints that could not be reached before a request is given up: trying
+/// them one after the other costs a connection timeout each.
+constexpr int kMaxUnsentTries = 3;
+
+/// How often a request that waits for an endpoint looks again.
+constexpr Millis kWaitStep{ 15 };
+
+} // namespace
+
+RelayRun::RelayRun(std::shared_ptr<Relay::Core> aCore,
+                   transport::SocketReader& aCaller,
+                   std::shared_ptr<RelayRequest> aRequest,
+                   state::TimePoint aArrival)
+  : mCore(std::move(aCore))
+  , mCaller(aCaller)
+  , mRequest(std::move(aRequest))
+  , mArrival(aArrival)
+  , mView(mCore->mView)
+  , mCall(mCore->mParts.mCodec.ReadCall(*mRequest))
+  , mIsKept(mRequest->mKeepsAlive)
+{
+}
+
+Task<bool>
+RelayRun::Run()
+{
+  if (mView->mConfig->Version() == 0) {
+    co_await Refuse(kUnavailable, "no-configuration", kRetryLater);
+  } else if (!FindRoute()) {
+    co_await Refuse(kNoRoute, "no-route");
+  } else if (IsStale()) {
+    co_await Refuse(kUnavailable, "stale-keys", kRetryLater);
+  } else if (!FindTeam()) {
+    co_await Refuse(kUnauthorized, "unknown-key");
+  } else if (mCore->mIsRefusing) {
+    co_await Refuse(kUnavailable, "stopping", Millis(0));
+  } else {
+    mService = DrawService();
+    ArmDeadline();
+    mCaller.OnClosed([this] { Interrupt(RunInterrupt::kCallerGone); });
+    co_await Serve();
+    mCaller.OnClosed(nullptr);
+    mDeadlineTimer->cancel();
+  }
+  co_return mIsKept && !mCore->mIsStopping && !mCaller.IsClosed();
+}
+
+// Admission.
+
+bool
+RelayRun::FindRoute()
+{
+  mRoute = mView->mConfig->RouteOf(mRequest->Field("Host"), mRequest->Path());
+  return mRoute != nullptr;
+}
+
+bool
+RelayRun::FindTeam()
+{
+  if (!mView->mConfig->Rules().mHasTeams || mRoute->mIsAnonymous) {
+    return true;
+  }
+  const auto field = mRequest->Field("Authorization");
+  if (field.substr(0, kBearer.size()) != kBearer) {
+    return false;
+  }
+  mTeam = mView->mConfig->TeamOf(field.substr(kBearer.size()));
+  return mTeam != nullptr;
+}
+
+bool
+RelayRun::IsStale() const
+{
+  const bool needsKey =
+    mView->mConfig->Rules().mHasTeams && !mRoute->mIsAnonymous;
+  return needsKey && !mCore->AreKeysFresh();
+}
+
+std::string
+RelayRun::DrawService()
+{
+  double sum = 0.0;
+  for (const auto& target : mRoute->mTargets) {
+    sum += target.mWeight;
+  }
+  std::uniform_real_distribution<double> draw(0.0, sum);
+  double left = draw(mCore->mRandom);
+  for (const auto& target : mRoute->mTargets) {
+    left -= target.mWeight;
+    if (left <= 0.0) {
+      return target.mService;
+    }
+  }
+  return mRoute->mTargets.back().mService;
+}
+
+void
+RelayRun::ArmDeadline()
+{
+  const auto limit =
+    std::min(mRoute->mTimeout, mCall.mDeadline.value_or(mRoute->mTimeout));
+  mDeadline = mArrival + limit;
+  mDeadlineTimer = std::make_shared<transport::asio::steady_timer>(
+    mCore->mParts.mContext, mDeadline);
+  // Cancelled before the run ends, but a timer that ran out already still
+  // calls: the token says whether the run is there.
+  mDeadlineTimer->async_wait(
+    [this, alive = std::weak_ptr(mDeadlineTimer)](const auto& aError) {
+      if (!aError && !alive.expired()) {
+        Interrupt(RunInterrupt::kDeadline);
+      }
+    });
+}
+
+void
+RelayRun::Interrupt(RunInterrupt aReason)
+{
+  if (mInterrupt != RunInterrupt::kNone) {
+    return;
+  }
+  mInterrupt = aReason;
+  if (mOpenAttempt) {
+    mOpenAttempt->Close(true);
+  }
+}
+
+Millis
+RelayRun::SinceArrival() const
+{
+  return std::chrono::duration_cast<Millis>(Now() - mArrival);
+}
+
+// Attempts.
+
+Task<void>
+RelayRun::Serve()
+{
+  auto& budget =
+    mCore->mBudgets
+      .try_emplace(mService, mCore->mParts.mSettings.mBounds.mRetries, Now())
+      .first->second;
+  budget.NoteFirst(Now());
+  while (mInterrupt == RunInterrupt::kNone) {
+    auto pick = co_await Pick();
+    if (!pick) {
+      break;
+    }
+    co_await WaitForPart(*pick);
+    if (mInterrupt != RunInterrupt::kNone) {
+      break;
+    }
+    if (!mTried.empty() && !budget.TryRepeat(Now())) {
+      mLastProblem = "retry-budget";
+      break;
+    }
+    const auto outcome = co_await Try(*pick);
+    NoteOutcome(*pick, outcome);
+    if (outcome == AttemptOutcome::kDone) {
+      co_return;
+    }
+    if (!MayTryAgain(outcome)) {
+      break;
+    }
+  }
+  co_await AnswerFailure();
+}
+
+Task<std::optional<RelayPick>>
+RelayRun::Pick()
+{
+  const RelayAsk ask{ mService,
+                      &mCall,
+                      mTeam != nullptr && mTeam->mIsIsolated
+                        ? std::string_view(mTeam->mName)
+                        : std::string_view(),
+                      &mTried };
+  const auto objective = static_cast<double>(mRoute->mObjective.count());
+  const auto until =
+    mArrival +
+    Millis(static_cast<std::int64_t>(objective * mCore->mLimits.mWaitShare));
+  while (mInterrupt == RunInterrupt::kNone) {
+    if (auto pick = ChooseEndpoint(*mCore, ask)) {
+      co_return pick;
+    }
+    if (Now() >= until) {
+      mLastProblem = "no-endpoint";
+      break;
+    }
+    co_await transport::Sleep(kWaitStep);
+  }
+  co_return std::nullopt;
+}
+
+Task<void>
+RelayRun::WaitForPart(const RelayPick& aPick)
+{
+  if (aPick.mPart.empty()) {
+    co_return;
+  }
+  const auto& limits = mCore->mLimits;
+  const auto until = Now() + limits.mPartWait;
+  while (mInterrupt == RunInterrupt::kNone && Now() < until) {
+    const auto& record = mCore->mLedger.At(aPick.mSalt, aPick.mPart);
+    const bool isRead = Now() - record.mReadingFrom < limits.mPartWait &&
+                        record.mServedAt < record.mReadingFrom;
+    if (!isRead) {
+      co_return;
+    }
+    co_await transport::Sleep(kWaitStep);
+  }
+}
+
+bool
+RelayRun::MayTryAgain(AttemptOutcome aOutcome)
+{
+  if (mInterrupt != RunInterrupt::kNone || mIsHeadPassed) {
+    // A stream that began may go on elsewhere.
+    const bool isResumed = mInterrupt == RunInterrupt::kNone &&
+                           aOutcome == AttemptOutcome::kBroken &&
+                           mRoute->mKind == RouteKind::kStream &&
+                           mRoute->mIsResumable && !mLastEventId.empty();
+    return isResumed && static_cast<int>(mTried.size()) < mRoute->mMaxAttempts;
+  }
+  if (aOutcome == AttemptOutcome::kUnsent) {
+    return mUnsentTries < kMaxUnsentTries;
+  }
+  if (aOutcome == AttemptOutcome::kBroken && !mRoute->IsRepeatable()) {
+    return false;
+  }
+  return static_cast<int>(mTried.size()) < mRoute->mMaxAttempts;
+}
+
+void
+RelayRun::NoteOutcome(const RelayPick& aPick, AttemptOutcome aOutcome)
+{
+  auto& endpoint = *aPick.mEndpoint;
+  auto& endpoints = mCore->mEndpoints;
+  switch (aOutcome) {
+    case AttemptOutcome::kDone:
+      endpoints.NoteSuccess(endpoint);
+      break;
+    case AttemptOutcome::kUnsent:
+    case AttemptOutcome::kBroken:
+      endpoints.NoteFailure(endpoint, Now());
+      break;
+    case AttemptOutcome::kNotRun:
+      endpoint.mClosedUntil = Now() + endpoints.Settings().mFullPause;
+      break;
+    case AttemptOutcome::kMisdirected:
+    case AttemptOutcome::kInterrupted:
+      break;
+  }
+  EventLine line(kPart, "attempt", mCall.mRequestId);
+  line.Add("endpoint", endpoint.mInfo.mId)
+    .Add("zone", endpoint.mInfo.mZone)
+    .Add("outcome", kAttemptOutcomeNames.Name(aOutcome))
+    .Add("running", endpoint.mRunning)
+    .Add("ms", SinceArrival().count());
+  if (aPick.mWeights != 0) {
+    line.Add("weights", aPick.mWeights)
+      .Add("part", aPick.mPart)
+      .Add("source", aPick.mPartSource)
+      .Add("saves", !aPick.mPartStore.empty());
+  }
+  if (aOutcome != AttemptOutcome::kDone) {
+    line.Add("problem", mLastProblem);
+  }
+  mCore->mParts.mLog.Write(std::move(line));
+}
+
+// Answers of the relay's own.
+
+Task<void>
+RelayRun::AnswerFailure()
+{
+  if (mInterrupt == RunInterrupt::kCallerGone) {
+    mIsKept = false;
+    LogOutcome("caller-gone", mLastProblem);
+    co_return;
+  }
+  if (mIsHeadPassed) {
+    CutCaller();
+    LogOutcome(
+      "cut", mInterrupt == RunInterrupt::kDeadline ? "deadline" : mLastProblem);
+    co_return;
+  }
+  const bool isLate = mInterrupt == RunInterrupt::kDeadline;
+  const std::string reason = isLate ? "deadline" : mLastProblem;
+  if (!mMayHaveRun) {
+    co_await Refuse(kUnavailable, reason, kRetrySoon);
+  } else if (isLate) {
+    co_await Refuse(kTimedOut, reason);
+  } else {
+    co_await Refuse(kBadGateway, reason);
+  }
+}
+
+Task<void>
+RelayRun::Refuse(unsigned aStatus,
+                 std::string_view aReason,
+                 std::optional<Millis> aRetryAfter)
+{
+  const std::string body = R"({"error":{"message":"not served: )" +
+                           std::string(aReason) + R"("}})" + "\n";
+  std::string text = "HTTP/1.1 " + std::to_string(aStatus) + " " +
+                     std::string(aReason) +
+                     "\r\nContent-Type: application/json\r\nContent-Length: " +
+                     std::to_string(body.size()) + "\r\n";
+  mCore->mParts.mCodec.AppendRequestId(mCall.mRequestId, text);
+  if (aRetryAfter) {
+    constexpr double kMillisPerSecond = 1000.0;
+    std::array<char, 16> seconds{};
+    std::snprintf(seconds.data(),
+                  seconds.size(),
+                  "%.3f",
+                  static_cast<double>(aRetryAfter->count()) / kMillisPerSecond);
+    text += std::string("Retry-After: ") + seconds.data() + "\r\n";
+  }
+  AppendConnectionField(text);
+  text += "\r\n";
+  if (mRequest->mMethod != "HEAD") {
+    text += body;
+  }
+  mFirstStatus = aStatus;
+  co_await WriteToCaller(std::move(text));
+  LogOutcome("refused", aReason);
+}
+
+void
+RelayRun::AppendConnectionField(std::string& aHeader) const
+{
+  if (!mIsKept || mCore->mIsStopping) {
+    aHeader += "Connection: close\r\n";
+  }
+}
+
+void
+RelayRun::CutCaller()
+{
+  mIsKept = false;
+  mCaller.Close(true);
+}
+
+Task<bool>
+RelayRun::WriteToCaller(std::string aBytes)
+{
+  if (mCaller.IsClosed()) {
+    mIsKept = false;
+    co_return false;
+  }
+  const auto [error, bytes] = co_await boost::asio::async_write(
+    mCaller.Socket(), boost::asio::buffer(aBytes), transport::kAsTuple);
+  if (error) {
+    mIsKept = false;
+    Interrupt(RunInterrupt::kCallerGone);
+    co_return false;
+  }
+  co_return true;
+}
+
+void
+RelayRun::LogOutcome(std::string_view aOutcome, std::string_view aReason)
+{
+  auto& parts = mCore->mParts;
+  const auto age = parts.mConfigConfirmed.Age(Now());
+  EventLine line(kPart, "request", mCall.mRequestId);
+  line.Add("outcome", aOutcome)
+    .Add("reason", aReason)
+    .Add("status", mFirstStatus)
+    .Add("route", mRoute != nullptr ? mRoute->mName : "")
+    .Add("service", mService)
+    .Add("team", mTeam != nullptr ? mTeam->mName : "")
+    .Add("attempts", mTried.size())
+    .Add("unsent", mUnsentTries)
+    .Add("may_have_run", mMayHaveRun)
+    .Add("config", mView->mConfig->Version())
+    .Add("config_age_ms", age.count())
+    .Add("ms", SinceArrival().count());
+  parts.mLog.Write(std::move(line));
+  parts.mMetrics.Count("shuntjunction_relay_requests_total",
+                       { { "route", mRoute != nullptr ? mRoute->mName : "" },
+                         { "outcome", std::string(aOutcome) } });
+}
+
+} // namespace shuntjunction::coordination
--- /dev/null
+++ b/packages/coordination/src/relay_run.h
@@ -0,0 +1,118 @@
+#pragma once
+
+// Private to coordination: one request's way through a relay.
+
+#include "relay_choice_view.h"
+#include "relay_core.h"
+
+namespace shuntjunction::coordination {
+
+/// Why a run was interrupted.
+enum class RunInterrupt : std::uint8_t
+{
+  kNone,
+  kCallerGone,
+  kDeadline,
+};
+
+/// What became of one attempt at an endpoint.
+enum class AttemptOutcome : std::uint8_t
+{
+  kDone,        ///< the answer was passed on, whole
+  kUnsent,      ///< nothing of the request was sent
+  kNotRun,      ///< the endpoint said that it did not run the request
+  kMisdirected, ///< the endpoint is another, or has other weights
+  kBroken,      ///< it may have run; the answer is missing or unusable
+  kInterrupted, ///< see RunInterrupt
+};
+
+/// Names of AttemptOutcome.
+inline constexpr state::EnumNames<AttemptOutcome, 6> kAttemptOutcomeNames{
+  { "done", "unsent", "not-run", "misdirected", "broken", "interrupted" }
+};
+
+/// Serves one request: finds its route and team, chooses endpoints, passes the
+/// answer on.
+///
+/// Thread safety: none; used on the relay's thread.
+class RelayRun
+{
+public:
+  /// @param aCaller  connection of the caller; outlives the run
+  RelayRun(std::shared_ptr<Relay::Core> aCore,
+           transport::SocketReader& aCaller,
+           std::shared_ptr<transport::RelayRequest> aRequest,
+           state::TimePoint aArrival);
+
+  /// Runs to the end; whether the caller's connection may be kept.
+  transport::Task<bool> Run();
+
+private:
+  struct Attempt;
+
+  // Admission.
+  bool FindRoute();
+  bool FindTeam();
+  std::string DrawService();
+  bool IsStale() const;
+
+  // Attempts.
+  transport::Task<void> Serve();
+  transport::Task<std::optional<RelayPick>> Pick();
+  transport::Task<void> WaitForPart(const RelayPick& aPick);
+  transport::Task<AttemptOutcome> Try(RelayPick aPick);
+  transport::Task<AttemptOutcome> Connect(Attempt& aAttempt);
+  void Send(Attempt& aAttempt);
+  transport::Task<AttemptOutcome> ReadAnswer(Attempt& aAttempt);
+  std::optional<AttemptOutcome> JudgeHead(Attempt& aAttempt);
+  transport::Task<bool> PassBody(Attempt& aAttempt, bool aIsDone);
+  transport::Task<bool> PassHeldAnswer(Attempt& aAttempt);
+  transport::Task<bool> PassStreamPiece(Attempt& aAttempt, bool aIsDone);
+  std::string TakeWholeEvents(std::string aBytes, bool aIsDone);
+  void NoteAnswerBegun(const Attempt& aAttempt);
+  void NoteOutcome(const RelayPick& aPick, AttemptOutcome aOutcome);
+  bool MayTryAgain(AttemptOutcome aOutcome);
+  void Finish(Attempt& aAttempt);
+
+  // Answers of the relay's own.
+  transport::Task<void> AnswerFailure();
+  transport::Task<void> Refuse(unsigned aStatus,
+                               std::string_view aReason,
+                               std::optional<state::Millis> aRetryAfter = {});
+  transport::Task<bool> WriteToCaller(std::string aBytes);
+  std::string HeadText(const transport::RelayAnswer& aAnswer,
+                       std::optional<std::size_t> aLength) const;
+  void AppendConnectionField(std::string& aHeader) const;
+  void CutCaller();
+
+  void Interrupt(RunInterrupt aReason);
+  void ArmDeadline();
+  void LogOutcome(std::string_view aOutcome, std::string_view aReason);
+  state::TimePoint Now() const { return mCore->mParts.mClock.Now(); }
+  state::Millis SinceArrival() const;
+
+  std::shared_ptr<Relay::Core> mCore;
+  transport::SocketReader& mCaller;
+  std::shared_ptr<transport::RelayRequest> mRequest;
+  state::TimePoint mArrival;
+  state::TimePoint mDeadline;
+  std::shared_ptr<transport::asio::steady_timer> mDeadlineTimer;
+  std::shared_ptr<const RelayView> mView;
+  CallFacts mCall;
+  const state::RouteRule* mRoute = nullptr;
+  const state::TeamRule* mTeam = nullptr;
+  std::string mService;
+  RunInterrupt mInterrupt = RunInterrupt::kNone;
+  std::shared_ptr<transport::SocketReader> mOpenAttempt; ///< to be cut off
+  std::vector<std::string> mTried; ///< endpoints that got the request
+  int mUnsentTries = 0;            ///< endpoints that could not be reached
+  bool mMayHaveRun = false;
+  bool mIsHeadPassed = false;
+  bool mIsKept = true;
+  std::string mPartialEvent; ///< bytes of an event that is not yet whole
+  std::string mLastEventId;  ///< of the last event passed on
+  unsigned mFirstStatus = 0;
+  std::string mLastProblem;
+};
+
+} // namespace shuntjunction::coordination
--- /dev/null
+++ b/packages/coordination/src/relay_session.cpp
@@ -0,0 +1,148 @@
+#include "relay_session.h"
+
+#include <boost/asio/write.hpp>
+
+#include "relay_run.h"
+
+namespace shuntjunction::coordination {
+
+using state::TimePoint;
+using transport::ReadStep;
+using transport::RelayRequest;
+using transport::RelayRequestReader;
+using transport::Task;
+
+namespace {
+
+constexpr std::string_view kPart = "relay";
+constexpr unsigned kTooSlow = 408;
+constexpr unsigned kUnavailable = 503;
+
+} // namespace
+
+RelaySession::RelaySession(std::shared_ptr<Relay::Core> aCore,
+                           transport::asio::ip::tcp::socket aSocket)
+  : mCore(std::move(aCore))
+  , mReader(
+      std::make_shared<transport::SocketReader>(std::move(aSocket),
+                                                mCore->mLimits.mReadAhead))
+{
+  mCore->mSessions.insert(this);
+}
+
+RelaySession::~RelaySession()
+{
+  mCore->mSessions.erase(this);
+  mReader->Close(false);
+}
+
+Task<void>
+RelaySession::Run()
+{
+  const auto self = shared_from_this();
+  mReader->Start();
+  while (co_await ServeOne()) {
+  }
+  mReader->Close(false);
+}
+
+void
+RelaySession::CloseIfIdle()
+{
+  if (mIsIdle && mReader->Buffered().empty()) {
+    mReader->Close(false);
+  }
+}
+
+Task<bool>
+RelaySession::ServeOne()
+{
+  const auto request = co_await ReadRequest();
+  if (!request) {
+    co_return false;
+  }
+  ++mCore->mActive;
+  mCore->mBodyBytes += request->mBody.size();
+  const auto bytes = request->mBody.size();
+  RelayRun run(mCore, *mReader, request, mCore->mParts.mClock.Now());
+  const bool isKept = co_await run.Run();
+  mCore->mBodyBytes -= bytes;
+  --mCore->mActive;
+  mIsIdle = true;
+  co_return isKept;
+}
+
+Task<std::shared_ptr<RelayRequest>>
+RelaySession::ReadRequest()
+{
+  const auto& clock = mCore->mParts.mClock;
+  const auto limits = mCore->mView->mConfig->Rules().mLimits;
+  RelayRequestReader reader(limits.mHeaderBytes, limits.mBodyBytes);
+  TimePoint until = clock.Now() + limits.mIdleTimeout;
+  bool isContinued = false;
+  while (true) {
+    const auto bytes = mReader->Buffered();
+    if (!bytes.empty()) {
+      if (std::exchange(mIsIdle, false)) {
+        until = clock.Now() + limits.mHeaderTimeout;
+      }
+      std::size_t consumed = 0;
+      const auto step = reader.Put(bytes, consumed);
+      mReader->Consume(consumed);
+      if (step == ReadStep::kDone) {
+        break;
+      }
+      if (step == ReadStep::kBad) {
+        co_await RefuseUnread(reader.RefusalStatus(), reader.Problem());
+        co_return nullptr;
+      }
+      if (reader.WantsContinue() && !std::exchange(isContinued, true)) {
+        co_await Write("HTTP/1.1 100 Continue\r\n\r\n");
+        // What came meanwhile is in the buffer, and woke nobody.
+        continue;
+      }
+    }
+    if (mReader->IsClosed()) {
+      co_return nullptr;
+    }
+    if (clock.Now() >= until) {
+      if (!mIsIdle) {
+        co_await RefuseUnread(kTooSlow, "the request took too long to arrive");
+      }
+      co_return nullptr;
+    }
+    co_await mReader->Wait(until);
+  }
+  const double share =
+    mCore->mLimits.mBodyShare *
+    static_cast<double>(mCore->mParts.mSettings.mMemoryBytes);
+  if (static_cast<double>(mCore->mBodyBytes) > share) {
+    co_await RefuseUnread(kUnavailable, "too many bodies in memory");
+    co_return nullptr;
+  }
+  co_return std::make_shared<RelayRequest>(reader.Take());
+}
+
+Task<void>
+RelaySession::RefuseUnread(unsigned aStatus, std::string_view aProblem)
+{
+  mCore->mParts.mLog.Write(
+    EventLine(kPart, "unread").Add("status", aStatus).Add("problem", aProblem));
+  std::string text = "HTTP/1.1 " + std::to_string(aStatus) +
+                     " refused\r\nContent-Length: 0\r\nConnection: close\r\n";
+  if (aStatus == kUnavailable) {
+    text += "Retry-After: 0.2\r\n";
+  }
+  text += "\r\n";
+  co_await Write(std::move(text));
+}
+
+Task<void>
+RelaySession::Write(std::string aText)
+{
+  // A caller that is gone is noticed by the reading.
+  co_await boost::asio::async_write(
+    mReader->Socket(), boost::asio::buffer(aText), transport::kAsTuple);
+}
+
+} // namespace shuntjunction::coordination
--- /dev/null
+++ b/packages/coordination/src/relay_session.h
@@ -0,0 +1,39 @@
+#pragma once
+
+// Private to coordination: one caller's connection to a relay.
+
+#include "relay_core.h"
+
+namespace shuntjunction::coordination {
+
+/// Reads requests from a connection and has each served.
+///
+/// Thread safety: none; used on the relay's thread.
+class RelaySession : public std::enable_shared_from_this<RelaySession>
+{
+public:
+  RelaySession(std::shared_ptr<Relay::Core> aCore,
+               transport::asio::ip::tcp::socket aSocket);
+  ~RelaySession();
+  RelaySession(const RelaySession&) = delete;
+  RelaySession& operator=(const RelaySession&) = delete;
+
+  /// Serves the connection to its end.
+  transport::Task<void> Run();
+
+  /// Closes the connection if no byte of a request has arrived.
+  void CloseIfIdle();
+
+private:
+  transport::Task<bool> ServeOne();
+  transport::Task<std::shared_ptr<transport::RelayRequest>> ReadRequest();
+  transport::Task<void> RefuseUnread(unsigned aStatus,
+                                     std::string_view aProblem);
+  transport::Task<void> Write(std::string aText);
+
+  std::shared_ptr<Relay::Core> mCore;
+  std::shared_ptr<transport::SocketReader> mReader;
+  bool mIsIdle = true;
+};
+
+} // namespace shuntjunction::coordination
--- /dev/null
+++ b/packages/coordination/src/weights_keeper.cpp
@@ -0,0 +1,195 @@
+#include "shuntjunction/coordination/weights_keeper.h"
+
+#include <random>
+
+#include <boost/json/serialize.hpp>
+
+namespace shuntjunction::coordination {
+
+using state::ErrorCode;
+using state::Millis;
+using state::NamedWeights;
+
+namespace {
+
+constexpr std::string_view kPart = "weights";
+
+/// Fencing numbers that one life of a process may use before they reach those
+/// of the next revision.
+constexpr std::uint64_t kFencesPerRevision = 1000000;
+
+/// Between two looks at an engine that loads.
+constexpr Millis kReportInterval{ 100 };
+
+/// Without an answer to an order, it is given again after this.
+constexpr Millis kOrderPatience{ 1200 };
+
+/// Pause after a call that failed.
+constexpr Millis kRetryPause{ 150 };
+
+/// Longest wait without news.
+constexpr Millis kIdleWait{ 60000 };
+
+} // namespace
+
+WeightsKeeper::WeightsKeeper(const WeightsKeeperParts& aParts)
+  : mParts(aParts)
+  , mWake(aParts.mContext)
+{
+}
+
+void
+WeightsKeeper::Start()
+{
+  transport::Spawn(mParts.mContext, Run());
+}
+
+void
+WeightsKeeper::TakeView(std::shared_ptr<const RelayView> aView)
+{
+  mView = std::move(aView);
+  mWake.cancel();
+}
+
+transport::Task<void>
+WeightsKeeper::WaitFor(Millis aTime)
+{
+  mWake.expires_after(aTime);
+  co_await mWake.async_wait(transport::kAsTuple);
+}
+
+transport::Task<void>
+WeightsKeeper::Run()
+{
+  co_await TakeFence();
+  while (true) {
+    const auto task = NextTask();
+    if (!task) {
+      co_await WaitFor(kIdleWait);
+      continue;
+    }
+    const auto now = mParts.mClock.Now();
+    if (now < task->mFrom) {
+      co_await WaitFor(std::chrono::ceil<Millis>(task->mFrom - now));
+      continue;
+    }
+    co_await Carry(*task);
+  }
+}
+
+transport::Task<void>
+WeightsKeeper::TakeFence()
+{
+  const std::string key =
+    mParts.mCodec.ProcessPrefix() + mParts.mSettings.mName;
+  std::random_device random;
+  while (mFence == 0) {
+    const auto before = co_await mParts.mPlatform.Read(key);
+    if (before) {
+      // A value that differs from any before: only a change raises the
+      // revision.
+      const std::string value = boost::json::serialize(
+        boost::json::object{ { "role", "companion" }, { "life", random() } });
+      const auto revision = co_await mParts.mPlatform.Write(
+        key, value, *before ? (*before)->mRevision : 0);
+      if (revision) {
+        mFence = *revision * kFencesPerRevision;
+        mParts.mLog.Write(EventLine(kPart, "fence").Add("fence", mFence));
+        co_return;
+      }
+    }
+    co_await transport::Sleep(kRetryPause);
+  }
+}
+
+const state::EndpointInfo*
+WeightsKeeper::OwnEndpoint() const
+{
+  const state::EndpointInfo* own = nullptr;
+  for (const auto& endpoint : mView->mEndpoints) {
+    if (endpoint.mAddress == mParts.mSettings.mEngine &&
+        (own == nullptr || own->mIsLeaving)) {
+      own = &endpoint;
+    }
+  }
+  return own;
+}
+
+std::optional<WeightsKeeper::Task>
+WeightsKeeper::NextTask() const
+{
+  const auto* own = OwnEndpoint();
+  if (own == nullptr) {
+    return std::nullopt;
+  }
+  for (const auto& loaded : own->mModels) {
+    const auto named = mView->mWeights.find(loaded.mName);
+    if (named == mView->mWeights.end()) {
+      continue;
+    }
+    auto version = loaded.mVersion;
+    if (mLoaded && mLoadedBy == own->mId && mLoaded->mModel == loaded.mName) {
+      version = std::max(version, mLoaded->mVersion);
+    }
+    const NamedWeights weights{ loaded.mName, named->second.mVersion };
+    if (version >= weights.mVersion) {
+      continue;
+    }
+    const auto order =
+      state::LoadOrder(mView->mEndpoints, own->mService, weights);
+    const auto turn =
+      state::TurnOf(order, own->mId, mParts.mSettings.mLoadTurns);
+    return Task{ own->mId,
+                 weights,
+                 named->second.mKnownAt + turn.value_or(Millis(0)) };
+  }
+  return std::nullopt;
+}
+
+transport::Task<void>
+WeightsKeeper::Carry(Task aTask)
+{
+  const auto report = co_await mParts.mEngine.Report();
+  if (!report) {
+    mParts.mLog.Write(EventLine(kPart, "report-failed")
+                        .Add("error", report.error().Describe()));
+    co_await transport::Sleep(kRetryPause);
+    co_return;
+  }
+  for (const auto& loaded : report->mModels) {
+    if (loaded.mName == aTask.mWeights.mModel) {
+      mLoaded = NamedWeights{ loaded.mName, loaded.mVersion };
+      mLoadedBy = aTask.mEndpointId;
+    }
+  }
+  if (mLoaded && mLoaded->mVersion >= aTask.mWeights.mVersion) {
+    mParts.mLog.Write(EventLine(kPart, "loaded")
+                        .Add("endpoint", aTask.mEndpointId)
+                        .Add("weights", mLoaded->mVersion));
+    co_return;
+  }
+  if (report->mIsOrderRunning) {
+    co_await transport::Sleep(kReportInterval);
+    co_return;
+  }
+  LoadOrder order;
+  order.mEndpointId = aTask.mEndpointId;
+  order.mModel = aTask.mWeights.mModel;
+  order.mVersion = aTask.mWeights.mVersion;
+  order.mHolder = mParts.mSettings.mName;
+  order.mFence = ++mFence;
+  order.mOrdersTaken = report->mOrdersTaken;
+  const auto outcome = co_await mParts.mEngine.Order(order);
+  mParts.mLog.Write(EventLine(kPart, "order")
+                      .Add("endpoint", order.mEndpointId)
+                      .Add("weights", order.mVersion)
+                      .Add("fence", order.mFence)
+                      .Add("outcome",
+                           outcome ? kOrderOutcomeNames.Name(*outcome)
+                                   : outcome.error().Describe()));
+  const bool isUnknown =
+    !outcome && outcome.error().mCode == ErrorCode::kTimeout;
+  co_await transport::Sleep(isUnknown ? kOrderPatience : kReportInterval);
+}
+
+} // namespace shuntjunction::coordination
--- /dev/null
+++ b/packages/state/include/shuntjunction/state/endpoint_directory.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "shuntjunction/state/relay_config.h"
+
+/// The endpoints that are listed, with care for a list that forgot some.
+namespace shuntjunction::state {
+
+/// How long after the list's return an entry that it lost is still believed.
+///
+/// Endpoints that live write their entries again within about two seconds.
+inline constexpr Millis kLapseGrace{ 2000 };
+
+/// Keeps the listed endpoints over outages of the list.
+///
+/// An entry that goes while the list works is gone at once. One that goes
+/// while the list is away, or right after its return, may have lapsed only
+/// because it could not be renewed: it stays until kLapseGrace after the
+/// return.
+/// Thread safety: none; owned by one thread.
+class EndpointDirectory
+{
+public:
+  /// Takes the whole list.
+  void TakeList(const std::vector<EndpointInfo>& aListed, TimePoint aNow);
+
+  /// Takes a changed or new entry.
+  void Put(const EndpointInfo& aEndpoint);
+
+  /// Takes the end of an entry.
+  void Remove(std::string_view aId, TimePoint aNow);
+
+  /// Notes that the list could not be read.
+  void NoteOutage(TimePoint aNow);
+
+  /// Drops lapsed entries whose grace has passed; true when any went.
+  bool Expire(TimePoint aNow);
+
+  /// All endpoints that are believed to exist, by id.
+  std::vector<EndpointInfo> Endpoints() const;
+
+private:
+  struct Entry
+  {
+    EndpointInfo mInfo;
+    bool mIsLapsed = false;
+    TimePoint mGoesAt; ///< of a lapsed entry
+  };
+
+  bool IsInGrace(TimePoint aNow) const;
+
+  std::map<std::string, Entry, std::less<>> mEntries;
+  TimePoint mLastOutage;
+  bool mHadOutage = false;
+};
+
+} // namespace shuntjunction::state
--- a/packages/state/include/shuntjunction/state/json_reader.h
+++ b/packages/state/include/shuntjunction/state/json_reader.h
@@ -91,6 +91,10 @@
   /// The first error, or success; refuses unknown keys.
   Result<void> Finish();
 
+  /// The first error, or success; passes over unknown keys, for objects that
+  /// others write and may add to.
+  Result<void> FinishLenient() const;
+
 private:
   const boost::json::object* mObject = nullptr;
   std::string mPath;
--- /dev/null
+++ b/packages/state/include/shuntjunction/state/part_ledger.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <cstdint>
+#include <list>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "shuntjunction/state/clock.h"
+
+/// Where cached parts of prompts are likely to be found.
+namespace shuntjunction::state {
+
+/// What is known of one part under one salt.
+struct PartRecord
+{
+  std::string mHolder;    ///< id of the endpoint that served it last
+  TimePoint mServedAt;    ///< when its answer began; epoch while none did
+  TimePoint mReadingFrom; ///< since when it is being read; epoch: it is not
+  std::string mReader;    ///< id of the endpoint that reads it
+  bool mIsSaved = false;  ///< handed to the part store
+};
+
+/// Remembers parts, the least recently used forgotten first.
+///
+/// Thread safety: none; owned by one thread.
+class PartLedger
+{
+public:
+  explicit PartLedger(std::size_t aMaxRecords)
+    : mMaxRecords(aMaxRecords)
+  {
+  }
+
+  /// The record of a part, made when it is new.
+  PartRecord& At(std::string_view aSalt, std::string_view aPart);
+
+  /// Forgets that parts were saved, when their store lost them.
+  void ForgetSaved();
+
+  /// Records that are kept.
+  std::size_t Size() const { return mOrder.size(); }
+
+private:
+  struct Item
+  {
+    std::string mKey;
+    PartRecord mRecord;
+  };
+
+  std::size_t mMaxRecords;
+  std::list<Item> mOrder; ///< most recently used first
+  std::unordered_map<std::string, std::list<Item>::iterator> mByKey;
+};
+
+} // namespace shuntjunction::state
--- /dev/null
+++ b/packages/state/include/shuntjunction/state/relay_choice.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "shuntjunction/state/clock.h"
+
+/// Which endpoint a relayed request is sent to.
+namespace shuntjunction::state {
+
+/// A part of a prompt, named by the caller.
+struct PromptPart
+{
+  std::string mId;
+  std::int64_t mTokens = 0;
+};
+
+/// One endpoint as the choice sees it.
+struct RelayCandidate
+{
+  std::uint64_t mNameHash = 0; ///< PlacementHash of its id
+  bool mIsSameZone = false;
+  bool mIsSuspect = false;    ///< failed lately: taken only if none is better
+  std::uint64_t mVersion = 0; ///< of the weights; 0 for a plain service
+  std::int64_t mRunning = 0;  ///< requests there, as far as known
+  std::int64_t mSlots = 1;    ///< that it works on at once
+  std::int64_t mQueuedTokens = 0; ///< prompt tokens that wait to be read there
+};
+
+/// Settings of the choice.
+struct RelayChoiceSettings
+{
+  /// Waiting tokens by which the first endpoint of a prompt's order may exceed
+  /// the second before the second takes it: about 0.15 s of reading.
+  std::int64_t mMaxLeadTokens = 9000;
+  /// Requests by which an endpoint of the own zone may exceed another's.
+  std::int64_t mZoneLead = 2;
+};
+
+/// The endpoints of the newest weights, if they are enough to carry the work.
+///
+/// @param aNewest  version that was named last; 0 for a plain service
+/// @param aMinShare  share that must have it before the others are left out
+/// @return indexes of aCandidates
+/// Thread safety: pure.
+std::vector<std::size_t>
+PreferNewest(std::span<const RelayCandidate> aCandidates,
+             std::uint64_t aNewest,
+             double aMinShare);
+
+/// Chooses by rendezvous of a prompt's shared part, the first two weighed by
+/// what waits there.
+///
+/// @param aKey  hash of the shared part and its scope
+/// @return index of aCandidates; empty when aAllowed is empty
+/// Thread safety: pure.
+std::optional<std::size_t>
+ChooseByPart(std::span<const RelayCandidate> aCandidates,
+             std::span<const std::size_t> aAllowed,
+             std::uint64_t aKey,
+             const RelayChoiceSettings& aSettings);
+
+/// Chooses the least loaded, the own zone first among near equals.
+///
+/// @param aRandom  breaks ties
+/// Thread safety: pure but for aRandom.
+std::optional<std::size_t>
+ChooseByLoad(std::span<const RelayCandidate> aCandidates,
+             std::span<const std::size_t> aAllowed,
+             const RelayChoiceSettings& aSettings,
+             RandomSource& aRandom);
+
+} // namespace shuntjunction::state
--- /dev/null
+++ b/packages/state/include/shuntjunction/state/relay_config.h
@@ -0,0 +1,188 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "shuntjunction/state/clock.h"
+#include "shuntjunction/state/enum_names.h"
+
+/// What a relay is told to do: routes, teams, services and limits.
+namespace shuntjunction::state {
+
+/// What may be done with a request whose fate is unknown.
+enum class RouteKind : std::uint8_t
+{
+  kRepeatable, ///< it may be run more than once
+  kOnce,       ///< it may be run at most once
+  kStream,     ///< a stream of events, run at most once unless resumable
+};
+
+/// Names of RouteKind.
+inline constexpr EnumNames<RouteKind, 3> kRouteKindNames{
+  { "repeatable", "once", "stream" }
+};
+
+/// A service that takes a share of a route's requests.
+struct RouteTarget
+{
+  std::string mService;
+  double mWeight = 1.0; ///< share relative to the route's other targets
+};
+
+/// How requests of one host and path are served.
+struct RouteRule
+{
+  std::string mName;
+  std::string mHost;       ///< without a port, in lower case
+  std::string mPathPrefix; ///< begins and ends with a slash
+  RouteKind mKind = RouteKind::kOnce;
+  bool mIsResumable = false; ///< a stream may go on at another endpoint
+  bool mIsAnonymous = false; ///< needs no key
+  Millis mTimeout{ 30000 };  ///< longest that a request is held
+  Millis mObjective{ 1000 }; ///< to the answer, or to a stream's first event
+  int mUrgency = 5;          ///< 0 goes first
+  int mMaxAttempts = 1;      ///< endpoints that one request may be sent to
+  std::vector<RouteTarget> mTargets;
+
+  /// Whether a request that may have run may be sent again.
+  bool IsRepeatable() const
+  {
+    return mKind == RouteKind::kRepeatable ||
+           (mKind == RouteKind::kStream && mIsResumable);
+  }
+};
+
+/// A team and the keys by which its callers are known.
+struct TeamRule
+{
+  std::string mName;
+  std::vector<std::string> mKeys;
+  std::optional<int> mUrgency; ///< goes before a route's
+  bool mIsIsolated = false;    ///< shares no cached part with other teams
+};
+
+/// What the engines of a service have in common.
+struct EngineTraits
+{
+  std::int64_t mSlots = 1;          ///< requests that run at once
+  std::int64_t mCapacityTokens = 0; ///< memory of one engine
+  std::vector<std::string> mModels;
+};
+
+/// A service and its endpoints' common properties.
+struct ServiceRule
+{
+  std::string mName;
+  std::string mHealthPath;
+  std::int64_t mMaxConnections = 0; ///< of one endpoint, from all callers
+  std::optional<EngineTraits> mEngine;
+};
+
+/// A store that keeps cached parts beside the engines.
+struct PartStoreRule
+{
+  std::string mName;
+  std::string mAddress; ///< "host:port"
+  std::string mZone;
+  std::int64_t mCapacityTokens = 0;
+};
+
+/// Limits on what a caller may send.
+struct CallerLimits
+{
+  std::size_t mHeaderBytes = 16UL * 1024;
+  std::size_t mBodyBytes = 4UL * 1024 * 1024;
+  Millis mHeaderTimeout{ 3000 }; ///< for a whole request to arrive
+  Millis mIdleTimeout{ 15000 };  ///< of a connection between requests
+};
+
+/// The parts of a RelayConfig, as they were read.
+struct RelayRules
+{
+  std::uint64_t mVersion = 0; ///< rises with each change
+  std::vector<RouteRule> mRoutes;
+  std::vector<ServiceRule> mServices;
+  std::vector<PartStoreRule> mPartStores;
+  CallerLimits mLimits;
+  std::vector<TeamRule> mTeams;
+  bool mHasTeams = false; ///< false: no request needs a key
+};
+
+/// A whole configuration, ready to be looked up in.
+///
+/// Immutable. Thread safety: all methods may be called from any thread.
+class RelayConfig
+{
+public:
+  RelayConfig() = default;
+  explicit RelayConfig(RelayRules aRules);
+  RelayConfig(const RelayConfig&) = delete;
+  RelayConfig& operator=(const RelayConfig&) = delete;
+
+  /// Version of the configuration; 0 before the first.
+  std::uint64_t Version() const { return mRules.mVersion; }
+
+  /// The rules as they were read.
+  const RelayRules& Rules() const { return mRules; }
+
+  /// The route of a host whose prefix begins the path and is longest.
+  ///
+  /// @param aHost  as the caller sent it, a port included
+  /// @param aPath  without the query
+  /// @return null when there is none
+  const RouteRule* RouteOf(std::string_view aHost,
+                           std::string_view aPath) const;
+
+  /// The team that holds a key; null when none does.
+  const TeamRule* TeamOf(std::string_view aKey) const;
+
+  /// A service by its name; null when there is none.
+  const ServiceRule* ServiceOf(std::string_view aName) const;
+
+private:
+  RelayRules mRules;
+  std::unordered_map<std::string, std::vector<const RouteRule*>> mByHost;
+  std::unordered_map<std::string, const TeamRule*> mByKey;
+  std::unordered_map<std::string, const ServiceRule*> mByService;
+};
+
+/// A model and the weights version that an endpoint has loaded.
+struct LoadedModel
+{
+  std::string mName;
+  std::uint64_t mVersion = 0;
+
+  bool operator==(const LoadedModel&) const = default;
+};
+
+/// An endpoint as it is listed.
+struct EndpointInfo
+{
+  std::string mId; ///< of this start of the endpoint; a restart has another
+  std::string mService;
+  std::string mAddress; ///< "host:port"
+  std::string mZone;
+  std::int64_t mSlots = 1;
+  bool mIsLeaving = false;
+  std::vector<LoadedModel> mModels;
+
+  bool operator==(const EndpointInfo&) const = default;
+
+  /// Version of a model that it has; 0 when it has none.
+  std::uint64_t VersionOf(std::string_view aModel) const;
+};
+
+/// The newest weights named for a model.
+struct NamedWeights
+{
+  std::string mModel;
+  std::uint64_t mVersion = 0;
+};
+
+} // namespace shuntjunction::state
--- /dev/null
+++ b/packages/state/src/endpoint_directory.cpp
@@ -0,0 +1,83 @@
+#include "shuntjunction/state/endpoint_directory.h"
+
+#include <set>
+
+namespace shuntjunction::state {
+
+void
+EndpointDirectory::TakeList(const std::vector<EndpointInfo>& aListed,
+                            TimePoint aNow)
+{
+  std::set<std::string_view> listed;
+  for (const auto& endpoint : aListed) {
+    listed.insert(endpoint.mId);
+    Put(endpoint);
+  }
+  std::vector<std::string> missing;
+  for (const auto& [id, entry] : mEntries) {
+    if (!listed.contains(id)) {
+      missing.push_back(id);
+    }
+  }
+  for (const auto& id : missing) {
+    Remove(id, aNow);
+  }
+}
+
+void
+EndpointDirectory::Put(const EndpointInfo& aEndpoint)
+{
+  mEntries[aEndpoint.mId] = Entry{ aEndpoint };
+}
+
+void
+EndpointDirectory::Remove(std::string_view aId, TimePoint aNow)
+{
+  const auto found = mEntries.find(aId);
+  if (found == mEntries.end()) {
+    return;
+  }
+  if (found->second.mInfo.mIsLeaving || !IsInGrace(aNow)) {
+    mEntries.erase(found);
+  } else if (!found->second.mIsLapsed) {
+    found->second.mIsLapsed = true;
+    found->second.mGoesAt = mLastOutage + kLapseGrace;
+  }
+}
+
+void
+EndpointDirectory::NoteOutage(TimePoint aNow)
+{
+  mHadOutage = true;
+  mLastOutage = aNow;
+  for (auto& [id, entry] : mEntries) {
+    entry.mGoesAt = aNow + kLapseGrace;
+  }
+}
+
+bool
+EndpointDirectory::IsInGrace(TimePoint aNow) const
+{
+  return mHadOutage && aNow < mLastOutage + kLapseGrace;
+}
+
+bool
+EndpointDirectory::Expire(TimePoint aNow)
+{
+  return std::erase_if(mEntries, [&](const auto& aItem) {
+           return aItem.second.mIsLapsed && aNow >= aItem.second.mGoesAt;
+         }) > 0;
+}
+
+std::vector<EndpointInfo>
+EndpointDirectory::Endpoints() const
+{
+  std::vector<EndpointInfo> endpoints;
+  endpoints.reserve(mEntries.size());
+  for (const auto& [id, entry] : mEntries) {
+    endpoints.push_back(entry.mInfo);
+  }
+  return endpoints;
+}
+
+} // namespace shuntjunction::state
--- a/packages/state/src/json_reader.cpp
+++ b/packages/state/src/json_reader.cpp
@@ -209,6 +209,12 @@
       }
     }
   }
+  return FinishLenient();
+}
+
+Result<void>
+JsonReader::FinishLenient() const
+{
   if (mError) {
     return tl::unexpected<Error>(*mError);
   }
--- /dev/null
+++ b/packages/state/src/relay_choice.cpp
@@ -0,0 +1,110 @@
+#include "shuntjunction/state/relay_choice.h"
+
+#include <algorithm>
+
+#include "shuntjunction/state/prefix_chain.h"
+
+namespace shuntjunction::state {
+
+namespace {
+
+/// Suspects come after all others.
+std::vector<std::size_t>
+WithoutSuspects(std::span<const RelayCandidate> aCandidates,
+                std::span<const std::size_t> aAllowed)
+{
+  std::vector<std::size_t> sound;
+  for (const auto index : aAllowed) {
+    if (!aCandidates[index].mIsSuspect) {
+      sound.push_back(index);
+    }
+  }
+  return sound.empty()
+           ? std::vector<std::size_t>(aAllowed.begin(), aAllowed.end())
+           : sound;
+}
+
+/// Rendezvous rank of an endpoint for a key; the highest is first.
+std::uint64_t
+Rank(std::uint64_t aNameHash, std::uint64_t aKey)
+{
+  const std::string_view bytes(reinterpret_cast<const char*>(&aNameHash),
+                               sizeof(aNameHash));
+  return PlacementHash(bytes, aKey);
+}
+
+} // namespace
+
+std::vector<std::size_t>
+PreferNewest(std::span<const RelayCandidate> aCandidates,
+             std::uint64_t aNewest,
+             double aMinShare)
+{
+  std::vector<std::size_t> newest;
+  std::vector<std::size_t> all;
+  for (std::size_t i = 0; i < aCandidates.size(); ++i) {
+    all.push_back(i);
+    if (aCandidates[i].mVersion >= aNewest) {
+      newest.push_back(i);
+    }
+  }
+  const double share = all.empty() ? 0.0
+                                   : static_cast<double>(newest.size()) /
+                                       static_cast<double>(all.size());
+  return !newest.empty() && share >= aMinShare ? newest : all;
+}
+
+std::optional<std::size_t>
+ChooseByPart(std::span<const RelayCandidate> aCandidates,
+             std::span<const std::size_t> aAllowed,
+             std::uint64_t aKey,
+             const RelayChoiceSettings& aSettings)
+{
+  const auto allowed = WithoutSuspects(aCandidates, aAllowed);
+  if (allowed.empty()) {
+    return std::nullopt;
+  }
+  std::vector<std::pair<std::uint64_t, std::size_t>> ranked;
+  ranked.reserve(allowed.size());
+  for (const auto index : allowed) {
+    ranked.emplace_back(Rank(aCandidates[index].mNameHash, aKey), index);
+  }
+  std::sort(ranked.rbegin(), ranked.rend());
+  const auto first = ranked.front().second;
+  if (ranked.size() == 1) {
+    return first;
+  }
+  const auto second = ranked[1].second;
+  const auto& one = aCandidates[first];
+  const auto& two = aCandidates[second];
+  const bool isFull = one.mRunning >= one.mSlots && two.mRunning < two.mSlots;
+  const bool isBehind =
+    one.mQueuedTokens > two.mQueuedTokens + aSettings.mMaxLeadTokens;
+  return isFull || isBehind ? second : first;
+}
+
+std::optional<std::size_t>
+ChooseByLoad(std::span<const RelayCandidate> aCandidates,
+             std::span<const std::size_t> aAllowed,
+             const RelayChoiceSettings& aSettings,
+             RandomSource& aRandom)
+{
+  const auto allowed = WithoutSuspects(aCandidates, aAllowed);
+  std::optional<std::size_t> best;
+  std::int64_t bestCost = 0;
+  std::uint64_t bestDraw = 0;
+  for (const auto index : allowed) {
+    const auto& candidate = aCandidates[index];
+    const std::int64_t cost =
+      candidate.mRunning + (candidate.mIsSameZone ? 0 : aSettings.mZoneLead);
+    const std::uint64_t draw = aRandom();
+    if (!best || cost < bestCost || (cost == bestCost && draw < bestDraw)) {
+      best = index;
+      bestCost = cost;
+      bestDraw = draw;
+    }
+  }
+  return best;
+}
+
+} // namespace shuntjunction::state
--- /dev/null
+++ b/packages/state/src/window_budget.cpp
@@ -0,0 +1,58 @@
+#include "shuntjunction/state/window_budget.h"
+
+namespace shuntjunction::state {
+
+WindowBudget::WindowBudget(const WindowBudgetSettings& aSettings,
+                           TimePoint aNow)
+  : mSettings(aSettings)
+  , mStart(aNow)
+{
+}
+
+std::int64_t
+WindowBudget::NumberOf(TimePoint aNow) const
+{
+  const auto slice = mSettings.mWindow / static_cast<int>(kSlices);
+  return (aNow - mStart) / slice;
+}
+
+WindowBudget::Slice&
+WindowBudget::SliceOf(std::int64_t aNumber)
+{
+  auto& slice = mSlices[static_cast<std::size_t>(aNumber) % mSlices.size()];
+  if (slice.mNumber != aNumber) {
+    slice = Slice{ aNumber };
+  }
+  return slice;
+}
+
+void
+WindowBudget::NoteFirst(TimePoint aNow)
+{
+  ++SliceOf(NumberOf(aNow)).mFirsts;
+}
+
+bool
+WindowBudget::TryRepeat(TimePoint aNow)
+{
+  const std::int64_t now = NumberOf(aNow);
+  double firsts = 0.0;
+  double repeats = 0.0;
+  for (const auto& slice : mSlices) {
+    const auto age = now - slice.mNumber;
+    if (slice.mNumber < 0 || age > static_cast<std::int64_t>(kSlices)) {
+      continue;
+    }
+    repeats += slice.mRepeats;
+    if (age < static_cast<std::int64_t>(kSlices)) {
+      firsts += slice.mFirsts;
+    }
+  }
+  if (repeats + 1.0 > mSettings.mRatio * firsts + mSettings.mSlack) {
+    return false;
+  }
+  ++SliceOf(now).mRepeats;
+  return true;
+}
+
+} // namespace shuntjunction::state
--- /dev/null
+++ b/packages/transport/include/shuntjunction/transport/relay_message.h
@@ -0,0 +1,153 @@
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "shuntjunction/state/error.h"
+#include "shuntjunction/transport/http_types.h"
+
+/// HTTP/1.1 messages as a relay reads them: strictly, and unchanged.
+namespace shuntjunction::transport {
+
+/// A request as it was sent, byte for byte where it is passed on.
+struct RelayRequest
+{
+  std::string mMethod;
+  std::string mTarget;
+  std::vector<HttpField> mFields; ///< in order, names as sent
+  std::string mBody;
+  bool mIsChunked = false; ///< how the body came
+  bool mHasLength = false; ///< a Content-Length was given
+  bool mKeepsAlive = true; ///< the caller may send another on the connection
+  bool mIsHttp10 = false;  ///< knows no chunks
+
+  /// Value of a field; empty when absent.
+  std::string_view Field(std::string_view aName) const;
+
+  /// Target up to the query.
+  std::string_view Path() const;
+};
+
+/// The head of an answer.
+struct RelayAnswer
+{
+  unsigned mStatus = 0;
+  std::string mReason;
+  std::vector<HttpField> mFields;
+  std::optional<std::uint64_t> mLength; ///< of the body; empty: see below
+  bool mIsChunked = false;
+  bool mEndsWithConnection = false; ///< neither length nor chunks
+  bool mKeepsAlive = true;
+
+  /// Value of a field; empty when absent.
+  std::string_view Field(std::string_view aName) const;
+};
+
+/// Whether a field concerns one connection only and is never passed on.
+///
+/// @param aConnection  value of the message's Connection field
+bool
+IsConnectionField(std::string_view aName, std::string_view aConnection);
+
+/// Whether two field names are the same.
+bool
+IsSameName(std::string_view aLeft, std::string_view aRight);
+
+/// Value of the first field of a name; empty when absent.
+std::string_view
+FieldValue(const std::vector<HttpField>& aFields, std::string_view aName);
+
+/// What a reader made of the bytes that it was given.
+enum class ReadStep : std::uint8_t
+{
+  kNeedMore,
+  kHead, ///< the head is complete
+  kDone, ///< the message is complete
+  kBad,  ///< the message is malformed or breaks a limit
+};
+
+/// Reads one request.
+///
+/// Thread safety: none.
+class RelayRequestReader
+{
+public:
+  RelayRequestReader(std::size_t aMaxHeaderBytes, std::size_t aMaxBodyBytes);
+  ~RelayRequestReader();
+  RelayRequestReader(const RelayRequestReader&) = delete;
+  RelayRequestReader& operator=(const RelayRequestReader&) = delete;
+
+  /// Reads bytes; says in aConsumed how many of them it took.
+  ReadStep Put(std::string_view aBytes, std::size_t& aConsumed);
+
+  /// Whether the caller waits for a word before it sends the body.
+  bool WantsContinue() const;
+
+  /// Status that answers a kBad message.
+  unsigned RefusalStatus() const { return mRefusalStatus; }
+
+  /// Why a message is kBad.
+  const std::string& Problem() const { return mProblem; }
+
+  /// The request. @pre  Put gave kDone
+  RelayRequest Take();
+
+private:
+  struct Parser;
+
+  ReadStep Refuse(unsigned aStatus, std::string_view aProblem);
+  bool IsFramingDoubtful();
+
+  std::unique_ptr<Parser> mParser;
+  unsigned mRefusalStatus = 400;
+  std::string mProblem;
+  bool mIsHeadChecked = false;
+};
+
+/// Reads one answer.
+///
+/// Thread safety: none.
+class RelayAnswerReader
+{
+public:
+  /// @param aIsHead  the request was a HEAD, so that no body follows
+  explicit RelayAnswerReader(bool aIsHead);
+  ~RelayAnswerReader();
+  RelayAnswerReader(const RelayAnswerReader&) = delete;
+  RelayAnswerReader& operator=(const RelayAnswerReader&) = delete;
+
+  /// Reads bytes; says in aConsumed how many of them it took.
+  ///
+  /// kHead comes once; body bytes that came with it are in TakeBody already.
+  ReadStep Put(std::string_view aBytes, std::size_t& aConsumed);
+
+  /// Says that the connection ended in order; whether the answer is whole.
+  bool EndOfConnection();
+
+  /// Whether any byte of the answer was read.
+  bool HasBegun() const { return mHasBegun; }
+
+  /// The head. @pre  Put gave kHead or kDone
+  const RelayAnswer& Head() const { return mHead; }
+
+  /// Body bytes read since the last call.
+  std::string TakeBody();
+
+private:
+  struct Parser;
+
+  void FillHead();
+  void Restart();
+
+  std::unique_ptr<Parser> mParser;
+  RelayAnswer mHead;
+  bool mIsHeadRequest;
+  bool mIsHeadGiven = false;
+  bool mHasBegun = false;
+};
+
+} // namespace shuntjunction::transport
--- /dev/null
+++ b/packages/transport/src/relay_message.cpp
@@ -0,0 +1,307 @@
+#include "shuntjunction/transport/relay_message.h"
+
+#include <algorithm>
+#include <array>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http.hpp>
+
+namespace shuntjunction::transport {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+
+/// An answer's head is bounded as a caller's is by default.
+constexpr std::uint32_t kMaxAnswerHeadBytes = 64U * 1024;
+
+constexpr unsigned kBadRequest = 400;
+constexpr unsigned kBodyTooLarge = 413;
+constexpr unsigned kHeadTooLarge = 431;
+constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kVersion11 = 11;
+constexpr unsigned kVersion10 = 10;
+
+constexpr std::array<std::string_view, 8> kConnectionFields{
+  "connection", "keep-alive",        "proxy-connection",   "te",
+  "trailer",    "transfer-encoding", "proxy-authenticate", "upgrade"
+};
+
+template<typename Message>
+std::vector<HttpField>
+FieldsOf(const Message& aMessage)
+{
+  std::vector<HttpField> fields;
+  for (const auto& field : aMessage) {
+    fields.push_back(
+      { std::string(field.name_string()), std::string(field.value()) });
+  }
+  return fields;
+}
+
+/// The names in a list separated by commas, without blanks.
+template<typename Function>
+void
+ForEachToken(std::string_view aList, Function aTake)
+{
+  while (!aList.empty()) {
+    const auto comma = aList.find(',');
+    std::string_view token = aList.substr(0, comma);
+    while (!token.empty() && (token.front() == ' ' || token.front() == '\t')) {
+      token.remove_prefix(1);
+    }
+    while (!token.empty() && (token.back() == ' ' || token.back() == '\t')) {
+      token.remove_suffix(1);
+    }
+    aTake(token);
+    aList = comma == std::string_view::npos ? std::string_view()
+                                            : aList.substr(comma + 1);
+  }
+}
+
+} // namespace
+
+bool
+IsSameName(std::string_view aLeft, std::string_view aRight)
+{
+  return beast::iequals(aLeft, aRight);
+}
+
+std::string_view
+FieldValue(const std::vector<HttpField>& aFields, std::string_view aName)
+{
+  for (const auto& field : aFields) {
+    if (IsSameName(field.mName, aName)) {
+      return field.mValue;
+    }
+  }
+  return {};
+}
+
+bool
+IsConnectionField(std::string_view aName, std::string_view aConnection)
+{
+  for (const auto name : kConnectionFields) {
+    if (IsSameName(aName, name)) {
+      return true;
+    }
+  }
+  bool isNamed = false;
+  ForEachToken(aConnection, [&](std::string_view aToken) {
+    isNamed = isNamed || IsSameName(aToken, aName);
+  });
+  return isNamed;
+}
+
+std::string_view
+RelayRequest::Field(std::string_view aName) const
+{
+  return FieldValue(mFields, aName);
+}
+
+std::string_view
+RelayRequest::Path() const
+{
+  return std::string_view(mTarget).substr(0, mTarget.find('?'));
+}
+
+std::string_view
+RelayAnswer::Field(std::string_view aName) const
+{
+  return FieldValue(mFields, aName);
+}
+
+struct RelayRequestReader::Parser
+{
+  http::request_parser<http::string_body> mParser;
+};
+
+RelayRequestReader::RelayRequestReader(std::size_t aMaxHeaderBytes,
+                                       std::size_t aMaxBodyBytes)
+  : mParser(std::make_unique<Parser>())
+{
+  mParser->mParser.eager(true);
+  mParser->mParser.header_limit(static_cast<std::uint32_t>(aMaxHeaderBytes));
+  mParser->mParser.body_limit(aMaxBodyBytes);
+}
+
+RelayRequestReader::~RelayRequestReader() = default;
+
+ReadStep
+RelayRequestReader::Refuse(unsigned aStatus, std::string_view aProblem)
+{
+  mRefusalStatus = aStatus;
+  mProblem = aProblem;
+  return ReadStep::kBad;
+}
+
+bool
+RelayRequestReader::IsFramingDoubtful()
+{
+  const auto& message = mParser->mParser.get();
+  const auto lengths = message.count(http::field::content_length);
+  const auto encodings = message.count(http::field::transfer_encoding);
+  if (lengths + encodings > 1 || message.count(http::field::host) != 1) {
+    return true;
+  }
+  if (encodings == 1 &&
+      !IsSameName(message[http::field::transfer_encoding], "chunked")) {
+    return true;
+  }
+  return message.version() != kVersion11 &&
+         (message.version() != kVersion10 || encodings == 1);
+}
+
+ReadStep
+RelayRequestReader::Put(std::string_view aBytes, std::size_t& aConsumed)
+{
+  auto& parser = mParser->mParser;
+  aConsumed = 0;
+  while (!parser.is_done()) {
+    beast::error_code error;
+    const auto rest = aBytes.substr(aConsumed);
+    aConsumed += parser.put(asio::buffer(rest.data(), rest.size()), error);
+    if (error == http::error::header_limit) {
+      return Refuse(kHeadTooLarge, "the header is too long");
+    }
+    if (error == http::error::body_limit) {
+      return Refuse(kBodyTooLarge, "the body is too long");
+    }
+    if (error && error != http::error::need_more) {
+      return Refuse(kBadRequest, error.message());
+    }
+    if (parser.is_header_done() && !mIsHeadChecked) {
+      mIsHeadChecked = true;
+      if (IsFramingDoubtful()) {
+        return Refuse(kBadRequest, "the framing or the host is ambiguous");
+      }
+    }
+    if (error == http::error::need_more || aConsumed == aBytes.size()) {
+      break;
+    }
+  }
+  return parser.is_done() ? ReadStep::kDone : ReadStep::kNeedMore;
+}
+
+bool
+RelayRequestReader::WantsContinue() const
+{
+  const auto& parser = mParser->mParser;
+  return parser.is_header_done() && !parser.is_done() &&
+         IsSameName(parser.get()[http::field::expect], "100-continue");
+}
+
+RelayRequest
+RelayRequestReader::Take()
+{
+  auto& parser = mParser->mParser;
+  RelayRequest request;
+  request.mKeepsAlive = parser.keep_alive();
+  request.mIsChunked = parser.chunked();
+  auto message = parser.release();
+  request.mHasLength = message.count(http::field::content_length) > 0;
+  request.mIsHttp10 = message.version() == kVersion10;
+  request.mMethod = std::string(message.method_string());
+  request.mTarget = std::string(message.target());
+  request.mFields = FieldsOf(message);
+  request.mBody = std::move(message.body());
+  return request;
+}
+
+struct RelayAnswerReader::Parser
+{
+  http::response_parser<http::string_body> mParser;
+};
+
+RelayAnswerReader::RelayAnswerReader(bool aIsHead)
+  : mIsHeadRequest(aIsHead)
+{
+  Restart();
+}
+
+RelayAnswerReader::~RelayAnswerReader() = default;
+
+void
+RelayAnswerReader::Restart()
+{
+  mParser = std::make_unique<Parser>();
+  mParser->mParser.eager(true);
+  mParser->mParser.skip(mIsHeadRequest);
+  mParser->mParser.header_limit(kMaxAnswerHeadBytes);
+  mParser->mParser.body_limit(boost::none);
+}
+
+ReadStep
+RelayAnswerReader::Put(std::string_view aBytes, std::size_t& aConsumed)
+{
+  aConsumed = 0;
+  while (aConsumed < aBytes.size() && !mParser->mParser.is_done()) {
+    mHasBegun = true;
+    beast::error_code error;
+    const auto rest = aBytes.substr(aConsumed);
+    aConsumed +=
+      mParser->mParser.put(asio::buffer(rest.data(), rest.size()), error);
+    if (error && error != http::error::need_more) {
+      return ReadStep::kBad;
+    }
+    const bool isInterim =
+      mParser->mParser.is_header_done() &&
+      mParser->mParser.get().result_int() < kFirstFinalStatus;
+    if (isInterim) {
+      Restart();
+    } else if (error == http::error::need_more) {
+      break;
+    }
+  }
+  auto& parser = mParser->mParser;
+  if (!parser.is_header_done()) {
+    return ReadStep::kNeedMore;
+  }
+  if (!mIsHeadGiven) {
+    mIsHeadGiven = true;
+    FillHead();
+    return parser.is_done() ? ReadStep::kDone : ReadStep::kHead;
+  }
+  return parser.is_done() ? ReadStep::kDone : ReadStep::kNeedMore;
+}
+
+bool
+RelayAnswerReader::EndOfConnection()
+{
+  auto& parser = mParser->mParser;
+  if (parser.is_done()) {
+    return true;
+  }
+  if (!parser.is_header_done()) {
+    return false;
+  }
+  beast::error_code error;
+  parser.put_eof(error);
+  return !error && parser.is_done();
+}
+
+void
+RelayAnswerReader::FillHead()
+{
+  const auto& parser = mParser->mParser;
+  const auto& message = parser.get();
+  mHead.mStatus = message.result_int();
+  mHead.mReason = std::string(message.reason());
+  mHead.mFields = FieldsOf(message);
+  mHead.mIsChunked = parser.chunked();
+  mHead.mEndsWithConnection = parser.need_eof();
+  mHead.mKeepsAlive = parser.keep_alive() && !parser.need_eof();
+  if (const auto length = parser.content_length()) {
+    mHead.mLength = *length;
+  }
+}
+
+std::string
+RelayAnswerReader::TakeBody()
+{
+  return std::exchange(mParser->mParser.get().body(), {});
+}
+
+} // namespace shuntjunction::transport
--- /dev/null
+++ b/packages/transport/src/socket_reader.cpp
@@ -0,0 +1,161 @@
+#include "shuntjunction/transport/socket_reader.h"
+
+#include <array>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace shuntjunction::transport {
+
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr std::size_t kReadBytes = 32UL * 1024;
+
+void
+SetNumber(tcp::socket& aSocket, int aLevel, int aName, int aValue)
+{
+  // A platform without the option keeps its default, which is only slower.
+  static_cast<void>(::setsockopt(
+    aSocket.native_handle(), aLevel, aName, &aValue, sizeof(aValue)));
+}
+
+} // namespace
+
+SocketReader::SocketReader(tcp::socket aSocket, std::size_t aMaxBuffered)
+  : mSocket(std::move(aSocket))
+  , mSignal(mSocket.get_executor())
+  , mMaxBuffered(aMaxBuffered)
+{
+  boost::system::error_code ignored;
+  mSocket.non_blocking(true, ignored);
+}
+
+void
+SocketReader::Start()
+{
+  Arm();
+}
+
+Task<void>
+SocketReader::Wait(state::TimePoint aUntil)
+{
+  mSignal.expires_at(aUntil);
+  co_await mSignal.async_wait(kAsTuple);
+}
+
+void
+SocketReader::Wake()
+{
+  mSignal.cancel();
+}
+
+void
+SocketReader::Consume(std::size_t aBytes)
+{
+  mConsumed += aBytes;
+  if (mConsumed == mBuffer.size()) {
+    mConsumed = 0;
+    mBuffer.clear();
+    if (mBuffer.capacity() > kReadBytes) {
+      mBuffer.shrink_to_fit();
+    }
+  }
+  Arm();
+}
+
+void
+SocketReader::Close(bool aIsCut)
+{
+  if (!mSocket.is_open()) {
+    return;
+  }
+  if (aIsCut) {
+    SetResetOnClose(mSocket);
+  }
+  boost::system::error_code ignored;
+  mSocket.close(ignored);
+  mIsClosed = true;
+  mOnClosed = nullptr;
+  Wake();
+}
+
+void
+SocketReader::Arm()
+{
+  if (mIsArmed || mIsClosed || Buffered().size() >= mMaxBuffered) {
+    return;
+  }
+  mIsArmed = true;
+  mSocket.async_wait(
+    tcp::socket::wait_read,
+    [self = shared_from_this()](const boost::system::error_code& aError) {
+      self->mIsArmed = false;
+      self->TakeReadable(aError);
+    });
+}
+
+void
+SocketReader::TakeReadable(const boost::system::error_code& aError)
+{
+  if (mIsClosed) {
+    return;
+  }
+  if (aError) {
+    MarkClosed(aError);
+    return;
+  }
+  // One buffer a thread: a connection that rests holds no memory.
+  thread_local std::array<char, kReadBytes> sBytes;
+  boost::system::error_code error;
+  const std::size_t bytes = mSocket.read_some(asio::buffer(sBytes), error);
+  if (error == asio::error::would_block) {
+    Arm();
+    return;
+  }
+  if (error) {
+    MarkClosed(error);
+    return;
+  }
+  mBuffer.erase(0, std::exchange(mConsumed, 0));
+  mBuffer.append(sBytes.data(), bytes);
+  Arm();
+  Wake();
+}
+
+void
+SocketReader::MarkClosed(const boost::system::error_code& aError)
+{
+  mIsClosed = true;
+  mIsEndedInOrder = aError == asio::error::eof;
+  if (mOnClosed) {
+    std::exchange(mOnClosed, nullptr)();
+  }
+  Wake();
+}
+
+void
+SetSilenceLimits(tcp::socket& aSocket, const SilenceLimits& aLimits)
+{
+  boost::system::error_code ignored;
+  aSocket.set_option(tcp::no_delay(true), ignored);
+  aSocket.set_option(asio::socket_base::keep_alive(true), ignored);
+  SetNumber(aSocket,
+            IPPROTO_TCP,
+            TCP_USER_TIMEOUT,
+            static_cast<int>(aLimits.mUnacknowledged.count()));
+  SetNumber(aSocket, IPPROTO_TCP, TCP_KEEPIDLE, aLimits.mKeepAliveIdleSeconds);
+  SetNumber(
+    aSocket, IPPROTO_TCP, TCP_KEEPINTVL, aLimits.mKeepAliveIntervalSeconds);
+  SetNumber(aSocket, IPPROTO_TCP, TCP_KEEPCNT, aLimits.mKeepAliveProbes);
+}
+
+void
+SetResetOnClose(tcp::socket& aSocket)
+{
+  boost::system::error_code ignored;
+  aSocket.set_option(asio::socket_base::linger(true, 0), ignored);
+}
+
+} // namespace shuntjunction::transport
