Feeds survive a lost store; budget shared; a stop refuses after three seconds

Cause: a conditional with co_await in both arms destroyed its result twice (GCC 12), so each relay died when the store went silent. The stop let requests in until 6 s after SIGTERM, and cut them at its end. Change: if and else; new requests are refused from 3 s on; the slack of the retry budget is divided by the relays.

--- a/packages/coordination/src/fleet_daemon.cpp
+++ b/packages/coordination/src/fleet_daemon.cpp
@@ -30,9 +30,9 @@
 /// new connections still come.
 constexpr Millis kStopNotice{ 2600 };
 
-/// Before the grace ends, requests that run are left to their end; new ones
-/// are refused from this share of it on.
-constexpr double kRefuseShare = 0.75;
+/// From then on new requests are refused: callers that heed the answers' word
+/// have left, and what is taken later might not end within the grace.
+constexpr Millis kRefuseAfter{ 3000 };
 
 /// Share of the grace after which the process ends whatever runs.
 constexpr double kEndShare = 0.94;
@@ -286,7 +286,7 @@
     };
     co_await transport::Sleep(kStopNotice);
     while (mRelay->Connections() > 0 && mClock.Now() < after(kEndShare)) {
-      if (mClock.Now() >= after(kRefuseShare)) {
+      if (mClock.Now() >= begun + kRefuseAfter) {
         mRelay->RefuseNew();
       }
       co_await transport::Sleep(kStopPoll);
--- a/packages/coordination/src/relay.cpp
+++ b/packages/coordination/src/relay.cpp
@@ -1,5 +1,6 @@
 #include "shuntjunction/coordination/relay.h"
 
+#include <cmath>
 #include <random>
 
 #include "relay_core.h"
@@ -69,6 +70,22 @@
   }
 }
 
+double
+Relay::Core::SlackShare() const
+{
+  const auto slack = mParts.mSettings.mBounds.mRetries.mSlack;
+  return std::floor(slack / static_cast<double>(mRelayCount));
+}
+
+state::WindowBudget&
+Relay::Core::BudgetOf(const std::string& aService)
+{
+  auto settings = mParts.mSettings.mBounds.mRetries;
+  settings.mSlack = SlackShare();
+  return mBudgets.try_emplace(aService, settings, mParts.mClock.Now())
+    .first->second;
+}
+
 Relay::Relay(const RelayParts& aParts)
   : mCore(std::make_shared<Core>(aParts))
 {
@@ -104,6 +121,9 @@
 Relay::SetRelayCount(std::size_t aCount)
 {
   mCore->mRelayCount = std::max<std::size_t>(aCount, 1);
+  for (auto& [service, budget] : mCore->mBudgets) {
+    budget.SetSlack(mCore->SlackShare());
+  }
 }
 
 bool
--- a/packages/coordination/src/relay_core.h
+++ b/packages/coordination/src/relay_core.h
@@ -57,9 +57,15 @@
   /// Whether a key may still be taken as valid.
   bool AreKeysFresh() const;
 
-  /// Seconds to name in a refusal, as text.
+  /// Closes connections on which no request has begun.
   void CloseIdleSessions();
 
+  /// The budget of a service's repeats.
+  state::WindowBudget& BudgetOf(const std::string& aService);
+
+  /// This relay's share of what all may repeat beside the ratio.
+  double SlackShare() const;
+
   RelayParts mParts;
   RelayLimits mLimits;
   RelayEndpoints mEndpoints;
--- a/packages/coordination/src/relay_feed.cpp
+++ b/packages/coordination/src/relay_feed.cpp
@@ -99,8 +99,12 @@
 RelayFeed::Follow(Topic& aTopic)
 {
   while (true) {
-    const auto done =
-      aTopic.mIsListed ? co_await WatchOnce(aTopic) : co_await ListOnce(aTopic);
+    Result<void> done;
+    if (aTopic.mIsListed) {
+      done = co_await WatchOnce(aTopic);
+    } else {
+      done = co_await ListOnce(aTopic);
+    }
     if (done) {
       NoteSuccess(aTopic);
       continue;
--- a/packages/coordination/src/relay_run.cpp
+++ b/packages/coordination/src/relay_run.cpp
@@ -169,10 +169,7 @@
 Task<void>
 RelayRun::Serve()
 {
-  auto& budget =
-    mCore->mBudgets
-      .try_emplace(mService, mCore->mParts.mSettings.mBounds.mRetries, Now())
-      .first->second;
+  auto& budget = mCore->BudgetOf(mService);
   budget.NoteFirst(Now());
   while (mInterrupt == RunInterrupt::kNone) {
     auto pick = co_await Pick();
