Companions tell relays of an engine's turn, load and weights; runs go on over a load

Ruled out: three at once (loads share their way: 1.25 s instead of 0.8 s). Change: EngineNews frames from each companion to all relays; a fifth loads at once; the list only where no companion is heard; orders say retain.

--- /dev/null
+++ b/packages/coordination/include/shuntjunction/coordination/engine_news.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "shuntjunction/coordination/event_log.h"
+#include "shuntjunction/protocol/messages.h"
+#include "shuntjunction/state/relay_config.h"
+#include "shuntjunction/transport/frame_channel.h"
+
+/// News of engines, from the companion beside each to the relays.
+namespace shuntjunction::coordination {
+
+/// What a companion says of its engine beside its parts.
+struct EngineState
+{
+  std::string mEndpoint;
+  std::string mModel;
+  std::uint64_t mWeights = 0;
+  protocol::EnginePhase mPhase = protocol::EnginePhase::kOpen;
+  std::uint32_t mRunning = 0;
+  std::uint32_t mQueued = 0;
+
+  bool operator==(const EngineState&) const = default;
+};
+
+/// Sends an engine's news to all relays that connect.
+///
+/// A change is sent at once; without any, the state is sent again each second,
+/// so that silence is noticed.
+/// Thread safety: none; used on the thread of its context.
+class EngineNewsServer
+{
+public:
+  /// @param aLog  outlives the server
+  EngineNewsServer(transport::asio::io_context& aContext,
+                   transport::ChannelIdentity aIdentity,
+                   EventLog& aLog);
+  ~EngineNewsServer();
+  EngineNewsServer(const EngineNewsServer&) = delete;
+  EngineNewsServer& operator=(const EngineNewsServer&) = delete;
+
+  /// Begins to accept relays; returns the address with the kernel's port.
+  state::Result<state::Address> Start(const state::Address& aAddress);
+
+  /// Sets the engine's state.
+  void SetState(const EngineState& aState);
+
+  /// Adds parts that the engine keeps and takes away those that it lost.
+  void ChangeParts(const std::vector<std::string>& aGained,
+                   const std::vector<std::string>& aLost);
+
+  /// Forgets all parts.
+  void ClearParts();
+
+private:
+  struct Shared;
+
+  std::shared_ptr<Shared> mShared;
+};
+
+/// Hears the news of all engines.
+///
+/// Thread safety: none; used on the thread of its context.
+class EngineNewsClient
+{
+public:
+  using Taker = std::function<void(const protocol::EngineNews&)>;
+
+  /// @param aPort  of the companions, the same on all machines
+  /// @param aTake  called with each news
+  EngineNewsClient(transport::asio::io_context& aContext,
+                   transport::ChannelIdentity aIdentity,
+                   std::uint16_t aPort,
+                   EventLog& aLog,
+                   Taker aTake);
+  ~EngineNewsClient();
+  EngineNewsClient(const EngineNewsClient&) = delete;
+  EngineNewsClient& operator=(const EngineNewsClient&) = delete;
+
+  /// Follows the engines among these endpoints, and no others.
+  void Follow(const std::vector<state::EndpointInfo>& aEndpoints);
+
+private:
+  struct Shared;
+
+  std::shared_ptr<Shared> mShared;
+};
+
+} // namespace shuntjunction::coordination
--- a/packages/coordination/include/shuntjunction/coordination/relay.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay.h
@@ -8,6 +8,7 @@
 #include "shuntjunction/coordination/relay_codec.h"
 #include "shuntjunction/coordination/relay_feed.h"
 #include "shuntjunction/coordination/relay_settings.h"
+#include "shuntjunction/protocol/messages.h"
 
 /// Takes callers' requests and passes each on to an endpoint of its route.
 namespace shuntjunction::coordination {
@@ -41,6 +42,9 @@
   /// Takes a newer view of the platform's objects.
   void TakeView(std::shared_ptr<const RelayView> aView);
 
+  /// Takes what an engine's companion said.
+  void TakeNews(const protocol::EngineNews& aNews);
+
   /// Sets how many relays share the retry budget.
   void SetRelayCount(std::size_t aCount);
 
--- a/packages/coordination/include/shuntjunction/coordination/relay_settings.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay_settings.h
@@ -45,6 +45,7 @@
   std::string mReadinessPath;
   std::string mMetrics;       ///< for the metrics; empty: none
   std::string mPeerListen;    ///< for the system's other processes
+  std::string mSecret;        ///< that they prove to each other
   std::string mPlatform;      ///< of the store
   std::string mEngine;        ///< companion: the engine beside it
   std::string mEngineService; ///< companion: the service of that engine
--- a/packages/coordination/include/shuntjunction/coordination/weights_keeper.h
+++ b/packages/coordination/include/shuntjunction/coordination/weights_keeper.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "shuntjunction/coordination/engine_control.h"
+#include "shuntjunction/coordination/engine_news.h"
 #include "shuntjunction/coordination/event_log.h"
 #include "shuntjunction/coordination/platform.h"
 #include "shuntjunction/coordination/relay_feed.h"
@@ -21,6 +22,7 @@
   Platform& mPlatform;
   const StoreCodec& mCodec;
   EngineControl& mEngine;
+  EngineNewsServer& mNews;
   const state::Clock& mClock;
   EventLog& mLog;
 };
@@ -54,8 +56,12 @@
 
   transport::Task<void> Run();
   transport::Task<void> TakeFence();
+  void Tell(protocol::EnginePhase aPhase);
   std::optional<Task> NextTask() const;
   const state::EndpointInfo* OwnEndpoint() const;
+  /// The newest of what the list and the engine itself said.
+  std::uint64_t KnownVersion(const state::EndpointInfo& aOwn,
+                             const state::LoadedModel& aListed) const;
   transport::Task<void> Carry(Task aTask);
   transport::Task<void> WaitFor(state::Millis aTime);
 
--- /dev/null
+++ b/packages/coordination/src/engine_news.cpp
@@ -0,0 +1,305 @@
+#include "shuntjunction/coordination/engine_news.h"
+
+#include <random>
+
+namespace shuntjunction::coordination {
+
+using protocol::EngineNews;
+using state::Millis;
+using state::Result;
+using transport::FrameChannel;
+using transport::Task;
+namespace asio = transport::asio;
+
+namespace {
+
+constexpr std::string_view kPart = "news";
+
+/// The state is told again after this, for relays to notice silence.
+constexpr Millis kRepeatInterval{ 1000 };
+
+/// A channel that says nothing for this long is opened anew.
+constexpr Millis kSilenceLimit{ 2300 };
+
+constexpr Millis kConnectTimeout{ 500 };
+
+/// Pauses between two attempts to reach a companion.
+constexpr Millis kFirstPause{ 100 };
+constexpr Millis kLongestPause{ 800 };
+
+EngineNews
+NewsOf(const EngineState& aState)
+{
+  EngineNews news;
+  news.mEndpoint = aState.mEndpoint;
+  news.mModel = aState.mModel;
+  news.mWeights = aState.mWeights;
+  news.mPhase = aState.mPhase;
+  news.mRunning = aState.mRunning;
+  news.mQueued = aState.mQueued;
+  return news;
+}
+
+} // namespace
+
+struct EngineNewsServer::Shared : std::enable_shared_from_this<Shared>
+{
+  Shared(asio::io_context& aContext,
+         transport::ChannelIdentity aIdentity,
+         EventLog& aLog)
+    : mContext(aContext)
+    , mIdentity(std::move(aIdentity))
+    , mLog(aLog)
+  {
+  }
+
+  Task<void> Accept(std::shared_ptr<asio::ip::tcp::acceptor> aAcceptor)
+  {
+    const auto self = shared_from_this();
+    while (aAcceptor->is_open()) {
+      auto [error, socket] =
+        co_await aAcceptor->async_accept(transport::kAsTuple);
+      if (error) {
+        co_await transport::Sleep(kFirstPause);
+        continue;
+      }
+      const auto peer = std::make_shared<FrameChannel>(
+        std::move(socket), "relay", mCounters);
+      transport::Spawn(mContext, Serve(peer));
+    }
+  }
+
+  Task<void> Serve(std::shared_ptr<FrameChannel> aChannel)
+  {
+    const auto self = shared_from_this();
+    const auto proved = co_await aChannel->HandshakeAsAcceptor(mIdentity);
+    if (!proved) {
+      mLog.Write(EventLine(kPart, "relay-refused")
+                   .Add("error", proved.error().Describe()));
+      co_return;
+    }
+    mChannels.insert(aChannel);
+    auto news = NewsOf(mState);
+    news.mGained.assign(mParts.begin(), mParts.end());
+    aChannel->Send(news);
+    // Relays say nothing: a message, or the end, closes the channel.
+    co_await aChannel->Receive();
+    aChannel->Close();
+    mChannels.erase(aChannel);
+  }
+
+  Task<void> Repeat()
+  {
+    const auto self = shared_from_this();
+    while (true) {
+      co_await transport::Sleep(kRepeatInterval);
+      Send({}, {});
+    }
+  }
+
+  void Send(const std::vector<std::string>& aGained,
+            const std::vector<std::string>& aLost)
+  {
+    auto news = NewsOf(mState);
+    news.mIsWhole = false;
+    news.mGained = aGained;
+    news.mLost = aLost;
+    for (const auto& channel : mChannels) {
+      channel->Send(news);
+    }
+  }
+
+  asio::io_context& mContext;
+  transport::ChannelIdentity mIdentity;
+  EventLog& mLog;
+  transport::ChannelCounters mCounters;
+  EngineState mState;
+  std::set<std::string> mParts;
+  std::set<std::shared_ptr<FrameChannel>> mChannels;
+};
+
+EngineNewsServer::EngineNewsServer(asio::io_context& aContext,
+                                   transport::ChannelIdentity aIdentity,
+                                   EventLog& aLog)
+  : mShared(std::make_shared<Shared>(aContext, std::move(aIdentity), aLog))
+{
+}
+
+EngineNewsServer::~EngineNewsServer() = default;
+
+Result<state::Address>
+EngineNewsServer::Start(const state::Address& aAddress)
+{
+  auto acceptor = transport::Listen(mShared->mContext, aAddress);
+  if (!acceptor) {
+    return tl::unexpected(acceptor.error());
+  }
+  transport::Spawn(mShared->mContext, mShared->Accept(*acceptor));
+  transport::Spawn(mShared->mContext, mShared->Repeat());
+  return transport::LocalAddress(**acceptor);
+}
+
+void
+EngineNewsServer::SetState(const EngineState& aState)
+{
+  if (aState == mShared->mState) {
+    return;
+  }
+  mShared->mState = aState;
+  mShared->mLog.Write(
+    EventLine(kPart, "engine")
+      .Add("endpoint", aState.mEndpoint)
+      .Add("weights", aState.mWeights)
+      .Add("phase", protocol::kEnginePhaseNames.Name(aState.mPhase)));
+  mShared->Send({}, {});
+}
+
+void
+EngineNewsServer::ChangeParts(const std::vector<std::string>& aGained,
+                              const std::vector<std::string>& aLost)
+{
+  mShared->mParts.insert(aGained.begin(), aGained.end());
+  for (const auto& part : aLost) {
+    mShared->mParts.erase(part);
+  }
+  mShared->Send(aGained, aLost);
+}
+
+void
+EngineNewsServer::ClearParts()
+{
+  mShared->mParts.clear();
+  auto news = NewsOf(mShared->mState);
+  for (const auto& channel : mShared->mChannels) {
+    channel->Send(news);
+  }
+}
+
+struct EngineNewsClient::Shared : std::enable_shared_from_this<Shared>
+{
+  /// One companion that is followed.
+  struct Source
+  {
+    std::string mAddress;
+    std::shared_ptr<FrameChannel> mChannel;
+    bool mIsWanted = true;
+  };
+
+  Shared(asio::io_context& aContext,
+         transport::ChannelIdentity aIdentity,
+         std::uint16_t aPort,
+         EventLog& aLog,
+         Taker aTake)
+    : mContext(aContext)
+    , mIdentity(std::move(aIdentity))
+    , mPort(aPort)
+    , mLog(aLog)
+    , mTake(std::move(aTake))
+  {
+  }
+
+  Task<void> Run(std::shared_ptr<Source> aSource)
+  {
+    const auto self = shared_from_this();
+    Millis pause = kFirstPause;
+    while (aSource->mIsWanted) {
+      const auto address = state::ParseAddress(aSource->mAddress);
+      auto channel = co_await transport::ConnectChannel(
+        *address, mIdentity, kConnectTimeout, mCounters);
+      if (channel && aSource->mIsWanted) {
+        pause = kFirstPause;
+        mLog.Write(EventLine(kPart, "companion-regained")
+                     .Add("address", aSource->mAddress));
+        co_await Listen(aSource, *channel);
+        mLog.Write(EventLine(kPart, "companion-lost")
+                     .Add("address", aSource->mAddress));
+      }
+      std::uniform_int_distribution<std::int64_t> spread(pause.count() / 2,
+                                                         pause.count());
+      co_await transport::Sleep(Millis(spread(mRandom)));
+      pause = std::min(pause * 2, kLongestPause);
+    }
+  }
+
+  Task<void> Listen(std::shared_ptr<Source> aSource,
+                    std::shared_ptr<FrameChannel> aChannel)
+  {
+    aSource->mChannel = aChannel;
+    asio::steady_timer silence(mContext);
+    while (aSource->mIsWanted) {
+      silence.expires_after(kSilenceLimit);
+      silence.async_wait([aChannel](const auto& aError) {
+        if (!aError) {
+          aChannel->Close();
+        }
+      });
+      auto message = co_await aChannel->Receive();
+      silence.cancel();
+      if (!message) {
+        break;
+      }
+      if (const auto* news = std::get_if<EngineNews>(&*message)) {
+        mTake(*news);
+      }
+    }
+    aChannel->Close();
+    aSource->mChannel = nullptr;
+  }
+
+  asio::io_context& mContext;
+  transport::ChannelIdentity mIdentity;
+  std::uint16_t mPort;
+  EventLog& mLog;
+  Taker mTake;
+  transport::ChannelCounters mCounters;
+  state::RandomSource mRandom{ std::random_device{}() };
+  std::map<std::string, std::shared_ptr<Source>> mSources; ///< by address
+};
+
+EngineNewsClient::EngineNewsClient(asio::io_context& aContext,
+                                   transport::ChannelIdentity aIdentity,
+                                   std::uint16_t aPort,
+                                   EventLog& aLog,
+                                   Taker aTake)
+  : mShared(std::make_shared<Shared>(
+      aContext, std::move(aIdentity), aPort, aLog, std::move(aTake)))
+{
+}
+
+EngineNewsClient::~EngineNewsClient()
+{
+  Follow({});
+}
+
+void
+EngineNewsClient::Follow(const std::vector<state::EndpointInfo>& aEndpoints)
+{
+  std::set<std::string> wanted;
+  for (const auto& endpoint : aEndpoints) {
+    const auto address = state::ParseAddress(endpoint.mAddress);
+    if (endpoint.mModels.empty() || !address) {
+      continue;
+    }
+    const std::string companion =
+      address->mHost + ":" + std::to_string(mShared->mPort);
+    wanted.insert(companion);
+    auto& source = mShared->mSources[companion];
+    if (!source) {
+      source = std::make_shared<Shared::Source>();
+      source->mAddress = companion;
+      transport::Spawn(mShared->mContext, mShared->Run(source));
+    }
+  }
+  std::erase_if(mShared->mSources, [&](const auto& aItem) {
+    const bool isGone = !wanted.contains(aItem.first);
+    if (isGone) {
+      aItem.second->mIsWanted = false;
+      if (aItem.second->mChannel) {
+        aItem.second->mChannel->Close();
+      }
+    }
+    return isGone;
+  });
+}
+
+} // namespace shuntjunction::coordination
--- a/packages/coordination/src/fleet_daemon.cpp
+++ b/packages/coordination/src/fleet_daemon.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include "shuntjunction/coordination/engine_news.h"
 #include "shuntjunction/coordination/relay.h"
 #include "shuntjunction/coordination/weights_keeper.h"
 #include "shuntjunction/transport/http_server.h"
@@ -175,6 +176,16 @@
     if (!address) {
       return tl::unexpected(address.error());
     }
+    const auto peers = state::ParseAddress(mSettings.mPeerListen);
+    if (!peers) {
+      return tl::unexpected(peers.error());
+    }
+    mNewsClient = std::make_unique<EngineNewsClient>(
+      mTraffic,
+      Identity(),
+      peers->mPort,
+      mLog,
+      [this](const protocol::EngineNews& aNews) { mRelay->TakeNews(aNews); });
     return Serve(
       mReadiness, mSettings.mReadiness, mSettings.mReadinessPath, [this] {
         return mRelay->IsReady() ? Text(200, "ready\n")
@@ -182,15 +193,31 @@
       });
   }
 
+  transport::ChannelIdentity Identity() const
+  {
+    return { mSettings.mName, mSettings.mSecret, 0 };
+  }
+
   Result<void> StartCompanion()
   {
+    const auto peers = state::ParseAddress(mSettings.mPeerListen);
+    if (!peers) {
+      return tl::unexpected(peers.error());
+    }
+    mNewsServer =
+      std::make_unique<EngineNewsServer>(mControl, Identity(), mLog);
+    const auto bound = mNewsServer->Start(*peers);
+    if (!bound) {
+      return tl::unexpected(bound.error());
+    }
     mKeeper =
       std::make_unique<WeightsKeeper>(WeightsKeeperParts{ mControl,
                                                           mSettings,
                                                           mAdapter.mPlatform,
                                                           mAdapter.mStoreCodec,
                                                           *mAdapter.mEngine,
-                                                          mClock,
+                                                          *mNewsServer,
+ mClock,
                                                           mLog });
     mKeeper->Start();
     return {};
@@ -226,6 +253,7 @@
     }
     asio::post(mTraffic, [this, view = std::move(aView)]() mutable {
       const bool wasReady = mRelay->IsReady();
+      mNewsClient->Follow(view->mEndpoints);
       mRelay->TakeView(std::move(view));
       if (!wasReady && mRelay->IsReady()) {
         mLog.Write(EventLine(kPart, "ready"));
@@ -309,6 +337,8 @@
   asio::signal_set mSignals;
   RelayFeed mFeed;
   std::unique_ptr<Relay> mRelay;
+  std::unique_ptr<EngineNewsClient> mNewsClient;
+  std::unique_ptr<EngineNewsServer> mNewsServer;
   std::unique_ptr<WeightsKeeper> mKeeper;
   std::unique_ptr<PathServer> mReadiness;
   bool mIsStopping = false;
--- a/packages/coordination/src/relay.cpp
+++ b/packages/coordination/src/relay.cpp
@@ -117,6 +117,12 @@
   mCore->mEndpoints.Update(mCore->mView->mEndpoints);
 }
 
+void
+Relay::TakeNews(const protocol::EngineNews& aNews)
+{
+  mCore->mEndpoints.TakeNews(aNews, mCore->mParts.mClock.Now());
+}
+
 void
 Relay::SetRelayCount(std::size_t aCount)
 {
--- a/packages/coordination/src/relay_choice_view.cpp
+++ b/packages/coordination/src/relay_choice_view.cpp
@@ -28,7 +28,7 @@
       mNamed = found->second;
       mOrder = state::LoadOrder(aCore.mView->mEndpoints,
                                 aAsk.mService,
-                                { aAsk.mCall->mModel, mNamed.mVersion });
+                                aAsk.mCall->mModel);
     }
     for (const auto& endpoint : aCore.mEndpoints.Serving(aAsk.mService)) {
       Add(endpoint);
@@ -54,8 +54,13 @@
     }
     RelayCandidate candidate;
     if (!mAsk.mCall->mModel.empty()) {
-      candidate.mVersion = aEndpoint->mInfo.VersionOf(mAsk.mCall->mModel);
-      if (candidate.mVersion == 0 || IsClosedForLoad(*aEndpoint, candidate)) {
+      const auto* news = mCore.mEndpoints.FreshNews(*aEndpoint, mNow);
+      candidate.mVersion =
+        news != nullptr && news->mModel == mAsk.mCall->mModel
+          ? news->mWeights
+          : aEndpoint->mInfo.VersionOf(mAsk.mCall->mModel);
+      if (candidate.mVersion == 0 ||
+          IsClosedForLoad(*aEndpoint, candidate, news)) {
         return;
       }
     }
@@ -72,8 +77,12 @@
 
   /// Whether an engine on older weights is about to load, or too old.
   bool IsClosedForLoad(const RelayEndpoint& aEndpoint,
-                       const RelayCandidate& aCandidate) const
+                       const RelayCandidate& aCandidate,
+                       const protocol::EngineNews* aNews) const
   {
+    if (aNews != nullptr && aNews->mPhase != protocol::EnginePhase::kOpen) {
+      return true;
+    }
     if (aCandidate.mVersion >= mNamed.mVersion) {
       return false;
     }
@@ -82,6 +91,10 @@
     if (age >= settings.mBounds.mWeightsLimit - mCore.mLimits.mWeightsMargin) {
       return true;
     }
+    if (aNews != nullptr) {
+      return false;
+    }
+    // Nothing is heard of its companion: by the order that all compute alike.
     const auto turn =
       state::TurnOf(mOrder, aEndpoint.mInfo.mId, settings.mLoadTurns);
     return turn && age >= *turn - settings.mLoadTurns.mClose &&
--- a/packages/coordination/src/relay_endpoint.cpp
+++ b/packages/coordination/src/relay_endpoint.cpp
@@ -148,6 +148,23 @@
   }
 }
 
+void
+RelayEndpoints::TakeNews(const protocol::EngineNews& aNews, TimePoint aNow)
+{
+  if (const auto endpoint = Find(aNews.mEndpoint)) {
+    endpoint->mNews = aNews;
+    endpoint->mNewsAt = aNow;
+  }
+}
+
+const protocol::EngineNews*
+RelayEndpoints::FreshNews(const RelayEndpoint& aEndpoint, TimePoint aNow) const
+{
+  const bool isFresh = aEndpoint.mNews && aEndpoint.mNews->mWeights != 0 &&
+                       aNow - aEndpoint.mNewsAt < mSettings.mNewsLimit;
+  return isFresh ? &*aEndpoint.mNews : nullptr;
+}
+
 void
 RelayEndpoints::NoteFailure(RelayEndpoint& aEndpoint, TimePoint aNow)
 {
--- a/packages/coordination/src/relay_endpoint.h
+++ b/packages/coordination/src/relay_endpoint.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "shuntjunction/protocol/messages.h"
 #include "shuntjunction/state/relay_config.h"
 #include "shuntjunction/transport/relay_message.h"
 #include "shuntjunction/transport/socket_reader.h"
@@ -37,8 +38,8 @@
   state::Millis mLongestSuspicion{ 4000 };
   /// Rest of an endpoint that refused for want of room.
   state::Millis mFullPause{ 50 };
-  /// Share of an endpoint's connections that one relay may open.
-  double mConnectionShare = 0.2;
+  /// Companions speak at least once a second; older news is not believed.
+  state::Millis mNewsLimit{ 2500 };
   transport::SilenceLimits mSilence;
 };
 
@@ -55,7 +56,10 @@
   int mFailures = 0;              ///< in a row
   state::Millis mSuspicion{ 0 };
   state::TimePoint mSuspectUntil;
-  state::TimePoint mClosedUntil; ///< refused for want of room, or loads
+  state::TimePoint mClosedUntil; ///< refused for want of room
+  /// What its companion said last; empty before it said anything.
+  std::optional<protocol::EngineNews> mNews;
+  state::TimePoint mNewsAt;
 };
 
 using RelayEndpointPtr = std::shared_ptr<RelayEndpoint>;
@@ -98,6 +102,13 @@
   /// Closes connections that rested too long.
   void CloseStale(state::TimePoint aNow);
 
+  /// Takes what an endpoint's companion said; ignored if it is of another.
+  void TakeNews(const protocol::EngineNews& aNews, state::TimePoint aNow);
+
+  /// What the companion said, unless it is too old.
+  const protocol::EngineNews* FreshNews(const RelayEndpoint& aEndpoint,
+                                        state::TimePoint aNow) const;
+
   /// Notes that a request failed there, or that it went well.
   void NoteFailure(RelayEndpoint& aEndpoint, state::TimePoint aNow);
   void NoteSuccess(RelayEndpoint& aEndpoint);
--- a/packages/coordination/src/weights_keeper.cpp
+++ b/packages/coordination/src/weights_keeper.cpp
@@ -6,6 +6,7 @@
 
 namespace shuntjunction::coordination {
 
+using protocol::EnginePhase;
 using state::ErrorCode;
 using state::Millis;
 using state::NamedWeights;
@@ -19,7 +20,7 @@
 constexpr std::uint64_t kFencesPerRevision = 1000000;
 
 /// Between two looks at an engine that loads.
-constexpr Millis kReportInterval{ 100 };
+constexpr Millis kReportInterval{ 40 };
 
 /// Without an answer to an order, it is given again after this.
 constexpr Millis kOrderPatience{ 1200 };
@@ -64,19 +65,41 @@
   co_await TakeFence();
   while (true) {
     const auto task = NextTask();
+    const auto now = mParts.mClock.Now();
+    const auto close = mParts.mSettings.mLoadTurns.mClose;
     if (!task) {
+      Tell(EnginePhase::kOpen);
       co_await WaitFor(kIdleWait);
-      continue;
-    }
-    const auto now = mParts.mClock.Now();
-    if (now < task->mFrom) {
+    } else if (now < task->mFrom - close) {
+      Tell(EnginePhase::kOpen);
+      co_await WaitFor(std::chrono::ceil<Millis>(task->mFrom - close - now));
+    } else if (now < task->mFrom) {
+      Tell(EnginePhase::kClosing);
       co_await WaitFor(std::chrono::ceil<Millis>(task->mFrom - now));
-      continue;
+    } else {
+      Tell(EnginePhase::kLoading);
+      co_await Carry(*task);
     }
-    co_await Carry(*task);
   }
 }
 
+void
+WeightsKeeper::Tell(EnginePhase aPhase)
+{
+  const auto* own = OwnEndpoint();
+  if (own == nullptr) {
+    return;
+  }
+  EngineState engine;
+  engine.mEndpoint = own->mId;
+  engine.mPhase = aPhase;
+  if (!own->mModels.empty()) {
+    engine.mModel = own->mModels.front().mName;
+    engine.mWeights = KnownVersion(*own, own->mModels.front());
+  }
+  mParts.mNews.SetState(engine);
+}
+
 transport::Task<void>
 WeightsKeeper::TakeFence()
 {
@@ -115,6 +138,16 @@
   return own;
 }
 
+std::uint64_t
+WeightsKeeper::KnownVersion(const state::EndpointInfo& aOwn,
+                            const state::LoadedModel& aListed) const
+{
+  const bool isReported =
+    mLoaded && mLoadedBy == aOwn.mId && mLoaded->mModel == aListed.mName;
+  return isReported ? std::max(aListed.mVersion, mLoaded->mVersion)
+                    : aListed.mVersion;
+}
+
 std::optional<WeightsKeeper::Task>
 WeightsKeeper::NextTask() const
 {
@@ -127,16 +160,12 @@
     if (named == mView->mWeights.end()) {
       continue;
     }
-    auto version = loaded.mVersion;
-    if (mLoaded && mLoadedBy == own->mId && mLoaded->mModel == loaded.mName) {
-      version = std::max(version, mLoaded->mVersion);
-    }
     const NamedWeights weights{ loaded.mName, named->second.mVersion };
-    if (version >= weights.mVersion) {
+    if (KnownVersion(*own, loaded) >= weights.mVersion) {
       continue;
     }
     const auto order =
-      state::LoadOrder(mView->mEndpoints, own->mService, weights);
+      state::LoadOrder(mView->mEndpoints, own->mService, loaded.mName);
     const auto turn =
       state::TurnOf(order, own->mId, mParts.mSettings.mLoadTurns);
     return Task{ own->mId,
--- a/packages/protocol/include/shuntjunction/protocol/messages.h
+++ b/packages/protocol/include/shuntjunction/protocol/messages.h
@@ -201,6 +201,35 @@
   std::string mInstances; ///< the whole list
 };
 
+/// What an engine can take, as its companion knows it.
+enum class EnginePhase : std::uint8_t
+{
+  kOpen,    ///< takes work
+  kClosing, ///< ends what runs; its weights are about to change
+  kLoading, ///< loads weights
+};
+
+/// Names of EnginePhase.
+inline constexpr state::EnumNames<EnginePhase, 3> kEnginePhaseNames{
+  { "open", "closing", "loading" }
+};
+
+/// What a companion tells relays of the engine beside it.
+///
+/// A part is named by its salt, a slash and its id.
+struct EngineNews
+{
+  std::string mEndpoint; ///< id of this start of the engine
+  std::string mModel;
+  std::uint64_t mWeights = 0; ///< 0: not known
+  EnginePhase mPhase = EnginePhase::kOpen;
+  std::uint32_t mRunning = 0;
+  std::uint32_t mQueued = 0;
+  bool mIsWhole = true;             ///< mGained is all that it keeps
+  std::vector<std::string> mGained; ///< parts that it keeps now
+  std::vector<std::string> mLost;   ///< parts that it keeps no more
+};
+
 /// Any message.
 using Message = std::variant<Challenge,
                              Hello,
@@ -217,6 +246,7 @@
                              Credit,
                              Leaving,
                              SnapshotRequest,
-                             SnapshotReply>;
+                             SnapshotReply,
+                             EngineNews>;
 
 } // namespace shuntjunction::protocol
--- a/packages/protocol/src/codec.cpp
+++ b/packages/protocol/src/codec.cpp
@@ -282,6 +282,26 @@
     .Union();
 }
 
+Offset<void>
+Pack(FlatBufferBuilder& aBuilder, const EngineNews& aMessage)
+{
+  const auto endpoint = aBuilder.CreateString(aMessage.mEndpoint);
+  const auto model = aBuilder.CreateString(aMessage.mModel);
+  const auto gained = aBuilder.CreateVectorOfStrings(aMessage.mGained);
+  const auto lost = aBuilder.CreateVectorOfStrings(aMessage.mLost);
+  return wire::CreateEngineNews(aBuilder,
+                                endpoint,
+                                model,
+                                aMessage.mWeights,
+                                static_cast<std::uint8_t>(aMessage.mPhase),
+                                aMessage.mRunning,
+                                aMessage.mQueued,
+                                aMessage.mIsWhole,
+                                gained,
+                                lost)
+    .Union();
+}
+
 // Unpacking: one function a message.
 
 Challenge
@@ -458,12 +478,41 @@
   return { aWire.version(), TextOf(aWire.text()), TextOf(aWire.instances()) };
 }
 
+std::vector<std::string>
+TextsOf(
+  const flatbuffers::Vector<Offset<flatbuffers::String>>* aTexts)
+{
+  std::vector<std::string> texts;
+  if (aTexts != nullptr) {
+    texts.reserve(aTexts->size());
+    for (const auto* text : *aTexts) {
+      texts.push_back(text->str());
+    }
+  }
+  return texts;
+}
+
+EngineNews
+Unpack(const wire::EngineNews& aWire)
+{
+  // A phase that a newer peer added is none that takes work.
+  const auto phase =
+    std::min<std::uint8_t>(aWire.phase(),
+                           static_cast<std::uint8_t>(EnginePhase::kLoading));
+  return { TextOf(aWire.endpoint()), TextOf(aWire.model()),
+           aWire.weights(),          static_cast<EnginePhase>(phase),
+           aWire.running(),          aWire.queued(),
+           aWire.is_whole(),         TextsOf(aWire.gained()),
+           TextsOf(aWire.lost()) };
+}
+
 /// Names of the messages, in the order of Message.
-constexpr std::array<std::string_view, 16> kMessageNames{
+constexpr std::array<std::string_view, 17> kMessageNames{
   "challenge",   "hello",   "welcome",          "probe",
   "probe-reply", "submit",  "started",          "tokens",
   "finished",    "refused", "failed",           "cancel",
-  "credit",      "leaving", "snapshot-request", "snapshot-reply"
+  "credit",      "leaving", "snapshot-request", "snapshot-reply",
+  "engine-news"
 };
 static_assert(std::variant_size_v<Message> == kMessageNames.size());
 static_assert(static_cast<std::size_t>(wire::Body::MAX) ==
@@ -558,6 +607,8 @@
       return Unpack(*frame->body_as_SnapshotRequest());
     case wire::Body::SnapshotReply:
       return Unpack(*frame->body_as_SnapshotReply());
+    case wire::Body::EngineNews:
+      return Unpack(*frame->body_as_EngineNews());
     case wire::Body::NONE:
       break;
   }
--- a/packages/protocol/tests/codec_test.cpp
+++ b/packages/protocol/tests/codec_test.cpp
@@ -65,6 +65,21 @@
   EXPECT_EQ(passed.mWaitMicros, 123456U);
 }
 
+TEST(GivenMessages, NewsOfAnEnginePassWhole)
+{
+  const EngineNews news{ "i-1", "m",   7,     EnginePhase::kLoading, 3, 4,
+                         false, { "s/a" }, { "s/b", "s/c" } };
+  const auto passed = Passed(news);
+  EXPECT_EQ(passed.mEndpoint, "i-1");
+  EXPECT_EQ(passed.mWeights, 7U);
+  EXPECT_EQ(passed.mPhase, EnginePhase::kLoading);
+  EXPECT_EQ(passed.mRunning, 3U);
+  EXPECT_EQ(passed.mQueued, 4U);
+  EXPECT_FALSE(passed.mIsWhole);
+  EXPECT_EQ(passed.mGained, news.mGained);
+  EXPECT_EQ(passed.mLost, news.mLost);
+}
+
 TEST(GivenMessages, AProbeStaysWithinItsShareOfTheControlBudget)
 {
   // 6 KB a second for 14 requests a second leave about 440 bytes a request;
--- a/packages/state/include/shuntjunction/state/load_turns.h
+++ b/packages/state/include/shuntjunction/state/load_turns.h
@@ -14,23 +14,25 @@
 /// Settings of the turns.
 struct LoadTurnSettings
 {
-  /// Share of a service's engines that load at once; one at least. Measured on
-  /// days with five new versions: a third keeps loading quick and ends within
-  /// three turns.
-  double mShareAtOnce = 1.0 / 3.0;
-  Millis mTurn{ 900 };  ///< of one group, with the time to finish its runs
-  Millis mClose{ 150 }; ///< an engine gets no new work so long before its turn
-  Millis mLead{ 150 };  ///< from a version's becoming known to the first turn
+  /// Share of a service's engines that load at once; one at least. Loads share
+  /// the way to the weights: two of nine take 0.8 s, three 1.25 s, so that more
+  /// at once end no earlier and only close more engines.
+  double mShareAtOnce = 0.2;
+  Millis mTurn{ 950 };  ///< from one group's turn to the next
+  Millis mClose{ 250 }; ///< an engine gets no new work so long before its turn
+  Millis mLead{ 250 };  ///< from a version's becoming known to the first turn
 };
 
-/// The engines of a model that stay, in the order in which they load a version.
+/// The engines of a model that stay, in the order in which they load versions.
 ///
-/// A pure function of the list: processes that know the same list agree.
+/// A pure function of the list: processes that know the same list agree. The
+/// order is the same for all versions of a model, so that an engine that was
+/// not reached before the next version was named is idle meanwhile anyway.
 /// Thread safety: pure.
 std::vector<std::string>
 LoadOrder(const std::vector<EndpointInfo>& aEndpoints,
           std::string_view aService,
-          const NamedWeights& aWeights);
+          std::string_view aModel);
 
 /// Start of an engine's turn, counted from when the version became known.
 ///
--- a/packages/state/src/load_turns.cpp
+++ b/packages/state/src/load_turns.cpp
@@ -10,9 +10,9 @@
 std::vector<std::string>
 LoadOrder(const std::vector<EndpointInfo>& aEndpoints,
           std::string_view aService,
-          const NamedWeights& aWeights)
+          std::string_view aModel)
 {
-  const std::uint64_t key = PlacementHash(aWeights.mModel, aWeights.mVersion);
+  const std::uint64_t key = PlacementHash(aModel);
   std::vector<std::pair<std::uint64_t, std::string>> ranked;
   for (const auto& endpoint : aEndpoints) {
     if (endpoint.mService == aService && !endpoint.mIsLeaving) {
@@ -37,8 +37,8 @@
   if (found == aOrder.end()) {
     return std::nullopt;
   }
-  const auto atOnce =
-    std::max(1.0, std::floor(aSettings.mShareAtOnce * aOrder.size()));
+  const auto size = static_cast<double>(aOrder.size());
+  const auto atOnce = std::max(1.0, std::round(aSettings.mShareAtOnce * size));
   const auto group =
     (found - aOrder.begin()) / static_cast<std::int64_t>(atOnce);
   return aSettings.mLead + group * aSettings.mTurn;
