--- a/packages/coordination/include/shuntjunction/coordination/relay_feed.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay_feed.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,11 +17,35 @@
 /// What a process believes of the platform's objects.
 namespace shuntjunction::coordination {
 
-/// Weights that were named for a model.
+/// Versions of a model's weights that were named while this process lived.
 struct NamedWeightsNews
 {
-  std::uint64_t mVersion = 0;
-  state::TimePoint mKnownAt; ///< when this process learned of them
+  /// One version.
+  struct Naming
+  {
+    std::uint64_t mVersion = 0;
+    state::TimePoint mKnownAt; ///< when this process learned of it
+  };
+
+  std::vector<Naming> mNamings; ///< rising; the last is the newest
+  /// Ids of the engines in the order in which they load the newest, as of when
+  /// it became known, so that no load changes the turns of the others.
+  std::vector<std::string> mLoadOrder;
+
+  /// The newest version; 0 when none was named.
+  std::uint64_t Newest() const
+  {
+    return mNamings.empty() ? 0 : mNamings.back().mVersion;
+  }
+
+  /// When the newest version became known; the epoch when none was named.
+  state::TimePoint NewestKnownAt() const
+  {
+    return mNamings.empty() ? state::TimePoint() : mNamings.back().mKnownAt;
+  }
+
+  /// When a version was superseded; empty while it is the newest.
+  std::optional<state::TimePoint> SupersededAt(std::uint64_t aVersion) const;
 };
 
 /// A consistent view, replaced as a whole.
--- a/packages/coordination/src/relay_choice_view.cpp
+++ b/packages/coordination/src/relay_choice_view.cpp
@@ -25,10 +25,7 @@
     const auto& weights = aCore.mView->mWeights;
     const auto found = weights.find(aAsk.mCall->mModel);
     if (!aAsk.mCall->mModel.empty() && found != weights.end()) {
-      mNamed = found->second;
-      mOrder = state::LoadOrder(aCore.mView->mEndpoints,
-                                aAsk.mService,
-                                aAsk.mCall->mModel);
+      mNamed = &found->second;
     }
     for (const auto& endpoint : aCore.mEndpoints.Serving(aAsk.mService)) {
       Add(endpoint);
@@ -40,7 +37,10 @@
   {
     return mEndpoints[aIndex];
   }
-  std::uint64_t Newest() const { return mNamed.mVersion; }
+  std::uint64_t Newest() const
+  {
+    return mNamed == nullptr ? 0 : mNamed->Newest();
+  }
 
 private:
   void Add(const RelayEndpointPtr& aEndpoint)
@@ -83,20 +83,23 @@
     if (aNews != nullptr && aNews->mPhase != protocol::EnginePhase::kOpen) {
       return true;
     }
-    if (aCandidate.mVersion >= mNamed.mVersion) {
+    if (aCandidate.mVersion >= Newest()) {
       return false;
     }
     const auto& settings = mCore.mParts.mSettings;
-    const auto age = mNow - mNamed.mKnownAt;
-    if (age >= settings.mBounds.mWeightsLimit - mCore.mLimits.mWeightsMargin) {
+    const auto superseded = mNamed->SupersededAt(aCandidate.mVersion);
+    const auto limit =
+      settings.mBounds.mWeightsLimit - mCore.mLimits.mWeightsMargin;
+    if (superseded && mNow - *superseded >= limit) {
       return true;
     }
     if (aNews != nullptr) {
       return false;
     }
     // Nothing is heard of its companion: by the order that all compute alike.
-    const auto turn =
-      state::TurnOf(mOrder, aEndpoint.mInfo.mId, settings.mLoadTurns);
+    const auto turn = state::TurnOf(
+      mNamed->mLoadOrder, aEndpoint.mInfo.mId, settings.mLoadTurns);
+    const auto age = mNow - mNamed->NewestKnownAt();
     return turn && age >= *turn - settings.mLoadTurns.mClose &&
            age < *turn + mCore.mLimits.mLoadPatience;
   }
@@ -104,8 +107,7 @@
   Relay::Core& mCore;
   const RelayAsk& mAsk;
   TimePoint mNow;
-  NamedWeightsNews mNamed;
-  std::vector<std::string> mOrder;
+  const NamedWeightsNews* mNamed = nullptr; ///< null: none was named
   std::vector<RelayCandidate> mCandidates;
   std::vector<RelayEndpointPtr> mEndpoints;
 };
--- a/packages/coordination/src/relay_feed.cpp
+++ b/packages/coordination/src/relay_feed.cpp
@@ -2,6 +2,8 @@
 
 #include <random>
 
+#include "shuntjunction/state/load_turns.h"
+
 namespace shuntjunction::coordination {
 
 using state::Error;
@@ -18,8 +20,22 @@
 /// How often lapsed entries are looked at.
 constexpr Millis kExpiryInterval{ 500 };
 
+/// Versions of a model that are remembered; older ones are out of use.
+constexpr std::size_t kMaxNamings = 16;
+
 } // namespace
 
+std::optional<state::TimePoint>
+NamedWeightsNews::SupersededAt(std::uint64_t aVersion) const
+{
+  for (const auto& naming : mNamings) {
+    if (naming.mVersion > aVersion) {
+      return naming.mKnownAt;
+    }
+  }
+  return std::nullopt;
+}
+
 /// One kind of objects that is followed.
 struct RelayFeed::Topic
 {
@@ -286,10 +302,14 @@
     return;
   }
   auto& known = mView.mWeights[weights->mModel];
-  if (weights->mVersion <= known.mVersion) {
+  if (weights->mVersion <= known.Newest()) {
     return;
   }
-  known = NamedWeightsNews{ weights->mVersion, mClock.Now() };
+  known.mNamings.push_back({ weights->mVersion, mClock.Now() });
+  if (known.mNamings.size() > kMaxNamings) {
+    known.mNamings.erase(known.mNamings.begin());
+  }
+  known.mLoadOrder = state::LoadOrder(mDirectory.Endpoints(), *weights);
   mLog.Write(EventLine(kPart, "weights-named")
                .Add("model", weights->mModel)
                .Add("weights", weights->mVersion)
--- a/packages/coordination/src/weights_keeper.cpp
+++ b/packages/coordination/src/weights_keeper.cpp
@@ -160,17 +160,16 @@
     if (named == mView->mWeights.end()) {
       continue;
     }
-    const NamedWeights weights{ loaded.mName, named->second.mVersion };
+    const auto& news = named->second;
+    const NamedWeights weights{ loaded.mName, news.Newest() };
     if (KnownVersion(*own, loaded) >= weights.mVersion) {
       continue;
     }
-    const auto order =
-      state::LoadOrder(mView->mEndpoints, own->mService, loaded.mName);
-    const auto turn =
-      state::TurnOf(order, own->mId, mParts.mSettings.mLoadTurns);
+    const auto turn = state::TurnOf(
+      news.mLoadOrder, own->mId, mParts.mSettings.mLoadTurns);
     return Task{ own->mId,
                  weights,
-                 named->second.mKnownAt + turn.value_or(Millis(0)) };
+                 news.NewestKnownAt() + turn.value_or(Millis(0)) };
   }
   return std::nullopt;
 }
--- a/packages/state/include/shuntjunction/state/load_turns.h
+++ b/packages/state/include/shuntjunction/state/load_turns.h
@@ -23,16 +23,14 @@
   Millis mLead{ 250 };  ///< from a version's becoming known to the first turn
 };
 
-/// The engines of a model that stay, in the order in which they load versions.
+/// The engines of a model that stay, in the order in which they load a version.
 ///
-/// A pure function of the list: processes that know the same list agree. The
-/// order is the same for all versions of a model, so that an engine that was
-/// not reached before the next version was named is idle meanwhile anyway.
+/// Those that missed the version before go first, so that none is passed over
+/// for ever while versions follow each other quickly.
 /// Thread safety: pure.
 std::vector<std::string>
 LoadOrder(const std::vector<EndpointInfo>& aEndpoints,
-          std::string_view aService,
-          std::string_view aModel);
+          const NamedWeights& aWeights);
 
 /// Start of an engine's turn, counted from when the version became known.
 ///
--- a/packages/state/src/load_turns.cpp
+++ b/packages/state/src/load_turns.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <compare>
 
 #include "shuntjunction/state/prefix_chain.h"
 
@@ -9,21 +10,31 @@
 
 std::vector<std::string>
 LoadOrder(const std::vector<EndpointInfo>& aEndpoints,
-          std::string_view aService,
-          std::string_view aModel)
+          const NamedWeights& aWeights)
 {
-  const std::uint64_t key = PlacementHash(aModel);
-  std::vector<std::pair<std::uint64_t, std::string>> ranked;
+  struct Rank
+  {
+    bool mIsUpToDate;
+    std::uint64_t mHash;
+    std::string mId;
+
+    auto operator<=>(const Rank&) const = default;
+  };
+  const std::uint64_t key = PlacementHash(aWeights.mModel);
+  std::vector<Rank> ranks;
   for (const auto& endpoint : aEndpoints) {
-    if (endpoint.mService == aService && !endpoint.mIsLeaving) {
-      ranked.emplace_back(PlacementHash(endpoint.mId, key), endpoint.mId);
+    const auto version = endpoint.VersionOf(aWeights.mModel);
+    if (version != 0 && !endpoint.mIsLeaving) {
+      ranks.push_back({ version + 1 >= aWeights.mVersion,
+                        PlacementHash(endpoint.mId, key),
+                        endpoint.mId });
     }
   }
-  std::sort(ranked.begin(), ranked.end());
+  std::sort(ranks.begin(), ranks.end());
   std::vector<std::string> order;
-  order.reserve(ranked.size());
-  for (auto& [rank, id] : ranked) {
-    order.push_back(std::move(id));
+  order.reserve(ranks.size());
+  for (auto& rank : ranks) {
+    order.push_back(std::move(rank.mId));
   }
   return order;
 }
