Relays know which parts the engines and the store keep

Change: companions follow their engine's changes and pass them to relays; two of them do so for the store, which answers few such calls at once; a part goes to the one of its first two engines that keeps it, the source is one that keeps it, and it is saved only while the store lacks it. What is to be read, not the whole prompt, counts against an engine.

--- a/apps/shuntjunctiond.cpp
+++ b/apps/shuntjunctiond.cpp
@@ -83,12 +83,16 @@
   platform::ObjectStore objects(*store, kStoreTimeout);
   const platform::ObjectCodec objectCodec;
   const platform::CallCodec callCodec;
-  const auto engine = state::ParseAddress(settings->mEngine);
-  platform::EngineCalls engineCalls(engine.value_or(state::Address{}),
-                                    kEngineTimeout);
   coordination::FleetDaemon daemon(
     *settings,
-    coordination::FleetAdapter{ objects, objectCodec, callCodec, &engineCalls },
+    coordination::FleetAdapter{
+      objects,
+      objectCodec,
+      callCodec,
+      [](const state::Address& aAddress) {
+        return std::make_unique<platform::EngineCalls>(aAddress,
+                                                       kEngineTimeout);
+      } },
     [aFile] { return ReadBootFile(aFile); });
   const auto started = daemon.Start();
   if (!started) {
--- a/packages/coordination/include/shuntjunction/coordination/engine_control.h
+++ b/packages/coordination/include/shuntjunction/coordination/engine_control.h
@@ -48,6 +48,23 @@
   { "under-way", "in-force", "superseded", "fenced", "wrong-engine", "refused" }
 };
 
+/// A change of what an engine or a part store keeps.
+struct PartChange
+{
+  std::string mSalt;
+  std::string mPart;
+  bool mIsKept = false; ///< it is kept from now on, or no more
+};
+
+/// Changes after a position in the sequence of all.
+struct PartChanges
+{
+  std::uint64_t mEpoch = 0; ///< another one: it restarted, and keeps nothing
+  std::uint64_t mNext = 0;  ///< position to ask from next
+  bool mIsGap = false;      ///< some changes before these were forgotten
+  std::vector<PartChange> mChanges;
+};
+
 /// An engine's control calls.
 ///
 /// Thread safety: none; used on one thread.
@@ -61,6 +78,11 @@
   /// Asks for the engine's report.
   virtual transport::Task<state::Result<EngineReport>> Report() = 0;
 
+  /// Waits for changes of the parts it keeps, or until aWait has passed.
+  virtual transport::Task<state::Result<PartChanges>> Changes(
+    std::uint64_t aSince,
+    state::Millis aWait) = 0;
+
   /// Gives an order.
   virtual transport::Task<state::Result<OrderOutcome>> Order(
     LoadOrder aOrder) = 0;
--- a/packages/coordination/include/shuntjunction/coordination/engine_news.h
+++ b/packages/coordination/include/shuntjunction/coordination/engine_news.h
@@ -28,6 +28,13 @@
   bool operator==(const EngineState&) const = default;
 };
 
+/// Whose parts are told.
+enum class PartHolder : std::uint8_t
+{
+  kEngine, ///< the engine beside the companion
+  kStore,  ///< the part store, told by a few companions
+};
+
 /// Sends an engine's news to all relays that connect.
 ///
 /// A change is sent at once; without any, the state is sent again each second,
@@ -50,12 +57,16 @@
   /// Sets the engine's state.
   void SetState(const EngineState& aState);
 
-  /// Adds parts that the engine keeps and takes away those that it lost.
-  void ChangeParts(const std::vector<std::string>& aGained,
+  /// Adds parts that a holder keeps and takes away those that it lost.
+  void ChangeParts(PartHolder aHolder,
+                   const std::vector<std::string>& aGained,
                    const std::vector<std::string>& aLost);
 
-  /// Forgets all parts.
-  void ClearParts();
+  /// Forgets all parts of a holder.
+  void ClearParts(PartHolder aHolder);
+
+  /// Sets the address of the part store; empty: it is not told of.
+  void SetStore(const std::string& aAddress);
 
 private:
   struct Shared;
--- a/packages/coordination/include/shuntjunction/coordination/fleet_daemon.h
+++ b/packages/coordination/include/shuntjunction/coordination/fleet_daemon.h
@@ -17,7 +17,9 @@
   Platform& mPlatform;
   const StoreCodec& mStoreCodec;
   const RelayCodec& mRelayCodec;
-  EngineControl* mEngine = nullptr; ///< of a companion
+  /// Makes the control calls of an engine or part store.
+  std::function<std::unique_ptr<EngineControl>(const state::Address&)>
+    mMakeControl;
 };
 
 /// A fleet process: control thread, traffic thread, log, metrics, stop.
--- /dev/null
+++ b/packages/coordination/include/shuntjunction/coordination/part_store_teller.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "shuntjunction/coordination/engine_news.h"
+#include "shuntjunction/coordination/part_follower.h"
+#include "shuntjunction/coordination/platform.h"
+#include "shuntjunction/coordination/relay_feed.h"
+#include "shuntjunction/coordination/relay_settings.h"
+
+/// Tells relays what the part store keeps.
+namespace shuntjunction::coordination {
+
+/// What a PartStoreTeller is built from; all parts outlive it.
+struct PartStoreTellerParts
+{
+  transport::asio::io_context& mContext;
+  const FleetSettings& mSettings;
+  Platform& mPlatform;
+  const StoreCodec& mCodec;
+  std::function<std::unique_ptr<EngineControl>(const state::Address&)>
+    mMakeControl;
+  EngineNewsServer& mNews;
+  EventLog& mLog;
+};
+
+/// Follows the part store where this companion is one of the few that do.
+///
+/// The store answers few such calls at once, so not every process may ask; two
+/// companions do, chosen by a function of the list that all compute alike.
+/// Thread safety: none; used on the thread of its context.
+class PartStoreTeller
+{
+public:
+  explicit PartStoreTeller(const PartStoreTellerParts& aParts);
+
+  /// Begins to look whether it is its turn.
+  void Start();
+
+  /// Takes a newer view of the platform's objects.
+  void TakeView(std::shared_ptr<const RelayView> aView);
+
+private:
+  transport::Task<void> Run();
+  transport::Task<std::string> FindStore();
+  bool IsTeller() const;
+
+  PartStoreTellerParts mParts;
+  std::shared_ptr<const RelayView> mView = std::make_shared<RelayView>();
+  std::unique_ptr<EngineControl> mStore;
+  std::unique_ptr<PartFollower> mFollower;
+};
+
+} // namespace shuntjunction::coordination
--- a/packages/coordination/src/engine_news.cpp
+++ b/packages/coordination/src/engine_news.cpp
@@ -1,5 +1,6 @@
 #include "shuntjunction/coordination/engine_news.h"
 
+#include <array>
 #include <random>
 
 namespace shuntjunction::coordination {
@@ -63,8 +64,8 @@
         co_await transport::Sleep(kFirstPause);
         continue;
       }
-      const auto peer = std::make_shared<FrameChannel>(
-        std::move(socket), "relay", mCounters);
+      const auto peer =
+        std::make_shared<FrameChannel>(std::move(socket), "relay", mCounters);
       transport::Spawn(mContext, Serve(peer));
     }
   }
@@ -79,9 +80,10 @@
       co_return;
     }
     mChannels.insert(aChannel);
-    auto news = NewsOf(mState);
-    news.mGained.assign(mParts.begin(), mParts.end());
-    aChannel->Send(news);
+    aChannel->Send(WholeNews(PartHolder::kEngine));
+    if (!mStore.empty()) {
+      aChannel->Send(WholeNews(PartHolder::kStore));
+    }
     // Relays say nothing: a message, or the end, closes the channel.
     co_await aChannel->Receive();
     aChannel->Close();
@@ -93,19 +95,40 @@
     const auto self = shared_from_this();
     while (true) {
       co_await transport::Sleep(kRepeatInterval);
-      Send({}, {});
+      SendState();
     }
   }
 
-  void Send(const std::vector<std::string>& aGained,
-            const std::vector<std::string>& aLost)
+  /// Of an engine its state; of the store only its address.
+  EngineNews NewsOfHolder(PartHolder aHolder) const
+  {
+    if (aHolder == PartHolder::kEngine) {
+      return NewsOf(mState);
+    }
+    EngineNews news;
+    news.mEndpoint = mStore;
+    return news;
+  }
+
+  EngineNews WholeNews(PartHolder aHolder) const
+  {
+    auto news = NewsOfHolder(aHolder);
+    const auto& parts = mParts[static_cast<std::size_t>(aHolder)];
+    news.mGained.assign(parts.begin(), parts.end());
+    return news;
+  }
+
+  void SendState()
   {
     auto news = NewsOf(mState);
     news.mIsWhole = false;
-    news.mGained = aGained;
-    news.mLost = aLost;
+    Send(news);
+  }
+
+  void Send(const EngineNews& aNews)
+  {
     for (const auto& channel : mChannels) {
-      channel->Send(news);
+      channel->Send(aNews);
     }
   }
 
@@ -114,7 +137,8 @@
   EventLog& mLog;
   transport::ChannelCounters mCounters;
   EngineState mState;
-  std::set<std::string> mParts;
+  std::string mStore;                          ///< address; empty: not told of
+  std::array<std::set<std::string>, 2> mParts; ///< by PartHolder
   std::set<std::shared_ptr<FrameChannel>> mChannels;
 };
 
@@ -151,28 +175,37 @@
       .Add("endpoint", aState.mEndpoint)
       .Add("weights", aState.mWeights)
       .Add("phase", protocol::kEnginePhaseNames.Name(aState.mPhase)));
-  mShared->Send({}, {});
+  mShared->SendState();
 }
 
 void
-EngineNewsServer::ChangeParts(const std::vector<std::string>& aGained,
+EngineNewsServer::ChangeParts(PartHolder aHolder,
+                              const std::vector<std::string>& aGained,
                               const std::vector<std::string>& aLost)
 {
-  mShared->mParts.insert(aGained.begin(), aGained.end());
+  auto& parts = mShared->mParts[static_cast<std::size_t>(aHolder)];
+  parts.insert(aGained.begin(), aGained.end());
   for (const auto& part : aLost) {
-    mShared->mParts.erase(part);
+    parts.erase(part);
   }
-  mShared->Send(aGained, aLost);
+  auto news = mShared->NewsOfHolder(aHolder);
+  news.mIsWhole = false;
+  news.mGained = aGained;
+  news.mLost = aLost;
+  mShared->Send(news);
 }
 
 void
-EngineNewsServer::ClearParts()
+EngineNewsServer::ClearParts(PartHolder aHolder)
 {
-  mShared->mParts.clear();
-  auto news = NewsOf(mShared->mState);
-  for (const auto& channel : mShared->mChannels) {
-    channel->Send(news);
-  }
+  mShared->mParts[static_cast<std::size_t>(aHolder)].clear();
+  mShared->Send(mShared->WholeNews(aHolder));
+}
+
+void
+EngineNewsServer::SetStore(const std::string& aAddress)
+{
+  mShared->mStore = aAddress;
 }
 
 struct EngineNewsClient::Shared : std::enable_shared_from_this<Shared>
@@ -211,8 +244,8 @@
         mLog.Write(EventLine(kPart, "companion-regained")
                      .Add("address", aSource->mAddress));
         co_await Listen(aSource, *channel);
-        mLog.Write(EventLine(kPart, "companion-lost")
-                     .Add("address", aSource->mAddress));
+        mLog.Write(
+          EventLine(kPart, "companion-lost").Add("address", aSource->mAddress));
       }
       std::uniform_int_distribution<std::int64_t> spread(pause.count() / 2,
                                                          pause.count());
@@ -261,8 +294,11 @@
                                    std::uint16_t aPort,
                                    EventLog& aLog,
                                    Taker aTake)
-  : mShared(std::make_shared<Shared>(
-      aContext, std::move(aIdentity), aPort, aLog, std::move(aTake)))
+  : mShared(std::make_shared<Shared>(aContext,
+                                     std::move(aIdentity),
+                                     aPort,
+                                     aLog,
+                                     std::move(aTake)))
 {
 }
 
--- a/packages/coordination/src/fleet_daemon.cpp
+++ b/packages/coordination/src/fleet_daemon.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/signal_set.hpp>
 
 #include "shuntjunction/coordination/engine_news.h"
+#include "shuntjunction/coordination/part_follower.h"
+#include "shuntjunction/coordination/part_store_teller.h"
 #include "shuntjunction/coordination/relay.h"
 #include "shuntjunction/coordination/weights_keeper.h"
 #include "shuntjunction/transport/http_server.h"
@@ -210,14 +212,37 @@
     if (!bound) {
       return tl::unexpected(bound.error());
     }
+    const auto engine = state::ParseAddress(mSettings.mEngine);
+    if (!engine) {
+      return tl::unexpected(engine.error());
+    }
+    mEngine = mAdapter.mMakeControl(*engine);
+    mParts = std::make_unique<PartFollower>(
+      mControl,
+      *mEngine,
+      mLog,
+      [this](const auto& aGained, const auto& aLost) {
+        mNewsServer->ChangeParts(PartHolder::kEngine, aGained, aLost);
+      },
+      [this] { mNewsServer->ClearParts(PartHolder::kEngine); });
+    mParts->Start();
+    mStoreTeller = std::make_unique<PartStoreTeller>(
+      PartStoreTellerParts{ mControl,
+                            mSettings,
+                            mAdapter.mPlatform,
+                            mAdapter.mStoreCodec,
+                            mAdapter.mMakeControl,
+                            *mNewsServer,
+                            mLog });
+    mStoreTeller->Start();
     mKeeper =
       std::make_unique<WeightsKeeper>(WeightsKeeperParts{ mControl,
                                                           mSettings,
                                                           mAdapter.mPlatform,
                                                           mAdapter.mStoreCodec,
-                                                          *mAdapter.mEngine,
+                                                          *mEngine,
                                                           *mNewsServer,
- mClock,
+                                                          mClock,
                                                           mLog });
     mKeeper->Start();
     return {};
@@ -248,6 +273,7 @@
   void TakeView(std::shared_ptr<const RelayView> aView)
   {
     if (mKeeper) {
+      mStoreTeller->TakeView(aView);
       mKeeper->TakeView(std::move(aView));
       return;
     }
@@ -339,6 +365,9 @@
   std::unique_ptr<Relay> mRelay;
   std::unique_ptr<EngineNewsClient> mNewsClient;
   std::unique_ptr<EngineNewsServer> mNewsServer;
+  std::unique_ptr<EngineControl> mEngine;
+  std::unique_ptr<PartFollower> mParts;
+  std::unique_ptr<PartStoreTeller> mStoreTeller;
   std::unique_ptr<WeightsKeeper> mKeeper;
   std::unique_ptr<PathServer> mReadiness;
   bool mIsStopping = false;
--- a/packages/coordination/src/relay_attempt.cpp
+++ b/packages/coordination/src/relay_attempt.cpp
@@ -123,7 +123,7 @@
     mUnsentTries = INT32_MAX / 2;
     co_return AttemptOutcome::kUnsent;
   }
-  const auto unread = mCall.mPromptTokens;
+  const auto unread = attempt.mPick.mTokensToRead;
   mPartialEvent.clear();
   ++endpoint.mRunning;
   endpoint.mUnreadTokens += unread;
@@ -363,14 +363,16 @@
 RelayRun::NoteAnswerBegun(const Attempt& aAttempt)
 {
   const auto& pick = aAttempt.mPick;
-  pick.mEndpoint->mUnreadTokens -= mCall.mPromptTokens;
+  pick.mEndpoint->mUnreadTokens -= pick.mTokensToRead;
   if (pick.mPart.empty() || !IsSuccess(aAttempt.mAnswer->Head().mStatus)) {
     return;
   }
   auto& record = mCore->mLedger.At(pick.mSalt, pick.mPart);
   record.mHolder = pick.mEndpoint->mInfo.mId;
   record.mServedAt = Now();
-  record.mIsSaved = record.mIsSaved || !pick.mPartStore.empty();
+  if (!pick.mPartStore.empty()) {
+    record.mSavedAt = Now();
+  }
 }
 
 Task<bool>
--- a/packages/coordination/src/relay_choice_view.cpp
+++ b/packages/coordination/src/relay_choice_view.cpp
@@ -12,6 +12,17 @@
 
 namespace {
 
+std::string
+SaltOf(const RelayAsk& aAsk, std::uint64_t aWeights)
+{
+  std::string salt = aAsk.mCall->mModel + "." + std::to_string(aWeights);
+  if (!aAsk.mIsolatedTeam.empty()) {
+    salt += ".";
+    salt += aAsk.mIsolatedTeam;
+  }
+  return salt;
+}
+
 /// Engines of a service as candidates, with those that may not be taken left
 /// out.
 class CandidateList
@@ -55,15 +66,21 @@
     RelayCandidate candidate;
     if (!mAsk.mCall->mModel.empty()) {
       const auto* news = mCore.mEndpoints.FreshNews(*aEndpoint, mNow);
-      candidate.mVersion =
-        news != nullptr && news->mModel == mAsk.mCall->mModel
-          ? news->mWeights
-          : aEndpoint->mInfo.VersionOf(mAsk.mCall->mModel);
+      candidate.mVersion = news != nullptr && news->mModel == mAsk.mCall->mModel
+                             ? news->mWeights
+                             : aEndpoint->mInfo.VersionOf(mAsk.mCall->mModel);
       if (candidate.mVersion == 0 ||
           IsClosedForLoad(*aEndpoint, candidate, news)) {
         return;
       }
     }
+    const auto& parts = mAsk.mCall->mParts;
+    if (parts.size() >= 2 && candidate.mVersion != 0) {
+      const auto part = state::PartName(SaltOf(mAsk, candidate.mVersion),
+                                        parts[parts.size() - 2].mId);
+      candidate.mHoldsPart =
+        mCore.mEndpoints.Parts().Holds(aEndpoint->mInfo.mId, part);
+    }
     candidate.mNameHash = aEndpoint->mNameHash;
     candidate.mIsSameZone =
       aEndpoint->mInfo.mZone == mCore.mParts.mSettings.mZone;
@@ -112,32 +129,47 @@
   std::vector<RelayEndpointPtr> mEndpoints;
 };
 
-std::string
-SaltOf(const RelayAsk& aAsk, std::uint64_t aWeights)
+/// Tokens that the endpoint will have to read: those of the request's own part
+/// and, if no other endpoint is known to have them, those of the shared ones.
+std::int64_t
+TokensToRead(Relay::Core& aCore, const RelayAsk& aAsk, const RelayPick& aPick)
 {
-  std::string salt = aAsk.mCall->mModel + "." + std::to_string(aWeights);
-  if (!aAsk.mIsolatedTeam.empty()) {
-    salt += ".";
-    salt += aAsk.mIsolatedTeam;
+  const auto& parts = aAsk.mCall->mParts;
+  if (parts.empty()) {
+    return aAsk.mCall->mPromptTokens;
   }
-  return salt;
+  std::int64_t tokens = parts.back().mTokens;
+  const auto name = state::PartName(aPick.mSalt, aPick.mPart);
+  if (aCore.mEndpoints.Parts().Holders(name).empty()) {
+    for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
+      tokens += parts[i].mTokens;
+    }
+  }
+  return tokens;
 }
 
 /// Names where the shared part may be fetched from and saved to.
 void
 FillPartSource(Relay::Core& aCore, RelayPick& aPick)
 {
+  const auto now = aCore.mParts.mClock.Now();
   const auto& stores = aCore.mView->mConfig->Rules().mPartStores;
   const std::string store = stores.empty() ? "" : stores.front().mAddress;
+  const auto& index = aCore.mEndpoints.Parts();
+  const auto name = state::PartName(aPick.mSalt, aPick.mPart);
   const auto& record = aCore.mLedger.At(aPick.mSalt, aPick.mPart);
-  aPick.mPartSource = store;
-  if (!record.mIsSaved) {
+  const bool isSavedLately = now - record.mSavedAt < aCore.mLimits.mNewsDelay;
+  if (!index.Holds(store, name) && !isSavedLately) {
     aPick.mPartStore = store;
   }
-  const auto holder = aCore.mEndpoints.Find(record.mHolder);
-  const auto age = aCore.mParts.mClock.Now() - record.mServedAt;
-  if (holder && holder != aPick.mEndpoint && age < aCore.mLimits.mPartMemory) {
-    aPick.mPartSource = holder->mInfo.mAddress;
+  // A source that has nothing costs a millisecond, so one is always named.
+  aPick.mPartSource = store;
+  for (const auto& holder : index.Holders(name)) {
+    const auto endpoint = aCore.mEndpoints.Find(holder);
+    if (endpoint && endpoint != aPick.mEndpoint) {
+      aPick.mPartSource = endpoint->mInfo.mAddress;
+      break;
+    }
   }
 }
 
@@ -172,6 +204,7 @@
     pick.mPart = parts[parts.size() - 2].mId;
     FillPartSource(aCore, pick);
   }
+  pick.mTokensToRead = TokensToRead(aCore, aAsk, pick);
   return pick;
 }
 
--- a/packages/coordination/src/relay_choice_view.h
+++ b/packages/coordination/src/relay_choice_view.h
@@ -21,9 +21,10 @@
   RelayEndpointPtr mEndpoint;
   std::uint64_t mWeights = 0; ///< 0 for a plain service
   std::string mSalt;
-  std::string mPart;       ///< id of the last shared part; empty: none
-  std::string mPartSource; ///< address
-  std::string mPartStore;  ///< address to save to; empty: not
+  std::string mPart;              ///< id of the last shared part; empty: none
+  std::string mPartSource;        ///< address
+  std::string mPartStore;         ///< address to save to; empty: not
+  std::int64_t mTokensToRead = 0; ///< estimate, see RelayEndpoint
 };
 
 /// Chooses an endpoint; empty when none may take the request now.
--- a/packages/coordination/src/relay_endpoint.cpp
+++ b/packages/coordination/src/relay_endpoint.cpp
@@ -58,6 +58,7 @@
     if (isGone) {
       aItem.second->mIsListed = false;
       aItem.second->mIdle.clear();
+      mParts.Forget(aItem.first);
     }
     return isGone;
   });
@@ -151,10 +152,17 @@
 void
 RelayEndpoints::TakeNews(const protocol::EngineNews& aNews, TimePoint aNow)
 {
-  if (const auto endpoint = Find(aNews.mEndpoint)) {
+  const auto endpoint = Find(aNews.mEndpoint);
+  if (endpoint) {
     endpoint->mNews = aNews;
+    endpoint->mNews->mGained.clear();
+    endpoint->mNews->mLost.clear();
     endpoint->mNewsAt = aNow;
+  } else if (!aNews.mModel.empty()) {
+    // Of an engine that is not, or no longer, listed.
+    return;
   }
+  mParts.Apply(aNews.mEndpoint, aNews.mIsWhole, aNews.mGained, aNews.mLost);
 }
 
 const protocol::EngineNews*
--- a/packages/coordination/src/relay_endpoint.h
+++ b/packages/coordination/src/relay_endpoint.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "shuntjunction/protocol/messages.h"
+#include "shuntjunction/state/part_index.h"
 #include "shuntjunction/state/relay_config.h"
 #include "shuntjunction/transport/relay_message.h"
 #include "shuntjunction/transport/socket_reader.h"
@@ -102,7 +103,7 @@
   /// Closes connections that rested too long.
   void CloseStale(state::TimePoint aNow);
 
-  /// Takes what an endpoint's companion said; ignored if it is of another.
+  /// Takes what an endpoint's companion said of it, or of the part store.
   void TakeNews(const protocol::EngineNews& aNews, state::TimePoint aNow);
 
   /// What the companion said, unless it is too old.
@@ -113,10 +114,14 @@
   void NoteFailure(RelayEndpoint& aEndpoint, state::TimePoint aNow);
   void NoteSuccess(RelayEndpoint& aEndpoint);
 
+  /// Which endpoints and stores keep which parts; stores by their address.
+  const state::PartIndex& Parts() const { return mParts; }
+
   const RelayEndpointSettings& Settings() const { return mSettings; }
 
 private:
   RelayEndpointSettings mSettings;
+  state::PartIndex mParts;
   std::map<std::string, RelayEndpointPtr, std::less<>> mById;
 };
 
--- a/packages/coordination/src/weights_keeper.cpp
+++ b/packages/coordination/src/weights_keeper.cpp
@@ -165,8 +165,8 @@
     if (KnownVersion(*own, loaded) >= weights.mVersion) {
       continue;
     }
-    const auto turn = state::TurnOf(
-      news.mLoadOrder, own->mId, mParts.mSettings.mLoadTurns);
+    const auto turn =
+      state::TurnOf(news.mLoadOrder, own->mId, mParts.mSettings.mLoadTurns);
     return Task{ own->mId,
                  weights,
                  news.NewestKnownAt() + turn.value_or(Millis(0)) };
--- a/packages/protocol/src/codec.cpp
+++ b/packages/protocol/src/codec.cpp
@@ -479,8 +479,7 @@
 }
 
 std::vector<std::string>
-TextsOf(
-  const flatbuffers::Vector<Offset<flatbuffers::String>>* aTexts)
+TextsOf(const flatbuffers::Vector<Offset<flatbuffers::String>>* aTexts)
 {
   std::vector<std::string> texts;
   if (aTexts != nullptr) {
@@ -496,9 +495,8 @@
 Unpack(const wire::EngineNews& aWire)
 {
   // A phase that a newer peer added is none that takes work.
-  const auto phase =
-    std::min<std::uint8_t>(aWire.phase(),
-                           static_cast<std::uint8_t>(EnginePhase::kLoading));
+  const auto phase = std::min<std::uint8_t>(
+    aWire.phase(), static_cast<std::uint8_t>(EnginePhase::kLoading));
   return { TextOf(aWire.endpoint()), TextOf(aWire.model()),
            aWire.weights(),          static_cast<EnginePhase>(phase),
            aWire.running(),          aWire.queued(),
@@ -508,11 +506,10 @@
 
 /// Names of the messages, in the order of Message.
 constexpr std::array<std::string_view, 17> kMessageNames{
-  "challenge",   "hello",   "welcome",          "probe",
-  "probe-reply", "submit",  "started",          "tokens",
-  "finished",    "refused", "failed",           "cancel",
-  "credit",      "leaving", "snapshot-request", "snapshot-reply",
-  "engine-news"
+  "challenge",      "hello",      "welcome", "probe",    "probe-reply",
+  "submit",         "started",    "tokens",  "finished", "refused",
+  "failed",         "cancel",     "credit",  "leaving",  "snapshot-request",
+  "snapshot-reply", "engine-news"
 };
 static_assert(std::variant_size_v<Message> == kMessageNames.size());
 static_assert(static_cast<std::size_t>(wire::Body::MAX) ==
--- a/packages/protocol/tests/codec_test.cpp
+++ b/packages/protocol/tests/codec_test.cpp
@@ -67,8 +67,8 @@
 
 TEST(GivenMessages, NewsOfAnEnginePassWhole)
 {
-  const EngineNews news{ "i-1", "m",   7,     EnginePhase::kLoading, 3, 4,
-                         false, { "s/a" }, { "s/b", "s/c" } };
+  const EngineNews news{ "i-1", "m",   7,         EnginePhase::kLoading, 3,
+                         4,     false, { "s/a" }, { "s/b", "s/c" } };
   const auto passed = Passed(news);
   EXPECT_EQ(passed.mEndpoint, "i-1");
   EXPECT_EQ(passed.mWeights, 7U);
--- a/packages/state/include/shuntjunction/state/part_ledger.h
+++ b/packages/state/include/shuntjunction/state/part_ledger.h
@@ -19,7 +19,7 @@
   TimePoint mServedAt;    ///< when its answer began; epoch while none did
   TimePoint mReadingFrom; ///< since when it is being read; epoch: it is not
   std::string mReader;    ///< id of the endpoint that reads it
-  bool mIsSaved = false;  ///< handed to the part store
+  TimePoint mSavedAt;     ///< when it was last handed to the part store
 };
 
 /// Remembers parts, the least recently used forgotten first.
@@ -36,9 +36,6 @@
   /// The record of a part, made when it is new.
   PartRecord& At(std::string_view aSalt, std::string_view aPart);
 
-  /// Forgets that parts were saved, when their store lost them.
-  void ForgetSaved();
-
   /// Records that are kept.
   std::size_t Size() const { return mOrder.size(); }
 
--- a/packages/state/include/shuntjunction/state/relay_choice.h
+++ b/packages/state/include/shuntjunction/state/relay_choice.h
@@ -28,14 +28,16 @@
   std::int64_t mRunning = 0;  ///< requests there, as far as known
   std::int64_t mSlots = 1;    ///< that it works on at once
   std::int64_t mQueuedTokens = 0; ///< prompt tokens that wait to be read there
+  bool mHoldsPart = false;        ///< keeps the prompt's last shared part
 };
 
 /// Settings of the choice.
 struct RelayChoiceSettings
 {
   /// Waiting tokens by which the first endpoint of a prompt's order may exceed
-  /// the second before the second takes it: about 0.15 s of reading.
-  std::int64_t mMaxLeadTokens = 9000;
+  /// the second before the second takes it: about 0.35 s of reading. Less
+  /// spreads each part over two engines, which together forget twice as much.
+  std::int64_t mMaxLeadTokens = 20000;
   /// Requests by which an endpoint of the own zone may exceed another's.
   std::int64_t mZoneLead = 2;
 };
@@ -52,7 +54,7 @@
              double aMinShare);
 
 /// Chooses by rendezvous of a prompt's shared part, the first two weighed by
-/// what waits there.
+/// whether they keep the part and by what waits there.
 ///
 /// @param aKey  hash of the shared part and its scope
 /// @return index of aCandidates; empty when aAllowed is empty
--- a/packages/state/src/part_ledger.cpp
+++ b/packages/state/src/part_ledger.cpp
@@ -22,12 +22,4 @@
   return mOrder.front().mRecord;
 }
 
-void
-PartLedger::ForgetSaved()
-{
-  for (auto& item : mOrder) {
-    item.mRecord.mIsSaved = false;
-  }
-}
-
 } // namespace shuntjunction::state
--- a/packages/state/src/relay_choice.cpp
+++ b/packages/state/src/relay_choice.cpp
@@ -77,10 +77,15 @@
   const auto second = ranked[1].second;
   const auto& one = aCandidates[first];
   const auto& two = aCandidates[second];
-  const bool isFull = one.mRunning >= one.mSlots && two.mRunning < two.mSlots;
+  const bool isSecondAhead = two.mHoldsPart && !one.mHoldsPart;
+  const auto leader = isSecondAhead ? second : first;
+  const auto other = isSecondAhead ? first : second;
+  const auto& led = aCandidates[leader];
+  const auto& next = aCandidates[other];
+  const bool isFull = led.mRunning >= led.mSlots && next.mRunning < next.mSlots;
   const bool isBehind =
-    one.mQueuedTokens > two.mQueuedTokens + aSettings.mMaxLeadTokens;
-  return isFull || isBehind ? second : first;
+    led.mQueuedTokens > next.mQueuedTokens + aSettings.mMaxLeadTokens;
+  return isFull || isBehind ? other : leader;
 }
 
 std::optional<std::size_t>
