Restarted engines and late orders: newest entry of an address, rests, patience

Cause: after a loss of power the list holds the former and the new entry of each address, so relays asked for engines that no longer lived (49 requests refused as misdirected in a second); a refusal as misdirected taught nothing; a lost order was repeated after 1.2 s; a relay refused while its configuration was 30 ms away. The log's field for a prompt's part overwrote the line's part. Change: of several entries at an address the one listed last counts; a misdirected or refused endpoint rests 0.25 and 0.3 s; orders are repeated after 60 ms (a late first one names an older count and is refused); 120 ms for the first configuration.

--- a/apps/shuntjunctiond.cpp
+++ b/apps/shuntjunctiond.cpp
@@ -29,7 +29,7 @@
 constexpr state::Millis kStoreTimeout{ 700 };
 
 /// Of a call to the engine on this machine.
-constexpr state::Millis kEngineTimeout{ 500 };
+constexpr state::Millis kEngineTimeout{ 250 };
 
 state::Result<std::string>
 ReadText(const std::string& aFile)
--- a/packages/coordination/src/relay_attempt.cpp
+++ b/packages/coordination/src/relay_attempt.cpp
@@ -179,6 +179,10 @@
   const auto [error] = co_await socket->async_connect(
     tcp::endpoint(ip, address->mPort), transport::kAsTuple);
   if (timer.cancel() == 0 || error) {
+    if (error == asio::error::connection_refused) {
+      endpoint.mClosedUntil =
+        Now() + mCore->mEndpoints.Settings().mRefusedPause;
+    }
     mLastProblem = "connect: " + error.message();
     co_return AttemptOutcome::kUnsent;
   }
--- a/packages/coordination/src/relay_core.h
+++ b/packages/coordination/src/relay_core.h
@@ -24,6 +24,8 @@
   /// A connection that rested longer is not used for a request that may run
   /// only once: its endpoint may close it at that moment.
   state::Millis mOnceMaxRest{ 1000 };
+  /// A process that just started has its configuration within this.
+  state::Millis mConfigWait{ 120 };
   /// Share of the latency objective for which a request may wait for an
   /// endpoint to open; callers can still come back in time then.
   double mWaitShare = 0.2;
--- a/packages/coordination/src/relay_endpoint.h
+++ b/packages/coordination/src/relay_endpoint.h
@@ -39,6 +39,13 @@
   state::Millis mLongestSuspicion{ 4000 };
   /// Rest of an endpoint that refused for want of room.
   state::Millis mFullPause{ 50 };
+  /// Rest of an endpoint that answered that another was meant: its address has
+  /// passed on, or its weights changed unannounced. The list, or its companion,
+  /// tells in time.
+  state::Millis mMisdirectedPause{ 250 };
+  /// Rest of an endpoint whose machine refused the connection: nothing runs
+  /// there.
+  state::Millis mRefusedPause{ 300 };
   /// Companions speak at least once a second; older news is not believed.
   state::Millis mNewsLimit{ 2500 };
   transport::SilenceLimits mSilence;
--- a/packages/coordination/src/relay_feed.cpp
+++ b/packages/coordination/src/relay_feed.cpp
@@ -249,13 +249,14 @@
                  .Add("revision", aObject.mRevision));
     return;
   }
-  const auto endpoint = mCodec.ReadEndpoint(aObject.mKey, aObject.mValue);
+  auto endpoint = mCodec.ReadEndpoint(aObject.mKey, aObject.mValue);
   if (!endpoint) {
     mLog.Write(EventLine(kPart, "endpoint-refused")
                  .Add("object", aObject.mKey)
                  .Add("error", endpoint.error().Describe()));
     return;
   }
+  endpoint->mRevision = aObject.mRevision;
   mDirectory.Put(*endpoint);
   EventLine line(kPart, "endpoint");
   line.Add("endpoint", id)
@@ -275,6 +276,7 @@
   for (const auto& object : aObjects) {
     auto endpoint = mCodec.ReadEndpoint(object.mKey, object.mValue);
     if (endpoint) {
+      endpoint->mRevision = object.mRevision;
       listed.push_back(std::move(*endpoint));
     } else {
       mLog.Write(EventLine(kPart, "endpoint-refused")
--- a/packages/coordination/src/relay_run.cpp
+++ b/packages/coordination/src/relay_run.cpp
@@ -58,6 +58,7 @@
 Task<bool>
 RelayRun::Run()
 {
+  co_await AwaitConfig();
   if (mView->mConfig->Version() == 0) {
     co_await Refuse(kUnavailable, "no-configuration", kRetryLater);
   } else if (!FindRoute()) {
@@ -81,6 +82,16 @@
 
 // Admission.
 
+Task<void>
+RelayRun::AwaitConfig()
+{
+  const auto until = mArrival + mCore->mLimits.mConfigWait;
+  while (mView->mConfig->Version() == 0 && Now() < until) {
+    co_await transport::Sleep(kWaitStep);
+    mView = mCore->mView;
+  }
+}
+
 bool
 RelayRun::FindRoute()
 {
@@ -278,6 +289,8 @@
       endpoint.mClosedUntil = Now() + endpoints.Settings().mFullPause;
       break;
     case AttemptOutcome::kMisdirected:
+      endpoint.mClosedUntil = Now() + endpoints.Settings().mMisdirectedPause;
+      break;
     case AttemptOutcome::kInterrupted:
       break;
   }
@@ -289,7 +302,7 @@
     .Add("ms", SinceArrival().count());
   if (aPick.mWeights != 0) {
     line.Add("weights", aPick.mWeights)
-      .Add("part", aPick.mPart)
+      .Add("shared_part", aPick.mPart)
       .Add("source", aPick.mPartSource)
       .Add("saves", !aPick.mPartStore.empty());
   }
--- a/packages/coordination/src/relay_run.h
+++ b/packages/coordination/src/relay_run.h
@@ -51,6 +51,7 @@
   struct Attempt;
 
   // Admission.
+  transport::Task<void> AwaitConfig();
   bool FindRoute();
   bool FindTeam();
   std::string DrawService();
--- a/packages/coordination/src/weights_keeper.cpp
+++ b/packages/coordination/src/weights_keeper.cpp
@@ -22,8 +22,10 @@
 /// Between two looks at an engine that loads.
 constexpr Millis kReportInterval{ 40 };
 
-/// Without an answer to an order, it is given again after this.
-constexpr Millis kOrderPatience{ 1200 };
+/// An order that got no answer is given again after this, unless the engine
+/// has begun. Should the first still arrive, the engine refuses it: it has
+/// taken another order since.
+constexpr Millis kOrderPatience{ 60 };
 
 /// Pause after a call that failed.
 constexpr Millis kRetryPause{ 150 };
--- a/packages/state/include/shuntjunction/state/endpoint_directory.h
+++ b/packages/state/include/shuntjunction/state/endpoint_directory.h
@@ -41,12 +41,16 @@
   bool Expire(TimePoint aNow);
 
   /// All endpoints that are believed to exist, by id.
+  ///
+  /// Of several at one address only the one that was listed last: a restarted
+  /// endpoint has a new id, and the entry of its former life goes later.
   std::vector<EndpointInfo> Endpoints() const;
 
 private:
   struct Entry
   {
     EndpointInfo mInfo;
+    std::uint64_t mFirstRevision = 0;
     bool mIsLapsed = false;
     TimePoint mGoesAt; ///< of a lapsed entry
   };
--- a/packages/state/include/shuntjunction/state/relay_config.h
+++ b/packages/state/include/shuntjunction/state/relay_config.h
@@ -171,6 +171,7 @@
   std::int64_t mSlots = 1;
   bool mIsLeaving = false;
   std::vector<LoadedModel> mModels;
+  std::uint64_t mRevision = 0; ///< of the platform, at its last change
 
   bool operator==(const EndpointInfo&) const = default;
 
--- a/packages/state/src/endpoint_directory.cpp
+++ b/packages/state/src/endpoint_directory.cpp
@@ -27,7 +27,9 @@
 void
 EndpointDirectory::Put(const EndpointInfo& aEndpoint)
 {
-  mEntries[aEndpoint.mId] = Entry{ aEndpoint };
+  auto& entry = mEntries[aEndpoint.mId];
+  const auto first = entry.mFirstRevision;
+  entry = Entry{ aEndpoint, first == 0 ? aEndpoint.mRevision : first };
 }
 
 void
@@ -72,10 +74,17 @@
 std::vector<EndpointInfo>
 EndpointDirectory::Endpoints() const
 {
+  std::map<std::string_view, std::uint64_t> newest;
+  for (const auto& [id, entry] : mEntries) {
+    auto& revision = newest[entry.mInfo.mAddress];
+    revision = std::max(revision, entry.mFirstRevision);
+  }
   std::vector<EndpointInfo> endpoints;
   endpoints.reserve(mEntries.size());
   for (const auto& [id, entry] : mEntries) {
-    endpoints.push_back(entry.mInfo);
+    if (entry.mFirstRevision == newest[entry.mInfo.mAddress]) {
+      endpoints.push_back(entry.mInfo);
+    }
   }
   return endpoints;
 }
