Companions tell when their engine is down; lists are watched in groups

Cause: an engine that falls silent held its requests until the peer's acknowledgements ran out (3 s); each process paid for every change of the list. Change: the companion asks its engine's report three times a second (free there) and tells relays after three silent ones: nothing new is sent, what waits there ends or goes on elsewhere. The list is watched again 0.4 s (relay) and 2 s (companion) after a change.

--- a/packages/coordination/include/shuntjunction/coordination/engine_news.h
+++ b/packages/coordination/include/shuntjunction/coordination/engine_news.h
@@ -22,8 +22,6 @@
   std::string mModel;
   std::uint64_t mWeights = 0;
   protocol::EnginePhase mPhase = protocol::EnginePhase::kOpen;
-  std::uint32_t mRunning = 0;
-  std::uint32_t mQueued = 0;
 
   bool operator==(const EngineState&) const = default;
 };
@@ -57,6 +55,12 @@
   /// Sets the engine's state.
   void SetState(const EngineState& aState);
 
+  /// Sets whether the engine answers; while it does not, it is told as down.
+  void SetDown(bool aIsDown);
+
+  /// Sets the engine's load, which is told with the next news.
+  void SetLoad(std::uint32_t aRunning, std::uint32_t aQueued);
+
   /// Adds parts that a holder keeps and takes away those that it lost.
   void ChangeParts(PartHolder aHolder,
                    const std::vector<std::string>& aGained,
--- a/packages/coordination/src/engine_news.cpp
+++ b/packages/coordination/src/engine_news.cpp
@@ -36,8 +36,6 @@
   news.mModel = aState.mModel;
   news.mWeights = aState.mWeights;
   news.mPhase = aState.mPhase;
-  news.mRunning = aState.mRunning;
-  news.mQueued = aState.mQueued;
   return news;
 }
 
@@ -103,7 +101,13 @@
   EngineNews NewsOfHolder(PartHolder aHolder) const
   {
     if (aHolder == PartHolder::kEngine) {
-      return NewsOf(mState);
+      auto news = NewsOf(mState);
+      if (mIsDown) {
+        news.mPhase = protocol::EnginePhase::kDown;
+      }
+      news.mRunning = mRunning;
+      news.mQueued = mQueued;
+      return news;
     }
     EngineNews news;
     news.mEndpoint = mStore;
@@ -120,7 +124,7 @@
 
   void SendState()
   {
-    auto news = NewsOf(mState);
+    auto news = NewsOfHolder(PartHolder::kEngine);
     news.mIsWhole = false;
     Send(news);
   }
@@ -137,6 +141,9 @@
   EventLog& mLog;
   transport::ChannelCounters mCounters;
   EngineState mState;
+  bool mIsDown = false;
+  std::uint32_t mRunning = 0;
+  std::uint32_t mQueued = 0;
   std::string mStore;                          ///< address; empty: not told of
   std::array<std::set<std::string>, 2> mParts; ///< by PartHolder
   std::set<std::shared_ptr<FrameChannel>> mChannels;
@@ -178,6 +185,25 @@
   mShared->SendState();
 }
 
+void
+EngineNewsServer::SetDown(bool aIsDown)
+{
+  if (std::exchange(mShared->mIsDown, aIsDown) == aIsDown) {
+    return;
+  }
+  mShared->mLog.Write(
+    EventLine(kPart, aIsDown ? "engine-lost" : "engine-regained")
+      .Add("endpoint", mShared->mState.mEndpoint));
+  mShared->SendState();
+}
+
+void
+EngineNewsServer::SetLoad(std::uint32_t aRunning, std::uint32_t aQueued)
+{
+  mShared->mRunning = aRunning;
+  mShared->mQueued = aQueued;
+}
+
 void
 EngineNewsServer::ChangeParts(PartHolder aHolder,
                               const std::vector<std::string>& aGained,
--- a/packages/coordination/src/fleet_daemon.cpp
+++ b/packages/coordination/src/fleet_daemon.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/signal_set.hpp>
 
 #include "shuntjunction/coordination/engine_news.h"
+#include "shuntjunction/coordination/engine_watch.h"
 #include "shuntjunction/coordination/part_follower.h"
 #include "shuntjunction/coordination/part_store_teller.h"
 #include "shuntjunction/coordination/relay.h"
@@ -29,6 +30,12 @@
 constexpr std::string_view kPart = "process";
 constexpr std::string_view kMetricsPath = "/metrics";
 
+/// Changes of the list are taken together, since each call has a price: a relay
+/// must hear of a leaving endpoint within two seconds, a companion needs little
+/// more than its own engine's entry.
+constexpr Millis kRelayListPause{ 400 };
+constexpr Millis kCompanionListPause{ 2000 };
+
 /// The balancer asks once a second and leaves after two refusals; until then
 /// new connections still come.
 constexpr Millis kStopNotice{ 2600 };
@@ -162,6 +169,9 @@
   {
     RelayFeedSettings feed;
     feed.mWatchesConfig = aSettings.mRole == FleetRole::kRelay;
+    feed.mListPause = aSettings.mRole == FleetRole::kRelay
+                        ? kRelayListPause
+                        : kCompanionListPause;
     return feed;
   }
 
@@ -226,6 +236,8 @@
       },
       [this] { mNewsServer->ClearParts(PartHolder::kEngine); });
     mParts->Start();
+    mWatch = std::make_unique<EngineWatch>(mControl, *mEngine, *mNewsServer);
+    mWatch->Start();
     mStoreTeller = std::make_unique<PartStoreTeller>(
       PartStoreTellerParts{ mControl,
                             mSettings,
@@ -367,6 +379,7 @@
   std::unique_ptr<EngineNewsServer> mNewsServer;
   std::unique_ptr<EngineControl> mEngine;
   std::unique_ptr<PartFollower> mParts;
+  std::unique_ptr<EngineWatch> mWatch;
   std::unique_ptr<PartStoreTeller> mStoreTeller;
   std::unique_ptr<WeightsKeeper> mKeeper;
   std::unique_ptr<PathServer> mReadiness;
--- a/packages/coordination/src/relay_attempt.cpp
+++ b/packages/coordination/src/relay_attempt.cpp
@@ -129,7 +129,10 @@
   endpoint.mUnreadTokens += unread;
   mTried.push_back(endpoint.mInfo.mId);
   Send(attempt);
+  const auto connection = attempt.mConnection.mReader;
+  endpoint.mBusy.insert(connection);
   const auto outcome = co_await ReadAnswer(attempt);
+  endpoint.mBusy.erase(connection);
   --endpoint.mRunning;
   if (!attempt.mHasBegun) {
     endpoint.mUnreadTokens -= unread;
@@ -138,7 +141,6 @@
   if (attempt.mConnection.mReader) {
     // Not given back: whatever may still come belongs to nobody.
     attempt.mConnection.mReader->Close(true);
-    --endpoint.mOpenConnections;
   }
   if (outcome == AttemptOutcome::kBroken ||
       outcome == AttemptOutcome::kInterrupted) {
@@ -190,12 +192,10 @@
   aAttempt.mConnection.mReader = std::make_shared<SocketReader>(
     std::move(*socket), mCore->mLimits.mReadAhead);
   aAttempt.mConnection.mReader->Start();
-  ++endpoint.mOpenConnections;
   mCore->mParts.mMetrics.Count("shuntjunction_relay_connections_opened_total");
   mOpenAttempt = aAttempt.mConnection.mReader;
   if (mInterrupt != RunInterrupt::kNone) {
     aAttempt.mConnection.mReader->Close(true);
-    --endpoint.mOpenConnections;
     mOpenAttempt = nullptr;
     co_return AttemptOutcome::kUnsent;
   }
--- a/packages/coordination/src/relay_endpoint.cpp
+++ b/packages/coordination/src/relay_endpoint.cpp
@@ -158,6 +158,9 @@
     endpoint->mNews->mGained.clear();
     endpoint->mNews->mLost.clear();
     endpoint->mNewsAt = aNow;
+    if (aNews.mPhase == protocol::EnginePhase::kDown) {
+      CutOff(*endpoint);
+    }
   } else if (!aNews.mModel.empty()) {
     // Of an engine that is not, or no longer, listed.
     return;
@@ -165,6 +168,16 @@
   mParts.Apply(aNews.mEndpoint, aNews.mIsWhole, aNews.mGained, aNews.mLost);
 }
 
+void
+RelayEndpoints::CutOff(RelayEndpoint& aEndpoint)
+{
+  aEndpoint.mIdle.clear();
+  const auto busy = std::exchange(aEndpoint.mBusy, {});
+  for (const auto& connection : busy) {
+    connection->Close(true);
+  }
+}
+
 const protocol::EngineNews*
 RelayEndpoints::FreshNews(const RelayEndpoint& aEndpoint, TimePoint aNow) const
 {
--- a/packages/coordination/src/relay_endpoint.h
+++ b/packages/coordination/src/relay_endpoint.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -58,7 +59,8 @@
   std::uint64_t mNameHash = 0;
   bool mIsListed = true;
   std::vector<EndpointConnection> mIdle; ///< the freshest last
-  std::int64_t mOpenConnections = 0;
+  /// Connections on which a request waits for its answer.
+  std::set<std::shared_ptr<transport::SocketReader>> mBusy;
   std::int64_t mRunning = 0;      ///< requests of this relay there
   std::int64_t mUnreadTokens = 0; ///< of this relay's, whose answer waits
   int mFailures = 0;              ///< in a row
@@ -127,6 +129,9 @@
   const RelayEndpointSettings& Settings() const { return mSettings; }
 
 private:
+  /// Ends all that waits for an endpoint that is down.
+  static void CutOff(RelayEndpoint& aEndpoint);
+
   RelayEndpointSettings mSettings;
   state::PartIndex mParts;
   std::map<std::string, RelayEndpointPtr, std::less<>> mById;
--- a/packages/protocol/include/shuntjunction/protocol/messages.h
+++ b/packages/protocol/include/shuntjunction/protocol/messages.h
@@ -207,11 +207,12 @@
   kOpen,    ///< takes work
   kClosing, ///< ends what runs; its weights are about to change
   kLoading, ///< loads weights
+  kDown,    ///< does not answer its companion
 };
 
 /// Names of EnginePhase.
-inline constexpr state::EnumNames<EnginePhase, 3> kEnginePhaseNames{
-  { "open", "closing", "loading" }
+inline constexpr state::EnumNames<EnginePhase, 4> kEnginePhaseNames{
+  { "open", "closing", "loading", "down" }
 };
 
 /// What a companion tells relays of the engine beside it.
--- a/packages/protocol/src/codec.cpp
+++ b/packages/protocol/src/codec.cpp
@@ -496,7 +496,7 @@
 {
   // A phase that a newer peer added is none that takes work.
   const auto phase = std::min<std::uint8_t>(
-    aWire.phase(), static_cast<std::uint8_t>(EnginePhase::kLoading));
+    aWire.phase(), static_cast<std::uint8_t>(EnginePhase::kDown));
   return { TextOf(aWire.endpoint()), TextOf(aWire.model()),
            aWire.weights(),          static_cast<EnginePhase>(phase),
            aWire.running(),          aWire.queued(),
