--- a/packages/coordination/include/shuntjunction/coordination/relay.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay.h
@@ -48,6 +48,9 @@
   /// Sets how many relays share the retry budget.
   void SetRelayCount(std::size_t aCount);
 
+  /// Brings the gauges among the metrics up to date.
+  void SetGauges();
+
   /// Whether the balancer may send connections here.
   bool IsReady() const;
 
--- a/packages/coordination/src/fleet_daemon.cpp
+++ b/packages/coordination/src/fleet_daemon.cpp
@@ -146,6 +146,13 @@
     if (!started) {
       return started;
     }
+    const auto metrics = Serve(mMetricsServer,
+                               mSettings.mMetrics,
+                               std::string(kMetricsPath),
+                               [this] { return Text(200, Exposition()); });
+    if (!metrics) {
+      return metrics;
+    }
     AwaitSignal();
     mFeed.Start();
     mControlThread = std::thread([this] { mControl.run(); });
@@ -165,6 +172,17 @@
   }
 
 private:
+  /// On the traffic thread: all metrics as text.
+  std::string Exposition()
+  {
+    mMetrics.Set("shuntjunction_log_lines_dropped",
+                 static_cast<double>(mLog.Dropped()));
+    if (mRelay) {
+      mRelay->SetGauges();
+    }
+    return mMetrics.Expose();
+  }
+
   static RelayFeedSettings FeedSettings(const FleetSettings& aSettings)
   {
     RelayFeedSettings feed;
@@ -383,6 +401,7 @@
   std::unique_ptr<PartStoreTeller> mStoreTeller;
   std::unique_ptr<WeightsKeeper> mKeeper;
   std::unique_ptr<PathServer> mReadiness;
+  std::unique_ptr<PathServer> mMetricsServer;
   bool mIsStopping = false;
   std::thread mControlThread;
 };
--- a/packages/coordination/src/relay.cpp
+++ b/packages/coordination/src/relay.cpp
@@ -132,6 +132,26 @@
   }
 }
 
+void
+Relay::SetGauges()
+{
+  auto& metrics = mCore->mParts.mMetrics;
+  const auto now = mCore->mParts.mClock.Now();
+  const auto age = mCore->mParts.mConfigConfirmed.IsKnown()
+                     ? mCore->mParts.mConfigConfirmed.Age(now)
+                     : Millis(-1);
+  metrics.Set("shuntjunction_relay_ready", IsReady() ? 1 : 0);
+  metrics.Set("shuntjunction_relay_active", static_cast<double>(Active()));
+  metrics.Set("shuntjunction_relay_connections",
+              static_cast<double>(Connections()));
+  metrics.Set("shuntjunction_relay_config_version",
+              static_cast<double>(mCore->mView->mConfig->Version()));
+  metrics.Set("shuntjunction_relay_config_age_ms",
+              static_cast<double>(age.count()));
+  metrics.Set("shuntjunction_relay_endpoints",
+              static_cast<double>(mCore->mView->mEndpoints.size()));
+}
+
 bool
 Relay::IsReady() const
 {
--- a/packages/coordination/src/relay_attempt.cpp
+++ b/packages/coordination/src/relay_attempt.cpp
@@ -367,6 +367,13 @@
 RelayRun::NoteAnswerBegun(const Attempt& aAttempt)
 {
   const auto& pick = aAttempt.mPick;
+  constexpr double kMillisPerSecond = 1000.0;
+  mCore->mParts.mMetrics.Observe(
+    RequestMeasure::kFirstToken,
+    mTeam != nullptr ? mTeam->mName : "",
+    mRoute->mUrgency == 0 ? state::Priority::kUrgent
+                          : state::Priority::kOrdinary,
+    static_cast<double>(SinceArrival().count()) / kMillisPerSecond);
   pick.mEndpoint->mUnreadTokens -= pick.mTokensToRead;
   if (pick.mPart.empty() || !IsSuccess(aAttempt.mAnswer->Head().mStatus)) {
     return;
--- a/packages/coordination/src/relay_run.cpp
+++ b/packages/coordination/src/relay_run.cpp
@@ -309,6 +309,10 @@
   if (aOutcome != AttemptOutcome::kDone) {
     line.Add("problem", mLastProblem);
   }
+  mCore->mParts.mMetrics.Count(
+    "shuntjunction_relay_attempts_total",
+    { { "service", mService },
+      { "outcome", std::string(kAttemptOutcomeNames.Name(aOutcome)) } });
   mCore->mParts.mLog.Write(std::move(line));
 }
 
--- /dev/null
+++ b/packages/state/tests/relay_state_test.cpp
@@ -0,0 +1,329 @@
+// The story of what a relay decides: who exists, who loads when, where a
+// request goes, and what may be repeated.
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include "shuntjunction/state/endpoint_directory.h"
+#include "shuntjunction/state/freshness.h"
+#include "shuntjunction/state/load_turns.h"
+#include "shuntjunction/state/part_index.h"
+#include "shuntjunction/state/part_ledger.h"
+#include "shuntjunction/state/relay_choice.h"
+#include "shuntjunction/state/relay_config.h"
+#include "shuntjunction/state/window_budget.h"
+
+namespace shuntjunction::state {
+namespace {
+
+using namespace std::chrono_literals;
+
+EndpointInfo
+Endpoint(std::string aId,
+         std::string aAddress,
+         std::uint64_t aRevision = 1,
+         std::uint64_t aWeights = 1)
+{
+  EndpointInfo info;
+  info.mId = std::move(aId);
+  info.mService = "s";
+  info.mAddress = std::move(aAddress);
+  info.mModels = { { "m", aWeights } };
+  info.mRevision = aRevision;
+  return info;
+}
+
+std::vector<std::string>
+IdsOf(const EndpointDirectory& aDirectory)
+{
+  std::vector<std::string> ids;
+  for (const auto& endpoint : aDirectory.Endpoints()) {
+    ids.push_back(endpoint.mId);
+  }
+  return ids;
+}
+
+using Ids = std::vector<std::string>;
+
+class GivenADirectory : public ::testing::Test
+{
+protected:
+  GivenADirectory()
+  {
+    mDirectory.TakeList({ Endpoint("a", "1:1"), Endpoint("b", "2:1") },
+                        mClock.Now());
+  }
+
+  ManualClock mClock;
+  EndpointDirectory mDirectory;
+};
+
+TEST_F(GivenADirectory, AnEntryThatGoesWhileTheListWorksIsGoneAtOnce)
+{
+  mDirectory.Remove("a", mClock.Now());
+  EXPECT_EQ(IdsOf(mDirectory), Ids{ "b" });
+}
+
+TEST_F(GivenADirectory, ARestartedEndpointReplacesItsFormerLife)
+{
+  mDirectory.Put(Endpoint("c", "1:1", 9));
+  EXPECT_EQ(IdsOf(mDirectory), (Ids{ "b", "c" }));
+  // The former entry is still written to: that makes it no newer.
+  mDirectory.Put(Endpoint("a", "1:1", 12));
+  EXPECT_EQ(IdsOf(mDirectory), (Ids{ "b", "c" }));
+}
+
+class WhoseListWasAway : public GivenADirectory
+{
+protected:
+  WhoseListWasAway() { mDirectory.NoteOutage(mClock.Now()); }
+};
+
+TEST_F(WhoseListWasAway, AnEntryThatLapsedStaysUntilTheGraceHasPassed)
+{
+  mDirectory.TakeList({ Endpoint("b", "2:1") }, mClock.Now());
+  EXPECT_EQ(IdsOf(mDirectory), (Ids{ "a", "b" }));
+  mClock.Advance(kLapseGrace - 1ms);
+  EXPECT_FALSE(mDirectory.Expire(mClock.Now()));
+  mClock.Advance(1ms);
+  EXPECT_TRUE(mDirectory.Expire(mClock.Now()));
+  EXPECT_EQ(IdsOf(mDirectory), Ids{ "b" });
+}
+
+TEST_F(WhoseListWasAway, AnEntryThatComesBackStays)
+{
+  mDirectory.Remove("a", mClock.Now());
+  mDirectory.Put(Endpoint("a", "1:1"));
+  mClock.Advance(10s);
+  mDirectory.Expire(mClock.Now());
+  EXPECT_EQ(IdsOf(mDirectory), (Ids{ "a", "b" }));
+}
+
+TEST_F(WhoseListWasAway, OneThatSaidItLeavesGoesAtOnce)
+{
+  auto leaving = Endpoint("a", "1:1");
+  leaving.mIsLeaving = true;
+  mDirectory.Put(leaving);
+  mDirectory.Remove("a", mClock.Now());
+  EXPECT_EQ(IdsOf(mDirectory), Ids{ "b" });
+}
+
+class GivenEngines : public ::testing::Test
+{
+protected:
+  GivenEngines()
+  {
+    for (int i = 0; i < 9; ++i) {
+      mEngines.push_back(Endpoint("e" + std::to_string(i),
+                                  std::to_string(i) + ":1",
+                                  1,
+                                  i == 4 ? 1 : 2));
+    }
+  }
+
+  std::vector<EndpointInfo> mEngines;
+  LoadTurnSettings mSettings;
+};
+
+TEST_F(GivenEngines, AFifthLoadsAtOnceAndEachHasATurn)
+{
+  const auto order = LoadOrder(mEngines, { "m", 3 });
+  ASSERT_EQ(order.size(), 9U);
+  std::map<Millis, int> atOnce;
+  for (const auto& engine : mEngines) {
+    ++atOnce[TurnOf(order, engine.mId, mSettings).value()];
+  }
+  EXPECT_EQ(atOnce.size(), 5U);
+  for (const auto& [turn, count] : atOnce) {
+    EXPECT_LE(count, 2);
+  }
+}
+
+TEST_F(GivenEngines, TheOneThatMissedAVersionGoesFirst)
+{
+  EXPECT_EQ(LoadOrder(mEngines, { "m", 3 }).front(), "e4");
+}
+
+TEST_F(GivenEngines, LeavingOnesHaveNoTurn)
+{
+  mEngines[4].mIsLeaving = true;
+  const auto order = LoadOrder(mEngines, { "m", 3 });
+  EXPECT_FALSE(TurnOf(order, "e4", mSettings).has_value());
+}
+
+class GivenCandidates : public ::testing::Test
+{
+protected:
+  GivenCandidates()
+  {
+    for (std::uint64_t i = 0; i < 5; ++i) {
+      RelayCandidate candidate;
+      candidate.mNameHash = i * 7919 + 1;
+      candidate.mVersion = 1;
+      candidate.mSlots = 8;
+      mCandidates.push_back(candidate);
+      mAll.push_back(i);
+    }
+  }
+
+  std::size_t Choose() const
+  {
+    return *ChooseByPart(mCandidates, mAll, 42, mSettings);
+  }
+
+  std::vector<RelayCandidate> mCandidates;
+  std::vector<std::size_t> mAll;
+  RelayChoiceSettings mSettings;
+};
+
+TEST_F(GivenCandidates, APartAlwaysGoesToTheSameOne)
+{
+  EXPECT_EQ(Choose(), Choose());
+}
+
+TEST_F(GivenCandidates, ItMovesWhenMuchMoreWaitsThere)
+{
+  const auto first = Choose();
+  mCandidates[first].mQueuedTokens = mSettings.mMaxLeadTokens;
+  EXPECT_EQ(Choose(), first);
+  mCandidates[first].mQueuedTokens = mSettings.mMaxLeadTokens + 1;
+  EXPECT_NE(Choose(), first);
+}
+
+TEST_F(GivenCandidates, TheSecondTakesItIfItAloneKeepsThePart)
+{
+  const auto first = Choose();
+  mCandidates[first].mQueuedTokens = mSettings.mMaxLeadTokens + 1;
+  const auto second = Choose();
+  mCandidates[first].mQueuedTokens = 0;
+  mCandidates[second].mHoldsPart = true;
+  EXPECT_EQ(Choose(), second);
+  mCandidates[first].mHoldsPart = true;
+  EXPECT_EQ(Choose(), first);
+}
+
+TEST_F(GivenCandidates, ASuspectIsTakenOnlyIfThereIsNoOther)
+{
+  const auto first = Choose();
+  mCandidates[first].mIsSuspect = true;
+  EXPECT_NE(Choose(), first);
+  for (auto& candidate : mCandidates) {
+    candidate.mIsSuspect = true;
+  }
+  EXPECT_EQ(Choose(), first);
+}
+
+TEST_F(GivenCandidates, TheNewestWeightsArePreferredOnceEnoughHaveThem)
+{
+  mCandidates[0].mVersion = 2;
+  EXPECT_EQ(PreferNewest(mCandidates, 2, 0.34).size(), 5U);
+  mCandidates[1].mVersion = 2;
+  EXPECT_EQ(PreferNewest(mCandidates, 2, 0.34),
+            (std::vector<std::size_t>{ 0, 1 }));
+}
+
+RC_GTEST_PROP(GeneratedRepeats,
+              NoWindowHoldsMoreThanTheBudget,
+              (const std::vector<std::uint8_t>& aSteps))
+{
+  ManualClock clock;
+  const WindowBudgetSettings settings{ 0.2, 3.0, 10s };
+  WindowBudget budget(settings, clock.Now());
+  std::vector<TimePoint> firsts;
+  std::vector<TimePoint> repeats;
+  for (const auto step : aSteps) {
+    clock.Advance(std::chrono::milliseconds(step * 9));
+    if (step % 3 == 0) {
+      budget.NoteFirst(clock.Now());
+      firsts.push_back(clock.Now());
+    } else if (budget.TryRepeat(clock.Now())) {
+      repeats.push_back(clock.Now());
+      const auto inWindow = [&](const std::vector<TimePoint>& aTimes) {
+        return static_cast<double>(
+          std::count_if(aTimes.begin(), aTimes.end(), [&](TimePoint aTime) {
+            return clock.Now() - aTime < settings.mWindow;
+          }));
+      };
+      RC_ASSERT(inWindow(repeats) <=
+                settings.mRatio * inWindow(firsts) + settings.mSlack);
+    }
+  }
+}
+
+TEST(GivenAConfirmation, ItsAgeIsCountedFromTheAsking)
+{
+  ManualClock clock;
+  Freshness freshness;
+  EXPECT_EQ(freshness.Age(clock.Now()), Millis::max());
+  freshness.Confirm(clock.Now());
+  clock.Advance(3s);
+  EXPECT_EQ(freshness.Age(clock.Now()), 3s);
+  // An answer to an older question that came late changes nothing.
+  freshness.Confirm(clock.Now() - 5s);
+  EXPECT_EQ(freshness.Age(clock.Now()), 3s);
+}
+
+TEST(GivenAnIndexOfParts, HoldersComeAndGo)
+{
+  PartIndex index;
+  index.Apply("e1", true, { "s/a", "s/b" }, {});
+  index.Apply("e2", false, { "s/a" }, {});
+  EXPECT_EQ(index.Holders("s/a"), (Ids{ "e1", "e2" }));
+  index.Apply("e1", false, {}, { "s/a" });
+  EXPECT_EQ(index.Holders("s/a"), Ids{ "e2" });
+  index.Apply("e1", true, {}, {});
+  EXPECT_FALSE(index.Holds("e1", "s/b"));
+  index.Forget("e2");
+  EXPECT_TRUE(index.Holders("s/a").empty());
+}
+
+TEST(GivenALedger, TheLeastRecentlyUsedIsForgotten)
+{
+  ManualClock clock;
+  PartLedger ledger(2);
+  ledger.At("s", "a").mServedAt = clock.Now();
+  ledger.At("s", "b").mServedAt = clock.Now();
+  ledger.At("s", "a");
+  ledger.At("s", "c");
+  EXPECT_EQ(ledger.Size(), 2U);
+  EXPECT_EQ(ledger.At("s", "a").mServedAt, clock.Now());
+  EXPECT_EQ(ledger.At("s", "b").mServedAt, TimePoint());
+}
+
+class GivenRules : public ::testing::Test
+{
+protected:
+  GivenRules()
+  {
+    for (const auto* prefix : { "/a/", "/a/b/" }) {
+      RouteRule route;
+      route.mName = prefix;
+      route.mHost = "Host.example";
+      route.mPathPrefix = prefix;
+      mRules.mRoutes.push_back(route);
+    }
+    mRules.mTeams.push_back({ "team", { "k1", "k2" }, {}, false });
+  }
+
+  RelayRules mRules;
+};
+
+TEST_F(GivenRules, TheLongestPrefixOfTheHostCounts)
+{
+  const RelayConfig config(mRules);
+  EXPECT_EQ(config.RouteOf("host.example:80", "/a/b/c")->mName, "/a/b/");
+  EXPECT_EQ(config.RouteOf("HOST.example", "/a/x")->mName, "/a/");
+  EXPECT_EQ(config.RouteOf("host.example", "/b/"), nullptr);
+  EXPECT_EQ(config.RouteOf("other.example", "/a/"), nullptr);
+}
+
+TEST_F(GivenRules, EachOfATeamsKeysNamesIt)
+{
+  const RelayConfig config(mRules);
+  EXPECT_EQ(config.TeamOf("k2")->mName, "team");
+  EXPECT_EQ(config.TeamOf("k3"), nullptr);
+}
+
+} // namespace
+} // namespace shuntjunction::state
