Queues of engines weigh in the choice; an outage names a later return

Cause: a relay saw only its own requests at an engine; while all engines of a service were down, callers were sent back after 0.1 s and used their only retry in vain. Change: companions tell the queue (at once when it changes by three); 1.5 s to come back when nothing of a service answers.

--- a/packages/coordination/src/engine_news.cpp
+++ b/packages/coordination/src/engine_news.cpp
@@ -19,6 +19,9 @@
 /// The state is told again after this, for relays to notice silence.
 constexpr Millis kRepeatInterval{ 1000 };
 
+/// A queue that grew or shrank by so many requests is told at once.
+constexpr std::uint32_t kQueueChangeToTell = 3;
+
 /// A channel that says nothing for this long is opened anew.
 constexpr Millis kSilenceLimit{ 2300 };
 
@@ -126,6 +129,7 @@
   {
     auto news = NewsOfHolder(PartHolder::kEngine);
     news.mIsWhole = false;
+    mToldQueued = mQueued;
     Send(news);
   }
 
@@ -141,6 +145,7 @@
   EventLog& mLog;
   transport::ChannelCounters mCounters;
   EngineState mState;
+  std::uint32_t mToldQueued = 0;
   bool mIsDown = false;
   std::uint32_t mRunning = 0;
   std::uint32_t mQueued = 0;
@@ -202,6 +207,11 @@
 {
   mShared->mRunning = aRunning;
   mShared->mQueued = aQueued;
+  const auto told = mShared->mToldQueued;
+  const auto change = std::max(aQueued, told) - std::min(aQueued, told);
+  if (change >= kQueueChangeToTell) {
+    mShared->SendState();
+  }
 }
 
 void
--- a/packages/coordination/src/relay_choice_view.cpp
+++ b/packages/coordination/src/relay_choice_view.cpp
@@ -88,6 +88,10 @@
     candidate.mRunning = aEndpoint->mRunning;
     candidate.mSlots = aEndpoint->mInfo.mSlots;
     candidate.mQueuedTokens = aEndpoint->mUnreadTokens;
+    if (const auto* news = mCore.mEndpoints.FreshNews(*aEndpoint, mNow)) {
+      candidate.mQueuedTokens = std::max(
+        candidate.mQueuedTokens, news->mQueued * mCore.mLimits.mTokensOfQueued);
+    }
     mCandidates.push_back(candidate);
     mEndpoints.push_back(aEndpoint);
   }
@@ -208,4 +212,19 @@
   return pick;
 }
 
+bool
+IsServiceDown(Relay::Core& aCore, const std::string& aService)
+{
+  const auto now = aCore.mParts.mClock.Now();
+  const auto serving = aCore.mEndpoints.Serving(aService);
+  return std::all_of(
+    serving.begin(), serving.end(), [&](const RelayEndpointPtr& aEndpoint) {
+      const auto* news = aCore.mEndpoints.FreshNews(*aEndpoint, now);
+      const bool isDown =
+        news != nullptr && news->mPhase == protocol::EnginePhase::kDown;
+      return isDown || now < aEndpoint->mClosedUntil ||
+             now < aEndpoint->mSuspectUntil;
+    });
+}
+
 } // namespace shuntjunction::coordination
--- a/packages/coordination/src/relay_choice_view.h
+++ b/packages/coordination/src/relay_choice_view.h
@@ -31,4 +31,8 @@
 std::optional<RelayPick>
 ChooseEndpoint(Relay::Core& aCore, const RelayAsk& aAsk);
 
+/// Whether no endpoint of a service can be reached, as far as is known.
+bool
+IsServiceDown(Relay::Core& aCore, const std::string& aService);
+
 } // namespace shuntjunction::coordination
--- a/packages/coordination/src/relay_core.h
+++ b/packages/coordination/src/relay_core.h
@@ -39,6 +39,8 @@
   std::size_t mMaxParts = 4096;
   /// A part that an endpoint served so long ago may have left its memory.
   state::Millis mPartMemory{ 4000 };
+  /// Tokens that a request which waits at an engine has on average to read.
+  std::int64_t mTokensOfQueued = 2500;
   /// News of a part comes so long after it was read at the latest.
   state::Millis mNewsDelay{ 1000 };
   /// Longest wait behind another request that reads the same part.
--- a/packages/coordination/src/relay_run.cpp
+++ b/packages/coordination/src/relay_run.cpp
@@ -27,8 +27,9 @@
 constexpr unsigned kUnavailable = 503;
 constexpr unsigned kTimedOut = 504;
 
-/// How long a refused caller is told to stay away.
-constexpr Millis kRetrySoon{ 100 };
+/// The same when no endpoint of its service answers: the time in which one
+/// that was restarted is listed again.
+constexpr Millis kRetryAfterOutage{ 1500 };
 /// The same when the platform's store cannot be reached.
 constexpr Millis kRetryLater{ 1000 };
 
@@ -226,6 +227,8 @@
     }
     if (Now() >= until) {
       mLastProblem = "no-endpoint";
+      mRetryAfter =
+        IsServiceDown(*mCore, mService) ? kRetryAfterOutage : kRetrySoon;
       break;
     }
     co_await transport::Sleep(kWaitStep);
@@ -335,7 +338,7 @@
   const bool isLate = mInterrupt == RunInterrupt::kDeadline;
   const std::string reason = isLate ? "deadline" : mLastProblem;
   if (!mMayHaveRun) {
-    co_await Refuse(kUnavailable, reason, kRetrySoon);
+    co_await Refuse(kUnavailable, reason, mRetryAfter);
   } else if (isLate) {
     co_await Refuse(kTimedOut, reason);
   } else {
--- a/packages/coordination/src/relay_run.h
+++ b/packages/coordination/src/relay_run.h
@@ -7,6 +7,9 @@
 
 namespace shuntjunction::coordination {
 
+/// How long a refused caller is told to stay away.
+inline constexpr state::Millis kRetrySoon{ 100 };
+
 /// Why a run was interrupted.
 enum class RunInterrupt : std::uint8_t
 {
@@ -114,6 +117,7 @@
   std::string mLastEventId;  ///< of the last event passed on
   unsigned mFirstStatus = 0;
   std::string mLastProblem;
+  state::Millis mRetryAfter = kRetrySoon; ///< if it is refused unserved
 };
 
 } // namespace shuntjunction::coordination
--- a/packages/state/tests/relay_state_test.cpp
+++ b/packages/state/tests/relay_state_test.cpp
@@ -115,10 +115,8 @@
   GivenEngines()
   {
     for (int i = 0; i < 9; ++i) {
-      mEngines.push_back(Endpoint("e" + std::to_string(i),
-                                  std::to_string(i) + ":1",
-                                  1,
-                                  i == 4 ? 1 : 2));
+      mEngines.push_back(Endpoint(
+        "e" + std::to_string(i), std::to_string(i) + ":1", 1, i == 4 ? 1 : 2));
     }
   }
 
