Prompts that share little go where least waits

Cause: affinity for shared parts of 200 tokens sent half of all requests to two engines each; reading such a part takes 3 ms. The attempt's line says whether the part was kept.

--- a/packages/coordination/src/relay_choice_view.cpp
+++ b/packages/coordination/src/relay_choice_view.cpp
@@ -163,7 +163,7 @@
   const auto name = state::PartName(aPick.mSalt, aPick.mPart);
   const auto& record = aCore.mLedger.At(aPick.mSalt, aPick.mPart);
   const bool isSavedLately = now - record.mSavedAt < aCore.mLimits.mNewsDelay;
-  if (!index.Holds(store, name) && !isSavedLately) {
+  if (!isSavedLately && !index.Holds(store, name)) {
     aPick.mPartStore = store;
   }
   // A source that has nothing costs a millisecond, so one is always named.
@@ -189,7 +189,11 @@
     state::PreferNewest(candidates, list.Newest(), aCore.mLimits.mNewestShare);
   const auto& parts = aAsk.mCall->mParts;
   std::optional<std::size_t> index;
-  if (parts.size() >= 2) {
+  std::int64_t shared = 0;
+  for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
+    shared += parts[i].mTokens;
+  }
+  if (shared >= settings.mMinSharedTokens) {
     const auto key = state::PlacementHash(parts[parts.size() - 2].mId);
     index = state::ChooseByPart(candidates, allowed, key, settings);
   } else {
@@ -201,6 +205,7 @@
   RelayPick pick;
   pick.mEndpoint = list.At(*index);
   pick.mWeights = candidates[*index].mVersion;
+  pick.mIsKept = candidates[*index].mHoldsPart;
   if (pick.mWeights != 0) {
     pick.mSalt = SaltOf(aAsk, pick.mWeights);
   }
--- a/packages/coordination/src/relay_choice_view.h
+++ b/packages/coordination/src/relay_choice_view.h
@@ -21,9 +21,10 @@
   RelayEndpointPtr mEndpoint;
   std::uint64_t mWeights = 0; ///< 0 for a plain service
   std::string mSalt;
-  std::string mPart;              ///< id of the last shared part; empty: none
-  std::string mPartSource;        ///< address
-  std::string mPartStore;         ///< address to save to; empty: not
+  std::string mPart;       ///< id of the last shared part; empty: none
+  std::string mPartSource; ///< address
+  std::string mPartStore;  ///< address to save to; empty: not
+  bool mIsKept = false;    ///< the endpoint keeps the part, as far as is known
   std::int64_t mTokensToRead = 0; ///< estimate, see RelayEndpoint
 };
 
--- a/packages/coordination/src/relay_run.cpp
+++ b/packages/coordination/src/relay_run.cpp
@@ -306,6 +306,8 @@
   if (aPick.mWeights != 0) {
     line.Add("weights", aPick.mWeights)
       .Add("shared_part", aPick.mPart)
+      .Add("kept", aPick.mIsKept)
+      .Add("to_read", aPick.mTokensToRead)
       .Add("source", aPick.mPartSource)
       .Add("saves", !aPick.mPartStore.empty());
   }
--- a/packages/state/include/shuntjunction/state/relay_choice.h
+++ b/packages/state/include/shuntjunction/state/relay_choice.h
@@ -38,6 +38,11 @@
   /// the second before the second takes it: about 0.35 s of reading. Less
   /// spreads each part over two engines, which together forget twice as much.
   std::int64_t mMaxLeadTokens = 20000;
+  /// Prompts that share less go where least waits: reading it again takes a few
+  /// milliseconds.
+  std::int64_t mMinSharedTokens = 1000;
+  /// Tokens to read that weigh as much as one request that runs.
+  std::int64_t mTokensOfRequest = 2500;
   /// Requests by which an endpoint of the own zone may exceed another's.
   std::int64_t mZoneLead = 2;
 };
