A stopped process ends at once

Ruled out: our own threads and the log's queue (all ended, as the lines show). Change: the daemon's objects are destroyed, then the process ends without the libraries' clean-up.

--- a/apps/shuntjunctiond.cpp
+++ b/apps/shuntjunctiond.cpp
@@ -4,6 +4,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
+#include <memory>
 #include <sstream>
 
 #include <CLI/CLI.hpp>
@@ -83,7 +84,7 @@
   platform::ObjectStore objects(*store, kStoreTimeout);
   const platform::ObjectCodec objectCodec;
   const platform::CallCodec callCodec;
-  coordination::FleetDaemon daemon(
+  auto daemon = std::make_unique<coordination::FleetDaemon>(
     *settings,
     coordination::FleetAdapter{
       objects,
@@ -94,13 +95,16 @@
                                                        kEngineTimeout);
       } },
     [aFile] { return ReadBootFile(aFile); });
-  const auto started = daemon.Start();
+  const auto started = daemon->Start();
   if (!started) {
     std::cerr << started.error().Describe() << "\n";
     return kExitNotStarted;
   }
-  daemon.Run();
-  return 0;
+  daemon->Run();
+  daemon.reset();
+  // Everything of ours has ended and is logged. The libraries' own clean-up at
+  // exit waits for threads that are idle, until the grace has run out.
+  std::quick_exit(0);
 }
 
 } // namespace
