Reading an endpoint's answer is a module of its own

What reads, judges and passes on an answer is now in relay_answer.cpp, what an attempt keeps in relay_attempt.h; ReadAnswer and Send are split into steps. No behaviour changes.

--- /dev/null
+++ b/packages/coordination/src/relay_answer.cpp
@@ -0,0 +1,337 @@
+#include <array>
+#include <cstdio>
+
+#include "relay_attempt.h"
+
+// The part of a run that reads an endpoint's answer and passes it on.
+
+namespace shuntjunction::coordination {
+
+using state::RouteKind;
+using transport::ReadStep;
+using transport::RelayAnswer;
+using transport::RelayAnswerReader;
+using transport::Task;
+
+namespace {
+
+constexpr unsigned kMisdirected = 421;
+constexpr unsigned kTooMany = 429;
+constexpr unsigned kRequestTimeout = 408;
+constexpr unsigned kUnavailable = 503;
+constexpr unsigned kNoContent = 204;
+constexpr unsigned kNotModified = 304;
+
+bool
+IsSuccess(unsigned aStatus)
+{
+  constexpr unsigned kFirst = 200;
+  constexpr unsigned kLast = 299;
+  return aStatus >= kFirst && aStatus <= kLast;
+}
+
+/// Statuses that promise a caller that its request was not run.
+bool
+IsPromise(unsigned aStatus)
+{
+  return aStatus == kMisdirected || aStatus == kTooMany ||
+         aStatus == kRequestTimeout || aStatus == kUnavailable;
+}
+
+bool
+HasNoBody(unsigned aStatus)
+{
+  return aStatus == kNoContent || aStatus == kNotModified;
+}
+
+/// A piece of a body in chunked coding.
+std::string
+Chunk(std::string_view aPiece)
+{
+  std::array<char, 20> size{};
+  std::snprintf(size.data(), size.size(), "%zx\r\n", aPiece.size());
+  std::string chunk = size.data();
+  chunk += aPiece;
+  chunk += "\r\n";
+  return chunk;
+}
+
+constexpr std::string_view kLastChunk = "0\r\n\r\n";
+
+} // namespace
+
+Task<AttemptOutcome>
+RelayRun::ReadAnswer(Attempt& aAttempt)
+{
+  auto& reader = *aAttempt.mConnection.mReader;
+  aAttempt.mAnswer =
+    std::make_unique<RelayAnswerReader>(mRequest->mMethod == "HEAD");
+  while (true) {
+    if (mInterrupt != RunInterrupt::kNone) {
+      co_return AttemptOutcome::kInterrupted;
+    }
+    const auto step = ReadBuffered(aAttempt);
+    if (!step) {
+      co_await reader.Wait(mDeadline);
+      continue;
+    }
+    if (*step == ReadStep::kBad) {
+      co_return AttemptOutcome::kBroken;
+    }
+    if (const auto verdict = JudgeOnce(aAttempt, *step)) {
+      co_return *verdict;
+    }
+    const bool isDone = *step == ReadStep::kDone;
+    if (aAttempt.mIsOther) {
+      SkipOther(aAttempt, isDone);
+      continue;
+    }
+    if (!aAttempt.mIsHeadJudged) {
+      continue;
+    }
+    if (!co_await PassBody(aAttempt, isDone)) {
+      co_return mInterrupt != RunInterrupt::kNone ? AttemptOutcome::kInterrupted
+                                                  : AttemptOutcome::kBroken;
+    }
+    if (isDone) {
+      Finish(aAttempt);
+      LogOutcome("answered", "");
+      co_return AttemptOutcome::kDone;
+    }
+  }
+}
+
+std::optional<ReadStep>
+RelayRun::ReadBuffered(Attempt& aAttempt)
+{
+  auto& reader = *aAttempt.mConnection.mReader;
+  ReadStep step = ReadStep::kNeedMore;
+  std::size_t consumed = 0;
+  if (!reader.Buffered().empty()) {
+    step = aAttempt.mAnswer->Put(reader.Buffered(), consumed);
+    reader.Consume(consumed);
+  }
+  if (step == ReadStep::kNeedMore && consumed == 0) {
+    // What is buffered, if anything, is a piece that is not yet whole.
+    if (!reader.IsClosed()) {
+      return std::nullopt;
+    }
+    if (!reader.IsEndedInOrder() || !aAttempt.mAnswer->EndOfConnection()) {
+      mLastProblem =
+        aAttempt.mAnswer->HasBegun() ? "answer cut off" : "closed unanswered";
+      return ReadStep::kBad;
+    }
+    return ReadStep::kDone;
+  }
+  if (step == ReadStep::kBad) {
+    mLastProblem = "malformed answer";
+  }
+  return step;
+}
+
+std::optional<AttemptOutcome>
+RelayRun::JudgeOnce(Attempt& aAttempt, ReadStep aStep)
+{
+  const bool isDone = aStep == ReadStep::kDone;
+  if (aAttempt.mIsHeadJudged || (!isDone && aStep != ReadStep::kHead)) {
+    return std::nullopt;
+  }
+  aAttempt.mIsHeadJudged = true;
+  aAttempt.mFacts = mCore->mParts.mCodec.ReadAnswer(aAttempt.mAnswer->Head());
+  const auto& id = aAttempt.mFacts.mRequestId;
+  aAttempt.mIsOther = !id.empty() && id != mCall.mRequestId;
+  if (aAttempt.mIsOther) {
+    return std::nullopt;
+  }
+  const auto verdict = JudgeHead(aAttempt);
+  if (verdict && isDone && *verdict != AttemptOutcome::kBroken) {
+    Finish(aAttempt);
+  }
+  return verdict;
+}
+
+void
+RelayRun::SkipOther(Attempt& aAttempt, bool aIsDone)
+{
+  // An answer to an earlier request came late: ours may follow it.
+  aAttempt.mAnswer->TakeBody();
+  if (!aIsDone) {
+    return;
+  }
+  aAttempt.mIsOtherSkipped = true;
+  aAttempt.mAnswer =
+    std::make_unique<RelayAnswerReader>(mRequest->mMethod == "HEAD");
+  aAttempt.mIsHeadJudged = false;
+  aAttempt.mIsOther = false;
+}
+
+std::optional<AttemptOutcome>
+RelayRun::JudgeHead(Attempt& aAttempt)
+{
+  const auto& head = aAttempt.mAnswer->Head();
+  const auto& facts = aAttempt.mFacts;
+  if (head.mStatus == kMisdirected) {
+    mLastProblem = "misdirected";
+    return AttemptOutcome::kMisdirected;
+  }
+  if (facts.mIsNotRun) {
+    mLastProblem = "endpoint refused: " + std::to_string(head.mStatus);
+    return AttemptOutcome::kNotRun;
+  }
+  const bool isOurs = facts.mRequestId == mCall.mRequestId;
+  const bool isUsable = isOurs && !facts.mIsEncoded &&
+                        !IsPromise(head.mStatus) &&
+                        (facts.mIsSigned || !IsSuccess(head.mStatus)) &&
+                        (!mIsHeadPassed || IsSuccess(head.mStatus));
+  if (!isUsable) {
+    mLastProblem = "unusable answer: " + std::to_string(head.mStatus);
+    return AttemptOutcome::kBroken;
+  }
+  aAttempt.mIsStreamed =
+    mRoute->mKind == RouteKind::kStream && IsSuccess(head.mStatus);
+  return std::nullopt;
+}
+
+void
+RelayRun::NoteAnswerBegun(const Attempt& aAttempt)
+{
+  const auto& pick = aAttempt.mPick;
+  constexpr double kMillisPerSecond = 1000.0;
+  mCore->mParts.mMetrics.Observe(
+    RequestMeasure::kFirstToken,
+    mTeam != nullptr ? mTeam->mName : "",
+    mRoute->mUrgency == 0 ? state::Priority::kUrgent
+                          : state::Priority::kOrdinary,
+    static_cast<double>(SinceArrival().count()) / kMillisPerSecond);
+  pick.mEndpoint->mUnreadTokens -= pick.mTokensToRead;
+  if (pick.mPart.empty() || !IsSuccess(aAttempt.mAnswer->Head().mStatus)) {
+    return;
+  }
+  auto& record = mCore->mLedger.At(pick.mSalt, pick.mPart);
+  record.mHolder = pick.mEndpoint->mInfo.mId;
+  record.mServedAt = Now();
+  if (!pick.mPartStore.empty()) {
+    record.mSavedAt = Now();
+  }
+}
+
+Task<bool>
+RelayRun::PassBody(Attempt& aAttempt, bool aIsDone)
+{
+  if (!aAttempt.mHasBegun) {
+    aAttempt.mHasBegun = true;
+    NoteAnswerBegun(aAttempt);
+  }
+  if (aAttempt.mIsStreamed) {
+    co_return co_await PassStreamPiece(aAttempt, aIsDone);
+  }
+  aAttempt.mHeld += aAttempt.mAnswer->TakeBody();
+  if (!aIsDone && aAttempt.mHeld.size() > mCore->mLimits.mMaxHeldAnswer) {
+    // Too long to hold: from here on an end that is missing cuts the caller.
+    aAttempt.mIsStreamed = true;
+    co_return co_await PassStreamPiece(aAttempt, aIsDone);
+  }
+  if (aIsDone) {
+    co_return co_await PassHeldAnswer(aAttempt);
+  }
+  co_return true;
+}
+
+Task<bool>
+RelayRun::PassHeldAnswer(Attempt& aAttempt)
+{
+  const auto& head = aAttempt.mAnswer->Head();
+  std::optional<std::size_t> length = aAttempt.mHeld.size();
+  if (mRequest->mMethod == "HEAD") {
+    length =
+      head.mLength ? std::optional<std::size_t>(*head.mLength) : std::nullopt;
+  } else if (HasNoBody(head.mStatus)) {
+    length = std::nullopt;
+  }
+  std::string text = HeadText(head, length) + "\r\n" + aAttempt.mHeld;
+  mIsHeadPassed = true;
+  mFirstStatus = head.mStatus;
+  co_return co_await WriteToCaller(std::move(text));
+}
+
+Task<bool>
+RelayRun::PassStreamPiece(Attempt& aAttempt, bool aIsDone)
+{
+  std::string piece =
+    std::exchange(aAttempt.mHeld, {}) + aAttempt.mAnswer->TakeBody();
+  if (mRoute->mKind == RouteKind::kStream) {
+    piece = TakeWholeEvents(std::move(piece), aIsDone);
+  }
+  std::string text;
+  const bool isChunked = !mRequest->mIsHttp10;
+  if (!mIsHeadPassed) {
+    mIsHeadPassed = true;
+    mFirstStatus = aAttempt.mAnswer->Head().mStatus;
+    if (!isChunked) {
+      mIsKept = false;
+    }
+    text = HeadText(aAttempt.mAnswer->Head(), std::nullopt);
+    if (isChunked) {
+      text += "Transfer-Encoding: chunked\r\n";
+    }
+    text += "\r\n";
+  }
+  if (!piece.empty()) {
+    text += isChunked ? Chunk(piece) : piece;
+  }
+  if (aIsDone && isChunked) {
+    text += kLastChunk;
+  }
+  if (text.empty()) {
+    co_return true;
+  }
+  co_return co_await WriteToCaller(std::move(text));
+}
+
+std::string
+RelayRun::TakeWholeEvents(std::string aBytes, bool aIsDone)
+{
+  constexpr std::string_view kEventEnd = "\n\n";
+  constexpr std::string_view kIdField = "id:";
+  mPartialEvent += aBytes;
+  const auto end = mPartialEvent.rfind(kEventEnd);
+  const std::size_t size =
+    aIsDone ? mPartialEvent.size()
+            : (end == std::string::npos ? 0 : end + kEventEnd.size());
+  std::string events = mPartialEvent.substr(0, size);
+  mPartialEvent.erase(0, size);
+  const auto idLine = events.rfind(kIdField);
+  const bool isLineStart =
+    idLine != std::string::npos && (idLine == 0 || events[idLine - 1] == '\n');
+  if (isLineStart) {
+    auto value = std::string_view(events).substr(idLine + kIdField.size());
+    value = value.substr(0, value.find_first_of("\r\n"));
+    while (!value.empty() && value.front() == ' ') {
+      value.remove_prefix(1);
+    }
+    mLastEventId = value;
+  }
+  return events;
+}
+
+std::string
+RelayRun::HeadText(const RelayAnswer& aAnswer,
+                   std::optional<std::size_t> aLength) const
+{
+  std::string text = "HTTP/1.1 " + std::to_string(aAnswer.mStatus) + " " +
+                     aAnswer.mReason + "\r\n";
+  const auto connection = aAnswer.Field("Connection");
+  for (const auto& field : aAnswer.mFields) {
+    if (!transport::IsConnectionField(field.mName, connection) &&
+        !transport::IsSameName(field.mName, "Content-Length")) {
+      text += field.mName + ": " + field.mValue + "\r\n";
+    }
+  }
+  if (aLength) {
+    text += "Content-Length: " + std::to_string(*aLength) + "\r\n";
+  }
+  AppendConnectionField(text);
+  return text;
+}
+
+} // namespace shuntjunction::coordination
--- /dev/null
+++ b/packages/coordination/src/relay_attempt.h
@@ -0,0 +1,36 @@
+#pragma once
+
+// Private to coordination: what one attempt of a request keeps.
+
+#include <memory>
+#include <string>
+
+#include "relay_run.h"
+
+namespace shuntjunction::coordination {
+
+/// Bytes of a request on their way to an endpoint.
+struct Sending
+{
+  std::string mHead;
+  std::shared_ptr<transport::RelayRequest> mRequest;
+  bool mIsDone = false;
+};
+
+/// One attempt at one endpoint.
+struct RelayRun::Attempt
+{
+  RelayPick mPick;
+  EndpointConnection mConnection;
+  std::shared_ptr<Sending> mSending;
+  std::unique_ptr<transport::RelayAnswerReader> mAnswer;
+  AnswerFacts mFacts;
+  bool mIsHeadJudged = false;
+  bool mIsOther = false;        ///< the answer is to another request
+  std::string mHeld;            ///< body that waits until the answer is whole
+  bool mIsOtherSkipped = false; ///< an answer to another request came first
+  bool mIsStreamed = false;     ///< passed on as it comes
+  bool mHasBegun = false;
+};
+
+} // namespace shuntjunction::coordination
--- a/packages/coordination/src/relay_run.h
+++ b/packages/coordination/src/relay_run.h
@@ -67,16 +67,26 @@
   transport::Task<AttemptOutcome> Try(RelayPick aPick);
   transport::Task<AttemptOutcome> Connect(Attempt& aAttempt);
   void Send(Attempt& aAttempt);
+  HandOver HandOverOf(const RelayPick& aPick) const;
+  void NotePartIsRead(const RelayPick& aPick);
+  void NoteOutcome(const RelayPick& aPick, AttemptOutcome aOutcome);
+  bool MayTryAgain(AttemptOutcome aOutcome);
+  void Finish(Attempt& aAttempt);
+
+  // An endpoint's answer.
   transport::Task<AttemptOutcome> ReadAnswer(Attempt& aAttempt);
+  /// Parses what has arrived; empty when more must arrive first.
+  std::optional<transport::ReadStep> ReadBuffered(Attempt& aAttempt);
+  /// Judges a head when it is whole; an outcome if the answer is not passed on.
+  std::optional<AttemptOutcome> JudgeOnce(Attempt& aAttempt,
+                                          transport::ReadStep aStep);
+  void SkipOther(Attempt& aAttempt, bool aIsDone);
   std::optional<AttemptOutcome> JudgeHead(Attempt& aAttempt);
   transport::Task<bool> PassBody(Attempt& aAttempt, bool aIsDone);
   transport::Task<bool> PassHeldAnswer(Attempt& aAttempt);
   transport::Task<bool> PassStreamPiece(Attempt& aAttempt, bool aIsDone);
   std::string TakeWholeEvents(std::string aBytes, bool aIsDone);
   void NoteAnswerBegun(const Attempt& aAttempt);
-  void NoteOutcome(const RelayPick& aPick, AttemptOutcome aOutcome);
-  bool MayTryAgain(AttemptOutcome aOutcome);
-  void Finish(Attempt& aAttempt);
 
   // Answers of the relay's own.
   transport::Task<void> AnswerFailure();
