A relay's own answers are a module; reading a request is in two steps

ReadRequest is split into reading and admitting. EndpointConnection::mIsReused, which nobody read, and includes that were not used are gone. No behaviour changes.

--- a/packages/coordination/src/relay_endpoint.cpp
+++ b/packages/coordination/src/relay_endpoint.cpp
@@ -104,7 +104,6 @@
     const bool isSound =
       !connection.mReader->IsClosed() && connection.mReader->Buffered().empty();
     if (isSound && rest < std::min(aMaxRest, connection.mIdleLimit)) {
-      connection.mIsReused = true;
       return connection;
     }
     connection.mReader->Close(false);
--- a/packages/coordination/src/relay_endpoint.h
+++ b/packages/coordination/src/relay_endpoint.h
@@ -22,7 +22,6 @@
   std::shared_ptr<transport::SocketReader> mReader;
   state::TimePoint mIdleSince;
   state::Millis mIdleLimit{ 0 }; ///< reused only before it rested so long
-  bool mIsReused = false;
 };
 
 /// Settings of RelayEndpoints.
--- /dev/null
+++ b/packages/coordination/src/relay_reply.cpp
@@ -0,0 +1,137 @@
+#include <array>
+#include <cstdio>
+
+#include <boost/asio/write.hpp>
+
+#include "relay_run.h"
+
+// The part of a run that answers a caller itself, and writes to it.
+
+namespace shuntjunction::coordination {
+
+using state::Millis;
+using transport::Task;
+
+namespace {
+
+constexpr std::string_view kPart = "relay";
+
+constexpr unsigned kBadGateway = 502;
+constexpr unsigned kUnavailable = 503;
+constexpr unsigned kTimedOut = 504;
+
+} // namespace
+
+Task<void>
+RelayRun::AnswerFailure()
+{
+  if (mInterrupt == RunInterrupt::kCallerGone) {
+    mIsKept = false;
+    LogOutcome("caller-gone", mLastProblem);
+    co_return;
+  }
+  if (mIsHeadPassed) {
+    CutCaller();
+    LogOutcome(
+      "cut", mInterrupt == RunInterrupt::kDeadline ? "deadline" : mLastProblem);
+    co_return;
+  }
+  const bool isLate = mInterrupt == RunInterrupt::kDeadline;
+  const std::string reason = isLate ? "deadline" : mLastProblem;
+  if (!mMayHaveRun) {
+    co_await Refuse(kUnavailable, reason, mRetryAfter);
+  } else if (isLate) {
+    co_await Refuse(kTimedOut, reason);
+  } else {
+    co_await Refuse(kBadGateway, reason);
+  }
+}
+
+Task<void>
+RelayRun::Refuse(unsigned aStatus,
+                 std::string_view aReason,
+                 std::optional<Millis> aRetryAfter)
+{
+  const std::string body = R"({"error":{"message":"not served: )" +
+                           std::string(aReason) + R"("}})" + "\n";
+  std::string text = "HTTP/1.1 " + std::to_string(aStatus) + " " +
+                     std::string(aReason) +
+                     "\r\nContent-Type: application/json\r\nContent-Length: " +
+                     std::to_string(body.size()) + "\r\n";
+  mCore->mParts.mCodec.AppendRequestId(mCall.mRequestId, text);
+  if (aRetryAfter) {
+    constexpr double kMillisPerSecond = 1000.0;
+    std::array<char, 16> seconds{};
+    std::snprintf(seconds.data(),
+                  seconds.size(),
+                  "%.3f",
+                  static_cast<double>(aRetryAfter->count()) / kMillisPerSecond);
+    text += std::string("Retry-After: ") + seconds.data() + "\r\n";
+  }
+  AppendConnectionField(text);
+  text += "\r\n";
+  if (mRequest->mMethod != "HEAD") {
+    text += body;
+  }
+  mFirstStatus = aStatus;
+  co_await WriteToCaller(std::move(text));
+  LogOutcome("refused", aReason);
+}
+
+void
+RelayRun::AppendConnectionField(std::string& aHeader) const
+{
+  if (!mIsKept || mCore->mIsStopping) {
+    aHeader += "Connection: close\r\n";
+  }
+}
+
+void
+RelayRun::CutCaller()
+{
+  mIsKept = false;
+  mCaller.Close(true);
+}
+
+Task<bool>
+RelayRun::WriteToCaller(std::string aBytes)
+{
+  if (mCaller.IsClosed()) {
+    mIsKept = false;
+    co_return false;
+  }
+  const auto [error, bytes] = co_await boost::asio::async_write(
+    mCaller.Socket(), boost::asio::buffer(aBytes), transport::kAsTuple);
+  if (error) {
+    mIsKept = false;
+    Interrupt(RunInterrupt::kCallerGone);
+    co_return false;
+  }
+  co_return true;
+}
+
+void
+RelayRun::LogOutcome(std::string_view aOutcome, std::string_view aReason)
+{
+  auto& parts = mCore->mParts;
+  const auto age = parts.mConfigConfirmed.Age(Now());
+  EventLine line(kPart, "request", mCall.mRequestId);
+  line.Add("outcome", aOutcome)
+    .Add("reason", aReason)
+    .Add("status", mFirstStatus)
+    .Add("route", mRoute != nullptr ? mRoute->mName : "")
+    .Add("service", mService)
+    .Add("team", mTeam != nullptr ? mTeam->mName : "")
+    .Add("attempts", mTried.size())
+    .Add("unsent", mUnsentTries)
+    .Add("may_have_run", mMayHaveRun)
+    .Add("config", mView->mConfig->Version())
+    .Add("config_age_ms", age.count())
+    .Add("ms", SinceArrival().count());
+  parts.mLog.Write(std::move(line));
+  parts.mMetrics.Count("shuntjunction_relay_requests_total",
+                       { { "route", mRoute != nullptr ? mRoute->mName : "" },
+                         { "outcome", std::string(aOutcome) } });
+}
+
+} // namespace shuntjunction::coordination
--- a/packages/coordination/src/relay_run.cpp
+++ b/packages/coordination/src/relay_run.cpp
@@ -1,14 +1,7 @@
 #include "relay_run.h"
 
-#include <array>
-#include <cstdio>
-
 #include <random>
 
-#include <boost/asio/write.hpp>
-
-#include "shuntjunction/state/prefix_chain.h"
-
 namespace shuntjunction::coordination {
 
 using state::Millis;
@@ -23,12 +16,10 @@
 
 constexpr unsigned kUnauthorized = 401;
 constexpr unsigned kNoRoute = 404;
-constexpr unsigned kBadGateway = 502;
 constexpr unsigned kUnavailable = 503;
-constexpr unsigned kTimedOut = 504;
 
-/// The same when no endpoint of its service answers: the time in which one
-/// that was restarted is listed again.
+/// How long a refused caller is told to stay away when no endpoint of its
+/// service answers: the time in which one that was restarted is listed again.
 constexpr Millis kRetryAfterOutage{ 1500 };
 /// The same when the platform's store cannot be reached.
 constexpr Millis kRetryLater{ 1000 };
@@ -321,118 +312,4 @@
   mCore->mParts.mLog.Write(std::move(line));
 }
 
-// Answers of the relay's own.
-
-Task<void>
-RelayRun::AnswerFailure()
-{
-  if (mInterrupt == RunInterrupt::kCallerGone) {
-    mIsKept = false;
-    LogOutcome("caller-gone", mLastProblem);
-    co_return;
-  }
-  if (mIsHeadPassed) {
-    CutCaller();
-    LogOutcome(
-      "cut", mInterrupt == RunInterrupt::kDeadline ? "deadline" : mLastProblem);
-    co_return;
-  }
-  const bool isLate = mInterrupt == RunInterrupt::kDeadline;
-  const std::string reason = isLate ? "deadline" : mLastProblem;
-  if (!mMayHaveRun) {
-    co_await Refuse(kUnavailable, reason, mRetryAfter);
-  } else if (isLate) {
-    co_await Refuse(kTimedOut, reason);
-  } else {
-    co_await Refuse(kBadGateway, reason);
-  }
-}
-
-Task<void>
-RelayRun::Refuse(unsigned aStatus,
-                 std::string_view aReason,
-                 std::optional<Millis> aRetryAfter)
-{
-  const std::string body = R"({"error":{"message":"not served: )" +
-                           std::string(aReason) + R"("}})" + "\n";
-  std::string text = "HTTP/1.1 " + std::to_string(aStatus) + " " +
-                     std::string(aReason) +
-                     "\r\nContent-Type: application/json\r\nContent-Length: " +
-                     std::to_string(body.size()) + "\r\n";
-  mCore->mParts.mCodec.AppendRequestId(mCall.mRequestId, text);
-  if (aRetryAfter) {
-    constexpr double kMillisPerSecond = 1000.0;
-    std::array<char, 16> seconds{};
-    std::snprintf(seconds.data(),
-                  seconds.size(),
-                  "%.3f",
-                  static_cast<double>(aRetryAfter->count()) / kMillisPerSecond);
-    text += std::string("Retry-After: ") + seconds.data() + "\r\n";
-  }
-  AppendConnectionField(text);
-  text += "\r\n";
-  if (mRequest->mMethod != "HEAD") {
-    text += body;
-  }
-  mFirstStatus = aStatus;
-  co_await WriteToCaller(std::move(text));
-  LogOutcome("refused", aReason);
-}
-
-void
-RelayRun::AppendConnectionField(std::string& aHeader) const
-{
-  if (!mIsKept || mCore->mIsStopping) {
-    aHeader += "Connection: close\r\n";
-  }
-}
-
-void
-RelayRun::CutCaller()
-{
-  mIsKept = false;
-  mCaller.Close(true);
-}
-
-Task<bool>
-RelayRun::WriteToCaller(std::string aBytes)
-{
-  if (mCaller.IsClosed()) {
-    mIsKept = false;
-    co_return false;
-  }
-  const auto [error, bytes] = co_await boost::asio::async_write(
-    mCaller.Socket(), boost::asio::buffer(aBytes), transport::kAsTuple);
-  if (error) {
-    mIsKept = false;
-    Interrupt(RunInterrupt::kCallerGone);
-    co_return false;
-  }
-  co_return true;
-}
-
-void
-RelayRun::LogOutcome(std::string_view aOutcome, std::string_view aReason)
-{
-  auto& parts = mCore->mParts;
-  const auto age = parts.mConfigConfirmed.Age(Now());
-  EventLine line(kPart, "request", mCall.mRequestId);
-  line.Add("outcome", aOutcome)
-    .Add("reason", aReason)
-    .Add("status", mFirstStatus)
-    .Add("route", mRoute != nullptr ? mRoute->mName : "")
-    .Add("service", mService)
-    .Add("team", mTeam != nullptr ? mTeam->mName : "")
-    .Add("attempts", mTried.size())
-    .Add("unsent", mUnsentTries)
-    .Add("may_have_run", mMayHaveRun)
-    .Add("config", mView->mConfig->Version())
-    .Add("config_age_ms", age.count())
-    .Add("ms", SinceArrival().count());
-  parts.mLog.Write(std::move(line));
-  parts.mMetrics.Count("shuntjunction_relay_requests_total",
-                       { { "route", mRoute != nullptr ? mRoute->mName : "" },
-                         { "outcome", std::string(aOutcome) } });
-}
-
 } // namespace shuntjunction::coordination
--- a/packages/coordination/src/relay_session.cpp
+++ b/packages/coordination/src/relay_session.cpp
@@ -75,52 +75,68 @@
 Task<std::shared_ptr<RelayRequest>>
 RelaySession::ReadRequest()
 {
-  const auto& clock = mCore->mParts.mClock;
   const auto limits = mCore->mView->mConfig->Rules().mLimits;
   RelayRequestReader reader(limits.mHeaderBytes, limits.mBodyBytes);
-  TimePoint until = clock.Now() + limits.mIdleTimeout;
+  const bool isWhole = co_await ReadWhole(reader, limits);
+  if (!isWhole) {
+    co_return nullptr;
+  }
+  if (!HasRoomForBody()) {
+    co_await RefuseUnread(kUnavailable, "too many bodies in memory");
+    co_return nullptr;
+  }
+  co_return std::make_shared<RelayRequest>(reader.Take());
+}
+
+Task<bool>
+RelaySession::ReadWhole(RelayRequestReader& aRequest,
+                        const state::CallerLimits& aLimits)
+{
+  const auto& clock = mCore->mParts.mClock;
+  TimePoint until = clock.Now() + aLimits.mIdleTimeout;
   bool isContinued = false;
   while (true) {
     const auto bytes = mReader->Buffered();
     if (!bytes.empty()) {
       if (std::exchange(mIsIdle, false)) {
-        until = clock.Now() + limits.mHeaderTimeout;
+        until = clock.Now() + aLimits.mHeaderTimeout;
       }
       std::size_t consumed = 0;
-      const auto step = reader.Put(bytes, consumed);
+      const auto step = aRequest.Put(bytes, consumed);
       mReader->Consume(consumed);
       if (step == ReadStep::kDone) {
-        break;
+        co_return true;
       }
       if (step == ReadStep::kBad) {
-        co_await RefuseUnread(reader.RefusalStatus(), reader.Problem());
-        co_return nullptr;
+        co_await RefuseUnread(aRequest.RefusalStatus(), aRequest.Problem());
+        co_return false;
       }
-      if (reader.WantsContinue() && !std::exchange(isContinued, true)) {
+      if (aRequest.WantsContinue() && !std::exchange(isContinued, true)) {
         co_await Write("HTTP/1.1 100 Continue\r\n\r\n");
         // What came meanwhile is in the buffer, and woke nobody.
         continue;
       }
     }
     if (mReader->IsClosed()) {
-      co_return nullptr;
+      co_return false;
     }
     if (clock.Now() >= until) {
       if (!mIsIdle) {
         co_await RefuseUnread(kTooSlow, "the request took too long to arrive");
       }
-      co_return nullptr;
+      co_return false;
     }
     co_await mReader->Wait(until);
   }
+}
+
+bool
+RelaySession::HasRoomForBody() const
+{
   const double share =
     mCore->mLimits.mBodyShare *
     static_cast<double>(mCore->mParts.mSettings.mMemoryBytes);
-  if (static_cast<double>(mCore->mBodyBytes) > share) {
-    co_await RefuseUnread(kUnavailable, "too many bodies in memory");
-    co_return nullptr;
-  }
-  co_return std::make_shared<RelayRequest>(reader.Take());
+  return static_cast<double>(mCore->mBodyBytes) <= share;
 }
 
 Task<void>
--- a/packages/coordination/src/relay_session.h
+++ b/packages/coordination/src/relay_session.h
@@ -26,7 +26,19 @@
 
 private:
   transport::Task<bool> ServeOne();
+
+  /// Reads the next request; null when there is none, or it was refused.
   transport::Task<std::shared_ptr<transport::RelayRequest>> ReadRequest();
+
+  /// Reads into aRequest until it is whole; false when it will not be.
+  ///
+  /// @pre  both arguments outlive the call
+  transport::Task<bool> ReadWhole(transport::RelayRequestReader& aRequest,
+                                  const state::CallerLimits& aLimits);
+
+  /// Whether the bodies in memory leave room for one more.
+  bool HasRoomForBody() const;
+
   transport::Task<void> RefuseUnread(unsigned aStatus,
                                      std::string_view aProblem);
   transport::Task<void> Write(std::string aText);
