--- a/packages/coordination/src/fleet_daemon.cpp
+++ b/packages/coordination/src/fleet_daemon.cpp
@@ -142,14 +142,14 @@
   Result<void> Start()
   {
     const bool isRelay = mSettings.mRole == FleetRole::kRelay;
-    const auto started = isRelay ? StartRelay() : StartCompanion();
+    auto started = isRelay ? StartRelay() : StartCompanion();
     if (!started) {
       return started;
     }
-    const auto metrics = Serve(mMetricsServer,
-                               mSettings.mMetrics,
-                               std::string(kMetricsPath),
-                               [this] { return Text(200, Exposition()); });
+    auto metrics = Serve(mMetricsServer,
+                         mSettings.mMetrics,
+                         std::string(kMetricsPath),
+                         [this] { return Text(200, Exposition()); });
     if (!metrics) {
       return metrics;
     }
--- a/packages/coordination/src/relay_feed.cpp
+++ b/packages/coordination/src/relay_feed.cpp
@@ -78,8 +78,12 @@
       }
     };
   };
-  const auto takeConfig = [this](const RawObject& a) { TakeConfig(a); };
-  const auto takeWeights = [this](const RawObject& a) { TakeWeights(a); };
+  const auto takeConfig = [this](const RawObject& aObject) {
+    TakeConfig(aObject);
+  };
+  const auto takeWeights = [this](const RawObject& aObject) {
+    TakeWeights(aObject);
+  };
   *mConfigTopic = Topic{ mCodec.ConfigPrefix(),
                          mSettings.mConfigWait,
                          Millis(0),
