Members that nobody read are gone; comments say what stands there

RelayChoiceSettings::mTokensOfRequest, FleetSettings::mLogLevel and two members of PartRecord were set at most. Comments named a log and a clock that are no parameters; constants and members without a comment have one. No behaviour changes.

--- a/packages/coordination/include/shuntjunction/coordination/engine_watch.h
+++ b/packages/coordination/include/shuntjunction/coordination/engine_watch.h
@@ -12,7 +12,7 @@
 class EngineWatch
 {
 public:
-  /// The engine, the news and the log outlive the watch.
+  /// The engine and the news outlive the watch.
   EngineWatch(transport::asio::io_context& aContext,
               EngineControl& aEngine,
               EngineNewsServer& aNews);
--- a/packages/coordination/include/shuntjunction/coordination/part_follower.h
+++ b/packages/coordination/include/shuntjunction/coordination/part_follower.h
@@ -21,7 +21,7 @@
   using Taker = std::function<void(const std::vector<std::string>& aGained,
                                    const std::vector<std::string>& aLost)>;
 
-  /// @param aSource  outlives the follower, as do clock and log
+  /// @param aSource  outlives the follower, as does the log
   /// @param aTake    called with each group of changes
   /// @param aClear   called when nothing is kept any more
   PartFollower(transport::asio::io_context& aContext,
--- a/packages/coordination/include/shuntjunction/coordination/relay_settings.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay_settings.h
@@ -53,7 +53,6 @@
   FleetBounds mBounds;
   state::LoadTurnSettings mLoadTurns;
   state::RelayChoiceSettings mChoice;
-  state::LogLevel mLogLevel = state::LogLevel::kInfo;
 };
 
 } // namespace shuntjunction::coordination
--- a/packages/coordination/src/fleet_daemon.cpp
+++ b/packages/coordination/src/fleet_daemon.cpp
@@ -47,6 +47,7 @@
 /// Share of the grace after which the process ends whatever runs.
 constexpr double kEndShare = 0.94;
 
+/// How often a process that stops looks whether its requests have ended.
 constexpr Millis kStopPoll{ 25 };
 
 HttpResponse
--- a/packages/coordination/src/relay.cpp
+++ b/packages/coordination/src/relay.cpp
@@ -15,7 +15,9 @@
 
 namespace {
 
+/// How often connections that rested too long are closed.
 constexpr Millis kStaleInterval{ 500 };
+/// Pause after a connection that could not be accepted.
 constexpr Millis kAcceptPause{ 50 };
 
 Task<void>
--- a/packages/coordination/src/relay_answer.cpp
+++ b/packages/coordination/src/relay_answer.cpp
@@ -208,7 +208,6 @@
     return;
   }
   auto& record = mCore->mLedger.At(pick.mSalt, pick.mPart);
-  record.mHolder = pick.mEndpoint->mInfo.mId;
   record.mServedAt = Now();
   if (!pick.mPartStore.empty()) {
     record.mSavedAt = Now();
--- a/packages/coordination/src/relay_attempt.cpp
+++ b/packages/coordination/src/relay_attempt.cpp
@@ -213,7 +213,6 @@
   auto& record = mCore->mLedger.At(aPick.mSalt, aPick.mPart);
   if (Now() - record.mServedAt > mCore->mLimits.mPartMemory) {
     record.mReadingFrom = Now();
-    record.mReader = aPick.mEndpoint->mInfo.mId;
   }
 }
 
--- a/packages/coordination/src/relay_core.h
+++ b/packages/coordination/src/relay_core.h
@@ -81,11 +81,11 @@
   state::RandomSource mRandom;
   std::shared_ptr<transport::asio::ip::tcp::acceptor> mAcceptor;
   std::set<RelaySession*> mSessions;
-  std::size_t mActive = 0;
-  std::size_t mBodyBytes = 0;
+  std::size_t mActive = 0;    ///< requests that are being served
+  std::size_t mBodyBytes = 0; ///< of the bodies of these
   std::size_t mRelayCount = kAssumedRelays;
-  bool mIsStopping = false;
-  bool mIsRefusing = false;
+  bool mIsStopping = false; ///< unready, still serving
+  bool mIsRefusing = false; ///< new requests are refused
 
   /// Relays that are assumed to share a budget until they are counted.
   static constexpr std::size_t kAssumedRelays = 16;
--- a/packages/state/include/shuntjunction/state/part_ledger.h
+++ b/packages/state/include/shuntjunction/state/part_ledger.h
@@ -15,10 +15,8 @@
 /// What is known of one part under one salt.
 struct PartRecord
 {
-  std::string mHolder;    ///< id of the endpoint that served it last
   TimePoint mServedAt;    ///< when its answer began; epoch while none did
   TimePoint mReadingFrom; ///< since when it is being read; epoch: it is not
-  std::string mReader;    ///< id of the endpoint that reads it
   TimePoint mSavedAt;     ///< when it was last handed to the part store
 };
 
--- a/packages/state/include/shuntjunction/state/relay_choice.h
+++ b/packages/state/include/shuntjunction/state/relay_choice.h
@@ -41,8 +41,6 @@
   /// Prompts that share less go where least waits: reading it again takes a few
   /// milliseconds.
   std::int64_t mMinSharedTokens = 1000;
-  /// Tokens to read that weigh as much as one request that runs.
-  std::int64_t mTokensOfRequest = 2500;
   /// Requests by which an endpoint of the own zone may exceed another's.
   std::int64_t mZoneLead = 2;
 };
