The one-path server is a module; a connection is given back by exchange

RelayRun::Finish used a connection after its move, as the linter found; the same null reader is now left by std::exchange. No behaviour changes.

--- a/packages/coordination/src/fleet_daemon.cpp
+++ b/packages/coordination/src/fleet_daemon.cpp
@@ -6,19 +6,18 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include "path_server.h"
 #include "shuntjunction/coordination/engine_news.h"
 #include "shuntjunction/coordination/engine_watch.h"
 #include "shuntjunction/coordination/part_follower.h"
 #include "shuntjunction/coordination/part_store_teller.h"
 #include "shuntjunction/coordination/relay.h"
 #include "shuntjunction/coordination/weights_keeper.h"
-#include "shuntjunction/transport/http_server.h"
 
 namespace shuntjunction::coordination {
 
 using state::Millis;
 using state::Result;
-using transport::HttpExchange;
 using transport::HttpResponse;
 using transport::Task;
 namespace asio = transport::asio;
@@ -50,59 +49,6 @@
 /// How often a process that stops looks whether its requests have ended.
 constexpr Millis kStopPoll{ 25 };
 
-HttpResponse
-Text(unsigned aStatus, std::string aText)
-{
-  HttpResponse response;
-  response.mStatus = aStatus;
-  response.mContentType = "text/plain";
-  response.mBody = std::move(aText);
-  return response;
-}
-
-/// Answers one path by a function.
-class PathHandler final : public transport::HttpHandler
-{
-public:
-  PathHandler(std::string aPath, std::function<HttpResponse()> aAnswer)
-    : mPath(std::move(aPath))
-    , mAnswer(std::move(aAnswer))
-  {
-  }
-
-  Task<void> Handle(HttpExchange& aExchange) override
-  {
-    const bool isKnown = aExchange.Request().Path() == mPath;
-    HttpResponse answer = isKnown ? mAnswer() : Refusal(404, "no such");
-    co_await aExchange.Respond(std::move(answer));
-  }
-
-  HttpResponse Refusal(unsigned aStatus, std::string_view aText) override
-  {
-    return Text(aStatus, std::string(aText) + "\n");
-  }
-
-private:
-  std::string mPath;
-  std::function<HttpResponse()> mAnswer;
-};
-
-/// One path on a port of its own.
-struct PathServer
-{
-  PathServer(asio::io_context& aContext,
-             std::string aPath,
-             std::function<HttpResponse()> aAnswer)
-    : mHandler(std::move(aPath), std::move(aAnswer))
-    , mServer(aContext, mLimits, mHandler)
-  {
-  }
-
-  state::LimitSettings mLimits;
-  PathHandler mHandler;
-  transport::HttpServer mServer;
-};
-
 } // namespace
 
 class FleetDaemon::Impl
@@ -150,7 +96,7 @@
     auto metrics = Serve(mMetricsServer,
                          mSettings.mMetrics,
                          std::string(kMetricsPath),
-                         [this] { return Text(200, Exposition()); });
+                         [this] { return PlainAnswer(200, Exposition()); });
     if (!metrics) {
       return metrics;
     }
@@ -219,8 +165,8 @@
       [this](const protocol::EngineNews& aNews) { mRelay->TakeNews(aNews); });
     return Serve(
       mReadiness, mSettings.mReadiness, mSettings.mReadinessPath, [this] {
-        return mRelay->IsReady() ? Text(200, "ready\n")
-                                 : Text(503, "not ready\n");
+        return mRelay->IsReady() ? PlainAnswer(200, "ready\n")
+                                 : PlainAnswer(503, "not ready\n");
       });
   }
 
--- a/packages/coordination/src/relay_attempt.cpp
+++ b/packages/coordination/src/relay_attempt.cpp
@@ -1,6 +1,7 @@
 #include "relay_attempt.h"
 
 #include <array>
+#include <utility>
 
 #include <boost/asio/write.hpp>
 
@@ -220,20 +221,18 @@
 RelayRun::Finish(Attempt& aAttempt)
 {
   const auto& head = aAttempt.mAnswer->Head();
-  auto& connection = aAttempt.mConnection;
+  const auto& reader = aAttempt.mConnection.mReader;
   const bool isReusable = head.mKeepsAlive && aAttempt.mSending->mIsDone &&
-                          !aAttempt.mIsOtherSkipped &&
-                          !connection.mReader->IsClosed() &&
-                          connection.mReader->Buffered().empty();
+                          !aAttempt.mIsOtherSkipped && !reader->IsClosed() &&
+                          reader->Buffered().empty();
   if (!isReusable) {
     return;
   }
   mOpenAttempt = nullptr;
   mCore->mEndpoints.PutIdle(*aAttempt.mPick.mEndpoint,
-                            std::move(connection),
+                            std::exchange(aAttempt.mConnection, {}),
                             head.Field("Keep-Alive"),
                             Now());
-  connection.mReader = nullptr;
 }
 
 } // namespace shuntjunction::coordination
