--- a/packages/coordination/src/fleet_daemon.cpp
+++ b/packages/coordination/src/fleet_daemon.cpp
@@ -98,7 +98,9 @@
                          std::string(kMetricsPath),
                          [this] { return PlainAnswer(200, Exposition()); });
     if (!metrics) {
-      return metrics;
+      // Callers are served without it.
+      mLog.Write(EventLine(kPart, "metrics-unavailable")
+                   .Add("error", metrics.error().Describe()));
     }
     AwaitSignal();
     mFeed.Start();
--- a/packages/coordination/src/relay_attempt.cpp
+++ b/packages/coordination/src/relay_attempt.cpp
@@ -88,7 +88,7 @@
     mCore->mEndpoints.PutIdle(
       endpoint, std::move(attempt.mConnection), {}, Now());
     mLastProblem = "stale-keys";
-    mUnsentTries = INT32_MAX / 2;
+    mIsGivenUp = true;
     co_return AttemptOutcome::kUnsent;
   }
   const auto unread = attempt.mPick.mTokensToRead;
--- a/packages/coordination/src/relay_run.cpp
+++ b/packages/coordination/src/relay_run.cpp
@@ -249,21 +249,20 @@
 bool
 RelayRun::MayTryAgain(AttemptOutcome aOutcome)
 {
-  if (mInterrupt != RunInterrupt::kNone || mIsHeadPassed) {
-    // A stream that began may go on elsewhere.
-    const bool isResumed = mInterrupt == RunInterrupt::kNone &&
-                           aOutcome == AttemptOutcome::kBroken &&
-                           mRoute->mKind == RouteKind::kStream &&
-                           mRoute->mIsResumable && !mLastEventId.empty();
-    return isResumed && static_cast<int>(mTried.size()) < mRoute->mMaxAttempts;
+  if (mInterrupt != RunInterrupt::kNone || mIsGivenUp) {
+    return false;
   }
-  if (aOutcome == AttemptOutcome::kUnsent) {
-    return mUnsentTries < kMaxUnsentTries;
+  // A stream of which something was passed on may go on elsewhere.
+  const bool isResumable = mRoute->mKind == RouteKind::kStream &&
+                           mRoute->mIsResumable && !mLastEventId.empty();
+  if (mIsHeadPassed && !isResumable) {
+    return false;
   }
   if (aOutcome == AttemptOutcome::kBroken && !mRoute->IsRepeatable()) {
     return false;
   }
-  return static_cast<int>(mTried.size()) < mRoute->mMaxAttempts;
+  return mUnsentTries < kMaxUnsentTries &&
+         static_cast<int>(mTried.size()) < mRoute->mMaxAttempts;
 }
 
 void
--- a/packages/coordination/src/relay_run.h
+++ b/packages/coordination/src/relay_run.h
@@ -120,6 +120,7 @@
   std::shared_ptr<transport::SocketReader> mOpenAttempt; ///< to be cut off
   std::vector<std::string> mTried; ///< endpoints that got the request
   int mUnsentTries = 0;            ///< endpoints that could not be reached
+  bool mIsGivenUp = false;         ///< no endpoint can take it in time
   bool mMayHaveRun = false;
   bool mIsHeadPassed = false;
   bool mIsKept = true;
