--- a/packages/state/src/relay_config.cpp
+++ b/packages/state/src/relay_config.cpp
@@ -12,9 +12,10 @@
 PlainHost(std::string_view aHost)
 {
   std::string host(aHost.substr(0, aHost.rfind(':')));
-  std::transform(host.begin(), host.end(), host.begin(), [](unsigned char c) {
-    return static_cast<char>(std::tolower(c));
-  });
+  std::transform(
+    host.begin(), host.end(), host.begin(), [](unsigned char aChar) {
+      return static_cast<char>(std::tolower(aChar));
+    });
   return host;
 }
 
