Resolving and connecting a socket stand once

Cause: four places read an IP number into an endpoint, two of them connected under a timer in the same lines (frame channels, the relay's endpoints). Ruled out: one client for all; the HTTP client keeps Beast's stream and its own timer, and shares only the address. Change: transport/connect.h has EndpointOf and ConnectSocket. A connect that ran out of time is now called so in the error's text (before: 'Operation canceled'); nothing else changes.

--- a/packages/coordination/src/relay_attempt.cpp
+++ b/packages/coordination/src/relay_attempt.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/asio/write.hpp>
 
+#include "shuntjunction/transport/connect.h"
+
 namespace shuntjunction::coordination {
 
 using state::Millis;
@@ -12,7 +14,6 @@
 using transport::SocketReader;
 using transport::Task;
 namespace asio = transport::asio;
-using tcp = asio::ip::tcp;
 
 namespace {
 
@@ -129,34 +130,24 @@
     mOpenAttempt = aAttempt.mConnection.mReader;
     co_return AttemptOutcome::kDone;
   }
+  const auto& settings = mCore->mEndpoints.Settings();
   const auto address = state::ParseAddress(endpoint.mInfo.mAddress);
-  boost::system::error_code badAddress;
-  const auto ip = asio::ip::make_address(
-    address ? address->mHost : std::string(), badAddress);
-  if (badAddress) {
+  const auto target =
+    transport::EndpointOf(address.value_or(state::Address{}), "relay.connect");
+  if (!target) {
     mLastProblem = "bad-address";
     co_return AttemptOutcome::kUnsent;
   }
-  const auto socket = std::make_shared<tcp::socket>(mCore->mParts.mContext);
-  asio::steady_timer timer(mCore->mParts.mContext,
-                           mCore->mEndpoints.Settings().mConnectTimeout);
-  timer.async_wait([socket](const auto& aError) {
-    boost::system::error_code ignored;
-    if (!aError && socket->is_open()) {
-      socket->close(ignored);
-    }
-  });
-  const auto [error] = co_await socket->async_connect(
-    tcp::endpoint(ip, address->mPort), transport::kAsTuple);
-  if (timer.cancel() == 0 || error) {
-    if (error == asio::error::connection_refused) {
-      endpoint.mClosedUntil =
-        Now() + mCore->mEndpoints.Settings().mRefusedPause;
+  auto socket =
+    co_await transport::ConnectSocket(*target, settings.mConnectTimeout);
+  if (!socket) {
+    if (socket.error() == asio::error::connection_refused) {
+      endpoint.mClosedUntil = Now() + settings.mRefusedPause;
     }
-    mLastProblem = "connect: " + error.message();
+    mLastProblem = "connect: " + socket.error().message();
     co_return AttemptOutcome::kUnsent;
   }
-  transport::SetSilenceLimits(*socket, mCore->mEndpoints.Settings().mSilence);
+  transport::SetSilenceLimits(*socket, settings.mSilence);
   aAttempt.mConnection.mReader = std::make_shared<SocketReader>(
     std::move(*socket), mCore->mLimits.mReadAhead);
   aAttempt.mConnection.mReader->Start();
--- /dev/null
+++ b/packages/transport/src/connect.cpp
@@ -0,0 +1,47 @@
+#include "shuntjunction/transport/connect.h"
+
+#include <memory>
+
+namespace shuntjunction::transport {
+
+using tcp = asio::ip::tcp;
+
+state::Result<tcp::endpoint>
+EndpointOf(const state::Address& aAddress, std::string_view aStep)
+{
+  boost::system::error_code error;
+  const auto ip = asio::ip::make_address(aAddress.mHost, error);
+  if (error) {
+    return state::Fail(state::ErrorCode::kInvalidArgument,
+                       aStep,
+                       aAddress.Text(),
+                       "not an IP number");
+  }
+  return tcp::endpoint(ip, aAddress.mPort);
+}
+
+Task<ConnectResult>
+ConnectSocket(tcp::endpoint aEndpoint, state::Millis aTimeout)
+{
+  const auto executor = co_await asio::this_coro::executor;
+  // Shared: a timer that ran out may still call when this has ended.
+  const auto socket = std::make_shared<tcp::socket>(executor);
+  asio::steady_timer timer(executor, aTimeout);
+  timer.async_wait([socket](const auto& aError) {
+    if (!aError) {
+      boost::system::error_code ignored;
+      socket->close(ignored);
+    }
+  });
+  const auto [error] = co_await socket->async_connect(aEndpoint, kAsTuple);
+  const bool isTimedOut = timer.cancel() == 0;
+  if (isTimedOut) {
+    co_return tl::unexpected(boost::system::error_code(asio::error::timed_out));
+  }
+  if (error) {
+    co_return tl::unexpected(error);
+  }
+  co_return std::move(*socket);
+}
+
+} // namespace shuntjunction::transport
--- a/packages/transport/src/frame_channel.cpp
+++ b/packages/transport/src/frame_channel.cpp
@@ -8,6 +8,7 @@
 
 #include "shuntjunction/protocol/codec.h"
 #include "shuntjunction/state/digest.h"
+#include "shuntjunction/transport/connect.h"
 
 namespace shuntjunction::transport {
 
@@ -258,27 +259,16 @@
                ChannelCounters& aCounters)
 {
   constexpr std::string_view kStep = "channel.connect";
-  const auto executor = co_await asio::this_coro::executor;
-  boost::system::error_code badAddress;
-  const auto ip = asio::ip::make_address(aAddress.mHost, badAddress);
-  if (badAddress) {
-    co_return Fail(
-      ErrorCode::kInvalidArgument, kStep, aAddress.Text(), "not an IP number");
+  const auto endpoint = EndpointOf(aAddress, kStep);
+  if (!endpoint) {
+    co_return tl::unexpected(endpoint.error());
   }
-  const auto socket = std::make_shared<tcp::socket>(executor);
-  asio::steady_timer timer(executor, aTimeout);
-  timer.async_wait([socket](auto aError) {
-    if (!aError) {
-      boost::system::error_code ignored;
-      socket->close(ignored);
-    }
-  });
-  const tcp::endpoint endpoint(ip, aAddress.mPort);
-  const auto [error] = co_await socket->async_connect(endpoint, kAsTuple);
-  timer.cancel();
-  if (error || !socket->is_open()) {
-    co_return Fail(
-      ErrorCode::kUnavailable, kStep, aAddress.Text(), error.message());
+  auto socket = co_await ConnectSocket(*endpoint, aTimeout);
+  if (!socket) {
+    co_return Fail(ErrorCode::kUnavailable,
+                   kStep,
+                   aAddress.Text(),
+                   socket.error().message());
   }
   const auto channel = std::make_shared<FrameChannel>(
     std::move(*socket), aAddress.Text(), aCounters);
@@ -292,22 +282,18 @@
 Result<std::shared_ptr<tcp::acceptor>>
 Listen(asio::io_context& aContext, const state::Address& aAddress)
 {
-  boost::system::error_code error;
-  const auto ip = asio::ip::make_address(aAddress.mHost, error);
-  if (error) {
-    return Fail(ErrorCode::kInvalidArgument,
-                "listen",
-                aAddress.Text(),
-                "not an IP number");
+  const auto endpoint = EndpointOf(aAddress, "listen");
+  if (!endpoint) {
+    return tl::unexpected(endpoint.error());
   }
-  const tcp::endpoint endpoint(ip, aAddress.mPort);
+  boost::system::error_code error;
   const auto acceptor = std::make_shared<tcp::acceptor>(aContext);
-  acceptor->open(endpoint.protocol(), error);
+  acceptor->open(endpoint->protocol(), error);
   if (!error) {
     acceptor->set_option(asio::socket_base::reuse_address(true), error);
   }
   if (!error) {
-    acceptor->bind(endpoint, error);
+    acceptor->bind(*endpoint, error);
   }
   if (!error) {
     acceptor->listen(asio::socket_base::max_listen_connections, error);
--- a/packages/transport/src/http_client.cpp
+++ b/packages/transport/src/http_client.cpp
@@ -3,6 +3,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "shuntjunction/transport/connect.h"
+
 namespace shuntjunction::transport {
 
 namespace beast = boost::beast;
@@ -141,20 +143,15 @@
 Task<Result<std::unique_ptr<HttpClient::Connection>>>
 HttpClient::Connect(Millis aTimeout)
 {
-  boost::system::error_code badAddress;
-  const auto ip = asio::ip::make_address(mAddress.mHost, badAddress);
-  if (badAddress) {
-    co_return Fail(ErrorCode::kInvalidArgument,
-                   "http.connect",
-                   mAddress.Text(),
-                   "not an IP number");
+  const auto endpoint = EndpointOf(mAddress, "http.connect");
+  if (!endpoint) {
+    co_return tl::unexpected(endpoint.error());
   }
   auto connection =
     std::make_unique<Connection>(co_await asio::this_coro::executor);
   connection->mStream.expires_after(aTimeout);
-  const tcp::endpoint endpoint(ip, mAddress.mPort);
   const auto [error] =
-    co_await connection->mStream.async_connect(endpoint, kAsTuple);
+    co_await connection->mStream.async_connect(*endpoint, kAsTuple);
   if (error) {
     co_return Fail(ErrorCode::kUnavailable,
                    "http.connect",
