Members and functions that nobody called are gone

Cause: a count of relays that was never set, a budget's slack that never changed, a holder's question that nobody asked, a flag of answers that nobody read, a base class for a pointer that nobody took, one list made only to be filtered. Change: removed, or folded into their one caller; comments say what holds.

--- a/packages/coordination/include/shuntjunction/coordination/relay.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay.h
@@ -45,9 +45,6 @@
   /// Takes what an engine's companion said.
   void TakeNews(const protocol::EngineNews& aNews);
 
-  /// Sets how many relays share the retry budget.
-  void SetRelayCount(std::size_t aCount);
-
   /// Brings the gauges among the metrics up to date.
   void SetGauges();
 
--- a/packages/coordination/src/relay.cpp
+++ b/packages/coordination/src/relay.cpp
@@ -72,18 +72,11 @@
   }
 }
 
-double
-Relay::Core::SlackShare() const
-{
-  const auto slack = mParts.mSettings.mBounds.mRetries.mSlack;
-  return std::floor(slack / static_cast<double>(mRelayCount));
-}
-
 state::WindowBudget&
 Relay::Core::BudgetOf(const std::string& aService)
 {
   auto settings = mParts.mSettings.mBounds.mRetries;
-  settings.mSlack = SlackShare();
+  settings.mSlack = std::floor(settings.mSlack / kAssumedRelays);
   return mBudgets.try_emplace(aService, settings, mParts.mClock.Now())
     .first->second;
 }
@@ -125,15 +118,6 @@
   mCore->mEndpoints.TakeNews(aNews, mCore->mParts.mClock.Now());
 }
 
-void
-Relay::SetRelayCount(std::size_t aCount)
-{
-  mCore->mRelayCount = std::max<std::size_t>(aCount, 1);
-  for (auto& [service, budget] : mCore->mBudgets) {
-    budget.SetSlack(mCore->SlackShare());
-  }
-}
-
 void
 Relay::SetGauges()
 {
--- a/packages/coordination/src/relay_core.h
+++ b/packages/coordination/src/relay_core.h
@@ -56,8 +56,12 @@
 };
 
 /// A relay's state.
-struct Relay::Core : std::enable_shared_from_this<Relay::Core>
+struct Relay::Core
 {
+  /// Relays that share what may be repeated beside the ratio. None counts the
+  /// others; more than this would exceed the bound together.
+  static constexpr double kAssumedRelays = 16;
+
   explicit Core(const RelayParts& aParts);
 
   /// Whether a key may still be taken as valid.
@@ -66,12 +70,9 @@
   /// Closes connections on which no request has begun.
   void CloseIdleSessions();
 
-  /// The budget of a service's repeats.
+  /// The budget of a service's repeats, with this relay's share of the slack.
   state::WindowBudget& BudgetOf(const std::string& aService);
 
-  /// This relay's share of what all may repeat beside the ratio.
-  double SlackShare() const;
-
   RelayParts mParts;
   RelayLimits mLimits;
   RelayEndpoints mEndpoints;
@@ -83,12 +84,8 @@
   std::set<RelaySession*> mSessions;
   std::size_t mActive = 0;    ///< requests that are being served
   std::size_t mBodyBytes = 0; ///< of the bodies of these
-  std::size_t mRelayCount = kAssumedRelays;
-  bool mIsStopping = false; ///< unready, still serving
-  bool mIsRefusing = false; ///< new requests are refused
-
-  /// Relays that are assumed to share a budget until they are counted.
-  static constexpr std::size_t kAssumedRelays = 16;
+  bool mIsStopping = false;   ///< unready, still serving
+  bool mIsRefusing = false;   ///< new requests are refused
 };
 
 } // namespace shuntjunction::coordination
--- a/packages/coordination/src/relay_endpoint.cpp
+++ b/packages/coordination/src/relay_endpoint.cpp
@@ -65,23 +65,15 @@
 }
 
 std::vector<RelayEndpointPtr>
-RelayEndpoints::Listed(std::string_view aService) const
+RelayEndpoints::Serving(std::string_view aService) const
 {
-  std::vector<RelayEndpointPtr> listed;
+  std::vector<RelayEndpointPtr> serving;
   for (const auto& [id, endpoint] : mById) {
-    if (endpoint->mInfo.mService == aService) {
-      listed.push_back(endpoint);
+    const auto& info = endpoint->mInfo;
+    if (info.mService == aService && !info.mIsLeaving) {
+      serving.push_back(endpoint);
     }
   }
-  return listed;
-}
-
-std::vector<RelayEndpointPtr>
-RelayEndpoints::Serving(std::string_view aService) const
-{
-  auto serving = Listed(aService);
-  std::erase_if(
-    serving, [](const auto& aEndpoint) { return aEndpoint->mInfo.mIsLeaving; });
   return serving;
 }
 
--- a/packages/coordination/src/relay_endpoint.h
+++ b/packages/coordination/src/relay_endpoint.h
@@ -65,7 +65,7 @@
   int mFailures = 0;              ///< in a row
   state::Millis mSuspicion{ 0 };
   state::TimePoint mSuspectUntil;
-  state::TimePoint mClosedUntil; ///< refused for want of room
+  state::TimePoint mClosedUntil; ///< rests after a refusal
   /// What its companion said last; empty before it said anything.
   std::optional<protocol::EngineNews> mNews;
   state::TimePoint mNewsAt;
@@ -87,9 +87,6 @@
   /// Endpoints of a service that may get new work.
   std::vector<RelayEndpointPtr> Serving(std::string_view aService) const;
 
-  /// All listed endpoints of a service, leaving ones too.
-  std::vector<RelayEndpointPtr> Listed(std::string_view aService) const;
-
   /// The endpoint of an id; null when it is not listed.
   RelayEndpointPtr Find(std::string_view aId) const;
 
--- a/packages/state/include/shuntjunction/state/part_index.h
+++ b/packages/state/include/shuntjunction/state/part_index.h
@@ -39,12 +39,6 @@
   /// Whether a holder keeps a part.
   bool Holds(std::string_view aHolder, const std::string& aPart) const;
 
-  /// Whether anything was ever heard of a holder.
-  bool Knows(std::string_view aHolder) const
-  {
-    return mByHolder.contains(aHolder);
-  }
-
   /// All holders of a part, in the order of their names.
   std::vector<std::string> Holders(const std::string& aPart) const;
 
--- a/packages/state/include/shuntjunction/state/window_budget.h
+++ b/packages/state/include/shuntjunction/state/window_budget.h
@@ -27,9 +27,6 @@
 public:
   WindowBudget(const WindowBudgetSettings& aSettings, TimePoint aNow);
 
-  /// Sets the slack, when the number of processes that share it changes.
-  void SetSlack(double aSlack) { mSettings.mSlack = aSlack; }
-
   /// Counts a first request.
   void NoteFirst(TimePoint aNow);
 
--- a/packages/transport/include/shuntjunction/transport/relay_message.h
+++ b/packages/transport/include/shuntjunction/transport/relay_message.h
@@ -38,9 +38,9 @@
   unsigned mStatus = 0;
   std::string mReason;
   std::vector<HttpField> mFields;
-  std::optional<std::uint64_t> mLength; ///< of the body; empty: see below
+  std::optional<std::uint64_t>
+    mLength; ///< of the body; empty: in chunks, or until the end
   bool mIsChunked = false;
-  bool mEndsWithConnection = false; ///< neither length nor chunks
   bool mKeepsAlive = true;
 
   /// Value of a field; empty when absent.
--- a/packages/transport/src/relay_message.cpp
+++ b/packages/transport/src/relay_message.cpp
@@ -291,7 +291,6 @@
   mHead.mReason = std::string(message.reason());
   mHead.mFields = FieldsOf(message);
   mHead.mIsChunked = parser.chunked();
-  mHead.mEndsWithConnection = parser.need_eof();
   mHead.mKeepsAlive = parser.keep_alive() && !parser.need_eof();
   if (const auto length = parser.content_length()) {
     mHead.mLength = *length;
