The slack of repeats is divided by 32 relays, not 16

Cause: found by reading the change once more: the grown sites have 24 and 27 relays, and each took a sixteenth of the slack (5 of 88 and of 94), 120 and 135 together. Change: 32: one repeat of 56, two of 88 and 94, 54 together at 27 relays. Above 32 relays the bound is not kept by this; the relays are still not counted.

--- a/packages/coordination/src/relay_core.h
+++ b/packages/coordination/src/relay_core.h
@@ -58,9 +58,9 @@
 /// A relay's state.
 struct Relay::Core
 {
-  /// Relays that share what may be repeated beside the ratio. None counts the
-  /// others; more than this would exceed the bound together.
-  static constexpr double kAssumedRelays = 16;
+  /// Relays among which the slack of repeats is divided. No relay counts the
+  /// others; the largest fleet that is served has 27.
+  static constexpr double kAssumedRelays = 32;
 
   explicit Core(const RelayParts& aParts);
 
