What a relay withholds is an outcome of its own and spends no budget

Found beside it by reading: a request withheld for stale keys counted as a failure of its endpoint, and its connection, given back to the pool, could still be cut off by that request's deadline. Change: the budget is looked at right before the sending, beside the age of the keys; 'withheld' replaces a flag and counts against no endpoint.

--- a/packages/coordination/src/relay_attempt.cpp
+++ b/packages/coordination/src/relay_attempt.cpp
@@ -80,17 +80,19 @@
   attempt.mPick = std::move(aPick);
   auto& endpoint = *attempt.mPick.mEndpoint;
   const auto connected = co_await Connect(attempt);
-  if (connected != AttemptOutcome::kDone) {
+  if (connected == AttemptOutcome::kUnsent) {
     ++mUnsentTries;
+  }
+  if (connected != AttemptOutcome::kDone) {
     co_return connected;
   }
-  if (IsStale()) {
+  if (const auto reason = ReasonToWithhold(); !reason.empty()) {
     // Nothing was sent yet, and the connection is as good as before.
+    mOpenAttempt = nullptr;
     mCore->mEndpoints.PutIdle(
       endpoint, std::move(attempt.mConnection), {}, Now());
-    mLastProblem = "stale-keys";
-    mIsGivenUp = true;
-    co_return AttemptOutcome::kUnsent;
+    mLastProblem = reason;
+    co_return AttemptOutcome::kWithheld;
   }
   const auto unread = attempt.mPick.mTokensToRead;
   mPartialEvent.clear();
@@ -118,6 +120,19 @@
   co_return outcome;
 }
 
+std::string_view
+RelayRun::ReasonToWithhold()
+{
+  if (IsStale()) {
+    return "stale-keys";
+  }
+  // Only what is sent counts as a repeat.
+  if (!mTried.empty() && !mCore->BudgetOf(mService).TryRepeat(Now())) {
+    return "retry-budget";
+  }
+  return {};
+}
+
 Task<AttemptOutcome>
 RelayRun::Connect(Attempt& aAttempt)
 {
@@ -156,7 +171,7 @@
   if (mInterrupt != RunInterrupt::kNone) {
     aAttempt.mConnection.mReader->Close(true);
     mOpenAttempt = nullptr;
-    co_return AttemptOutcome::kUnsent;
+    co_return AttemptOutcome::kWithheld;
   }
   co_return AttemptOutcome::kDone;
 }
--- a/packages/coordination/src/relay_run.cpp
+++ b/packages/coordination/src/relay_run.cpp
@@ -172,8 +172,7 @@
 Task<void>
 RelayRun::Serve()
 {
-  auto& budget = mCore->BudgetOf(mService);
-  budget.NoteFirst(Now());
+  mCore->BudgetOf(mService).NoteFirst(Now());
   while (mInterrupt == RunInterrupt::kNone) {
     auto pick = co_await Pick();
     if (!pick) {
@@ -183,10 +182,6 @@
     if (mInterrupt != RunInterrupt::kNone) {
       break;
     }
-    if (!mTried.empty() && !budget.TryRepeat(Now())) {
-      mLastProblem = "retry-budget";
-      break;
-    }
     const auto outcome = co_await Try(*pick);
     NoteOutcome(*pick, outcome);
     if (outcome == AttemptOutcome::kDone) {
@@ -249,7 +244,8 @@
 bool
 RelayRun::MayTryAgain(AttemptOutcome aOutcome)
 {
-  if (mInterrupt != RunInterrupt::kNone || mIsGivenUp) {
+  if (mInterrupt != RunInterrupt::kNone ||
+      aOutcome == AttemptOutcome::kWithheld) {
     return false;
   }
   // A stream of which something was passed on may go on elsewhere.
@@ -284,6 +280,7 @@
     case AttemptOutcome::kMisdirected:
       endpoint.mClosedUntil = Now() + endpoints.Settings().mMisdirectedPause;
       break;
+    case AttemptOutcome::kWithheld:
     case AttemptOutcome::kInterrupted:
       break;
   }
--- a/packages/coordination/src/relay_run.h
+++ b/packages/coordination/src/relay_run.h
@@ -22,7 +22,8 @@
 enum class AttemptOutcome : std::uint8_t
 {
   kDone,        ///< the answer was passed on, whole
-  kUnsent,      ///< nothing of the request was sent
+  kUnsent,      ///< the endpoint could not be reached; nothing was sent
+  kWithheld,    ///< nothing was sent, and nothing may be any more
   kNotRun,      ///< the endpoint said that it did not run the request
   kMisdirected, ///< the endpoint is another, or has other weights
   kBroken,      ///< it may have run; the answer is missing or unusable
@@ -30,8 +31,14 @@
 };
 
 /// Names of AttemptOutcome.
-inline constexpr state::EnumNames<AttemptOutcome, 6> kAttemptOutcomeNames{
-  { "done", "unsent", "not-run", "misdirected", "broken", "interrupted" }
+inline constexpr state::EnumNames<AttemptOutcome, 7> kAttemptOutcomeNames{
+  { "done",
+    "unsent",
+    "withheld",
+    "not-run",
+    "misdirected",
+    "broken",
+    "interrupted" }
 };
 
 /// Serves one request: finds its route and team, chooses endpoints, passes the
@@ -66,6 +73,8 @@
   transport::Task<void> WaitForPart(const RelayPick& aPick);
   transport::Task<AttemptOutcome> Try(RelayPick aPick);
   transport::Task<AttemptOutcome> Connect(Attempt& aAttempt);
+  /// Why a request must not be sent at this moment; empty: it may be.
+  std::string_view ReasonToWithhold();
   void Send(Attempt& aAttempt);
   HandOver HandOverOf(const RelayPick& aPick) const;
   void NotePartIsRead(const RelayPick& aPick);
@@ -120,7 +129,6 @@
   std::shared_ptr<transport::SocketReader> mOpenAttempt; ///< to be cut off
   std::vector<std::string> mTried; ///< endpoints that got the request
   int mUnsentTries = 0;            ///< endpoints that could not be reached
-  bool mIsGivenUp = false;         ///< no endpoint can take it in time
   bool mMayHaveRun = false;
   bool mIsHeadPassed = false;
   bool mIsKept = true;
