--- a/packages/coordination/include/shuntjunction/coordination/platform.h
+++ b/packages/coordination/include/shuntjunction/coordination/platform.h
@@ -44,6 +44,14 @@
 std::vector<state::InstanceInfo>
 ReadInstances(state::JsonReader& aReader);
 
+/// What a status that is no success says of a platform call.
+///
+/// Thread safety: pure.
+/// @return kUnavailable when nothing was done, kConflict when a condition did
+///         not hold, kTimeout when the effect is open
+state::ErrorCode
+PlatformErrorOf(unsigned aStatus);
+
 /// The platform's service, behind which whatever is particular to it stays.
 ///
 /// Every method is one call that the platform counts.
--- a/packages/coordination/src/http_platform.cpp
+++ b/packages/coordination/src/http_platform.cpp
@@ -22,11 +22,7 @@
 constexpr unsigned kOk = 200;
 constexpr unsigned kCreated = 201;
 constexpr unsigned kNoObject = 404;
-constexpr unsigned kConflict = 409;
 constexpr unsigned kGone = 410;
-constexpr unsigned kTooMany = 429;
-constexpr unsigned kServerError = 500;
-constexpr unsigned kServiceDown = 503;
 
 Result<RawObject>
 ReadObject(const boost::json::value& aValue)
@@ -74,26 +70,19 @@
     co_return tl::unexpected(std::move(error));
   }
   const std::string peer = mClient.Peer().Text();
-  const std::string status = "status " + std::to_string(answer->mStatus);
-  switch (answer->mStatus) {
-    case kOk:
-    case kCreated:
-    case kNoObject:
-    case kGone:
-      co_return answer;
-    case kConflict:
-      co_return Fail(ErrorCode::kConflict, aStep, peer, answer->mBody);
-    case kTooMany:
-    case kServiceDown:
-      co_return Fail(ErrorCode::kUnavailable, aStep, peer, status);
-    default:
-      break;
-  }
-  // Any other server error leaves the effect open.
-  const auto code = answer->mStatus >= kServerError
-                      ? ErrorCode::kTimeout
-                      : ErrorCode::kInvalidArgument;
-  co_return Fail(code, aStep, peer, status + ": " + answer->mBody);
+  const unsigned status = answer->mStatus;
+  if (status == kOk || status == kCreated || status == kNoObject ||
+      status == kGone) {
+    co_return answer;
+  }
+  const auto code = PlatformErrorOf(status);
+  std::string text = "status " + std::to_string(status);
+  if (code == ErrorCode::kConflict) {
+    text = answer->mBody;
+  } else if (code != ErrorCode::kUnavailable) {
+    text += ": " + answer->mBody;
+  }
+  co_return Fail(code, aStep, peer, text);
 }
 
 Task<Result<ObjectList>>
--- a/packages/coordination/src/platform.cpp
+++ b/packages/coordination/src/platform.cpp
@@ -20,6 +20,24 @@
 
 } // namespace
 
+state::ErrorCode
+PlatformErrorOf(unsigned aStatus)
+{
+  constexpr unsigned kConflict = 409;
+  constexpr unsigned kTooMany = 429;
+  constexpr unsigned kServerError = 500;
+  constexpr unsigned kServiceDown = 503;
+  if (aStatus == kConflict) {
+    return state::ErrorCode::kConflict;
+  }
+  if (aStatus == kTooMany || aStatus == kServiceDown) {
+    return state::ErrorCode::kUnavailable;
+  }
+  // Any other server error leaves the effect open.
+  return aStatus >= kServerError ? state::ErrorCode::kTimeout
+                                 : state::ErrorCode::kInvalidArgument;
+}
+
 boost::json::object
 WriteInstance(const state::InstanceInfo& aInstance)
 {
