The shared part of a prompt is found in one place, news looked up once

Cause: four places took the last part but one by its index or summed the others, and each candidate's news was looked up twice for each request. Change: CallFacts says its last shared part and their tokens.

--- a/packages/coordination/include/shuntjunction/coordination/relay_codec.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay_codec.h
@@ -24,6 +24,12 @@
   std::vector<state::PromptPart> mParts;  ///< outermost first; last: its own
   std::int64_t mPromptTokens = 0;
   std::int64_t mMaxNewTokens = 0;
+
+  /// Id of the last part that other requests may share; empty: none.
+  std::string_view LastSharedPart() const;
+
+  /// Tokens of all parts but the request's own.
+  std::int64_t SharedTokens() const;
 };
 
 /// What the relay adds when it hands a request over to an endpoint.
--- a/packages/coordination/src/relay_choice_view.cpp
+++ b/packages/coordination/src/relay_choice_view.cpp
@@ -64,8 +64,8 @@
       return;
     }
     RelayCandidate candidate;
+    const auto* news = mCore.mEndpoints.FreshNews(*aEndpoint, mNow);
     if (!mAsk.mCall->mModel.empty()) {
-      const auto* news = mCore.mEndpoints.FreshNews(*aEndpoint, mNow);
       candidate.mVersion = news != nullptr && news->mModel == mAsk.mCall->mModel
                              ? news->mWeights
                              : aEndpoint->mInfo.VersionOf(mAsk.mCall->mModel);
@@ -74,12 +74,11 @@
         return;
       }
     }
-    const auto& parts = mAsk.mCall->mParts;
-    if (parts.size() >= 2 && candidate.mVersion != 0) {
-      const auto part = state::PartName(SaltOf(mAsk, candidate.mVersion),
-                                        parts[parts.size() - 2].mId);
+    const auto part = mAsk.mCall->LastSharedPart();
+    if (!part.empty() && candidate.mVersion != 0) {
+      const auto name = state::PartName(SaltOf(mAsk, candidate.mVersion), part);
       candidate.mHoldsPart =
-        mCore.mEndpoints.Parts().Holds(aEndpoint->mInfo.mId, part);
+        mCore.mEndpoints.Parts().Holds(aEndpoint->mInfo.mId, name);
     }
     candidate.mNameHash = aEndpoint->mNameHash;
     candidate.mIsSameZone =
@@ -88,7 +87,7 @@
     candidate.mRunning = aEndpoint->mRunning;
     candidate.mSlots = aEndpoint->mInfo.mSlots;
     candidate.mQueuedTokens = aEndpoint->mUnreadTokens;
-    if (const auto* news = mCore.mEndpoints.FreshNews(*aEndpoint, mNow)) {
+    if (news != nullptr) {
       candidate.mQueuedTokens = std::max(
         candidate.mQueuedTokens, news->mQueued * mCore.mLimits.mTokensOfQueued);
     }
@@ -142,14 +141,9 @@
   if (parts.empty()) {
     return aAsk.mCall->mPromptTokens;
   }
-  std::int64_t tokens = parts.back().mTokens;
   const auto name = state::PartName(aPick.mSalt, aPick.mPart);
-  if (aCore.mEndpoints.Parts().Holders(name).empty()) {
-    for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
-      tokens += parts[i].mTokens;
-    }
-  }
-  return tokens;
+  const bool isKept = !aCore.mEndpoints.Parts().Holders(name).empty();
+  return parts.back().mTokens + (isKept ? 0 : aAsk.mCall->SharedTokens());
 }
 
 /// Names where the shared part may be fetched from and saved to.
@@ -187,14 +181,10 @@
   const auto& settings = aCore.mParts.mSettings.mChoice;
   const auto allowed =
     state::PreferNewest(candidates, list.Newest(), aCore.mLimits.mNewestShare);
-  const auto& parts = aAsk.mCall->mParts;
+  const auto part = aAsk.mCall->LastSharedPart();
   std::optional<std::size_t> index;
-  std::int64_t shared = 0;
-  for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
-    shared += parts[i].mTokens;
-  }
-  if (shared >= settings.mMinSharedTokens) {
-    const auto key = state::PlacementHash(parts[parts.size() - 2].mId);
+  if (aAsk.mCall->SharedTokens() >= settings.mMinSharedTokens) {
+    const auto key = state::PlacementHash(part);
     index = state::ChooseByPart(candidates, allowed, key, settings);
   } else {
     index = state::ChooseByLoad(candidates, allowed, settings, aCore.mRandom);
@@ -209,8 +199,8 @@
   if (pick.mWeights != 0) {
     pick.mSalt = SaltOf(aAsk, pick.mWeights);
   }
-  if (parts.size() >= 2) {
-    pick.mPart = parts[parts.size() - 2].mId;
+  if (!part.empty()) {
+    pick.mPart = part;
     FillPartSource(aCore, pick);
   }
   pick.mTokensToRead = TokensToRead(aCore, aAsk, pick);
