A configuration without a part store is read every ten seconds, not every one

Cause: two companions of a deployment without such a store would have listed the configuration each second for their whole life, a priced call each. Change: ten seconds once a configuration was read that names none; one second as before while there is none.

--- a/packages/coordination/include/shuntjunction/coordination/part_store_teller.h
+++ b/packages/coordination/include/shuntjunction/coordination/part_store_teller.h
@@ -2,6 +2,8 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
+#include <string>
 
 #include "shuntjunction/coordination/engine_news.h"
 #include "shuntjunction/coordination/part_follower.h"
@@ -43,7 +45,9 @@
 
 private:
   transport::Task<void> Run();
-  transport::Task<std::string> FindStore();
+  /// Address of the store; empty when the configuration names none, nothing
+  /// when there is no configuration yet.
+  transport::Task<std::optional<std::string>> FindStore();
   bool IsTeller() const;
 
   PartStoreTellerParts mParts;
--- a/packages/coordination/src/part_store_teller.cpp
+++ b/packages/coordination/src/part_store_teller.cpp
@@ -17,6 +17,10 @@
 /// How often a companion looks whether it is one of them.
 constexpr Millis kLookInterval{ 1000 };
 
+/// How often it reads a configuration again that named no store: each reading
+/// has a price, and most that name none never will.
+constexpr Millis kNoStoreInterval{ 10000 };
+
 } // namespace
 
 PartStoreTeller::PartStoreTeller(const PartStoreTellerParts& aParts)
@@ -62,11 +66,15 @@
       continue;
     }
     const auto address = co_await FindStore();
-    const auto parsed = state::ParseAddress(address);
+    if (!address) {
+      continue;
+    }
+    const auto parsed = state::ParseAddress(*address);
     if (!parsed) {
+      co_await transport::Sleep(kNoStoreInterval);
       continue;
     }
-    mParts.mNews.SetStore(address);
+    mParts.mNews.SetStore(*address);
     mStore = mParts.mMakeControl(*parsed);
     mFollower = std::make_unique<PartFollower>(
       mParts.mContext,
@@ -78,28 +86,33 @@
       [this] { mParts.mNews.ClearParts(PartHolder::kStore); });
     mFollower->Start();
     mParts.mLog.Write(
-      EventLine("parts", "tells-of-store").Add("store", address));
+      EventLine("parts", "tells-of-store").Add("store", *address));
   }
 }
 
-Task<std::string>
+Task<std::optional<std::string>>
 PartStoreTeller::FindStore()
 {
   const auto list =
     co_await mParts.mPlatform.List(mParts.mCodec.ConfigPrefix());
   if (!list) {
-    co_return "";
+    co_return std::nullopt;
   }
   for (const auto& object : list->mObjects) {
     if (!mParts.mCodec.IsConfig(object.mKey)) {
       continue;
     }
     const auto rules = mParts.mCodec.ReadRules(object.mValue);
-    if (rules && !rules->mPartStores.empty()) {
-      co_return rules->mPartStores.front().mAddress;
+    if (rules) {
+      const auto& stores = rules->mPartStores;
+      std::string address;
+      if (!stores.empty()) {
+        address = stores.front().mAddress;
+      }
+      co_return address;
     }
   }
-  co_return "";
+  co_return std::nullopt;
 }
 
 } // namespace shuntjunction::coordination
