A peer that is cut off is noticed on every connection; a watch never blocks

Cause: only callers' and relays' endpoint connections had keep-alive probes and a limit for unacknowledged bytes. The store's watches (20 s) and our own channels had none, so one that went silent for good was believed until its wait ran out. A wait may end though nothing is there, when the reactor tells late of bytes that were read; the look then held up the whole thread until that caller sent something. Ruled out: callers that closed (queue empty, state established), two watches of one request (the first request of its connection). Change: ConnectSocket and FrameChannel set the limits, HttpClient connects through ConnectSocket (connecting stood twice); the look is non-blocking and waits again. Tests: AClientsConnectionNoticesAPeerThatIsCutOff failed before.

--- a/packages/coordination/src/relay.cpp
+++ b/packages/coordination/src/relay.cpp
@@ -5,6 +5,7 @@
 
 #include "relay_core.h"
 #include "relay_session.h"
+#include "shuntjunction/transport/connect.h"
 #include "shuntjunction/transport/frame_channel.h"
 
 namespace shuntjunction::coordination {
--- a/packages/coordination/src/relay_attempt.cpp
+++ b/packages/coordination/src/relay_attempt.cpp
@@ -162,7 +162,6 @@
     mLastProblem = "connect: " + socket.error().message();
     co_return AttemptOutcome::kUnsent;
   }
-  transport::SetSilenceLimits(*socket, settings.mSilence);
   aAttempt.mConnection.mReader = std::make_shared<SocketReader>(
     std::move(*socket), mCore->mLimits.mReadAhead);
   aAttempt.mConnection.mReader->Start();
--- a/packages/coordination/src/relay_endpoint.h
+++ b/packages/coordination/src/relay_endpoint.h
@@ -48,7 +48,6 @@
   state::Millis mRefusedPause{ 300 };
   /// Companions speak at least once a second; older news is not believed.
   state::Millis mNewsLimit{ 2500 };
-  transport::SilenceLimits mSilence;
 };
 
 /// One endpoint as a relay knows it.
--- a/packages/transport/include/shuntjunction/transport/http_client.h
+++ b/packages/transport/include/shuntjunction/transport/http_client.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -96,6 +97,9 @@
     state::Millis aTimeout,
     std::shared_ptr<CancelHandle> aCancel);
 
+  /// Ends all calls of Send that wait for their answer: they return kTimeout.
+  void AbandonCalls();
+
   /// Address that it talks to.
   const state::Address& Peer() const { return mAddress; }
 
@@ -113,6 +117,7 @@
   state::Address mAddress;
   std::size_t mMaxAnswerBytes;
   std::vector<std::unique_ptr<Connection>> mIdle;
+  std::set<Connection*> mBusy; ///< of calls that wait for their answer
 };
 
 } // namespace shuntjunction::transport
--- a/packages/transport/include/shuntjunction/transport/socket_reader.h
+++ b/packages/transport/include/shuntjunction/transport/socket_reader.h
@@ -76,19 +76,6 @@
   bool mIsEndedInOrder = false;
 };
 
-/// Bounds how long a peer that says nothing is taken to be there.
-struct SilenceLimits
-{
-  state::Millis mUnacknowledged{ 1500 }; ///< for bytes that were sent
-  int mKeepAliveIdleSeconds = 1;         ///< until the first probe
-  int mKeepAliveIntervalSeconds = 1;     ///< between probes
-  int mKeepAliveProbes = 2;              ///< unanswered ones that end it
-};
-
-/// Sets no-delay and the limits on a connected socket.
-void
-SetSilenceLimits(asio::ip::tcp::socket& aSocket, const SilenceLimits& aLimits);
-
 /// Makes the closing of a socket reach the peer as a reset, which also drops
 /// what was not yet delivered.
 void
--- a/packages/transport/src/connect.cpp
+++ b/packages/transport/src/connect.cpp
@@ -2,10 +2,25 @@
 
 #include <memory>
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 namespace shuntjunction::transport {
 
 using tcp = asio::ip::tcp;
 
+namespace {
+
+void
+SetNumber(tcp::socket& aSocket, int aLevel, int aName, int aValue)
+{
+  // A platform without the option keeps its default, which is only slower.
+  static_cast<void>(::setsockopt(
+    aSocket.native_handle(), aLevel, aName, &aValue, sizeof(aValue)));
+}
+
+} // namespace
+
 state::Result<tcp::endpoint>
 EndpointOf(const state::Address& aAddress, std::string_view aStep)
 {
@@ -20,6 +35,22 @@
   return tcp::endpoint(ip, aAddress.mPort);
 }
 
+void
+SetSilenceLimits(tcp::socket& aSocket, const SilenceLimits& aLimits)
+{
+  boost::system::error_code ignored;
+  aSocket.set_option(tcp::no_delay(true), ignored);
+  aSocket.set_option(asio::socket_base::keep_alive(true), ignored);
+  SetNumber(aSocket,
+            IPPROTO_TCP,
+            TCP_USER_TIMEOUT,
+            static_cast<int>(aLimits.mUnacknowledged.count()));
+  SetNumber(aSocket, IPPROTO_TCP, TCP_KEEPIDLE, aLimits.mKeepAliveIdleSeconds);
+  SetNumber(
+    aSocket, IPPROTO_TCP, TCP_KEEPINTVL, aLimits.mKeepAliveIntervalSeconds);
+  SetNumber(aSocket, IPPROTO_TCP, TCP_KEEPCNT, aLimits.mKeepAliveProbes);
+}
+
 Task<ConnectResult>
 ConnectSocket(tcp::endpoint aEndpoint, state::Millis aTimeout)
 {
@@ -41,6 +72,7 @@
   if (error) {
     co_return tl::unexpected(error);
   }
+  SetSilenceLimits(*socket, SilenceLimits{});
   co_return std::move(*socket);
 }
 
--- a/packages/transport/src/frame_channel.cpp
+++ b/packages/transport/src/frame_channel.cpp
@@ -50,8 +50,7 @@
   , mPeer(std::move(aPeer))
   , mCounters(aCounters)
 {
-  boost::system::error_code ignored;
-  mSocket.set_option(tcp::no_delay(true), ignored);
+  SetSilenceLimits(mSocket, SilenceLimits{});
 }
 
 void
--- a/packages/transport/src/http_client.cpp
+++ b/packages/transport/src/http_client.cpp
@@ -44,8 +44,8 @@
 /// One connection to the address.
 struct HttpClient::Connection
 {
-  explicit Connection(const asio::any_io_executor& aExecutor)
-    : mStream(aExecutor)
+  explicit Connection(tcp::socket aSocket)
+    : mStream(std::move(aSocket))
   {
   }
 
@@ -147,20 +147,22 @@
   if (!endpoint) {
     co_return tl::unexpected(endpoint.error());
   }
-  auto connection =
-    std::make_unique<Connection>(co_await asio::this_coro::executor);
-  connection->mStream.expires_after(aTimeout);
-  const auto [error] =
-    co_await connection->mStream.async_connect(*endpoint, kAsTuple);
-  if (error) {
+  auto socket = co_await ConnectSocket(*endpoint, aTimeout);
+  if (!socket) {
     co_return Fail(ErrorCode::kUnavailable,
                    "http.connect",
                    mAddress.Text(),
-                   error.message());
+                   socket.error().message());
+  }
+  co_return std::make_unique<Connection>(std::move(*socket));
+}
+
+void
+HttpClient::AbandonCalls()
+{
+  for (auto* connection : mBusy) {
+    connection->mStream.close();
   }
-  boost::system::error_code ignored;
-  connection->mStream.socket().set_option(tcp::no_delay(true), ignored);
-  co_return connection;
 }
 
 Task<Result<HttpResponse>>
@@ -229,7 +231,10 @@
     }
     connection = std::move(*fresh);
   }
+  auto* const busy = connection.get();
+  mBusy.insert(busy);
   auto answer = co_await Exchange(connection, aRequest, aTimeout);
+  mBusy.erase(busy);
   co_return answer;
 }
 
--- a/packages/transport/src/http_server.cpp
+++ b/packages/transport/src/http_server.cpp
@@ -225,18 +225,26 @@
   Task<void> WatchCaller(std::uint64_t aRequestNumber)
   {
     const auto self = shared_from_this();
-    const auto [error] =
-      co_await mStream.socket().async_wait(tcp::socket::wait_read, kAsTuple);
-    if (aRequestNumber != mRequestNumber || !mOnGone) {
-      co_return;
-    }
-    char probe = 0;
-    boost::system::error_code peekError = error;
-    if (!peekError) {
-      mStream.socket().receive(
-        asio::buffer(&probe, 1), asio::socket_base::message_peek, peekError);
-    }
-    if (peekError && peekError != asio::error::would_block) {
+    auto& socket = mStream.socket();
+    boost::system::error_code peekError;
+    do {
+      const auto [error] =
+        co_await socket.async_wait(tcp::socket::wait_read, kAsTuple);
+      if (aRequestNumber != mRequestNumber || !mOnGone) {
+        co_return;
+      }
+      peekError = error;
+      char probe = 0;
+      if (!peekError) {
+        // The wait may end early: its reactor tells late of bytes that were
+        // read already. Without non-blocking mode the look would then hold up
+        // the thread until the caller sends something.
+        socket.non_blocking(true, peekError);
+        socket.receive(
+          asio::buffer(&probe, 1), asio::socket_base::message_peek, peekError);
+      }
+    } while (peekError == asio::error::would_block);
+    if (peekError) {
       mIsKept = false;
       std::exchange(mOnGone, nullptr)();
     }
--- a/packages/transport/src/socket_reader.cpp
+++ b/packages/transport/src/socket_reader.cpp
@@ -2,9 +2,6 @@
 
 #include <array>
 
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
 namespace shuntjunction::transport {
 
 using tcp = asio::ip::tcp;
@@ -13,14 +10,6 @@
 
 constexpr std::size_t kReadBytes = 32UL * 1024;
 
-void
-SetNumber(tcp::socket& aSocket, int aLevel, int aName, int aValue)
-{
-  // A platform without the option keeps its default, which is only slower.
-  static_cast<void>(::setsockopt(
-    aSocket.native_handle(), aLevel, aName, &aValue, sizeof(aValue)));
-}
-
 } // namespace
 
 SocketReader::SocketReader(tcp::socket aSocket, std::size_t aMaxBuffered)
@@ -135,22 +124,6 @@
   Wake();
 }
 
-void
-SetSilenceLimits(tcp::socket& aSocket, const SilenceLimits& aLimits)
-{
-  boost::system::error_code ignored;
-  aSocket.set_option(tcp::no_delay(true), ignored);
-  aSocket.set_option(asio::socket_base::keep_alive(true), ignored);
-  SetNumber(aSocket,
-            IPPROTO_TCP,
-            TCP_USER_TIMEOUT,
-            static_cast<int>(aLimits.mUnacknowledged.count()));
-  SetNumber(aSocket, IPPROTO_TCP, TCP_KEEPIDLE, aLimits.mKeepAliveIdleSeconds);
-  SetNumber(
-    aSocket, IPPROTO_TCP, TCP_KEEPINTVL, aLimits.mKeepAliveIntervalSeconds);
-  SetNumber(aSocket, IPPROTO_TCP, TCP_KEEPCNT, aLimits.mKeepAliveProbes);
-}
-
 void
 SetResetOnClose(tcp::socket& aSocket)
 {
--- a/packages/transport/tests/http_server_test.cpp
+++ b/packages/transport/tests/http_server_test.cpp
@@ -3,9 +3,14 @@
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
+#include "shuntjunction/transport/connect.h"
 #include "shuntjunction/transport/run_task.h"
 #include "shuntjunction/transport/http_client.h"
 #include "shuntjunction/transport/http_server.h"
@@ -35,6 +40,14 @@
       aExchange.OnGone([this] { mGone.Push(true); });
       co_await mGone.Receive(state::TimePoint::max());
       aExchange.Abort();
+    } else if (path == "/watched") {
+      int gone = 0;
+      aExchange.OnGone([&gone] { ++gone; });
+      // Other work of this thread goes on meanwhile.
+      co_await Sleep(std::chrono::microseconds(100));
+      HttpResponse response;
+      response.mBody = gone == 0 ? "there" : "gone";
+      co_await aExchange.Respond(std::move(response));
     } else if (path == "/cut") {
       co_await aExchange.BeginStream(header);
       co_await aExchange.Write("half of it");
@@ -173,6 +186,34 @@
   EXPECT_TRUE(HasStatus(Exchange("GET / HTTP/1.1\r\n\r\n"), 503));
 }
 
+TEST_F(GivenAServer, WatchingACallerNeverHoldsUpTheThread)
+{
+  // The requests are there before their connections are accepted. They are read
+  // before the reactor tells of their bytes, and what it tells afterwards wakes
+  // the watches of the callers although nothing is there.
+  constexpr int kCallers = 200;
+  const auto ask = [&]() -> Task<int> {
+    std::vector<tcp::socket> callers;
+    for (int i = 0; i < kCallers; ++i) {
+      callers.emplace_back(co_await asio::this_coro::executor);
+      callers.back().connect(
+        { asio::ip::make_address(mAddress.mHost), mAddress.mPort });
+      asio::write(
+        callers.back(),
+        asio::buffer(std::string("GET /watched HTTP/1.1\r\nHost: h\r\n\r\n")));
+    }
+    int answered = 0;
+    for (auto& caller : callers) {
+      std::string answer;
+      const auto [error, bytes] = co_await asio::async_read_until(
+        caller, asio::dynamic_buffer(answer), "there", kAsTuple);
+      answered += error ? 0 : 1;
+    }
+    co_return answered;
+  };
+  EXPECT_EQ(Run(ask()), kCallers);
+}
+
 class ThatStreams : public GivenAServer
 {
 protected:
@@ -258,5 +299,42 @@
   EXPECT_EQ(Run(send(&client)), state::ErrorCode::kUnavailable);
 }
 
+/// Milliseconds for which what was sent to a port may stay unacknowledged, for
+/// each connection of this process to that port.
+std::vector<int>
+SilenceLimitsTo(std::uint16_t aPort)
+{
+  constexpr int kMostDescriptors = 1024;
+  std::vector<int> limits;
+  for (int descriptor = 0; descriptor < kMostDescriptors; ++descriptor) {
+    sockaddr_in peer{};
+    socklen_t size = sizeof(peer);
+    auto* address = reinterpret_cast<sockaddr*>(&peer);
+    if (getpeername(descriptor, address, &size) != 0 ||
+        peer.sin_family != AF_INET || ntohs(peer.sin_port) != aPort) {
+      continue;
+    }
+    int limit = 0;
+    size = sizeof(limit);
+    getsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, &size);
+    int isProbed = 0;
+    size = sizeof(isProbed);
+    getsockopt(descriptor, SOL_SOCKET, SO_KEEPALIVE, &isProbed, &size);
+    limits.push_back(isProbed != 0 ? limit : 0);
+  }
+  return limits;
+}
+
+TEST_F(GivenAServer, AClientsConnectionNoticesAPeerThatIsCutOff)
+{
+  HttpClient client(mAddress, 10000);
+  const HttpRequest request;
+  const auto answer = Run(client.Send(request, Millis(5000)));
+  ASSERT_TRUE(answer);
+  const std::vector<int> expected{ static_cast<int>(
+    SilenceLimits{}.mUnacknowledged.count()) };
+  EXPECT_EQ(SilenceLimitsTo(mAddress.mPort), expected);
+}
+
 } // namespace
 } // namespace shuntjunction::transport
