--- /dev/null
+++ b/standins/child_process.cpp
@@ -0,0 +1,153 @@
+#include "child_process.h"
+
+#include <array>
+#include <csignal>
+#include <cstdlib>
+#include <cstring>
+#include <iostream>
+#include <set>
+
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace shuntjunction::standins {
+
+namespace {
+
+constexpr mode_t kLogMode = 0644;
+
+/// Processes that were started and not yet waited for.
+std::set<int> sStarted;
+
+/// Reads one line of a pipe.
+std::string
+ReadLine(int aDescriptor)
+{
+  std::string line;
+  char next = 0;
+  while (read(aDescriptor, &next, 1) == 1 && next != '\n') {
+    line += next;
+  }
+  return line;
+}
+
+/// Null-ended pointers to strings that outlive them, as exec wants them.
+std::vector<char*>
+Pointers(const std::vector<std::string>& aWords)
+{
+  std::vector<char*> pointers;
+  pointers.reserve(aWords.size() + 1);
+  for (const auto& word : aWords) {
+    pointers.push_back(const_cast<char*>(word.c_str()));
+  }
+  pointers.push_back(nullptr);
+  return pointers;
+}
+
+std::vector<std::string>
+WholeEnvironment(const std::vector<std::string>& aFurther)
+{
+  std::vector<std::string> all;
+  for (char** entry = environ; *entry != nullptr; ++entry) {
+    all.emplace_back(*entry);
+  }
+  all.insert(all.end(), aFurther.begin(), aFurther.end());
+  return all;
+}
+
+} // namespace
+
+void
+DieWithChildren(const std::string& aText)
+{
+  std::cerr << aText << "\n";
+  for (const int pid : sStarted) {
+    kill(pid, SIGKILL);
+  }
+  std::abort();
+}
+
+ChildProcess::ChildProcess(const ChildCommand& aCommand)
+{
+  std::array<int, 2> output{};
+  if (pipe2(output.data(), O_CLOEXEC) != 0) {
+    DieWithChildren("no pipe");
+  }
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  constexpr int kAppend = O_CREAT | O_WRONLY | O_APPEND;
+  if (aCommand.mOutputFile.empty()) {
+    posix_spawn_file_actions_adddup2(&actions, output[1], STDOUT_FILENO);
+  } else {
+    posix_spawn_file_actions_addopen(
+      &actions, STDOUT_FILENO, aCommand.mOutputFile.c_str(), kAppend, kLogMode);
+  }
+  posix_spawn_file_actions_addopen(
+    &actions, STDERR_FILENO, aCommand.mErrorFile.c_str(), kAppend, kLogMode);
+  // Sockets of this process would stay open for as long as the child lives.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
+  const auto environment = WholeEnvironment(aCommand.mEnvironment);
+  const int failed = posix_spawn(&mPid,
+                                 aCommand.mWords.front().c_str(),
+                                 &actions,
+                                 nullptr,
+                                 Pointers(aCommand.mWords).data(),
+                                 Pointers(environment).data());
+  posix_spawn_file_actions_destroy(&actions);
+  close(output[1]);
+  if (failed != 0) {
+    DieWithChildren(aCommand.mWords.front() +
+                    " cannot be started: " + std::strerror(failed));
+  }
+  sStarted.insert(mPid);
+  if (aCommand.mOutputFile.empty()) {
+    mFirstLine = ReadLine(output[0]);
+  }
+  close(output[0]);
+}
+
+ChildProcess::~ChildProcess()
+{
+  Signal(SIGKILL);
+  WaitEnd();
+}
+
+void
+ChildProcess::Signal(int aSignal)
+{
+  if (!HasEnded()) {
+    kill(mPid, aSignal);
+  }
+}
+
+bool
+ChildProcess::HasEnded()
+{
+  int status = 0;
+  if (!mHasEnded && waitpid(mPid, &status, WNOHANG) == mPid) {
+    NoteEnd(status);
+  }
+  return mHasEnded;
+}
+
+int
+ChildProcess::WaitEnd()
+{
+  int status = 0;
+  if (!mHasEnded && waitpid(mPid, &status, 0) == mPid) {
+    NoteEnd(status);
+  }
+  return mExit;
+}
+
+void
+ChildProcess::NoteEnd(int aStatus)
+{
+  mHasEnded = true;
+  mExit = WIFEXITED(aStatus) ? WEXITSTATUS(aStatus) : -WTERMSIG(aStatus);
+  sStarted.erase(mPid);
+}
+
+} // namespace shuntjunction::standins
--- a/standins/fleet.cpp
+++ b/standins/fleet.cpp
@@ -1,19 +1,11 @@
 #include "fleet.h"
 
-#include <array>
-#include <cerrno>
 #include <csignal>
-#include <cstring>
 #include <filesystem>
 #include <fstream>
-#include <iostream>
 #include <sstream>
-#include <set>
 #include <thread>
 
-#include <fcntl.h>
-#include <spawn.h>
-#include <sys/wait.h>
 #include <unistd.h>
 
 #include <boost/json/array.hpp>
@@ -41,30 +33,10 @@
 constexpr std::string_view kPlatformName = "platform";
 constexpr std::string_view kAnyPort = "127.0.0.1:0";
 
-/// Processes that were started and not yet waited for.
-std::set<int> sStarted;
-
-/// Ends the program, and before it what it has started: nobody else would.
 [[noreturn]] void
 Die(const std::string& aText)
 {
-  std::cerr << "fleet: " << aText << "\n";
-  for (const int pid : sStarted) {
-    kill(pid, SIGKILL);
-  }
-  std::abort();
-}
-
-/// Reads one line of a pipe.
-std::string
-ReadLine(int aDescriptor)
-{
-  std::string line;
-  char next = 0;
-  while (read(aDescriptor, &next, 1) == 1 && next != '\n') {
-    line += next;
-  }
-  return line;
+  DieWithChildren("fleet: " + aText);
 }
 
 json::object
@@ -100,55 +72,16 @@
   std::filesystem::create_directories(mSettings.mFolder);
 }
 
-Fleet::~Fleet()
-{
-  for (const auto& [name, process] : mProcesses) {
-    kill(process.mPid, SIGKILL);
-  }
-  for (const auto& [name, process] : mProcesses) {
-    int status = 0;
-    waitpid(process.mPid, &status, 0);
-    sStarted.erase(process.mPid);
-  }
-}
+Fleet::~Fleet() = default;
 
 FleetProcess
 Fleet::Spawn(const std::string& aName, const std::vector<std::string>& aCommand)
 {
-  std::array<int, 2> output{};
-  if (pipe2(output.data(), O_CLOEXEC) != 0) {
-    Die("no pipe");
-  }
   FleetProcess process;
   process.mLog = mSettings.mFolder + "/" + aName + ".log";
-  posix_spawn_file_actions_t actions;
-  posix_spawn_file_actions_init(&actions);
-  posix_spawn_file_actions_adddup2(&actions, output[1], STDOUT_FILENO);
-  posix_spawn_file_actions_addopen(&actions,
-                                   STDERR_FILENO,
-                                   process.mLog.c_str(),
-                                   O_CREAT | O_WRONLY | O_APPEND,
-                                   0644);
-  std::vector<char*> arguments;
-  arguments.reserve(aCommand.size() + 1);
-  for (const auto& word : aCommand) {
-    arguments.push_back(const_cast<char*>(word.c_str()));
-  }
-  arguments.push_back(nullptr);
-  const int failed = posix_spawn(&process.mPid,
-                                 aCommand.front().c_str(),
-                                 &actions,
-                                 nullptr,
-                                 arguments.data(),
-                                 environ);
-  posix_spawn_file_actions_destroy(&actions);
-  close(output[1]);
-  if (failed != 0) {
-    Die(aName + " cannot be started: " + std::strerror(failed));
-  }
-  sStarted.insert(process.mPid);
-  const auto line = state::ParseJson(ReadLine(output[0]), aName);
-  close(output[0]);
+  process.mChild = std::make_shared<ChildProcess>(
+    ChildCommand{ aCommand, {}, process.mLog, {} });
+  const auto line = state::ParseJson(process.mChild->FirstLine(), aName);
   if (!line || !line->is_object()) {
     Die(aName + " did not start; see " + process.mLog);
   }
@@ -288,19 +221,15 @@
 void
 Fleet::Signal(const std::string& aName, int aSignal)
 {
-  kill(Process(aName).mPid, aSignal);
+  Process(aName).mChild->Signal(aSignal);
 }
 
 int
 Fleet::WaitEnd(const std::string& aName)
 {
-  int status = 0;
-  if (waitpid(Process(aName).mPid, &status, 0) < 0) {
-    Die("no process " + aName);
-  }
-  sStarted.erase(Process(aName).mPid);
+  const int exit = Process(aName).mChild->WaitEnd();
   mProcesses.erase(aName);
-  return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+  return exit;
 }
 
 void
@@ -308,7 +237,7 @@
 {
   const FleetProcess process = Process(aName);
   mAddresses[aName] = process.mTraffic;
-  kill(process.mPid, SIGKILL);
+  process.mChild->Signal(SIGKILL);
   WaitEnd(aName);
 }
 
@@ -316,7 +245,7 @@
 Fleet::IsRunning(const std::string& aName)
 {
   const auto found = mProcesses.find(aName);
-  return found != mProcesses.end() && kill(found->second.mPid, 0) == 0;
+  return found != mProcesses.end() && !found->second.mChild->HasEnded();
 }
 
 const FleetProcess&
@@ -464,7 +393,7 @@
 Fleet::Usage(const std::string& aName) const
 {
   const std::string folder =
-    "/proc/" + std::to_string(Process(aName).mPid) + "/";
+    "/proc/" + std::to_string(Process(aName).mChild->Pid()) + "/";
   std::int64_t peak = 0;
   std::ifstream status(folder + "status");
   for (std::string line; std::getline(status, line);) {
--- a/standins/fleet.h
+++ b/standins/fleet.h
@@ -2,11 +2,13 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
 #include <boost/json/object.hpp>
 
+#include "child_process.h"
 #include "shuntjunction/state/error.h"
 #include "shuntjunction/transport/http_types.h"
 
@@ -16,7 +18,7 @@
 /// A process that was started.
 struct FleetProcess
 {
-  int mPid = 0;
+  std::shared_ptr<ChildProcess> mChild;
   std::string mTraffic; ///< address that it takes traffic on
   std::string mAdmin;   ///< address of its operators' port; empty for stand-ins
   std::string mFar;     ///< second address of the platform
