--- a/packages/coordination/include/shuntjunction/coordination/http_platform.h
+++ b/packages/coordination/include/shuntjunction/coordination/http_platform.h
@@ -35,6 +35,7 @@
   transport::Task<state::Result<InstanceList>> Instances(
     std::uint64_t aAfter,
     state::Millis aWait) override;
+  void AbandonCalls() override { mClient.AbandonCalls(); }
 
 private:
   transport::Task<state::Result<transport::HttpResponse>> Call(
--- a/packages/coordination/include/shuntjunction/coordination/platform.h
+++ b/packages/coordination/include/shuntjunction/coordination/platform.h
@@ -91,6 +91,9 @@
   virtual transport::Task<state::Result<InstanceList>> Instances(
     std::uint64_t aAfter,
     state::Millis aWait) = 0;
+
+  /// Ends all calls that wait for their answer: they return kTimeout.
+  virtual void AbandonCalls() = 0;
 };
 
 } // namespace shuntjunction::coordination
--- a/packages/coordination/include/shuntjunction/coordination/relay_feed.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay_feed.h
@@ -110,6 +110,9 @@
   transport::Task<void> ExpireLapsed();
   void NoteTrouble(Topic& aTopic, const state::Error& aError);
   void NoteSuccess(Topic& aTopic);
+  /// Ends the calls that wait since before the last trouble: a store that fell
+  /// silent may never answer them, though it answers new ones.
+  void AbandonOldCalls();
   void TakeConfig(const state::RawObject& aObject);
   void TakeEndpoint(const state::RawObject& aObject);
   void TakeWeights(const state::RawObject& aObject);
@@ -129,6 +132,7 @@
   state::EndpointDirectory mDirectory;
   state::Freshness mConfirmed;
   RelayView mView;
+  state::TimePoint mTroubleAt; ///< of the last call that failed
   state::RandomSource mRandom;
 };
 
--- a/packages/coordination/src/relay_feed.cpp
+++ b/packages/coordination/src/relay_feed.cpp
@@ -1,5 +1,7 @@
 #include "shuntjunction/coordination/relay_feed.h"
 
+#include <algorithm>
+#include <array>
 #include <random>
 
 #include "shuntjunction/state/load_turns.h"
@@ -49,6 +51,9 @@
   std::uint64_t mRevision = 0;
   bool mIsListed = false;
   bool mIsLost = false; ///< the last call failed
+  /// When the call that waits was made; empty while none waits.
+  std::optional<state::TimePoint> mAskedAt;
+  bool mIsAbandoned = false; ///< that call was ended by this process itself
   Millis mPause{ 0 };
 };
 
@@ -119,16 +124,22 @@
 RelayFeed::Follow(Topic& aTopic)
 {
   while (true) {
+    aTopic.mAskedAt = mClock.Now();
+    aTopic.mIsAbandoned = false;
     Result<void> done;
     if (aTopic.mIsListed) {
       done = co_await WatchOnce(aTopic);
     } else {
       done = co_await ListOnce(aTopic);
     }
+    aTopic.mAskedAt.reset();
     if (done) {
       NoteSuccess(aTopic);
       continue;
     }
+    if (aTopic.mIsAbandoned) {
+      continue;
+    }
     NoteTrouble(aTopic, done.error());
     aTopic.mPause = std::clamp(
       aTopic.mPause * 2, mSettings.mFirstPause, mSettings.mLongestPause);
@@ -193,7 +204,8 @@
 void
 RelayFeed::NoteTrouble(Topic& aTopic, const Error& aError)
 {
-  mDirectory.NoteOutage(mClock.Now());
+  mTroubleAt = mClock.Now();
+  mDirectory.NoteOutage(mTroubleAt);
   if (std::exchange(aTopic.mIsLost, true)) {
     return;
   }
@@ -213,6 +225,26 @@
   mLog.Write(EventLine(kPart, "platform-regained")
                .Add("objects", aTopic.mPrefix)
                .Add("revision", aTopic.mRevision));
+  AbandonOldCalls();
+}
+
+void
+RelayFeed::AbandonOldCalls()
+{
+  const std::array topics{ mConfigTopic.get(),
+                           mEndpointTopic.get(),
+                           mWeightsTopic.get() };
+  const bool isAny =
+    std::any_of(topics.begin(), topics.end(), [&](const Topic* aTopic) {
+      return aTopic->mAskedAt && *aTopic->mAskedAt <= mTroubleAt;
+    });
+  if (!isAny) {
+    return;
+  }
+  for (auto* topic : topics) {
+    topic->mIsAbandoned = topic->mAskedAt.has_value();
+  }
+  mPlatform.AbandonCalls();
 }
 
 void
--- a/packages/coordination/tests/fake_platform.h
+++ b/packages/coordination/tests/fake_platform.h
@@ -94,6 +94,8 @@
     co_return NoAnswer();
   }
 
+  void AbandonCalls() override {}
+
   std::map<std::string, state::RawObject> mObjects;
   WriteFate mNextWrite = WriteFate::kAnswers;
   std::uint64_t mRevision = 0;
--- a/packages/state/include/shuntjunction/state/enum_names.h
+++ b/packages/state/include/shuntjunction/state/enum_names.h
@@ -15,6 +15,9 @@
 {
   std::array<std::string_view, Count> mNames;
 
+  /// Number of values.
+  static constexpr std::size_t Size() { return Count; }
+
   /// Name of a value; "?" when the value is outside the table.
   constexpr std::string_view Name(Enum aValue) const
   {
