--- a/apps/shuntctl.cpp
+++ b/apps/shuntctl.cpp
@@ -5,6 +5,7 @@
 #include <CLI/CLI.hpp>
 
 #include "ctl_commands.h"
+#include "ctl_logs.h"
 
 namespace {
 
@@ -100,8 +101,18 @@
   explain->add_option("--team", options.mTeam)->required();
   explain->add_option("file", options.mFile, "body of a chat call")->required();
 
+  auto* trace = app.add_subcommand(
+    "trace", "what the logs of relays and companions say of one request");
+  std::vector<std::string> logs;
+  trace->add_option("id", options.mName, "id of the request")->required();
+  trace->add_option("logs", logs, "files, one a process")->required();
+
   CLI11_PARSE(app, aCount, aArguments);
 
+  if (*trace) {
+    return ctl::TraceRequest(options.mName, logs, std::cout, std::cerr);
+  }
+
   ctl::Commands commands(options, std::cout, std::cerr);
   if (*apply) {
     return commands.Apply();
--- a/packages/coordination/include/shuntjunction/coordination/relay_feed.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay_feed.h
@@ -108,6 +108,9 @@
   transport::Task<state::Result<void>> ListOnce(Topic& aTopic);
   transport::Task<state::Result<void>> WatchOnce(Topic& aTopic);
   transport::Task<void> ExpireLapsed();
+  /// Whether a topic asks, for all, whether a store that was lost is back. A
+  /// whole watch would tell so only at its end; the others wait for the word.
+  bool IsProbing(const Topic& aTopic) const;
   void NoteTrouble(Topic& aTopic, const state::Error& aError);
   void NoteSuccess(Topic& aTopic);
   /// Ends the calls that wait since before the last trouble: a store that fell
--- a/packages/coordination/include/shuntjunction/coordination/relay_settings.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay_settings.h
@@ -43,12 +43,11 @@
   std::string mListen;    ///< relay: for callers
   std::string mReadiness; ///< relay: for the balancer's checks
   std::string mReadinessPath;
-  std::string mMetrics;       ///< for the metrics; empty: none
-  std::string mPeerListen;    ///< for the system's other processes
-  std::string mSecret;        ///< that they prove to each other
-  std::string mPlatform;      ///< of the store
-  std::string mEngine;        ///< companion: the engine beside it
-  std::string mEngineService; ///< companion: the service of that engine
+  std::string mMetrics;    ///< for the metrics; empty: none
+  std::string mPeerListen; ///< for the system's other processes
+  std::string mSecret;     ///< that they prove to each other
+  std::string mPlatform;   ///< of the store
+  std::string mEngine;     ///< companion: the engine beside it
   std::int64_t mMemoryBytes = 256L * 1024 * 1024; ///< of this process
   FleetBounds mBounds;
   state::LoadTurnSettings mLoadTurns;
--- a/packages/coordination/src/relay.cpp
+++ b/packages/coordination/src/relay.cpp
@@ -126,7 +126,7 @@
   auto& record = mCore->mLedger.AtName(aReading.mPart);
   if (aReading.mIsDone) {
     record.mServedAt = now;
-  } else if (now - record.mServedAt > mCore->mLimits.mPartMemory) {
+  } else if (now - record.mServedAt >= mCore->mLimits.mNewsDelay) {
     record.mReadingFrom = now;
   }
 }
--- a/packages/coordination/src/relay_attempt.cpp
+++ b/packages/coordination/src/relay_attempt.cpp
@@ -216,11 +216,15 @@
   if (aPick.mPart.empty()) {
     return;
   }
-  auto& record = mCore->mLedger.At(aPick.mSalt, aPick.mPart);
-  if (Now() - record.mServedAt > mCore->mLimits.mPartMemory) {
-    record.mReadingFrom = Now();
-    TellPart(aPick, false);
+  const auto name = state::PartName(aPick.mSalt, aPick.mPart);
+  auto& record = mCore->mLedger.AtName(name);
+  const bool isKept = !mCore->mEndpoints.Parts().Holders(name).empty();
+  const bool isNewsDue = Now() - record.mServedAt < mCore->mLimits.mNewsDelay;
+  if (isKept || isNewsDue) {
+    return;
   }
+  record.mReadingFrom = Now();
+  TellPart(aPick, false);
 }
 
 void
--- a/packages/coordination/src/relay_feed.cpp
+++ b/packages/coordination/src/relay_feed.cpp
@@ -22,6 +22,10 @@
 /// How often lapsed entries are looked at.
 constexpr Millis kExpiryInterval{ 500 };
 
+/// Wait of a watch that only asks whether the store is back: it answers at
+/// once.
+constexpr Millis kProbeWait{ 1 };
+
 /// Versions of a model that are remembered; older ones are out of use.
 constexpr std::size_t kMaxNamings = 16;
 
@@ -173,8 +177,9 @@
 RelayFeed::WatchOnce(Topic& aTopic)
 {
   const auto askedAt = mClock.Now();
+  const Millis wait = IsProbing(aTopic) ? kProbeWait : aTopic.mWait;
   const auto answer =
-    co_await mPlatform.Watch(aTopic.mPrefix, aTopic.mRevision, aTopic.mWait);
+    co_await mPlatform.Watch(aTopic.mPrefix, aTopic.mRevision, wait);
   if (!answer) {
     co_return tl::unexpected(answer.error());
   }
@@ -201,6 +206,13 @@
   co_return Result<void>{};
 }
 
+bool
+RelayFeed::IsProbing(const Topic& aTopic) const
+{
+  const auto& first = mSettings.mWatchesConfig ? *mConfigTopic : *mWeightsTopic;
+  return aTopic.mIsLost && &aTopic == &first;
+}
+
 void
 RelayFeed::NoteTrouble(Topic& aTopic, const Error& aError)
 {
--- a/packages/state/include/shuntjunction/state/relay_config.h
+++ b/packages/state/include/shuntjunction/state/relay_config.h
@@ -79,7 +79,6 @@
 struct ServiceRule
 {
   std::string mName;
-  std::string mHealthPath;
   std::int64_t mMaxConnections = 0; ///< of one endpoint, from all callers
   std::optional<EngineTraits> mEngine;
 };
