Companions notice that their watches are dead

Cause: after a silence of the store the companions' watches, 20 s long, were never answered, and no call of theirs failed. Log line watches-renewed.

--- a/packages/coordination/include/shuntjunction/coordination/http_platform.h
+++ b/packages/coordination/include/shuntjunction/coordination/http_platform.h
@@ -35,6 +35,11 @@
   transport::Task<state::Result<InstanceList>> Instances(
     std::uint64_t aAfter,
     state::Millis aWait) override;
+  transport::Task<state::Result<ObjectList>> Glance(
+    std::string aPrefix) override
+  {
+    return List(std::move(aPrefix));
+  }
   void AbandonCalls() override { mClient.AbandonCalls(); }
 
 private:
--- a/packages/coordination/include/shuntjunction/coordination/platform.h
+++ b/packages/coordination/include/shuntjunction/coordination/platform.h
@@ -67,6 +67,10 @@
   virtual transport::Task<state::Result<ObjectList>> List(
     std::string aPrefix) = 0;
 
+  /// The same as some time ago: a platform that can answers so for less.
+  virtual transport::Task<state::Result<ObjectList>> Glance(
+    std::string aPrefix) = 0;
+
   /// One object; empty when there is none.
   virtual transport::Task<state::Result<std::optional<state::RawObject>>> Read(
     std::string aKey) = 0;
--- a/packages/coordination/include/shuntjunction/coordination/relay_feed.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay_feed.h
@@ -108,6 +108,10 @@
   transport::Task<state::Result<void>> ListOnce(Topic& aTopic);
   transport::Task<state::Result<void>> WatchOnce(Topic& aTopic);
   transport::Task<void> ExpireLapsed();
+  /// Looks from time to time whether the store answers and whether the watch of
+  /// the weights has missed any; makes the watches anew if so.
+  transport::Task<void> CheckPulse();
+  bool HasNewerWeights(const ObjectList& aList) const;
   /// Whether a topic asks, for all, whether a store that was lost is back. A
   /// whole watch would tell so only at its end; the others wait for the word.
   bool IsProbing(const Topic& aTopic) const;
--- a/packages/coordination/src/relay_feed.cpp
+++ b/packages/coordination/src/relay_feed.cpp
@@ -26,6 +26,10 @@
 /// once.
 constexpr Millis kProbeWait{ 1 };
 
+/// How often a process that does not watch the configuration looks whether the
+/// store still answers: its own watches wait far longer.
+constexpr Millis kPulseInterval{ 3000 };
+
 /// Versions of a model that are remembered; older ones are out of use.
 constexpr std::size_t kMaxNamings = 16;
 
@@ -122,6 +126,9 @@
   transport::Spawn(mContext, Follow(*mEndpointTopic));
   transport::Spawn(mContext, Follow(*mWeightsTopic));
   transport::Spawn(mContext, ExpireLapsed());
+  if (!mSettings.mWatchesConfig) {
+    transport::Spawn(mContext, CheckPulse());
+  }
 }
 
 Task<void>
@@ -366,6 +373,49 @@
                .Add("revision", aObject.mRevision));
 }
 
+Task<void>
+RelayFeed::CheckPulse()
+{
+  bool isLost = false;
+  while (true) {
+    co_await transport::Sleep(kPulseInterval);
+    if (mWeightsTopic->mIsLost) {
+      // It asks again by itself.
+      continue;
+    }
+    const auto list = co_await mPlatform.Glance(mCodec.WeightsPrefix());
+    if (!list) {
+      isLost = true;
+      mTroubleAt = mClock.Now();
+      continue;
+    }
+    if (HasNewerWeights(*list)) {
+      // The watch should have told: it is not going to.
+      mTroubleAt = mClock.Now();
+      isLost = true;
+    }
+    if (std::exchange(isLost, false)) {
+      mLog.Write(EventLine(kPart, "watches-renewed")
+                   .Add("objects", mWeightsTopic->mPrefix)
+                   .Add("revision", mWeightsTopic->mRevision));
+      AbandonOldCalls();
+    }
+  }
+}
+
+bool
+RelayFeed::HasNewerWeights(const ObjectList& aList) const
+{
+  return std::any_of(
+    aList.mObjects.begin(), aList.mObjects.end(), [&](const auto& aObject) {
+      const auto weights = mCodec.ReadWeights(aObject.mKey, aObject.mValue);
+      const auto known =
+        weights ? mView.mWeights.find(weights->mModel) : mView.mWeights.end();
+      return weights && (known == mView.mWeights.end() ||
+                         known->second.Newest() < weights->mVersion);
+    });
+}
+
 Task<void>
 RelayFeed::ExpireLapsed()
 {
--- a/packages/coordination/tests/fake_platform.h
+++ b/packages/coordination/tests/fake_platform.h
@@ -94,6 +94,12 @@
     co_return NoAnswer();
   }
 
+  transport::Task<state::Result<ObjectList>> Glance(
+    std::string aPrefix) override
+  {
+    return List(std::move(aPrefix));
+  }
+
   void AbandonCalls() override {}
 
   std::map<std::string, state::RawObject> mObjects;
