The news of engines in two files, one an end

Change: engine_news_server.cpp and engine_news_client.cpp; the accept has a constant of its own with the same value. No behaviour changes.

--- /dev/null
+++ b/packages/coordination/src/engine_news_client.cpp
@@ -0,0 +1,189 @@
+// A relay's end of the news: follows the companion beside every engine.
+
+#include "shuntjunction/coordination/engine_news.h"
+
+#include <algorithm>
+#include <random>
+
+namespace shuntjunction::coordination {
+
+using protocol::EngineNews;
+using state::Millis;
+using transport::FrameChannel;
+using transport::Task;
+namespace asio = transport::asio;
+
+namespace {
+
+constexpr std::string_view kPart = "news";
+
+/// A channel that says nothing for this long is opened anew; the state comes
+/// every second.
+constexpr Millis kSilenceLimit{ 2300 };
+
+constexpr Millis kConnectTimeout{ 500 };
+
+/// Pauses between two attempts to reach a companion.
+constexpr Millis kFirstPause{ 100 };
+constexpr Millis kLongestPause{ 800 };
+
+} // namespace
+
+struct EngineNewsClient::Shared : std::enable_shared_from_this<Shared>
+{
+  /// One companion that is followed.
+  struct Source
+  {
+    std::string mAddress;
+    std::shared_ptr<FrameChannel> mChannel;
+    bool mIsWanted = true;
+  };
+
+  Shared(asio::io_context& aContext,
+         transport::ChannelIdentity aIdentity,
+         std::uint16_t aPort,
+         EventLog& aLog,
+         Taker aTake,
+         PartTaker aTakePart)
+    : mContext(aContext)
+    , mIdentity(std::move(aIdentity))
+    , mPort(aPort)
+    , mLog(aLog)
+    , mTake(std::move(aTake))
+    , mTakePart(std::move(aTakePart))
+  {
+  }
+
+  Task<void> Run(std::shared_ptr<Source> aSource)
+  {
+    const auto self = shared_from_this();
+    Millis pause = kFirstPause;
+    while (aSource->mIsWanted) {
+      const auto address = state::ParseAddress(aSource->mAddress);
+      auto channel = co_await transport::ConnectChannel(
+        *address, mIdentity, kConnectTimeout, mCounters);
+      if (channel && aSource->mIsWanted) {
+        pause = kFirstPause;
+        mLog.Write(EventLine(kPart, "companion-regained")
+                     .Add("address", aSource->mAddress));
+        co_await Listen(aSource, *channel);
+        mLog.Write(
+          EventLine(kPart, "companion-lost").Add("address", aSource->mAddress));
+      }
+      std::uniform_int_distribution<std::int64_t> spread(pause.count() / 2,
+                                                         pause.count());
+      co_await transport::Sleep(Millis(spread(mRandom)));
+      pause = std::min(pause * 2, kLongestPause);
+    }
+  }
+
+  Task<void> Listen(std::shared_ptr<Source> aSource,
+                    std::shared_ptr<FrameChannel> aChannel)
+  {
+    aSource->mChannel = aChannel;
+    asio::steady_timer silence(mContext);
+    while (aSource->mIsWanted) {
+      silence.expires_after(kSilenceLimit);
+      silence.async_wait([aChannel](const auto& aError) {
+        if (!aError) {
+          aChannel->Close();
+        }
+      });
+      auto message = co_await aChannel->Receive();
+      silence.cancel();
+      if (!message) {
+        break;
+      }
+      if (const auto* news = std::get_if<EngineNews>(&*message)) {
+        mTake(*news);
+      } else if (const auto* reading =
+                   std::get_if<protocol::PartReading>(&*message)) {
+        mTakePart(*reading);
+      }
+    }
+    aChannel->Close();
+    aSource->mChannel = nullptr;
+  }
+
+  /// Address of the companion beside an engine.
+  std::string CompanionOf(const state::Address& aEngine) const
+  {
+    return aEngine.mHost + ":" + std::to_string(mPort);
+  }
+
+  asio::io_context& mContext;
+  transport::ChannelIdentity mIdentity;
+  std::uint16_t mPort;
+  EventLog& mLog;
+  Taker mTake;
+  PartTaker mTakePart;
+  transport::ChannelCounters mCounters;
+  state::RandomSource mRandom{ std::random_device{}() };
+  std::map<std::string, std::shared_ptr<Source>> mSources; ///< by address
+};
+
+EngineNewsClient::EngineNewsClient(asio::io_context& aContext,
+                                   transport::ChannelIdentity aIdentity,
+                                   std::uint16_t aPort,
+                                   EventLog& aLog,
+                                   Taker aTake,
+                                   PartTaker aTakePart)
+  : mShared(std::make_shared<Shared>(aContext,
+                                     std::move(aIdentity),
+                                     aPort,
+                                     aLog,
+                                     std::move(aTake),
+                                     std::move(aTakePart)))
+{
+}
+
+EngineNewsClient::~EngineNewsClient()
+{
+  Follow({});
+}
+
+void
+EngineNewsClient::Follow(const std::vector<state::EndpointInfo>& aEndpoints)
+{
+  std::set<std::string> wanted;
+  for (const auto& endpoint : aEndpoints) {
+    const auto address = state::ParseAddress(endpoint.mAddress);
+    if (endpoint.mModels.empty() || !address) {
+      continue;
+    }
+    const std::string companion = mShared->CompanionOf(*address);
+    wanted.insert(companion);
+    auto& source = mShared->mSources[companion];
+    if (!source) {
+      source = std::make_shared<Shared::Source>();
+      source->mAddress = companion;
+      transport::Spawn(mShared->mContext, mShared->Run(source));
+    }
+  }
+  std::erase_if(mShared->mSources, [&](const auto& aItem) {
+    const bool isGone = !wanted.contains(aItem.first);
+    if (isGone) {
+      aItem.second->mIsWanted = false;
+      if (aItem.second->mChannel) {
+        aItem.second->mChannel->Close();
+      }
+    }
+    return isGone;
+  });
+}
+
+void
+EngineNewsClient::Tell(const std::string& aEndpointAddress,
+                       const protocol::PartReading& aReading)
+{
+  const auto address = state::ParseAddress(aEndpointAddress);
+  if (!address) {
+    return;
+  }
+  const auto found = mShared->mSources.find(mShared->CompanionOf(*address));
+  if (found != mShared->mSources.end() && found->second->mChannel) {
+    found->second->mChannel->Send(aReading);
+  }
+}
+
+} // namespace shuntjunction::coordination
--- /dev/null
+++ b/packages/coordination/src/engine_news_server.cpp
@@ -0,0 +1,263 @@
+// The companion's end of the news: tells its engine's state and parts to every
+// relay that connects.
+
+#include "shuntjunction/coordination/engine_news.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace shuntjunction::coordination {
+
+using protocol::EngineNews;
+using state::Millis;
+using state::Result;
+using transport::FrameChannel;
+using transport::Task;
+namespace asio = transport::asio;
+
+namespace {
+
+constexpr std::string_view kPart = "news";
+
+/// The state is told again after this, for relays to notice silence.
+constexpr Millis kRepeatInterval{ 1000 };
+
+/// A queue that grew or shrank by so many requests is told at once.
+constexpr std::uint32_t kQueueChangeToTell = 3;
+
+/// Pause after a failed accept, which would fail again at once.
+constexpr Millis kAcceptPause{ 100 };
+
+EngineNews
+NewsOf(const EngineState& aState)
+{
+  EngineNews news;
+  news.mEndpoint = aState.mEndpoint;
+  news.mModel = aState.mModel;
+  news.mWeights = aState.mWeights;
+  news.mPhase = aState.mPhase;
+  return news;
+}
+
+} // namespace
+
+struct EngineNewsServer::Shared : std::enable_shared_from_this<Shared>
+{
+  Shared(asio::io_context& aContext,
+         transport::ChannelIdentity aIdentity,
+         EventLog& aLog)
+    : mContext(aContext)
+    , mIdentity(std::move(aIdentity))
+    , mLog(aLog)
+  {
+  }
+
+  Task<void> Accept(std::shared_ptr<asio::ip::tcp::acceptor> aAcceptor)
+  {
+    const auto self = shared_from_this();
+    while (aAcceptor->is_open()) {
+      auto [error, socket] =
+        co_await aAcceptor->async_accept(transport::kAsTuple);
+      if (error) {
+        co_await transport::Sleep(kAcceptPause);
+        continue;
+      }
+      const auto peer =
+        std::make_shared<FrameChannel>(std::move(socket), "relay", mCounters);
+      transport::Spawn(mContext, Serve(peer));
+    }
+  }
+
+  Task<void> Serve(std::shared_ptr<FrameChannel> aChannel)
+  {
+    const auto self = shared_from_this();
+    const auto proved = co_await aChannel->HandshakeAsAcceptor(mIdentity);
+    if (!proved) {
+      mLog.Write(EventLine(kPart, "relay-refused")
+                   .Add("error", proved.error().Describe()));
+      co_return;
+    }
+    mChannels.insert(aChannel);
+    aChannel->Send(WholeNews(PartHolder::kEngine));
+    if (!mStore.empty()) {
+      aChannel->Send(WholeNews(PartHolder::kStore));
+    }
+    co_await PassOn(aChannel);
+    aChannel->Close();
+    mChannels.erase(aChannel);
+  }
+
+  /// Passes on what a relay tells the others, until it ends or says anything
+  /// else.
+  Task<void> PassOn(std::shared_ptr<FrameChannel> aChannel)
+  {
+    while (true) {
+      const auto message = co_await aChannel->Receive();
+      const auto* reading =
+        message ? std::get_if<protocol::PartReading>(&*message) : nullptr;
+      if (reading == nullptr) {
+        co_return;
+      }
+      for (const auto& channel : mChannels) {
+        if (channel != aChannel) {
+          channel->Send(*reading);
+        }
+      }
+    }
+  }
+
+  Task<void> Repeat()
+  {
+    const auto self = shared_from_this();
+    while (true) {
+      co_await transport::Sleep(kRepeatInterval);
+      SendState();
+    }
+  }
+
+  /// Of an engine its state; of the store only its address.
+  EngineNews NewsOfHolder(PartHolder aHolder) const
+  {
+    if (aHolder == PartHolder::kEngine) {
+      auto news = NewsOf(mState);
+      if (mIsDown) {
+        news.mPhase = protocol::EnginePhase::kDown;
+      }
+      news.mRunning = mRunning;
+      news.mQueued = mQueued;
+      return news;
+    }
+    EngineNews news;
+    news.mEndpoint = mStore;
+    return news;
+  }
+
+  EngineNews WholeNews(PartHolder aHolder) const
+  {
+    auto news = NewsOfHolder(aHolder);
+    const auto& parts = mParts[static_cast<std::size_t>(aHolder)];
+    news.mGained.assign(parts.begin(), parts.end());
+    return news;
+  }
+
+  void SendState()
+  {
+    auto news = NewsOfHolder(PartHolder::kEngine);
+    news.mIsWhole = false;
+    mToldQueued = mQueued;
+    Send(news);
+  }
+
+  void Send(const EngineNews& aNews)
+  {
+    for (const auto& channel : mChannels) {
+      channel->Send(aNews);
+    }
+  }
+
+  asio::io_context& mContext;
+  transport::ChannelIdentity mIdentity;
+  EventLog& mLog;
+  transport::ChannelCounters mCounters;
+  EngineState mState;
+  std::uint32_t mToldQueued = 0;
+  bool mIsDown = false;
+  std::uint32_t mRunning = 0;
+  std::uint32_t mQueued = 0;
+  std::string mStore;                          ///< address; empty: not told of
+  std::array<std::set<std::string>, 2> mParts; ///< by PartHolder
+  std::set<std::shared_ptr<FrameChannel>> mChannels;
+};
+
+EngineNewsServer::EngineNewsServer(asio::io_context& aContext,
+                                   transport::ChannelIdentity aIdentity,
+                                   EventLog& aLog)
+  : mShared(std::make_shared<Shared>(aContext, std::move(aIdentity), aLog))
+{
+}
+
+EngineNewsServer::~EngineNewsServer() = default;
+
+Result<state::Address>
+EngineNewsServer::Start(const state::Address& aAddress)
+{
+  auto acceptor = transport::Listen(mShared->mContext, aAddress);
+  if (!acceptor) {
+    return tl::unexpected(acceptor.error());
+  }
+  transport::Spawn(mShared->mContext, mShared->Accept(*acceptor));
+  transport::Spawn(mShared->mContext, mShared->Repeat());
+  return transport::LocalAddress(**acceptor);
+}
+
+void
+EngineNewsServer::SetState(const EngineState& aState)
+{
+  if (aState == mShared->mState) {
+    return;
+  }
+  mShared->mState = aState;
+  mShared->mLog.Write(
+    EventLine(kPart, "engine")
+      .Add("endpoint", aState.mEndpoint)
+      .Add("weights", aState.mWeights)
+      .Add("phase", protocol::kEnginePhaseNames.Name(aState.mPhase)));
+  mShared->SendState();
+}
+
+void
+EngineNewsServer::SetDown(bool aIsDown)
+{
+  if (std::exchange(mShared->mIsDown, aIsDown) == aIsDown) {
+    return;
+  }
+  mShared->mLog.Write(
+    EventLine(kPart, aIsDown ? "engine-lost" : "engine-regained")
+      .Add("endpoint", mShared->mState.mEndpoint));
+  mShared->SendState();
+}
+
+void
+EngineNewsServer::SetLoad(std::uint32_t aRunning, std::uint32_t aQueued)
+{
+  mShared->mRunning = aRunning;
+  mShared->mQueued = aQueued;
+  const auto told = mShared->mToldQueued;
+  const auto change = std::max(aQueued, told) - std::min(aQueued, told);
+  if (change >= kQueueChangeToTell) {
+    mShared->SendState();
+  }
+}
+
+void
+EngineNewsServer::ChangeParts(PartHolder aHolder,
+                              const std::vector<std::string>& aGained,
+                              const std::vector<std::string>& aLost)
+{
+  auto& parts = mShared->mParts[static_cast<std::size_t>(aHolder)];
+  parts.insert(aGained.begin(), aGained.end());
+  for (const auto& part : aLost) {
+    parts.erase(part);
+  }
+  auto news = mShared->NewsOfHolder(aHolder);
+  news.mIsWhole = false;
+  news.mGained = aGained;
+  news.mLost = aLost;
+  mShared->Send(news);
+}
+
+void
+EngineNewsServer::ClearParts(PartHolder aHolder)
+{
+  mShared->mParts[static_cast<std::size_t>(aHolder)].clear();
+  mShared->Send(mShared->WholeNews(aHolder));
+}
+
+void
+EngineNewsServer::SetStore(const std::string& aAddress)
+{
+  mShared->mStore = aAddress;
+}
+
+} // namespace shuntjunction::coordination
