The relay feed in two files; an endpoint is read in one place

Change: relay_feed_objects.cpp takes objects, relay_feed_topic.h is private to both files, ReadEndpoint serves list and watch, CheckPulse has one branch for stale watches with a name that says so. Same lines in the log, same calls.

--- a/packages/coordination/include/shuntjunction/coordination/relay_feed.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay_feed.h
@@ -121,6 +121,9 @@
   /// silent may never answer them, though it answers new ones.
   void AbandonOldCalls();
   void TakeConfig(const state::RawObject& aObject);
+  /// Reads an endpoint; one that cannot be read is logged and left out.
+  std::optional<state::EndpointInfo> ReadEndpoint(
+    const state::RawObject& aObject);
   void TakeEndpoint(const state::RawObject& aObject);
   void TakeWeights(const state::RawObject& aObject);
   void TakeEndpointList(const std::vector<state::RawObject>& aObjects);
--- a/packages/coordination/src/relay_feed.cpp
+++ b/packages/coordination/src/relay_feed.cpp
@@ -1,15 +1,17 @@
+// How a feed follows the store: lists, watches, and the store's loss and
+// return.
+
 #include "shuntjunction/coordination/relay_feed.h"
 
 #include <algorithm>
 #include <array>
 #include <random>
 
-#include "shuntjunction/state/load_turns.h"
+#include "relay_feed_topic.h"
 
 namespace shuntjunction::coordination {
 
 using state::Error;
-using state::ErrorCode;
 using state::Millis;
 using state::RawObject;
 using state::Result;
@@ -17,8 +19,6 @@
 
 namespace {
 
-constexpr std::string_view kPart = "feed";
-
 /// How often lapsed entries are looked at.
 constexpr Millis kExpiryInterval{ 500 };
 
@@ -30,41 +30,8 @@
 /// store still answers: its own watches wait far longer.
 constexpr Millis kPulseInterval{ 3000 };
 
-/// Versions of a model that are remembered; older ones are out of use.
-constexpr std::size_t kMaxNamings = 16;
-
 } // namespace
 
-std::optional<state::TimePoint>
-NamedWeightsNews::SupersededAt(std::uint64_t aVersion) const
-{
-  for (const auto& naming : mNamings) {
-    if (naming.mVersion > aVersion) {
-      return naming.mKnownAt;
-    }
-  }
-  return std::nullopt;
-}
-
-/// One kind of objects that is followed.
-struct RelayFeed::Topic
-{
-  std::string mPrefix;
-  Millis mWait;
-  Millis mPauseAfterChange;
-  bool mConfirms = false;
-  std::function<void(const std::vector<RawObject>&)> mTakeList;
-  std::function<void(const RawObject&)> mTakeChange;
-
-  std::uint64_t mRevision = 0;
-  bool mIsListed = false;
-  bool mIsLost = false; ///< the last call failed
-  /// When the call that waits was made; empty while none waits.
-  std::optional<state::TimePoint> mAskedAt;
-  bool mIsAbandoned = false; ///< that call was ended by this process itself
-  Millis mPause{ 0 };
-};
-
 RelayFeed::RelayFeed(transport::asio::io_context& aContext,
                      const RelayFeedSettings& aSettings,
                      Platform& aPlatform,
@@ -192,7 +159,7 @@
   }
   if (answer->mIsGap) {
     aTopic.mIsListed = false;
-    mLog.Write(EventLine(kPart, "watch-gap")
+    mLog.Write(EventLine(kFeedPart, "watch-gap")
                  .Add("objects", aTopic.mPrefix)
                  .Add("revision", aTopic.mRevision));
     co_return Result<void>{};
@@ -228,7 +195,7 @@
   if (std::exchange(aTopic.mIsLost, true)) {
     return;
   }
-  mLog.Write(EventLine(kPart, "platform-lost")
+  mLog.Write(EventLine(kFeedPart, "platform-lost")
                .Add("objects", aTopic.mPrefix)
                .Add("revision", aTopic.mRevision)
                .Add("error", aError.Describe()));
@@ -241,7 +208,7 @@
   if (!std::exchange(aTopic.mIsLost, false)) {
     return;
   }
-  mLog.Write(EventLine(kPart, "platform-regained")
+  mLog.Write(EventLine(kFeedPart, "platform-regained")
                .Add("objects", aTopic.mPrefix)
                .Add("revision", aTopic.mRevision));
   AbandonOldCalls();
@@ -266,117 +233,10 @@
   mPlatform.AbandonCalls();
 }
 
-void
-RelayFeed::TakeConfig(const RawObject& aObject)
-{
-  if (!mCodec.IsConfig(aObject.mKey) || aObject.mValue.empty()) {
-    return;
-  }
-  auto rules = mCodec.ReadRules(aObject.mValue);
-  if (!rules) {
-    mLog.Write(EventLine(kPart, "config-refused")
-                 .Add("object", aObject.mKey)
-                 .Add("revision", aObject.mRevision)
-                 .Add("in_force", mView.mConfig->Version())
-                 .Add("error", rules.error().Describe()));
-    return;
-  }
-  if (rules->mVersion <= mView.mConfig->Version()) {
-    return;
-  }
-  mView.mConfig = std::make_shared<const state::RelayConfig>(std::move(*rules));
-  mLog.Write(EventLine(kPart, "config")
-               .Add("version", mView.mConfig->Version())
-               .Add("revision", aObject.mRevision)
-               .Add("routes", mView.mConfig->Rules().mRoutes.size())
-               .Add("teams", mView.mConfig->Rules().mTeams.size()));
-}
-
-void
-RelayFeed::TakeEndpoint(const RawObject& aObject)
-{
-  const auto now = mClock.Now();
-  const std::string id = aObject.mKey.substr(aObject.mKey.rfind('/') + 1);
-  if (aObject.mValue.empty()) {
-    mDirectory.Remove(id, now);
-    mLog.Write(EventLine(kPart, "endpoint-removed")
-                 .Add("endpoint", id)
-                 .Add("revision", aObject.mRevision));
-    return;
-  }
-  auto endpoint = mCodec.ReadEndpoint(aObject.mKey, aObject.mValue);
-  if (!endpoint) {
-    mLog.Write(EventLine(kPart, "endpoint-refused")
-                 .Add("object", aObject.mKey)
-                 .Add("error", endpoint.error().Describe()));
-    return;
-  }
-  endpoint->mRevision = aObject.mRevision;
-  mDirectory.Put(*endpoint);
-  EventLine line(kPart, "endpoint");
-  line.Add("endpoint", id)
-    .Add("address", endpoint->mAddress)
-    .Add("leaving", endpoint->mIsLeaving)
-    .Add("revision", aObject.mRevision);
-  if (!endpoint->mModels.empty()) {
-    line.Add("weights", endpoint->mModels.front().mVersion);
-  }
-  mLog.Write(std::move(line));
-}
-
-void
-RelayFeed::TakeEndpointList(const std::vector<RawObject>& aObjects)
-{
-  std::vector<state::EndpointInfo> listed;
-  for (const auto& object : aObjects) {
-    auto endpoint = mCodec.ReadEndpoint(object.mKey, object.mValue);
-    if (endpoint) {
-      endpoint->mRevision = object.mRevision;
-      listed.push_back(std::move(*endpoint));
-    } else {
-      mLog.Write(EventLine(kPart, "endpoint-refused")
-                   .Add("object", object.mKey)
-                   .Add("error", endpoint.error().Describe()));
-    }
-  }
-  mDirectory.TakeList(listed, mClock.Now());
-  mLog.Write(EventLine(kPart, "endpoint-list")
-               .Add("endpoints", listed.size())
-               .Add("revision", mEndpointTopic->mRevision));
-}
-
-void
-RelayFeed::TakeWeights(const RawObject& aObject)
-{
-  if (aObject.mValue.empty()) {
-    return;
-  }
-  const auto weights = mCodec.ReadWeights(aObject.mKey, aObject.mValue);
-  if (!weights) {
-    mLog.Write(EventLine(kPart, "weights-refused")
-                 .Add("object", aObject.mKey)
-                 .Add("error", weights.error().Describe()));
-    return;
-  }
-  auto& known = mView.mWeights[weights->mModel];
-  if (weights->mVersion <= known.Newest()) {
-    return;
-  }
-  known.mNamings.push_back({ weights->mVersion, mClock.Now() });
-  if (known.mNamings.size() > kMaxNamings) {
-    known.mNamings.erase(known.mNamings.begin());
-  }
-  known.mLoadOrder = state::LoadOrder(mDirectory.Endpoints(), *weights);
-  mLog.Write(EventLine(kPart, "weights-named")
-               .Add("model", weights->mModel)
-               .Add("weights", weights->mVersion)
-               .Add("revision", aObject.mRevision));
-}
-
 Task<void>
 RelayFeed::CheckPulse()
 {
-  bool isLost = false;
+  bool areWatchesStale = false;
   while (true) {
     co_await transport::Sleep(kPulseInterval);
     if (mWeightsTopic->mIsLost) {
@@ -384,18 +244,13 @@
       continue;
     }
     const auto list = co_await mPlatform.Glance(mCodec.WeightsPrefix());
-    if (!list) {
-      isLost = true;
-      mTroubleAt = mClock.Now();
-      continue;
-    }
-    if (HasNewerWeights(*list)) {
-      // The watch should have told: it is not going to.
+    // Newer weights the watch should have told: it is not going to.
+    if (!list || HasNewerWeights(*list)) {
+      areWatchesStale = true;
       mTroubleAt = mClock.Now();
-      isLost = true;
     }
-    if (std::exchange(isLost, false)) {
-      mLog.Write(EventLine(kPart, "watches-renewed")
+    if (list && std::exchange(areWatchesStale, false)) {
+      mLog.Write(EventLine(kFeedPart, "watches-renewed")
                    .Add("objects", mWeightsTopic->mPrefix)
                    .Add("revision", mWeightsTopic->mRevision));
       AbandonOldCalls();
@@ -403,19 +258,6 @@
   }
 }
 
-bool
-RelayFeed::HasNewerWeights(const ObjectList& aList) const
-{
-  return std::any_of(
-    aList.mObjects.begin(), aList.mObjects.end(), [&](const auto& aObject) {
-      const auto weights = mCodec.ReadWeights(aObject.mKey, aObject.mValue);
-      const auto known =
-        weights ? mView.mWeights.find(weights->mModel) : mView.mWeights.end();
-      return weights && (known == mView.mWeights.end() ||
-                         known->second.Newest() < weights->mVersion);
-    });
-}
-
 Task<void>
 RelayFeed::ExpireLapsed()
 {
--- /dev/null
+++ b/packages/coordination/src/relay_feed_objects.cpp
@@ -0,0 +1,155 @@
+// What a feed takes from the store's objects into its view.
+
+#include <algorithm>
+
+#include "relay_feed_topic.h"
+#include "shuntjunction/coordination/relay_feed.h"
+#include "shuntjunction/state/load_turns.h"
+
+namespace shuntjunction::coordination {
+
+using state::RawObject;
+
+namespace {
+
+/// Versions of a model that are remembered; older ones are out of use.
+constexpr std::size_t kMaxNamings = 16;
+
+} // namespace
+
+std::optional<state::TimePoint>
+NamedWeightsNews::SupersededAt(std::uint64_t aVersion) const
+{
+  for (const auto& naming : mNamings) {
+    if (naming.mVersion > aVersion) {
+      return naming.mKnownAt;
+    }
+  }
+  return std::nullopt;
+}
+
+void
+RelayFeed::TakeConfig(const RawObject& aObject)
+{
+  if (!mCodec.IsConfig(aObject.mKey) || aObject.mValue.empty()) {
+    return;
+  }
+  auto rules = mCodec.ReadRules(aObject.mValue);
+  if (!rules) {
+    mLog.Write(EventLine(kFeedPart, "config-refused")
+                 .Add("object", aObject.mKey)
+                 .Add("revision", aObject.mRevision)
+                 .Add("in_force", mView.mConfig->Version())
+                 .Add("error", rules.error().Describe()));
+    return;
+  }
+  if (rules->mVersion <= mView.mConfig->Version()) {
+    return;
+  }
+  mView.mConfig = std::make_shared<const state::RelayConfig>(std::move(*rules));
+  mLog.Write(EventLine(kFeedPart, "config")
+               .Add("version", mView.mConfig->Version())
+               .Add("revision", aObject.mRevision)
+               .Add("routes", mView.mConfig->Rules().mRoutes.size())
+               .Add("teams", mView.mConfig->Rules().mTeams.size()));
+}
+
+std::optional<state::EndpointInfo>
+RelayFeed::ReadEndpoint(const RawObject& aObject)
+{
+  auto endpoint = mCodec.ReadEndpoint(aObject.mKey, aObject.mValue);
+  if (!endpoint) {
+    mLog.Write(EventLine(kFeedPart, "endpoint-refused")
+                 .Add("object", aObject.mKey)
+                 .Add("error", endpoint.error().Describe()));
+    return std::nullopt;
+  }
+  endpoint->mRevision = aObject.mRevision;
+  return std::move(*endpoint);
+}
+
+void
+RelayFeed::TakeEndpoint(const RawObject& aObject)
+{
+  const auto now = mClock.Now();
+  const std::string id = aObject.mKey.substr(aObject.mKey.rfind('/') + 1);
+  if (aObject.mValue.empty()) {
+    mDirectory.Remove(id, now);
+    mLog.Write(EventLine(kFeedPart, "endpoint-removed")
+                 .Add("endpoint", id)
+                 .Add("revision", aObject.mRevision));
+    return;
+  }
+  const auto endpoint = ReadEndpoint(aObject);
+  if (!endpoint) {
+    return;
+  }
+  mDirectory.Put(*endpoint);
+  EventLine line(kFeedPart, "endpoint");
+  line.Add("endpoint", id)
+    .Add("address", endpoint->mAddress)
+    .Add("leaving", endpoint->mIsLeaving)
+    .Add("revision", aObject.mRevision);
+  if (!endpoint->mModels.empty()) {
+    line.Add("weights", endpoint->mModels.front().mVersion);
+  }
+  mLog.Write(std::move(line));
+}
+
+void
+RelayFeed::TakeEndpointList(const std::vector<RawObject>& aObjects)
+{
+  std::vector<state::EndpointInfo> listed;
+  for (const auto& object : aObjects) {
+    if (auto endpoint = ReadEndpoint(object)) {
+      listed.push_back(std::move(*endpoint));
+    }
+  }
+  mDirectory.TakeList(listed, mClock.Now());
+  mLog.Write(EventLine(kFeedPart, "endpoint-list")
+               .Add("endpoints", listed.size())
+               .Add("revision", mEndpointTopic->mRevision));
+}
+
+void
+RelayFeed::TakeWeights(const RawObject& aObject)
+{
+  if (aObject.mValue.empty()) {
+    return;
+  }
+  const auto weights = mCodec.ReadWeights(aObject.mKey, aObject.mValue);
+  if (!weights) {
+    mLog.Write(EventLine(kFeedPart, "weights-refused")
+                 .Add("object", aObject.mKey)
+                 .Add("error", weights.error().Describe()));
+    return;
+  }
+  auto& known = mView.mWeights[weights->mModel];
+  if (weights->mVersion <= known.Newest()) {
+    return;
+  }
+  known.mNamings.push_back({ weights->mVersion, mClock.Now() });
+  if (known.mNamings.size() > kMaxNamings) {
+    known.mNamings.erase(known.mNamings.begin());
+  }
+  known.mLoadOrder = state::LoadOrder(mDirectory.Endpoints(), *weights);
+  mLog.Write(EventLine(kFeedPart, "weights-named")
+               .Add("model", weights->mModel)
+               .Add("weights", weights->mVersion)
+               .Add("revision", aObject.mRevision));
+}
+
+bool
+RelayFeed::HasNewerWeights(const ObjectList& aList) const
+{
+  return std::any_of(
+    aList.mObjects.begin(), aList.mObjects.end(), [&](const auto& aObject) {
+      const auto weights = mCodec.ReadWeights(aObject.mKey, aObject.mValue);
+      const auto known =
+        weights ? mView.mWeights.find(weights->mModel) : mView.mWeights.end();
+      return weights && (known == mView.mWeights.end() ||
+                         known->second.Newest() < weights->mVersion);
+    });
+}
+
+} // namespace shuntjunction::coordination
--- /dev/null
+++ b/packages/coordination/src/relay_feed_topic.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "shuntjunction/coordination/relay_feed.h"
+
+/// Private to the feed's own files: how it follows one kind of objects.
+namespace shuntjunction::coordination {
+
+/// Names the feed in log lines.
+inline constexpr std::string_view kFeedPart = "feed";
+
+/// One kind of objects that is followed.
+struct RelayFeed::Topic
+{
+  std::string mPrefix;
+  state::Millis mWait;
+  state::Millis mPauseAfterChange;
+  bool mConfirms = false;
+  std::function<void(const std::vector<state::RawObject>&)> mTakeList;
+  std::function<void(const state::RawObject&)> mTakeChange;
+
+  std::uint64_t mRevision = 0;
+  bool mIsListed = false;
+  bool mIsLost = false; ///< the last call failed
+  /// When the call that waits was made; empty while none waits.
+  std::optional<state::TimePoint> mAskedAt;
+  bool mIsAbandoned = false; ///< that call was ended by this process itself
+  state::Millis mPause{ 0 };
+};
+
+} // namespace shuntjunction::coordination
