A companion's start in four steps

Cause: FleetDaemon's StartCompanion did everything in one function of 45 lines. Change: StartNewsServer, FollowEngine, StartStoreTeller and StartKeeper, in the same order and with the same errors.

--- a/packages/coordination/src/fleet_daemon.cpp
+++ b/packages/coordination/src/fleet_daemon.cpp
@@ -185,6 +185,23 @@
   }
 
   Result<void> StartCompanion()
+  {
+    auto started = StartNewsServer();
+    if (!started) {
+      return started;
+    }
+    const auto engine = state::ParseAddress(mSettings.mEngine);
+    if (!engine) {
+      return tl::unexpected(engine.error());
+    }
+    mEngine = mAdapter.mMakeControl(*engine);
+    FollowEngine();
+    StartStoreTeller();
+    StartKeeper();
+    return {};
+  }
+
+  Result<void> StartNewsServer()
   {
     const auto peers = state::ParseAddress(mSettings.mPeerListen);
     if (!peers) {
@@ -196,11 +213,12 @@
     if (!bound) {
       return tl::unexpected(bound.error());
     }
-    const auto engine = state::ParseAddress(mSettings.mEngine);
-    if (!engine) {
-      return tl::unexpected(engine.error());
-    }
-    mEngine = mAdapter.mMakeControl(*engine);
+    return {};
+  }
+
+  /// Begins to tell the relays of the engine's parts and state.
+  void FollowEngine()
+  {
     mParts = std::make_unique<PartFollower>(
       mControl,
       *mEngine,
@@ -212,6 +230,10 @@
     mParts->Start();
     mWatch = std::make_unique<EngineWatch>(mControl, *mEngine, *mNewsServer);
     mWatch->Start();
+  }
+
+  void StartStoreTeller()
+  {
     mStoreTeller = std::make_unique<PartStoreTeller>(
       PartStoreTellerParts{ mControl,
                             mSettings,
@@ -221,6 +243,10 @@
                             *mNewsServer,
                             mLog });
     mStoreTeller->Start();
+  }
+
+  void StartKeeper()
+  {
     mKeeper =
       std::make_unique<WeightsKeeper>(WeightsKeeperParts{ mControl,
                                                           mSettings,
@@ -231,7 +257,6 @@
                                                           mClock,
                                                           mLog });
     mKeeper->Start();
-    return {};
   }
 
   Result<void> Serve(std::unique_ptr<PathServer>& aServer,
