--- a/standins/engine_standin.cpp
+++ b/standins/engine_standin.cpp
@@ -1,11 +1,9 @@
 #include "engine_standin.h"
 
-#include <charconv>
-
 #include <boost/json/array.hpp>
-#include <boost/json/serialize.hpp>
 
 #include "answer_text.h"
+#include "json_reply.h"
 #include "shuntjunction/coordination/chat_api.h"
 #include "shuntjunction/state/json_reader.h"
 #include "shuntjunction/state/prefix_chain.h"
@@ -31,23 +29,6 @@
 constexpr std::size_t kBytesPerToken = 4;
 constexpr std::size_t kTokensPerBlock = state::kBlockBytes / kBytesPerToken;
 
-HttpResponse
-Reply(unsigned aStatus, const json::value& aBody)
-{
-  HttpResponse response;
-  response.mStatus = aStatus;
-  response.mBody = json::serialize(aBody);
-  return response;
-}
-
-std::uint64_t
-Number(const std::string& aText)
-{
-  std::uint64_t number = 0;
-  std::from_chars(aText.data(), aText.data() + aText.size(), number);
-  return number;
-}
-
 } // namespace
 
 EngineStandin::EngineStandin(boost::asio::io_context& aContext,
@@ -308,9 +289,10 @@
 Task<HttpResponse>
 EngineStandin::AnswerEvents(const HttpRequest& aRequest)
 {
-  const std::uint64_t after = Number(aRequest.Query("after"));
-  const auto until = std::chrono::steady_clock::now() +
-                     Millis(Number(aRequest.Query("wait_ms")));
+  const auto after = NumberOf<std::uint64_t>(aRequest.Query("after"), 0);
+  const auto until =
+    std::chrono::steady_clock::now() +
+    Millis(NumberOf<std::uint64_t>(aRequest.Query("wait_ms"), 0));
   while (true) {
     const auto now = std::chrono::steady_clock::now();
     json::array events;
--- a/standins/platform_standin.cpp
+++ b/standins/platform_standin.cpp
@@ -1,11 +1,10 @@
 #include "platform_standin.h"
 
 #include <algorithm>
-#include <charconv>
 
 #include <boost/json/array.hpp>
-#include <boost/json/serialize.hpp>
 
+#include "json_reply.h"
 #include "shuntjunction/state/json_reader.h"
 
 namespace shuntjunction::standins {
@@ -26,23 +25,6 @@
 constexpr std::size_t kChangesKept = 20000;
 constexpr std::size_t kMaxValueBytes = 1024UL * 1024;
 
-std::uint64_t
-Number(const std::string& aText)
-{
-  std::uint64_t number = 0;
-  std::from_chars(aText.data(), aText.data() + aText.size(), number);
-  return number;
-}
-
-HttpResponse
-Reply(unsigned aStatus, const json::value& aBody)
-{
-  HttpResponse response;
-  response.mStatus = aStatus;
-  response.mBody = json::serialize(aBody);
-  return response;
-}
-
 json::object
 ObjectJson(const std::string& aKey,
            std::uint64_t aRevision,
@@ -221,7 +203,7 @@
   const auto found = mObjects.find(aKey);
   const std::uint64_t current =
     found == mObjects.end() ? 0 : found->second.mRevision;
-  if (current != Number(aRequest.Query("if_revision"))) {
+  if (current != NumberOf<std::uint64_t>(aRequest.Query("if_revision"), 0)) {
     return Reply(409, json::object{ { "revision", current } });
   }
   const bool isDelete = aRequest.mMethod == "DELETE";
@@ -246,9 +228,10 @@
 PlatformStandin::AnswerWatch(const HttpRequest& aRequest)
 {
   const std::string prefix = aRequest.Query("prefix");
-  const std::uint64_t after = Number(aRequest.Query("after"));
-  const auto until = std::chrono::steady_clock::now() +
-                     Millis(Number(aRequest.Query("wait_ms")));
+  const auto after = NumberOf<std::uint64_t>(aRequest.Query("after"), 0);
+  const auto until =
+    std::chrono::steady_clock::now() +
+    Millis(NumberOf<std::uint64_t>(aRequest.Query("wait_ms"), 0));
   if (!mChanges.empty() && after + 1 < mChanges.front().mRevision) {
     co_return Refusal(410, "changes are forgotten");
   }
@@ -289,9 +272,10 @@
 Task<HttpResponse>
 PlatformStandin::AnswerInstances(const HttpRequest& aRequest)
 {
-  const std::uint64_t after = Number(aRequest.Query("after"));
-  const auto until = std::chrono::steady_clock::now() +
-                     Millis(Number(aRequest.Query("wait_ms")));
+  const auto after = NumberOf<std::uint64_t>(aRequest.Query("after"), 0);
+  const auto until =
+    std::chrono::steady_clock::now() +
+    Millis(NumberOf<std::uint64_t>(aRequest.Query("wait_ms"), 0));
   while (mInstancesRevision <= after &&
          std::chrono::steady_clock::now() < until) {
     co_await transport::Sleep(kWatchPoll);
@@ -365,7 +349,7 @@
 HttpResponse
 PlatformStandin::Restore(const HttpRequest& aRequest)
 {
-  const std::uint64_t revision = Number(aRequest.Query("revision"));
+  const auto revision = NumberOf<std::uint64_t>(aRequest.Query("revision"), 0);
   mObjects = ObjectsAt(revision);
   std::erase_if(mChanges, [&](const Change& aChange) {
     return aChange.mRevision > revision;
