What a child opens and closes is a class of its own

Cause: ChildProcess's constructor held the spawn actions' whole life among pipes and errors. Change: SpawnActions makes and frees them; same files, flags and order.

--- a/standins/child_process.cpp
+++ b/standins/child_process.cpp
@@ -33,6 +33,42 @@
   return line;
 }
 
+/// What a child opens and closes before its program begins.
+class SpawnActions
+{
+public:
+  /// @param aOutput  its standard output where the command names no file
+  SpawnActions(const ChildCommand& aCommand, int aOutput)
+  {
+    posix_spawn_file_actions_init(&mActions);
+    if (aCommand.mOutputFile.empty()) {
+      posix_spawn_file_actions_adddup2(&mActions, aOutput, STDOUT_FILENO);
+    } else {
+      Append(STDOUT_FILENO, aCommand.mOutputFile);
+    }
+    Append(STDERR_FILENO, aCommand.mErrorFile);
+    // Sockets of this process would stay open for as long as the child lives.
+    posix_spawn_file_actions_addclosefrom_np(&mActions, STDERR_FILENO + 1);
+  }
+
+  ~SpawnActions() { posix_spawn_file_actions_destroy(&mActions); }
+
+  SpawnActions(const SpawnActions&) = delete;
+  SpawnActions& operator=(const SpawnActions&) = delete;
+
+  const posix_spawn_file_actions_t* Value() const { return &mActions; }
+
+private:
+  void Append(int aDescriptor, const std::string& aFile)
+  {
+    constexpr int kAppend = O_CREAT | O_WRONLY | O_APPEND;
+    posix_spawn_file_actions_addopen(
+      &mActions, aDescriptor, aFile.c_str(), kAppend, kLogMode);
+  }
+
+  posix_spawn_file_actions_t mActions{};
+};
+
 /// Null-ended pointers to strings that outlive them, as exec wants them.
 std::vector<char*>
 Pointers(const std::vector<std::string>& aWords)
@@ -75,27 +111,14 @@
   if (pipe2(output.data(), O_CLOEXEC) != 0) {
     DieWithChildren("no pipe");
   }
-  posix_spawn_file_actions_t actions;
-  posix_spawn_file_actions_init(&actions);
-  constexpr int kAppend = O_CREAT | O_WRONLY | O_APPEND;
-  if (aCommand.mOutputFile.empty()) {
-    posix_spawn_file_actions_adddup2(&actions, output[1], STDOUT_FILENO);
-  } else {
-    posix_spawn_file_actions_addopen(
-      &actions, STDOUT_FILENO, aCommand.mOutputFile.c_str(), kAppend, kLogMode);
-  }
-  posix_spawn_file_actions_addopen(
-    &actions, STDERR_FILENO, aCommand.mErrorFile.c_str(), kAppend, kLogMode);
-  // Sockets of this process would stay open for as long as the child lives.
-  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
+  const SpawnActions actions(aCommand, output[1]);
   const auto environment = WholeEnvironment(aCommand.mEnvironment);
   const int failed = posix_spawn(&mPid,
                                  aCommand.mWords.front().c_str(),
-                                 &actions,
+                                 actions.Value(),
                                  nullptr,
                                  Pointers(aCommand.mWords).data(),
                                  Pointers(environment).data());
-  posix_spawn_file_actions_destroy(&actions);
   close(output[1]);
   if (failed != 0) {
     DieWithChildren(aCommand.mWords.front() +
