shuntctl trace: the request's own lines in a function of their own

Cause: TraceRequest chose, sorted and printed at once; an offset was a bare 11. Change: LinesOf and kTimeOfDay; the headers that are used are included.

--- a/apps/ctl_logs.cpp
+++ b/apps/ctl_logs.cpp
@@ -1,6 +1,8 @@
 #include "ctl_logs.h"
 
 #include <algorithm>
+#include <cstdio>
+#include <iterator>
 #include <ostream>
 #include <set>
 #include <sstream>
@@ -23,6 +25,9 @@
 /// Length of a time up to its seconds: "2026-06-29T19:57:24".
 constexpr std::size_t kSecondsEnd = 19;
 
+/// Where the time of day begins in it.
+constexpr std::size_t kTimeOfDay = 11;
+
 /// A line of a log.
 struct Line
 {
@@ -48,7 +53,7 @@
 {
   std::istringstream stream(aText);
   for (std::string text; std::getline(stream, text);) {
-    boost::json::error_code error;
+    json::error_code error;
     auto value = json::parse(text, error);
     if (!error && value.is_object()) {
       auto& fields = value.as_object();
@@ -66,8 +71,8 @@
   int second = 0;
   const bool isTime =
     aTime.size() >= kSecondsEnd &&
-    std::sscanf(aTime.c_str() + 11, "%2d:%2d:%2d", &hour, &minute, &second) ==
-      3;
+    std::sscanf(
+      aTime.c_str() + kTimeOfDay, "%2d:%2d:%2d", &hour, &minute, &second) == 3;
   return isTime ? (hour * 60 + minute) * 60 + second : -1;
 }
 
@@ -119,6 +124,19 @@
     });
 }
 
+/// The lines that name a request, by time.
+std::vector<Line>
+LinesOf(const std::string& aRequestId, const std::vector<Line>& aAll)
+{
+  std::vector<Line> own;
+  std::copy_if(
+    aAll.begin(), aAll.end(), std::back_inserter(own), [&](const Line& aLine) {
+      return TextOf(aLine.mFields, "request") == aRequestId;
+    });
+  SortByTime(own);
+  return own;
+}
+
 } // namespace
 
 int
@@ -136,17 +154,11 @@
     }
     ReadLines(file, *text, all);
   }
-  std::vector<Line> shown;
-  for (const auto& line : all) {
-    if (TextOf(line.mFields, "request") == aRequestId) {
-      shown.push_back(line);
-    }
-  }
+  auto shown = LinesOf(aRequestId, all);
   if (shown.empty()) {
     aErrors << "no line of request " << aRequestId << "\n";
     return Code(ExitCode::kNotFound);
   }
-  SortByTime(shown);
   const Story story = StoryOf(shown);
   std::copy_if(all.begin(),
                all.end(),
