--- a/apps/ctl_logs.cpp
+++ b/apps/ctl_logs.cpp
@@ -88,7 +88,7 @@
   {
     const int second = SecondOfDay(aLine.mTime);
     if (second < mFrom || aLine.mTime > mUntil ||
-        TextOf(aLine.mFields, "part") == "relay") {
+        aLine.mFields.contains("request")) {
       return false;
     }
     const auto endpoint = TextOf(aLine.mFields, "endpoint");
--- a/packages/coordination/include/shuntjunction/coordination/platform.h
+++ b/packages/coordination/include/shuntjunction/coordination/platform.h
@@ -67,7 +67,8 @@
   virtual transport::Task<state::Result<ObjectList>> List(
     std::string aPrefix) = 0;
 
-  /// The same as some time ago: a platform that can answers so for less.
+  /// The same from a copy that may be some seconds old, where the platform has
+  /// one that costs less; otherwise as List.
   virtual transport::Task<state::Result<ObjectList>> Glance(
     std::string aPrefix) = 0;
 
--- a/tests/trace_test.cpp
+++ b/tests/trace_test.cpp
@@ -63,7 +63,7 @@
   EXPECT_EQ(code, 0);
   std::vector<std::string> events;
   std::size_t at = 0;
-  constexpr std::string_view kEvent = "\"event\":\"";
+  constexpr std::string_view kEvent = R"("event":")";
   while ((at = output.find(kEvent, at)) != std::string::npos) {
     at += kEvent.size();
     events.push_back(output.substr(at, output.find('"', at) - at));
