The few wait behind the many where placement decides nothing

It compares longest waits of 12 and of 120 calls that are placed over three endpoints; where the few fall on a short queue they wait less than half of the longest although nothing sets them before the others. Change: the same measure and bound with one endpoint left, and beside it that urgent calls stay below .5 there; the queue takes all calls.

--- a/tests/overload_test.cpp
+++ b/tests/overload_test.cpp
@@ -2,6 +2,7 @@
 // beside ordinary, and engines that fail half of what they get.
 
 #include <algorithm>
+#include <csignal>
 
 #include "given_a_fleet.h"
 
@@ -19,7 +20,8 @@
   static FleetSettings TwoSlots()
   {
     auto settings = Settings();
-    settings.mCompanionExtra = R"({"claimTimeoutMs":1500,"slots":2})";
+    settings.mCompanionExtra =
+      R"({"claimTimeoutMs":1500,"slots":2,"maxQueued":200})";
     return settings;
   }
 
@@ -66,7 +68,10 @@
     }
     const auto outcomes = MakeCalls(calls);
     ExpectAllWhole(outcomes);
-    return Longest(outcomes, kMany, calls.size()) / Longest(outcomes, 0, kMany);
+    const double share =
+      Longest(outcomes, kMany, calls.size()) / Longest(outcomes, 0, kMany);
+    RecordProperty("share", std::to_string(share));
+    return share;
   }
 };
 
@@ -80,11 +85,31 @@
   EXPECT_LT(TailOfTheFew("north", "u=0"), 0.5);
 }
 
-TEST_F(WithACrowd, WithoutTeamsAndClassesTheFewWaitBehindTheMany)
+/// One endpoint and one queue: where the few are placed decides nothing.
+class AtTheOnlyEndpoint : public WithACrowd
+{
+protected:
+  void SetUp() override
+  {
+    WithACrowd::SetUp();
+    for (const std::string name : { "endpoint-2", "endpoint-3" }) {
+      mFleet.Signal(name, SIGTERM);
+      mFleet.WaitEnd(name);
+      mFleet.Unlist(name);
+    }
+  }
+};
+
+TEST_F(AtTheOnlyEndpoint, WithoutTeamsAndClassesTheFewWaitBehindTheMany)
 {
   EXPECT_GT(TailOfTheFew("north", "u=5"), 0.5);
 }
 
+TEST_F(AtTheOnlyEndpoint, UrgentWorkPassesOrdinary)
+{
+  EXPECT_LT(TailOfTheFew("north", "u=0"), 0.5);
+}
+
 class WithEnginesThatFailHalf : public GivenAFleet
 {
 protected:
