Tidy: parts by name, spread pauses and chances stand once

Cause: a hash of a part was computed up to four times a request, and the spread of pauses, a draw of chance and the run of shuntctl stood two and four times.

--- a/packages/coordination/src/engine_news_client.cpp
+++ b/packages/coordination/src/engine_news_client.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <random>
 
+#include "shuntjunction/state/spread_pause.h"
+
 namespace shuntjunction::coordination {
 
 using protocol::EngineNews;
@@ -70,9 +72,7 @@
         mLog.Write(
           EventLine(kPart, "companion-lost").Add("address", aSource->mAddress));
       }
-      std::uniform_int_distribution<std::int64_t> spread(pause.count() / 2,
-                                                         pause.count());
-      co_await transport::Sleep(Millis(spread(mRandom)));
+      co_await transport::Sleep(state::SpreadPause(pause, mRandom));
       pause = std::min(pause * 2, kLongestPause);
     }
   }
--- a/packages/coordination/src/relay.cpp
+++ b/packages/coordination/src/relay.cpp
@@ -123,7 +123,7 @@
 Relay::TakePartReading(const protocol::PartReading& aReading)
 {
   const auto now = mCore->mParts.mClock.Now();
-  auto& record = mCore->mLedger.AtName(aReading.mPart);
+  auto& record = mCore->mLedger.At(aReading.mPart);
   if (aReading.mIsDone) {
     record.mServedAt = now;
   } else if (now - record.mServedAt >= mCore->mLimits.mNewsDelay) {
--- a/packages/coordination/src/relay_answer.cpp
+++ b/packages/coordination/src/relay_answer.cpp
@@ -207,8 +207,8 @@
   if (pick.mPart.empty() || !IsSuccess(aAttempt.mAnswer->Head().mStatus)) {
     return;
   }
-  auto& record = mCore->mLedger.At(pick.mSalt, pick.mPart);
-  const bool isFirst = record.mServedAt < record.mReadingFrom;
+  auto& record = mCore->mLedger.At(pick.mPartName);
+  const bool isFirst = record.IsBeingRead();
   record.mServedAt = Now();
   if (isFirst) {
     TellPart(pick, true);
--- a/packages/coordination/src/relay_attempt.cpp
+++ b/packages/coordination/src/relay_attempt.cpp
@@ -216,9 +216,9 @@
   if (aPick.mPart.empty()) {
     return;
   }
-  const auto name = state::PartName(aPick.mSalt, aPick.mPart);
-  auto& record = mCore->mLedger.AtName(name);
-  const bool isKept = !mCore->mEndpoints.Parts().Holders(name).empty();
+  auto& record = mCore->mLedger.At(aPick.mPartName);
+  const bool isKept =
+    !mCore->mEndpoints.Parts().Holders(aPick.mPartName).empty();
   const bool isNewsDue = Now() - record.mServedAt < mCore->mLimits.mNewsDelay;
   if (isKept || isNewsDue) {
     return;
@@ -232,8 +232,7 @@
 {
   const auto& tell = mCore->mParts.mTellPart;
   if (tell) {
-    tell(aPick.mEndpoint->mInfo.mAddress,
-         { state::PartName(aPick.mSalt, aPick.mPart), aIsDone });
+    tell(aPick.mEndpoint->mInfo.mAddress, { aPick.mPartName, aIsDone });
   }
 }
 
--- a/packages/coordination/src/relay_choice_view.cpp
+++ b/packages/coordination/src/relay_choice_view.cpp
@@ -141,8 +141,8 @@
   if (parts.empty()) {
     return aAsk.mCall->mPromptTokens;
   }
-  const auto name = state::PartName(aPick.mSalt, aPick.mPart);
-  const bool isKept = !aCore.mEndpoints.Parts().Holders(name).empty();
+  const bool isKept =
+    !aCore.mEndpoints.Parts().Holders(aPick.mPartName).empty();
   return parts.back().mTokens + (isKept ? 0 : aAsk.mCall->SharedTokens());
 }
 
@@ -154,8 +154,8 @@
   const auto& stores = aCore.mView->mConfig->Rules().mPartStores;
   const std::string store = stores.empty() ? "" : stores.front().mAddress;
   const auto& index = aCore.mEndpoints.Parts();
-  const auto name = state::PartName(aPick.mSalt, aPick.mPart);
-  const auto& record = aCore.mLedger.At(aPick.mSalt, aPick.mPart);
+  const auto& name = aPick.mPartName;
+  const auto& record = aCore.mLedger.At(name);
   const bool isSavedLately = now - record.mSavedAt < aCore.mLimits.mNewsDelay;
   if (!isSavedLately && !index.Holds(store, name)) {
     aPick.mPartStore = store;
@@ -201,6 +201,7 @@
   }
   if (!part.empty()) {
     pick.mPart = part;
+    pick.mPartName = state::PartName(pick.mSalt, part);
     FillPartSource(aCore, pick);
   }
   pick.mTokensToRead = TokensToRead(aCore, aAsk, pick);
--- a/packages/coordination/src/relay_choice_view.h
+++ b/packages/coordination/src/relay_choice_view.h
@@ -22,6 +22,7 @@
   std::uint64_t mWeights = 0; ///< 0 for a plain service
   std::string mSalt;
   std::string mPart;       ///< id of the last shared part; empty: none
+  std::string mPartName;   ///< the same as PartName
   std::string mPartSource; ///< address
   std::string mPartStore;  ///< address to save to; empty: not
   bool mIsKept = false;    ///< the endpoint keeps the part, as far as is known
--- a/packages/coordination/src/relay_feed.cpp
+++ b/packages/coordination/src/relay_feed.cpp
@@ -8,6 +8,7 @@
 #include <random>
 
 #include "relay_feed_topic.h"
+#include "shuntjunction/state/spread_pause.h"
 
 namespace shuntjunction::coordination {
 
@@ -121,18 +122,13 @@
     NoteTrouble(aTopic, done.error());
     aTopic.mPause = std::clamp(
       aTopic.mPause * 2, mSettings.mFirstPause, mSettings.mLongestPause);
-    // Spread, so that processes that lost the store together do not come back
-    // together.
-    std::uniform_int_distribution<std::int64_t> spread(
-      aTopic.mPause.count() / 2, aTopic.mPause.count());
-    co_await transport::Sleep(Millis(spread(mRandom)));
+    co_await transport::Sleep(state::SpreadPause(aTopic.mPause, mRandom));
   }
 }
 
 Task<Result<void>>
 RelayFeed::ListOnce(Topic& aTopic)
 {
-  const auto askedAt = mClock.Now();
   const auto list = co_await mPlatform.List(aTopic.mPrefix);
   if (!list) {
     co_return tl::unexpected(list.error());
@@ -141,7 +137,7 @@
   aTopic.mIsListed = true;
   aTopic.mTakeList(list->mObjects);
   if (aTopic.mConfirms) {
-    mConfirmed.Confirm(askedAt);
+    mConfirmed.Confirm(*aTopic.mAskedAt);
   }
   Publish();
   co_return Result<void>{};
@@ -150,7 +146,6 @@
 Task<Result<void>>
 RelayFeed::WatchOnce(Topic& aTopic)
 {
-  const auto askedAt = mClock.Now();
   const Millis wait = IsProbing(aTopic) ? kProbeWait : aTopic.mWait;
   const auto answer =
     co_await mPlatform.Watch(aTopic.mPrefix, aTopic.mRevision, wait);
@@ -169,7 +164,7 @@
     aTopic.mTakeChange(change);
   }
   if (aTopic.mConfirms) {
-    mConfirmed.Confirm(askedAt);
+    mConfirmed.Confirm(*aTopic.mAskedAt);
   }
   if (!answer->mChanges.empty()) {
     Publish();
--- a/packages/coordination/src/relay_run.cpp
+++ b/packages/coordination/src/relay_run.cpp
@@ -231,9 +231,9 @@
   const auto& limits = mCore->mLimits;
   const auto until = Now() + limits.mPartWait;
   while (mInterrupt == RunInterrupt::kNone && Now() < until) {
-    const auto& record = mCore->mLedger.At(aPick.mSalt, aPick.mPart);
-    const bool isRead = Now() - record.mReadingFrom < limits.mPartWait &&
-                        record.mServedAt < record.mReadingFrom;
+    const auto& record = mCore->mLedger.At(aPick.mPartName);
+    const bool isRead =
+      Now() - record.mReadingFrom < limits.mPartWait && record.IsBeingRead();
     if (!isRead) {
       co_return;
     }
--- a/packages/state/include/shuntjunction/state/part_ledger.h
+++ b/packages/state/include/shuntjunction/state/part_ledger.h
@@ -4,7 +4,6 @@
 #include <list>
 #include <optional>
 #include <string>
-#include <string_view>
 #include <unordered_map>
 
 #include "shuntjunction/state/clock.h"
@@ -18,6 +17,9 @@
   TimePoint mServedAt;    ///< when its answer began; epoch while none did
   TimePoint mReadingFrom; ///< since when it is being read; epoch: it is not
   TimePoint mSavedAt;     ///< when it was last handed to the part store
+
+  /// Whether it was begun to be read and no answer has begun since.
+  bool IsBeingRead() const { return mServedAt < mReadingFrom; }
 };
 
 /// Remembers parts, the least recently used forgotten first.
@@ -31,11 +33,8 @@
   {
   }
 
-  /// The record of a part, made when it is new.
-  PartRecord& At(std::string_view aSalt, std::string_view aPart);
-
-  /// The same by PartName.
-  PartRecord& AtName(std::string aName);
+  /// The record of a part by its PartName, made when it is new.
+  PartRecord& At(std::string aName);
 
   /// Records that are kept.
   std::size_t Size() const { return mOrder.size(); }
--- a/packages/state/src/part_ledger.cpp
+++ b/packages/state/src/part_ledger.cpp
@@ -1,17 +1,9 @@
 #include "shuntjunction/state/part_ledger.h"
 
-#include "shuntjunction/state/part_index.h"
-
 namespace shuntjunction::state {
 
 PartRecord&
-PartLedger::At(std::string_view aSalt, std::string_view aPart)
-{
-  return AtName(PartName(aSalt, aPart));
-}
-
-PartRecord&
-PartLedger::AtName(std::string aName)
+PartLedger::At(std::string aName)
 {
   const auto found = mByKey.find(aName);
   if (found != mByKey.end()) {
--- a/packages/state/tests/relay_state_test.cpp
+++ b/packages/state/tests/relay_state_test.cpp
@@ -280,13 +280,13 @@
 {
   ManualClock clock;
   PartLedger ledger(2);
-  ledger.At("s", "a").mServedAt = clock.Now();
-  ledger.At("s", "b").mServedAt = clock.Now();
-  ledger.At("s", "a");
-  ledger.At("s", "c");
+  ledger.At("s/a").mServedAt = clock.Now();
+  ledger.At("s/b").mServedAt = clock.Now();
+  ledger.At("s/a");
+  ledger.At("s/c");
   EXPECT_EQ(ledger.Size(), 2U);
-  EXPECT_EQ(ledger.At("s", "a").mServedAt, clock.Now());
-  EXPECT_EQ(ledger.At("s", "b").mServedAt, TimePoint());
+  EXPECT_EQ(ledger.At("s/a").mServedAt, clock.Now());
+  EXPECT_EQ(ledger.At("s/b").mServedAt, TimePoint());
 }
 
 class GivenRules : public ::testing::Test
--- a/standins/engine_standin.cpp
+++ b/standins/engine_standin.cpp
@@ -3,6 +3,7 @@
 #include <boost/json/array.hpp>
 
 #include "answer_text.h"
+#include "chance.h"
 #include "json_reply.h"
 #include "shuntjunction/coordination/chat_api.h"
 #include "shuntjunction/state/json_reader.h"
@@ -213,8 +214,7 @@
     aExchange.Abort();
     co_return;
   }
-  if (std::uniform_real_distribution<double>(0, 1)(mRandom) <
-      mSettings.mFailShare) {
+  if (Chance(mRandom, mSettings.mFailShare)) {
     --mRunning;
     co_await aExchange.Respond(Refusal(500, "failed"));
     co_return;
@@ -272,8 +272,7 @@
 EngineStandin::AddEvent(std::string aKind, std::string aBlock)
 {
   ++mSequence;
-  if (std::uniform_real_distribution<double>(0, 1)(mRandom) <
-      mSettings.mEventLoss) {
+  if (Chance(mRandom, mSettings.mEventLoss)) {
     return;
   }
   mEvents.push_back(
--- a/standins/platform_standin.cpp
+++ b/standins/platform_standin.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/json/array.hpp>
 
+#include "chance.h"
 #include "json_reply.h"
 #include "shuntjunction/state/json_reader.h"
 
@@ -43,7 +44,7 @@
 bool
 PlatformStandin::Chance(double aShare)
 {
-  return std::uniform_real_distribution<double>(0, 1)(mRandom) < aShare;
+  return standins::Chance(mRandom, aShare);
 }
 
 HttpResponse
--- a/tests/configuration_test.cpp
+++ b/tests/configuration_test.cpp
@@ -1,9 +1,7 @@
 // The story of a configuration across the fleet: in force everywhere, never
 // back, racing operators told, new weights without a cut stream.
 
-#include <array>
 #include <csignal>
-#include <cstdio>
 #include <thread>
 
 #include <fstream>
@@ -12,6 +10,7 @@
 #include <boost/json/value_to.hpp>
 
 #include "given_a_fleet.h"
+#include "shuntctl_run.h"
 #include "shuntjunction/state/json_reader.h"
 
 namespace shuntjunction::standins {
@@ -24,27 +23,6 @@
 protected:
   using GivenAFleet::GivenAFleet;
 
-  struct Result
-  {
-    int mCode = 0;
-    std::string mOutput;
-  };
-
-  /// Runs shuntctl as an operator would.
-  Result Ctl(const std::string& aArguments)
-  {
-    const std::string command = std::string(SHUNTJUNCTION_BINARIES) +
-                                "/apps/shuntctl " + aArguments + " 2>&1";
-    FILE* pipe = popen(command.c_str(), "r");
-    Result result;
-    std::array<char, 4096> buffer{};
-    while (std::fgets(buffer.data(), buffer.size(), pipe) != nullptr) {
-      result.mOutput += buffer.data();
-    }
-    result.mCode = WEXITSTATUS(pclose(pipe));
-    return result;
-  }
-
   std::string Platform() { return "--platform " + mFleet.Platform() + " "; }
 
   std::string File(const std::string& aName, const std::string& aText)
@@ -86,8 +64,9 @@
       "model": "crew-notes", "starts": ["06:30"], "sharedText": ["rules"]
     },
   })");
-  EXPECT_EQ(Ctl("diff " + Platform() + file).mCode, 0);
-  const auto applied = Ctl("apply " + Platform() + file + " --wait-ms 20000");
+  EXPECT_EQ(RunShuntctl("diff " + Platform() + file).mCode, 0);
+  const auto applied =
+    RunShuntctl("apply " + Platform() + file + " --wait-ms 20000");
   EXPECT_EQ(applied.mCode, 0) << applied.mOutput;
   EXPECT_NE(applied.mOutput.find("in force on every live process"),
             std::string::npos)
@@ -95,26 +74,30 @@
   auto call = Call(0);
   call.mFields = { { "x-template", "dialysis-slot" } };
   ExpectAllWhole(MakeCalls({ call }));
-  const auto shown = Ctl("get " + Platform() + "templates --output json");
+  const auto shown =
+    RunShuntctl("get " + Platform() + "templates --output json");
   EXPECT_NE(shown.mOutput.find("dialysis-slot"), std::string::npos);
 }
 
 TEST_F(GivenOperators, BadInputIsRefusedBeforeItIsWritten)
 {
-  const auto bad = Ctl("apply " + Platform() +
-                       File("bad.json", R"({"models/m":{"weights":"x"}})"));
+  const auto bad =
+    RunShuntctl("apply " + Platform() +
+                File("bad.json", R"({"models/m":{"weights":"x"}})"));
   EXPECT_EQ(bad.mCode, 2) << bad.mOutput;
   EXPECT_NE(bad.mOutput.find("models/m.weights"), std::string::npos)
     << bad.mOutput;
-  EXPECT_EQ(Ctl("get " + Platform() + "models/m").mCode, 5);
-  EXPECT_EQ(Ctl("delete " + Platform() + "models/m").mCode, 5);
+  EXPECT_EQ(RunShuntctl("get " + Platform() + "models/m").mCode, 5);
+  EXPECT_EQ(RunShuntctl("delete " + Platform() + "models/m").mCode, 5);
 }
 
 TEST_F(GivenOperators, RacingOperatorsGetAConflictThatNamesBothVersions)
 {
   const auto file = File("m.json", R"({"models/m":{"weights":2}})");
-  EXPECT_EQ(Ctl("apply " + Platform() + file + " --if-revision 0").mCode, 0);
-  const auto second = Ctl("apply " + Platform() + file + " --if-revision 0");
+  EXPECT_EQ(
+    RunShuntctl("apply " + Platform() + file + " --if-revision 0").mCode, 0);
+  const auto second =
+    RunShuntctl("apply " + Platform() + file + " --if-revision 0");
   EXPECT_EQ(second.mCode, 3) << second.mOutput;
   EXPECT_NE(second.mOutput.find("revision 0"), std::string::npos);
   EXPECT_NE(second.mOutput.find("the platform holds revision"),
@@ -126,9 +109,9 @@
 {
   const auto body = File("call.json", ChatBody(Call(0)));
   ExpectAllWhole(MakeCalls({ Call(0) }));
-  const auto shown =
-    Ctl("explain --admin " + mFleet.Process("router-1").mAdmin + " --secret '" +
-        FleetSettings().mSecret + "' --team north " + body);
+  const auto shown = RunShuntctl(
+    "explain --admin " + mFleet.Process("router-1").mAdmin + " --secret '" +
+    FleetSettings().mSecret + "' --team north " + body);
   EXPECT_EQ(shown.mCode, 0) << shown.mOutput;
   EXPECT_NE(shown.mOutput.find("chosen"), std::string::npos) << shown.mOutput;
 }
@@ -137,7 +120,7 @@
 {
   std::string shown;
   const auto showsAll = [&] {
-    shown = Ctl("status " + Platform()).mOutput;
+    shown = RunShuntctl("status " + Platform()).mOutput;
     return std::all_of(
       kDaemons.begin(), kDaemons.end(), [&](const std::string aName) {
         return shown.find(aName) != std::string::npos;
@@ -304,7 +287,7 @@
   EXPECT_EQ(VersionOf("router-1"), revision);
   {
     SCOPED_TRACE("adopted, it comes into force");
-    EXPECT_EQ(Ctl("adopt " + Platform()).mCode, 0);
+    EXPECT_EQ(RunShuntctl("adopt " + Platform()).mCode, 0);
     transport::HttpRequest models;
     models.mTarget = "/v1/models";
     const auto hasLate = [&] {
--- a/tests/trace_test.cpp
+++ b/tests/trace_test.cpp
@@ -1,11 +1,11 @@
 // The story of a request as its logs tell it.
 
-#include <array>
-#include <cstdio>
 #include <fstream>
 
 #include <gtest/gtest.h>
 
+#include "shuntctl_run.h"
+
 namespace shuntjunction::standins {
 
 class GivenLogsOfARelayAndACompanion : public ::testing::Test
@@ -41,25 +41,16 @@
     std::ofstream(Path(aName)) << aText;
   }
 
-  /// Runs shuntctl trace; its output, and its exit code.
-  static std::pair<std::string, int> Trace(const std::string& aId)
+  static ShuntctlResult Trace(const std::string& aId)
   {
-    const std::string command =
-      std::string(SHUNTJUNCTION_BINARIES) + "/apps/shuntctl trace " + aId +
-      " " + Path("relay.log") + " " + Path("companion.log") + " 2>&1";
-    FILE* pipe = popen(command.c_str(), "r");
-    std::string output;
-    std::array<char, 4096> buffer{};
-    while (std::fgets(buffer.data(), buffer.size(), pipe) != nullptr) {
-      output += buffer.data();
-    }
-    return { output, WEXITSTATUS(pclose(pipe)) };
+    return RunShuntctl("trace " + aId + " " + Path("relay.log") + " " +
+                       Path("companion.log"));
   }
 };
 
 TEST_F(GivenLogsOfARelayAndACompanion, ARequestsLinesComeWithWhatWasBelieved)
 {
-  const auto [output, code] = Trace("r1");
+  const auto [code, output] = Trace("r1");
   EXPECT_EQ(code, 0);
   std::vector<std::string> events;
   std::size_t at = 0;
@@ -76,7 +67,7 @@
 
 TEST_F(GivenLogsOfARelayAndACompanion, AnUnknownIdIsSaidToBeSo)
 {
-  const auto [output, code] = Trace("r7");
+  const auto [code, output] = Trace("r7");
   constexpr int kNotFound = 5;
   EXPECT_EQ(code, kNotFound);
   EXPECT_NE(output.find("no line of request r7"), std::string::npos);
