Log: what was sent where, and when its first bytes came

Cause: which requests were late, and why, could not be told: an attempt's line gave only its end, nothing told a wait at the endpoint from one at the relay or a pause in the stream, and a killed relay left no trace of what it had sent. Ruled out: the first token's histogram, which knows no request. Change: a line 'sent' with what was believed then (waiting tokens, age of the news, endpoints weighed); sent_ms, first_ms and pause_ms in 'attempt'.

--- a/packages/coordination/src/relay_answer.cpp
+++ b/packages/coordination/src/relay_answer.cpp
@@ -218,6 +218,19 @@
   }
 }
 
+void
+RelayRun::NotePiece()
+{
+  const auto now = SinceArrival();
+  if (!mTimes.mFirst) {
+    mTimes.mFirst = now;
+  } else {
+    mTimes.mLongestPause =
+      std::max(mTimes.mLongestPause, now - mTimes.mLastPiece);
+  }
+  mTimes.mLastPiece = now;
+}
+
 Task<bool>
 RelayRun::PassBody(Attempt& aAttempt, bool aIsDone)
 {
@@ -225,6 +238,7 @@
     aAttempt.mHasBegun = true;
     NoteAnswerBegun(aAttempt);
   }
+  NotePiece();
   if (aAttempt.mIsStreamed) {
     co_return co_await PassStreamPiece(aAttempt, aIsDone);
   }
--- a/packages/coordination/src/relay_attempt.cpp
+++ b/packages/coordination/src/relay_attempt.cpp
@@ -78,6 +78,7 @@
 {
   Attempt attempt;
   attempt.mPick = std::move(aPick);
+  mTimes = {};
   auto& endpoint = *attempt.mPick.mEndpoint;
   const auto connected = co_await Connect(attempt);
   if (connected == AttemptOutcome::kUnsent) {
@@ -96,10 +97,12 @@
   }
   const auto unread = attempt.mPick.mTokensToRead;
   mPartialEvent.clear();
+  LogSent(attempt.mPick);
   ++endpoint.mRunning;
   endpoint.mUnreadTokens += unread;
   mTried.push_back(endpoint.mInfo.mId);
   Send(attempt);
+  mTimes.mSent = SinceArrival();
   const auto connection = attempt.mConnection.mReader;
   endpoint.mBusy.insert(connection);
   const auto outcome = co_await ReadAnswer(attempt);
--- a/packages/coordination/src/relay_choice_view.cpp
+++ b/packages/coordination/src/relay_choice_view.cpp
@@ -196,6 +196,13 @@
   pick.mEndpoint = list.At(*index);
   pick.mWeights = candidates[*index].mVersion;
   pick.mIsKept = candidates[*index].mHoldsPart;
+  pick.mCandidates = candidates.size();
+  pick.mWaitingTokens = candidates[*index].mQueuedTokens;
+  const auto now = aCore.mParts.mClock.Now();
+  if (aCore.mEndpoints.FreshNews(*pick.mEndpoint, now) != nullptr) {
+    pick.mNewsAge =
+      std::chrono::duration_cast<Millis>(now - pick.mEndpoint->mNewsAt);
+  }
   if (pick.mWeights != 0) {
     pick.mSalt = SaltOf(aAsk, pick.mWeights);
   }
--- a/packages/coordination/src/relay_choice_view.h
+++ b/packages/coordination/src/relay_choice_view.h
@@ -27,6 +27,10 @@
   std::string mPartStore;  ///< address to save to; empty: not
   bool mIsKept = false;    ///< the endpoint keeps the part, as far as is known
   std::int64_t mTokensToRead = 0; ///< estimate, see RelayEndpoint
+  // What was known when it was chosen, for the log.
+  std::size_t mCandidates = 0;     ///< endpoints that were weighed
+  std::int64_t mWaitingTokens = 0; ///< to be read there before the request's
+  state::Millis mNewsAge{ -1 };    ///< of the companion's; -1: none fresh
 };
 
 /// Chooses an endpoint; empty when none may take the request now.
--- a/packages/coordination/src/relay_run.cpp
+++ b/packages/coordination/src/relay_run.cpp
@@ -284,12 +284,43 @@
     case AttemptOutcome::kInterrupted:
       break;
   }
+  LogAttempt(aPick, aOutcome);
+}
+
+void
+RelayRun::LogSent(const RelayPick& aPick)
+{
+  // An attempt's own line is written at its end: only this one tells what a
+  // process that was killed had sent where.
+  EventLine line(kPart, "sent", mCall.mRequestId);
+  line.Add("endpoint", aPick.mEndpoint->mInfo.mId)
+    .Add("running", aPick.mEndpoint->mRunning)
+    .Add("candidates", aPick.mCandidates)
+    .Add("ms", SinceArrival().count());
+  if (aPick.mWeights != 0) {
+    line.Add("waiting_tokens", aPick.mWaitingTokens)
+      .Add("news_age_ms", aPick.mNewsAge.count());
+  }
+  mCore->mParts.mLog.Write(std::move(line));
+}
+
+void
+RelayRun::LogAttempt(const RelayPick& aPick, AttemptOutcome aOutcome)
+{
+  const auto& endpoint = *aPick.mEndpoint;
   EventLine line(kPart, "attempt", mCall.mRequestId);
   line.Add("endpoint", endpoint.mInfo.mId)
     .Add("zone", endpoint.mInfo.mZone)
     .Add("outcome", kAttemptOutcomeNames.Name(aOutcome))
     .Add("running", endpoint.mRunning)
     .Add("ms", SinceArrival().count());
+  if (mTimes.mSent) {
+    line.Add("sent_ms", mTimes.mSent->count());
+  }
+  if (mTimes.mFirst) {
+    line.Add("first_ms", mTimes.mFirst->count())
+      .Add("pause_ms", mTimes.mLongestPause.count());
+  }
   if (aPick.mWeights != 0) {
     line.Add("weights", aPick.mWeights)
       .Add("shared_part", aPick.mPart)
--- a/packages/coordination/src/relay_run.h
+++ b/packages/coordination/src/relay_run.h
@@ -41,6 +41,15 @@
     "interrupted" }
 };
 
+/// How one attempt went on, counted from the request's arrival.
+struct AttemptTimes
+{
+  std::optional<state::Millis> mSent;  ///< empty: nothing was sent
+  std::optional<state::Millis> mFirst; ///< the answer's first bytes
+  state::Millis mLongestPause{ 0 };    ///< between pieces of the answer
+  state::Millis mLastPiece{ 0 };
+};
+
 /// Serves one request: finds its route and team, chooses endpoints, passes the
 /// answer on.
 ///
@@ -81,6 +90,8 @@
   /// Tells the other relays that a part is being read, or was.
   void TellPart(const RelayPick& aPick, bool aIsDone);
   void NoteOutcome(const RelayPick& aPick, AttemptOutcome aOutcome);
+  void LogSent(const RelayPick& aPick);
+  void LogAttempt(const RelayPick& aPick, AttemptOutcome aOutcome);
   bool MayTryAgain(AttemptOutcome aOutcome);
   void Finish(Attempt& aAttempt);
 
@@ -98,6 +109,7 @@
   transport::Task<bool> PassStreamPiece(Attempt& aAttempt, bool aIsDone);
   std::string TakeWholeEvents(std::string aBytes, bool aIsDone);
   void NoteAnswerBegun(const Attempt& aAttempt);
+  void NotePiece();
 
   // Answers of the relay's own.
   transport::Task<void> AnswerFailure();
@@ -130,6 +142,7 @@
   RunInterrupt mInterrupt = RunInterrupt::kNone;
   std::shared_ptr<transport::SocketReader> mOpenAttempt; ///< to be cut off
   std::vector<std::string> mTried; ///< endpoints that got the request
+  AttemptTimes mTimes;             ///< of the last attempt
   int mUnsentTries = 0;            ///< endpoints that could not be reached
   bool mMayHaveRun = false;
   bool mIsHeadPassed = false;
