Engines on older weights keep their work until their turn; small prompts see what waits

A share of engines says nothing of what they can carry. Small prompts counted running requests only and stood behind prompts of 9,000 tokens. Cost of a small prompt: requests that run and thousands of tokens that wait.

--- a/packages/coordination/src/relay_choice_view.cpp
+++ b/packages/coordination/src/relay_choice_view.cpp
@@ -179,15 +179,13 @@
   const CandidateList list(aCore, aAsk);
   const auto& candidates = list.Candidates();
   const auto& settings = aCore.mParts.mSettings.mChoice;
-  const auto allowed =
-    state::PreferNewest(candidates, list.Newest(), aCore.mLimits.mNewestShare);
   const auto part = aAsk.mCall->LastSharedPart();
   std::optional<std::size_t> index;
   if (aAsk.mCall->SharedTokens() >= settings.mMinSharedTokens) {
     const auto key = state::PlacementHash(part);
-    index = state::ChooseByPart(candidates, allowed, key, settings);
+    index = state::ChooseByPart(candidates, key, settings);
   } else {
-    index = state::ChooseByLoad(candidates, allowed, settings, aCore.mRandom);
+    index = state::ChooseByLoad(candidates, settings, aCore.mRandom);
   }
   if (!index) {
     return std::nullopt;
--- a/packages/coordination/src/relay_core.h
+++ b/packages/coordination/src/relay_core.h
@@ -45,9 +45,6 @@
   state::Millis mPartWait{ 350 };
   /// Within this of the bound, older weights get no request.
   state::Millis mWeightsMargin{ 1500 };
-  /// Share of a model's engines on the newest weights from which on the others
-  /// are passed over.
-  double mNewestShare = 0.34;
   /// An engine that did not load its weights so long after its turn is used
   /// again meanwhile.
   state::Millis mLoadPatience{ 2500 };
--- a/packages/state/include/shuntjunction/state/relay_choice.h
+++ b/packages/state/include/shuntjunction/state/relay_choice.h
@@ -43,38 +43,34 @@
   std::int64_t mMinSharedTokens = 1000;
   /// Requests by which an endpoint of the own zone may exceed another's.
   std::int64_t mZoneLead = 2;
+  /// Waiting tokens that weigh as much as a request that runs: a token of its
+  /// answer takes as long as a piece of prompt that is read beside it.
+  std::int64_t mTokensOfRunning = 1000;
 };
 
-/// The endpoints of the newest weights, if they are enough to carry the work.
-///
-/// @param aNewest  version that was named last; 0 for a plain service
-/// @param aMinShare  share that must have it before the others are left out
-/// @return indexes of aCandidates
-/// Thread safety: pure.
-std::vector<std::size_t>
-PreferNewest(std::span<const RelayCandidate> aCandidates,
-             std::uint64_t aNewest,
-             double aMinShare);
-
 /// Chooses by rendezvous of a prompt's shared part, the first two weighed by
 /// whether they keep the part and by what waits there.
 ///
+/// Older weights are no reason to pass an engine over: while a new version is
+/// loaded, the few that have it cannot carry all work, and their callers waited
+/// 1.5 s and more for engines that were free next to them.
+///
 /// @param aKey  hash of the shared part and its scope
-/// @return index of aCandidates; empty when aAllowed is empty
+/// @return index of aCandidates; empty when there are none
 /// Thread safety: pure.
 std::optional<std::size_t>
 ChooseByPart(std::span<const RelayCandidate> aCandidates,
-             std::span<const std::size_t> aAllowed,
              std::uint64_t aKey,
              const RelayChoiceSettings& aSettings);
 
-/// Chooses the least loaded, the own zone first among near equals.
+/// Chooses the least loaded by requests that run and tokens that wait, the own
+/// zone first among near equals.
 ///
 /// @param aRandom  breaks ties
+/// @return index of aCandidates; empty when there are none
 /// Thread safety: pure but for aRandom.
 std::optional<std::size_t>
 ChooseByLoad(std::span<const RelayCandidate> aCandidates,
-             std::span<const std::size_t> aAllowed,
              const RelayChoiceSettings& aSettings,
              RandomSource& aRandom);
 
--- a/packages/state/src/relay_choice.cpp
+++ b/packages/state/src/relay_choice.cpp
@@ -10,18 +10,17 @@
 
 /// Suspects come after all others.
 std::vector<std::size_t>
-WithoutSuspects(std::span<const RelayCandidate> aCandidates,
-                std::span<const std::size_t> aAllowed)
+WithoutSuspects(std::span<const RelayCandidate> aCandidates)
 {
   std::vector<std::size_t> sound;
-  for (const auto index : aAllowed) {
+  std::vector<std::size_t> all;
+  for (std::size_t index = 0; index < aCandidates.size(); ++index) {
+    all.push_back(index);
     if (!aCandidates[index].mIsSuspect) {
       sound.push_back(index);
     }
   }
-  return sound.empty()
-           ? std::vector<std::size_t>(aAllowed.begin(), aAllowed.end())
-           : sound;
+  return sound.empty() ? all : sound;
 }
 
 /// Rendezvous rank of an endpoint for a key; the highest is first.
@@ -35,32 +34,12 @@
 
 } // namespace
 
-std::vector<std::size_t>
-PreferNewest(std::span<const RelayCandidate> aCandidates,
-             std::uint64_t aNewest,
-             double aMinShare)
-{
-  std::vector<std::size_t> newest;
-  std::vector<std::size_t> all;
-  for (std::size_t i = 0; i < aCandidates.size(); ++i) {
-    all.push_back(i);
-    if (aCandidates[i].mVersion >= aNewest) {
-      newest.push_back(i);
-    }
-  }
-  const double share = all.empty() ? 0.0
-                                   : static_cast<double>(newest.size()) /
-                                       static_cast<double>(all.size());
-  return !newest.empty() && share >= aMinShare ? newest : all;
-}
-
 std::optional<std::size_t>
 ChooseByPart(std::span<const RelayCandidate> aCandidates,
-             std::span<const std::size_t> aAllowed,
              std::uint64_t aKey,
              const RelayChoiceSettings& aSettings)
 {
-  const auto allowed = WithoutSuspects(aCandidates, aAllowed);
+  const auto allowed = WithoutSuspects(aCandidates);
   if (allowed.empty()) {
     return std::nullopt;
   }
@@ -90,18 +69,19 @@
 
 std::optional<std::size_t>
 ChooseByLoad(std::span<const RelayCandidate> aCandidates,
-             std::span<const std::size_t> aAllowed,
              const RelayChoiceSettings& aSettings,
              RandomSource& aRandom)
 {
-  const auto allowed = WithoutSuspects(aCandidates, aAllowed);
+  const auto allowed = WithoutSuspects(aCandidates);
   std::optional<std::size_t> best;
   std::int64_t bestCost = 0;
   std::uint64_t bestDraw = 0;
   for (const auto index : allowed) {
     const auto& candidate = aCandidates[index];
     const std::int64_t cost =
-      candidate.mRunning + (candidate.mIsSameZone ? 0 : aSettings.mZoneLead);
+      candidate.mRunning +
+      candidate.mQueuedTokens / aSettings.mTokensOfRunning +
+      (candidate.mIsSameZone ? 0 : aSettings.mZoneLead);
     const std::uint64_t draw = aRandom();
     if (!best || cost < bestCost || (cost == bestCost && draw < bestDraw)) {
       best = index;
