Parts that are read in milliseconds are neither moved nor waited for

Cause: moves from and to one place follow each other, and each request named the part store or a peer as a source and saved what it read. Change: source, store and wait only for prompts that are placed by their part.

--- a/packages/coordination/src/relay_choice_view.cpp
+++ b/packages/coordination/src/relay_choice_view.cpp
@@ -147,6 +147,10 @@
 }
 
 /// Names where the shared part may be fetched from and saved to.
+///
+/// Moves to and from one place follow each other. Parts that are read in a few
+/// milliseconds are neither moved nor waited for: they stood up to 2 s behind
+/// large ones, and kept those waiting.
 void
 FillPartSource(Relay::Core& aCore, RelayPick& aPick)
 {
@@ -181,7 +185,9 @@
   const auto& settings = aCore.mParts.mSettings.mChoice;
   const auto part = aAsk.mCall->LastSharedPart();
   std::optional<std::size_t> index;
-  if (aAsk.mCall->SharedTokens() >= settings.mMinSharedTokens) {
+  const bool isPlacedByPart =
+    aAsk.mCall->SharedTokens() >= settings.mMinSharedTokens;
+  if (isPlacedByPart) {
     const auto key = state::PlacementHash(part);
     index = state::ChooseByPart(candidates, key, settings);
   } else {
@@ -204,7 +210,7 @@
   if (pick.mWeights != 0) {
     pick.mSalt = SaltOf(aAsk, pick.mWeights);
   }
-  if (!part.empty()) {
+  if (isPlacedByPart) {
     pick.mPart = part;
     pick.mPartName = state::PartName(pick.mSalt, part);
     FillPartSource(aCore, pick);
--- a/packages/coordination/src/relay_choice_view.h
+++ b/packages/coordination/src/relay_choice_view.h
@@ -21,7 +21,7 @@
   RelayEndpointPtr mEndpoint;
   std::uint64_t mWeights = 0; ///< 0 for a plain service
   std::string mSalt;
-  std::string mPart;       ///< id of the last shared part; empty: none
+  std::string mPart;       ///< id of the shared part it is placed by, if any
   std::string mPartName;   ///< the same as PartName
   std::string mPartSource; ///< address
   std::string mPartStore;  ///< address to save to; empty: not
