Relays know the tokens that wait at an engine, those of all relays

Cause: a relay counted its own waiting tokens, a fifth of all, or 2,500 for each request of the engine's last report, up to 300 ms old: of the requests that were expected within 100 ms, a tenth took 199 to 264 ms, some 2 s. Change: relays tell each companion what of theirs waits there, by urgency, and hear what all others have (RelayWaiting; EngineNews.waiting); told when it changed by 25 ms of reading, and passed on by 100 ms. An urgent request counts only what goes before it. Counts of a peer are bounded. Conclusion: kept; the queue's order needs it.

--- a/packages/coordination/include/shuntjunction/coordination/engine_news.h
+++ b/packages/coordination/include/shuntjunction/coordination/engine_news.h
@@ -109,6 +109,11 @@
   void Tell(const std::string& aEndpointAddress,
             const protocol::PartReading& aReading);
 
+  /// Sets what of this relay waits at an engine; its companion is told when it
+  /// changed much.
+  void SetWaiting(const std::string& aEndpointAddress,
+                  const state::WaitingTokens& aWaiting);
+
 private:
   struct Shared;
 
--- a/packages/coordination/include/shuntjunction/coordination/relay.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay.h
@@ -27,6 +27,10 @@
   /// empty: they are not told.
   std::function<void(const std::string&, const protocol::PartReading&)>
     mTellPart = {};
+  /// Tells what of this relay waits at the engine of an address; empty: it is
+  /// not told.
+  std::function<void(const std::string&, const state::WaitingTokens&)>
+    mTellWaiting = {};
 };
 
 /// The relay of one process.
--- a/packages/coordination/src/engine_news_client.cpp
+++ b/packages/coordination/src/engine_news_client.cpp
@@ -25,6 +25,10 @@
 
 constexpr Millis kConnectTimeout{ 500 };
 
+/// Waiting tokens that must have come or gone before a companion is told: some
+/// 25 ms of an engine's reading.
+constexpr std::int64_t kTokensToTell = 1000;
+
 /// Pauses between two attempts to reach a companion.
 constexpr Millis kFirstPause{ 100 };
 constexpr Millis kLongestPause{ 800 };
@@ -39,6 +43,8 @@
     std::string mAddress;
     std::shared_ptr<FrameChannel> mChannel;
     bool mIsWanted = true;
+    state::WaitingTokens mWaiting;     ///< of this relay there
+    state::WaitingTokens mToldWaiting; ///< on this channel
   };
 
   Shared(asio::io_context& aContext,
@@ -81,6 +87,8 @@
                     std::shared_ptr<FrameChannel> aChannel)
   {
     aSource->mChannel = aChannel;
+    aSource->mToldWaiting = {};
+    TellWaiting(*aSource);
     asio::steady_timer silence(mContext);
     while (aSource->mIsWanted) {
       silence.expires_after(kSilenceLimit);
@@ -105,6 +113,31 @@
     aSource->mChannel = nullptr;
   }
 
+  /// Tells what waits there, if that differs enough from what was told.
+  static void TellWaiting(Source& aSource)
+  {
+    const auto now = aSource.mWaiting.Total();
+    const auto told = aSource.mToldWaiting.Total();
+    const bool isDue = std::abs(now - told) >= kTokensToTell || now == 0;
+    if (!aSource.mChannel || aSource.mWaiting == aSource.mToldWaiting ||
+        !isDue) {
+      return;
+    }
+    aSource.mToldWaiting = aSource.mWaiting;
+    aSource.mChannel->Send(protocol::RelayWaiting{ aSource.mWaiting });
+  }
+
+  /// The companion beside an engine; null when it is not followed.
+  Source* Find(const std::string& aEndpointAddress) const
+  {
+    const auto address = state::ParseAddress(aEndpointAddress);
+    if (!address) {
+      return nullptr;
+    }
+    const auto found = mSources.find(CompanionOf(*address));
+    return found == mSources.end() ? nullptr : found->second.get();
+  }
+
   /// Address of the companion beside an engine.
   std::string CompanionOf(const state::Address& aEngine) const
   {
@@ -176,13 +209,20 @@
 EngineNewsClient::Tell(const std::string& aEndpointAddress,
                        const protocol::PartReading& aReading)
 {
-  const auto address = state::ParseAddress(aEndpointAddress);
-  if (!address) {
-    return;
+  const auto* source = mShared->Find(aEndpointAddress);
+  if (source != nullptr && source->mChannel) {
+    source->mChannel->Send(aReading);
   }
-  const auto found = mShared->mSources.find(mShared->CompanionOf(*address));
-  if (found != mShared->mSources.end() && found->second->mChannel) {
-    found->second->mChannel->Send(aReading);
+}
+
+void
+EngineNewsClient::SetWaiting(const std::string& aEndpointAddress,
+                             const state::WaitingTokens& aWaiting)
+{
+  auto* source = mShared->Find(aEndpointAddress);
+  if (source != nullptr) {
+    source->mWaiting = aWaiting;
+    Shared::TellWaiting(*source);
   }
 }
 
--- a/packages/coordination/src/engine_news_server.cpp
+++ b/packages/coordination/src/engine_news_server.cpp
@@ -26,6 +26,11 @@
 /// A queue that grew or shrank by so many requests is told at once.
 constexpr std::uint32_t kQueueChangeToTell = 3;
 
+/// Waiting tokens that must have come or gone before relays are told: a tenth
+/// of a second of an engine's reading. All that wait there are told to every
+/// relay, so that less would cost more bytes than it tells.
+constexpr std::int64_t kTokensToTell = 4000;
+
 /// Pause after a failed accept, which would fail again at once.
 constexpr Millis kAcceptPause{ 100 };
 
@@ -78,35 +83,73 @@
                    .Add("error", proved.error().Describe()));
       co_return;
     }
-    mChannels.insert(aChannel);
-    aChannel->Send(WholeNews(PartHolder::kEngine));
+    mChannels.emplace(aChannel, state::WaitingTokens());
+    aChannel->Send(WithWaiting(WholeNews(PartHolder::kEngine), {}));
     if (!mStore.empty()) {
       aChannel->Send(WholeNews(PartHolder::kStore));
     }
-    co_await PassOn(aChannel);
+    co_await Hear(aChannel);
     aChannel->Close();
     mChannels.erase(aChannel);
+    TellWaiting();
   }
 
-  /// Passes on what a relay tells the others, until it ends or says anything
-  /// else.
-  Task<void> PassOn(std::shared_ptr<FrameChannel> aChannel)
+  /// Takes what a relay tells, until it ends or says anything else.
+  Task<void> Hear(std::shared_ptr<FrameChannel> aChannel)
   {
     while (true) {
       const auto message = co_await aChannel->Receive();
-      const auto* reading =
-        message ? std::get_if<protocol::PartReading>(&*message) : nullptr;
-      if (reading == nullptr) {
+      if (!message) {
+        co_return;
+      }
+      if (const auto* reading = std::get_if<protocol::PartReading>(&*message)) {
+        PassOn(*reading, aChannel);
+      } else if (const auto* waiting =
+                   std::get_if<protocol::RelayWaiting>(&*message)) {
+        mChannels[aChannel] = waiting->mWaiting;
+        TellWaiting();
+      } else {
         co_return;
       }
-      for (const auto& channel : mChannels) {
-        if (channel != aChannel) {
-          channel->Send(*reading);
-        }
+    }
+  }
+
+  void PassOn(const protocol::PartReading& aReading,
+              const std::shared_ptr<FrameChannel>& aFrom)
+  {
+    for (const auto& [channel, waiting] : mChannels) {
+      if (channel != aFrom) {
+        channel->Send(aReading);
       }
     }
   }
 
+  /// Prompt tokens of all relays that wait at the engine.
+  state::WaitingTokens AllWaiting() const
+  {
+    state::WaitingTokens all;
+    for (const auto& [channel, waiting] : mChannels) {
+      all += waiting;
+    }
+    return all;
+  }
+
+  /// Tells what waits, if that differs enough from what was told.
+  void TellWaiting()
+  {
+    if (std::abs(AllWaiting().Total() - mToldWaiting) >= kTokensToTell) {
+      SendState();
+    }
+  }
+
+  /// News as a relay gets them that has so much waiting itself.
+  EngineNews WithWaiting(EngineNews aNews, const state::WaitingTokens& aOwn)
+  {
+    aNews.mWaiting = AllWaiting();
+    aNews.mWaiting -= aOwn;
+    return aNews;
+  }
+
   Task<void> Repeat()
   {
     const auto self = shared_from_this();
@@ -151,8 +194,12 @@
 
   void Send(const EngineNews& aNews)
   {
-    for (const auto& channel : mChannels) {
-      channel->Send(aNews);
+    const bool isOfEngine = !aNews.mModel.empty();
+    if (isOfEngine) {
+      mToldWaiting = AllWaiting().Total();
+    }
+    for (const auto& [channel, waiting] : mChannels) {
+      channel->Send(isOfEngine ? WithWaiting(aNews, waiting) : aNews);
     }
   }
 
@@ -167,7 +214,9 @@
   std::uint32_t mQueued = 0;
   std::string mStore;                          ///< address; empty: not told of
   std::array<std::set<std::string>, 2> mParts; ///< by PartHolder
-  std::set<std::shared_ptr<FrameChannel>> mChannels;
+  std::int64_t mToldWaiting = 0;
+  /// Relays, and what of them waits at the engine.
+  std::map<std::shared_ptr<FrameChannel>, state::WaitingTokens> mChannels;
 };
 
 EngineNewsServer::EngineNewsServer(asio::io_context& aContext,
--- a/packages/coordination/src/fleet_daemon.cpp
+++ b/packages/coordination/src/fleet_daemon.cpp
@@ -155,6 +155,9 @@
                   mMetrics,
                   [this](const auto& aAddress, const auto& aReading) {
                     mNewsClient->Tell(aAddress, aReading);
+                  },
+                  [this](const auto& aAddress, const auto& aWaiting) {
+                    mNewsClient->SetWaiting(aAddress, aWaiting);
                   } });
     const auto address = mRelay->Start();
     if (!address) {
--- a/packages/coordination/src/relay_answer.cpp
+++ b/packages/coordination/src/relay_answer.cpp
@@ -203,7 +203,7 @@
     mRoute->mUrgency == 0 ? state::Priority::kUrgent
                           : state::Priority::kOrdinary,
     static_cast<double>(SinceArrival().count()) / kMillisPerSecond);
-  pick.mEndpoint->mUnreadTokens -= pick.mTokensToRead;
+  NoteRead(pick);
   if (pick.mPart.empty() || !IsSuccess(aAttempt.mAnswer->Head().mStatus)) {
     return;
   }
--- a/packages/coordination/src/relay_attempt.cpp
+++ b/packages/coordination/src/relay_attempt.cpp
@@ -95,11 +95,10 @@
     mLastProblem = reason;
     co_return AttemptOutcome::kWithheld;
   }
-  const auto unread = attempt.mPick.mTokensToRead;
   mPartialEvent.clear();
   LogSent(attempt.mPick);
   ++endpoint.mRunning;
-  endpoint.mUnreadTokens += unread;
+  NoteWaiting(attempt.mPick);
   mTried.push_back(endpoint.mInfo.mId);
   Send(attempt);
   mTimes.mSent = SinceArrival();
@@ -109,7 +108,7 @@
   endpoint.mBusy.erase(connection);
   --endpoint.mRunning;
   if (!attempt.mHasBegun) {
-    endpoint.mUnreadTokens -= unread;
+    NoteRead(attempt.mPick);
   }
   mOpenAttempt = nullptr;
   if (attempt.mConnection.mReader) {
@@ -202,9 +201,7 @@
     handOver.mTeam = mTeam->mName;
   }
   if (aPick.mWeights != 0) {
-    handOver.mUrgency = mTeam != nullptr
-                          ? mTeam->mUrgency.value_or(mRoute->mUrgency)
-                          : mRoute->mUrgency;
+    handOver.mUrgency = aPick.mUrgency;
     handOver.mWeights = aPick.mWeights;
     handOver.mSalt = aPick.mSalt;
     handOver.mPartSource = aPick.mPartSource;
@@ -230,6 +227,31 @@
   TellPart(aPick, false);
 }
 
+void
+RelayRun::NoteWaiting(const RelayPick& aPick)
+{
+  auto& endpoint = *aPick.mEndpoint;
+  endpoint.mWaiting.Add(aPick.mUrgency, aPick.mTokensToRead);
+  TellWaiting(endpoint);
+}
+
+void
+RelayRun::NoteRead(const RelayPick& aPick)
+{
+  auto& endpoint = *aPick.mEndpoint;
+  endpoint.mWaiting.Remove(aPick.mUrgency, aPick.mTokensToRead);
+  TellWaiting(endpoint);
+}
+
+void
+RelayRun::TellWaiting(const RelayEndpoint& aEndpoint)
+{
+  const auto& tell = mCore->mParts.mTellWaiting;
+  if (tell && !aEndpoint.mInfo.mModels.empty()) {
+    tell(aEndpoint.mInfo.mAddress, aEndpoint.mWaiting);
+  }
+}
+
 void
 RelayRun::TellPart(const RelayPick& aPick, bool aIsDone)
 {
--- a/packages/coordination/src/relay_choice_view.cpp
+++ b/packages/coordination/src/relay_choice_view.cpp
@@ -86,10 +86,9 @@
     candidate.mIsSuspect = mNow < aEndpoint->mSuspectUntil;
     candidate.mRunning = aEndpoint->mRunning;
     candidate.mSlots = aEndpoint->mInfo.mSlots;
-    candidate.mQueuedTokens = aEndpoint->mUnreadTokens;
+    candidate.mQueuedTokens = aEndpoint->mWaiting.AheadOf(mAsk.mUrgency);
     if (news != nullptr) {
-      candidate.mQueuedTokens = std::max(
-        candidate.mQueuedTokens, news->mQueued * mCore.mLimits.mTokensOfQueued);
+      candidate.mQueuedTokens += news->mWaiting.AheadOf(mAsk.mUrgency);
     }
     mCandidates.push_back(candidate);
     mEndpoints.push_back(aEndpoint);
@@ -216,6 +215,7 @@
     FillPartSource(aCore, pick);
   }
   pick.mTokensToRead = TokensToRead(aCore, aAsk, pick);
+  pick.mUrgency = aAsk.mUrgency;
   return pick;
 }
 
--- a/packages/coordination/src/relay_choice_view.h
+++ b/packages/coordination/src/relay_choice_view.h
@@ -13,6 +13,7 @@
   const CallFacts* mCall = nullptr;
   std::string_view mIsolatedTeam; ///< empty: parts are shared
   const std::vector<std::string>* mTried = nullptr;
+  int mUrgency = 0; ///< of the team or the route
 };
 
 /// An endpoint, and how the request is handed to it.
@@ -26,7 +27,8 @@
   std::string mPartSource; ///< address
   std::string mPartStore;  ///< address to save to; empty: not
   bool mIsKept = false;    ///< the endpoint keeps the part, as far as is known
-  std::int64_t mTokensToRead = 0; ///< estimate, see RelayEndpoint
+  std::int64_t mTokensToRead = 0; ///< estimate
+  int mUrgency = 0;               ///< by which the engine shall order it
   // What was known when it was chosen, for the log.
   std::size_t mCandidates = 0;     ///< endpoints that were weighed
   std::int64_t mWaitingTokens = 0; ///< to be read there before the request's
--- a/packages/coordination/src/relay_core.h
+++ b/packages/coordination/src/relay_core.h
@@ -37,8 +37,6 @@
   double mBodyShare = 0.3;
   /// Parts of prompts that are remembered.
   std::size_t mMaxParts = 4096;
-  /// Tokens that a request which waits at an engine has on average to read.
-  std::int64_t mTokensOfQueued = 2500;
   /// News of a part comes so long after it was read at the latest.
   state::Millis mNewsDelay{ 1000 };
   /// Longest wait behind another request that reads the same part.
--- a/packages/coordination/src/relay_endpoint.h
+++ b/packages/coordination/src/relay_endpoint.h
@@ -59,9 +59,9 @@
   std::vector<EndpointConnection> mIdle; ///< the freshest last
   /// Connections on which a request waits for its answer.
   std::set<std::shared_ptr<transport::SocketReader>> mBusy;
-  std::int64_t mRunning = 0;      ///< requests of this relay there
-  std::int64_t mUnreadTokens = 0; ///< of this relay's, whose answer waits
-  int mFailures = 0;              ///< in a row
+  std::int64_t mRunning = 0;     ///< requests of this relay there
+  state::WaitingTokens mWaiting; ///< of this relay's, by their urgency there
+  int mFailures = 0;             ///< in a row
   state::Millis mSuspicion{ 0 };
   state::TimePoint mSuspectUntil;
   state::TimePoint mClosedUntil; ///< rests after a refusal
--- a/packages/coordination/src/relay_run.cpp
+++ b/packages/coordination/src/relay_run.cpp
@@ -202,7 +202,10 @@
                       mTeam != nullptr && mTeam->mIsIsolated
                         ? std::string_view(mTeam->mName)
                         : std::string_view(),
-                      &mTried };
+                      &mTried,
+                      mTeam != nullptr
+                        ? mTeam->mUrgency.value_or(mRoute->mUrgency)
+                        : mRoute->mUrgency };
   const auto objective = static_cast<double>(mRoute->mObjective.count());
   const auto until =
     mArrival +
--- a/packages/coordination/src/relay_run.h
+++ b/packages/coordination/src/relay_run.h
@@ -87,6 +87,10 @@
   void Send(Attempt& aAttempt);
   HandOver HandOverOf(const RelayPick& aPick) const;
   void NotePartIsRead(const RelayPick& aPick);
+  /// Counts the tokens that an endpoint has to read, and no more.
+  void NoteWaiting(const RelayPick& aPick);
+  void NoteRead(const RelayPick& aPick);
+  void TellWaiting(const RelayEndpoint& aEndpoint);
   /// Tells the other relays that a part is being read, or was.
   void TellPart(const RelayPick& aPick, bool aIsDone);
   void NoteOutcome(const RelayPick& aPick, AttemptOutcome aOutcome);
--- a/packages/coordination/tests/engine_news_test.cpp
+++ b/packages/coordination/tests/engine_news_test.cpp
@@ -108,4 +108,48 @@
   }
 }
 
+class OfWhichOneHasMuchWaiting : public GivenACompanionAndTwoRelays
+{
+protected:
+  static constexpr std::int64_t kMuch = 9000;
+
+  OfWhichOneHasMuchWaiting()
+  {
+    mServer.SetState({ "i-1", "m", 1, protocol::EnginePhase::kOpen });
+    mWaiting.Add(1, kMuch);
+    mOne.mClient.SetWaiting(Listener::kEngine, mWaiting);
+    Await([this] { return mTwo.mNews.back().mWaiting == mWaiting; });
+  }
+
+  state::WaitingTokens mWaiting;
+};
+
+TEST_F(OfWhichOneHasMuchWaiting, ItIsNotToldOfItsOwn)
+{
+  EXPECT_EQ(mOne.mNews.back().mWaiting.Total(), 0);
+}
+
+TEST_F(OfWhichOneHasMuchWaiting, TheOtherHearsWhenItIsRead)
+{
+  mOne.mClient.SetWaiting(Listener::kEngine, {});
+  Await([this] { return mTwo.mNews.back().mWaiting.Total() == 0; });
+}
+
+TEST_F(OfWhichOneHasMuchWaiting, WhatOneThatWentHadWaitingCountsNoMore)
+{
+  mOne.mClient.Follow({});
+  Await([this] { return mTwo.mNews.back().mWaiting.Total() == 0; });
+}
+
+TEST_F(OfWhichOneHasMuchWaiting, LittleMoreIsNotWorthAMessage)
+{
+  const auto before = mTwo.mNews.size();
+  mWaiting.Add(1, 10);
+  mOne.mClient.SetWaiting(Listener::kEngine, mWaiting);
+  // The next news that must come is of something else.
+  mServer.ChangeParts(PartHolder::kEngine, { "s/a" }, {});
+  Await([&] { return mTwo.mNews.size() > before; });
+  EXPECT_EQ(mTwo.mNews.back().mWaiting.Total(), kMuch);
+}
+
 } // namespace shuntjunction::coordination
--- a/packages/protocol/include/shuntjunction/protocol/messages.h
+++ b/packages/protocol/include/shuntjunction/protocol/messages.h
@@ -6,6 +6,7 @@
 #include <variant>
 #include <vector>
 
+#include "shuntjunction/state/waiting_tokens.h"
 #include "shuntjunction/state/block_index.h"
 #include "shuntjunction/state/prefix_chain.h"
 #include "shuntjunction/state/request_types.h"
@@ -229,6 +230,8 @@
   bool mIsWhole = true;             ///< mGained is all that it keeps
   std::vector<std::string> mGained; ///< parts that it keeps now
   std::vector<std::string> mLost;   ///< parts that it keeps no more
+  /// Prompt tokens there of the relays other than the one that is told.
+  state::WaitingTokens mWaiting;
 };
 
 /// What a relay tells the others, by an engine's companion: that the engine
@@ -239,6 +242,13 @@
   bool mIsDone = false;
 };
 
+/// What a relay tells an engine's companion: its own prompt tokens that wait
+/// there to be read.
+struct RelayWaiting
+{
+  state::WaitingTokens mWaiting;
+};
+
 /// Any message.
 using Message = std::variant<Challenge,
                              Hello,
@@ -257,6 +267,7 @@
                              SnapshotRequest,
                              SnapshotReply,
                              EngineNews,
-                             PartReading>;
+                             PartReading,
+                             RelayWaiting>;
 
 } // namespace shuntjunction::protocol
--- a/packages/protocol/src/codec_pack.cpp
+++ b/packages/protocol/src/codec_pack.cpp
@@ -239,6 +239,17 @@
     .Union();
 }
 
+flatbuffers::Offset<flatbuffers::Vector<std::uint32_t>>
+PackWaiting(FlatBufferBuilder& aBuilder, const state::WaitingTokens& aWaiting)
+{
+  if (aWaiting.Total() == 0) {
+    return 0;
+  }
+  const auto& levels = aWaiting.ByLevel();
+  const std::vector<std::uint32_t> tokens(levels.begin(), levels.end());
+  return aBuilder.CreateVector(tokens);
+}
+
 Offset<void>
 Pack(FlatBufferBuilder& aBuilder, const EngineNews& aMessage)
 {
@@ -246,6 +257,7 @@
   const auto model = aBuilder.CreateString(aMessage.mModel);
   const auto gained = aBuilder.CreateVectorOfStrings(aMessage.mGained);
   const auto lost = aBuilder.CreateVectorOfStrings(aMessage.mLost);
+  const auto waiting = PackWaiting(aBuilder, aMessage.mWaiting);
   return wire::CreateEngineNews(aBuilder,
                                 endpoint,
                                 model,
@@ -255,7 +267,8 @@
                                 aMessage.mQueued,
                                 aMessage.mIsWhole,
                                 gained,
-                                lost)
+                                lost,
+                                waiting)
     .Union();
 }
 
@@ -266,6 +279,13 @@
   return wire::CreatePartReading(aBuilder, part, aMessage.mIsDone).Union();
 }
 
+Offset<void>
+Pack(FlatBufferBuilder& aBuilder, const RelayWaiting& aMessage)
+{
+  const auto waiting = PackWaiting(aBuilder, aMessage.mWaiting);
+  return wire::CreateRelayWaiting(aBuilder, waiting).Union();
+}
+
 } // namespace
 
 Offset<void>
--- a/packages/protocol/src/codec_unpack.cpp
+++ b/packages/protocol/src/codec_unpack.cpp
@@ -233,6 +233,19 @@
   return texts;
 }
 
+/// Levels that a peer does not know are none; those beyond ours are passed
+/// over.
+state::WaitingTokens
+WaitingOf(const flatbuffers::Vector<std::uint32_t>* aWire)
+{
+  state::WaitingTokens::Levels levels{};
+  if (aWire != nullptr) {
+    const auto count = std::min<std::size_t>(aWire->size(), levels.size());
+    std::copy_n(aWire->begin(), count, levels.begin());
+  }
+  return state::WaitingTokens(levels);
+}
+
 EngineNews
 Unpack(const wire::EngineNews& aWire)
 {
@@ -243,7 +256,7 @@
            aWire.weights(),          phase,
            aWire.running(),          aWire.queued(),
            aWire.is_whole(),         TextsOf(aWire.gained()),
-           TextsOf(aWire.lost()) };
+           TextsOf(aWire.lost()),    WaitingOf(aWire.waiting()) };
 }
 
 PartReading
@@ -252,6 +265,12 @@
   return { TextOf(aWire.part()), aWire.is_done() };
 }
 
+RelayWaiting
+Unpack(const wire::RelayWaiting& aWire)
+{
+  return { WaitingOf(aWire.waiting()) };
+}
+
 } // namespace
 
 std::optional<Message>
@@ -294,6 +313,8 @@
       return Unpack(*aFrame.body_as_EngineNews());
     case wire::Body::PartReading:
       return Unpack(*aFrame.body_as_PartReading());
+    case wire::Body::RelayWaiting:
+      return Unpack(*aFrame.body_as_RelayWaiting());
     case wire::Body::NONE:
       break;
   }
--- a/packages/protocol/tests/codec_test.cpp
+++ b/packages/protocol/tests/codec_test.cpp
@@ -67,8 +67,9 @@
 
 TEST(GivenMessages, NewsOfAnEnginePassWhole)
 {
-  const EngineNews news{ "i-1", "m",   7,         EnginePhase::kLoading, 3,
-                         4,     false, { "s/a" }, { "s/b", "s/c" } };
+  EngineNews news{ "i-1", "m",   7,         EnginePhase::kLoading, 3,
+                   4,     false, { "s/a" }, { "s/b", "s/c" },      {} };
+  news.mWaiting.Add(2, 5000);
   const auto passed = Passed(news);
   EXPECT_EQ(passed.mEndpoint, "i-1");
   EXPECT_EQ(passed.mWeights, 7U);
@@ -78,6 +79,16 @@
   EXPECT_FALSE(passed.mIsWhole);
   EXPECT_EQ(passed.mGained, news.mGained);
   EXPECT_EQ(passed.mLost, news.mLost);
+  EXPECT_EQ(passed.mWaiting, news.mWaiting);
+}
+
+TEST(GivenMessages, WhatARelayHasWaitingPassesWhole)
+{
+  RelayWaiting told;
+  told.mWaiting.Add(0, 20);
+  told.mWaiting.Add(9, 40000);
+  EXPECT_EQ(Passed(told).mWaiting, told.mWaiting);
+  EXPECT_EQ(Passed(RelayWaiting{}).mWaiting.Total(), 0);
 }
 
 TEST(GivenMessages, WordOfAPartThatIsReadPassesWhole)
