Requests that are expected late go behind those that can be in time

Cause: after a bump or a crash more waits than engines read within the objective, and by first come, first served all of it is late: one late request takes as long to read as one in time. Holding requests at relays by their estimate was not tried: the engine's own order needs no second queue. Change: FirstToken: a reading rate learned from what was served, the expected first token from what waits (of all relays) and what is to be read, and the urgency by which the engine orders: five levels less for those expected past 1.2 of their objective. Decision code of its own, played in a model of an engine: at twice its capacity under 8 of 40 in time before, 15 or more now.

--- a/packages/coordination/src/relay.cpp
+++ b/packages/coordination/src/relay.cpp
@@ -53,6 +53,7 @@
   : mParts(aParts)
   , mEndpoints(RelayEndpointSettings{})
   , mLedger(mLimits.mMaxParts)
+  , mReadingRate(mLimits.mFirstToken)
   , mRandom(std::random_device{}())
 {
 }
--- a/packages/coordination/src/relay_answer.cpp
+++ b/packages/coordination/src/relay_answer.cpp
@@ -204,6 +204,10 @@
                           : state::Priority::kOrdinary,
     static_cast<double>(SinceArrival().count()) / kMillisPerSecond);
   NoteRead(pick);
+  if (pick.mWeights != 0) {
+    mCore->mReadingRate.Note(pick.mWaitingTokens + pick.mTokensToRead,
+                             SinceArrival() - *mTimes.mSent);
+  }
   if (pick.mPart.empty() || !IsSuccess(aAttempt.mAnswer->Head().mStatus)) {
     return;
   }
--- a/packages/coordination/src/relay_choice_view.cpp
+++ b/packages/coordination/src/relay_choice_view.cpp
@@ -215,7 +215,11 @@
     FillPartSource(aCore, pick);
   }
   pick.mTokensToRead = TokensToRead(aCore, aAsk, pick);
-  pick.mUrgency = aAsk.mUrgency;
+  pick.mExpected =
+    aCore.mReadingRate.TimeOf(pick.mWaitingTokens + pick.mTokensToRead);
+  pick.mUrgency = state::UrgencyToSend(
+    { aAsk.mElapsed, pick.mExpected, aAsk.mObjective, aAsk.mUrgency },
+    aCore.mLimits.mFirstToken);
   return pick;
 }
 
--- a/packages/coordination/src/relay_choice_view.h
+++ b/packages/coordination/src/relay_choice_view.h
@@ -13,7 +13,9 @@
   const CallFacts* mCall = nullptr;
   std::string_view mIsolatedTeam; ///< empty: parts are shared
   const std::vector<std::string>* mTried = nullptr;
-  int mUrgency = 0; ///< of the team or the route
+  int mUrgency = 0;              ///< of the team or the route
+  state::Millis mElapsed{ 0 };   ///< since the request's arrival
+  state::Millis mObjective{ 0 }; ///< to its first token, from then
 };
 
 /// An endpoint, and how the request is handed to it.
@@ -33,6 +35,7 @@
   std::size_t mCandidates = 0;     ///< endpoints that were weighed
   std::int64_t mWaitingTokens = 0; ///< to be read there before the request's
   state::Millis mNewsAge{ -1 };    ///< of the companion's; -1: none fresh
+  state::Millis mExpected{ 0 };    ///< from then to its first token
 };
 
 /// Chooses an endpoint; empty when none may take the request now.
--- a/packages/coordination/src/relay_core.h
+++ b/packages/coordination/src/relay_core.h
@@ -8,6 +8,7 @@
 
 #include "relay_endpoint.h"
 #include "shuntjunction/coordination/relay.h"
+#include "shuntjunction/state/first_token.h"
 #include "shuntjunction/state/part_ledger.h"
 #include "shuntjunction/state/window_budget.h"
 
@@ -46,6 +47,7 @@
   /// An engine that did not load its weights so long after its turn is used
   /// again meanwhile.
   state::Millis mLoadPatience{ 2500 };
+  state::FirstTokenSettings mFirstToken;
 };
 
 /// A relay's state.
@@ -70,6 +72,7 @@
   RelayLimits mLimits;
   RelayEndpoints mEndpoints;
   state::PartLedger mLedger;
+  state::ReadingRate mReadingRate;
   std::map<std::string, state::WindowBudget> mBudgets; ///< by service
   std::shared_ptr<const RelayView> mView = std::make_shared<RelayView>();
   state::RandomSource mRandom;
--- a/packages/coordination/src/relay_run.cpp
+++ b/packages/coordination/src/relay_run.cpp
@@ -197,20 +197,22 @@
 Task<std::optional<RelayPick>>
 RelayRun::Pick()
 {
-  const RelayAsk ask{ mService,
-                      &mCall,
-                      mTeam != nullptr && mTeam->mIsIsolated
-                        ? std::string_view(mTeam->mName)
-                        : std::string_view(),
-                      &mTried,
-                      mTeam != nullptr
-                        ? mTeam->mUrgency.value_or(mRoute->mUrgency)
-                        : mRoute->mUrgency };
+  RelayAsk ask{ mService,
+                &mCall,
+                mTeam != nullptr && mTeam->mIsIsolated
+                  ? std::string_view(mTeam->mName)
+                  : std::string_view(),
+                &mTried,
+                mTeam != nullptr ? mTeam->mUrgency.value_or(mRoute->mUrgency)
+                                 : mRoute->mUrgency,
+                SinceArrival(),
+                mRoute->mObjective };
   const auto objective = static_cast<double>(mRoute->mObjective.count());
   const auto until =
     mArrival +
     Millis(static_cast<std::int64_t>(objective * mCore->mLimits.mWaitShare));
   while (mInterrupt == RunInterrupt::kNone) {
+    ask.mElapsed = SinceArrival();
     if (auto pick = ChooseEndpoint(*mCore, ask)) {
       co_return pick;
     }
@@ -302,6 +304,8 @@
     .Add("ms", SinceArrival().count());
   if (aPick.mWeights != 0) {
     line.Add("waiting_tokens", aPick.mWaitingTokens)
+      .Add("expected_ms", aPick.mExpected.count())
+      .Add("urgency", aPick.mUrgency)
       .Add("news_age_ms", aPick.mNewsAge.count());
   }
   mCore->mParts.mLog.Write(std::move(line));
--- /dev/null
+++ b/packages/state/tests/engine_model.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include <algorithm>
+#include <optional>
+#include <vector>
+
+#include "shuntjunction/state/first_token.h"
+#include "shuntjunction/state/waiting_tokens.h"
+
+/// An engine in virtual time, and callers who ask it by the real decisions.
+namespace shuntjunction::state {
+
+/// A request as the model plays it.
+struct ModelRequest
+{
+  Millis mArrival{ 0 };
+  std::int64_t mTokens = 0;
+  Millis mObjective{ 0 };
+  int mUrgency = 1;               ///< of its route
+  int mSentUrgency = 0;           ///< as the decision made it
+  std::optional<Millis> mFirst{}; ///< when its first token came
+
+  bool IsInTime() const { return mFirst && *mFirst - mArrival <= mObjective; }
+};
+
+/// How requests are handed to the engine.
+enum class ModelOrder : std::uint8_t
+{
+  kAsTheyCome,  ///< by the route's urgency alone
+  kByObjective, ///< by UrgencyToSend
+};
+
+/// Plays requests, sorted by arrival, against an engine that reads one prompt
+/// after the other: the most urgent first, of equals the one that came first.
+/// Callers give up after their patience.
+class EngineModel
+{
+public:
+  EngineModel(double aTokensPerMilli, ModelOrder aOrder, Millis aPatience)
+    : mReads(aTokensPerMilli)
+    , mOrder(aOrder)
+    , mPatience(aPatience)
+  {
+  }
+
+  void Play(std::vector<ModelRequest>& aRequests)
+  {
+    Millis now{ 0 };
+    std::size_t next = 0;
+    std::vector<ModelRequest*> waiting;
+    while (next < aRequests.size() || !waiting.empty()) {
+      if (waiting.empty()) {
+        now = std::max(now, aRequests[next].mArrival);
+      }
+      while (next < aRequests.size() && aRequests[next].mArrival <= now) {
+        Send(aRequests[next]);
+        waiting.push_back(&aRequests[next++]);
+      }
+      GiveUp(waiting, now);
+      if (!waiting.empty()) {
+        now += ReadOne(waiting, now);
+      }
+    }
+  }
+
+  const ReadingRate& Rate() const { return mRate; }
+
+private:
+  void Send(ModelRequest& aRequest)
+  {
+    const auto ahead = mWaiting.AheadOf(aRequest.mUrgency);
+    const auto expected = mRate.TimeOf(ahead + aRequest.mTokens);
+    aRequest.mSentUrgency =
+      mOrder == ModelOrder::kAsTheyCome
+        ? aRequest.mUrgency
+        : UrgencyToSend(
+            { Millis(0), expected, aRequest.mObjective, aRequest.mUrgency },
+            mSettings);
+    mWaiting.Add(aRequest.mSentUrgency, aRequest.mTokens);
+    mAhead.push_back({ &aRequest, ahead });
+  }
+
+  void GiveUp(std::vector<ModelRequest*>& aWaiting, Millis aNow)
+  {
+    std::erase_if(aWaiting, [&](const ModelRequest* aRequest) {
+      const bool isGone = aNow - aRequest->mArrival > mPatience;
+      if (isGone) {
+        mWaiting.Remove(aRequest->mSentUrgency, aRequest->mTokens);
+      }
+      return isGone;
+    });
+  }
+
+  Millis ReadOne(std::vector<ModelRequest*>& aWaiting, Millis aNow)
+  {
+    const auto best = std::min_element(
+      aWaiting.begin(), aWaiting.end(), [](const auto* aOne, const auto* aTwo) {
+        return aOne->mSentUrgency < aTwo->mSentUrgency;
+      });
+    auto& request = **best;
+    aWaiting.erase(best);
+    const Millis took(
+      static_cast<std::int64_t>(static_cast<double>(request.mTokens) / mReads));
+    request.mFirst = aNow + took;
+    mWaiting.Remove(request.mSentUrgency, request.mTokens);
+    if (request.mSentUrgency == request.mUrgency) {
+      mRate.Note(AheadOf(request) + request.mTokens,
+                 *request.mFirst - request.mArrival);
+    }
+    return took;
+  }
+
+  std::int64_t AheadOf(const ModelRequest& aRequest) const
+  {
+    const auto found =
+      std::find_if(mAhead.begin(), mAhead.end(), [&](const auto& aItem) {
+        return aItem.first == &aRequest;
+      });
+    return found->second;
+  }
+
+  double mReads;
+  ModelOrder mOrder;
+  Millis mPatience;
+  FirstTokenSettings mSettings;
+  ReadingRate mRate{ mSettings };
+  WaitingTokens mWaiting;
+  std::vector<std::pair<const ModelRequest*, std::int64_t>> mAhead;
+};
+
+} // namespace shuntjunction::state
--- a/packages/state/tests/first_token_test.cpp
+++ b/packages/state/tests/first_token_test.cpp
@@ -3,7 +3,7 @@
 
 #include <gtest/gtest.h>
 
-#include "shuntjunction/state/waiting_tokens.h"
+#include "engine_model.h"
 
 namespace shuntjunction::state {
 
@@ -49,4 +49,110 @@
   EXPECT_LT(told.Total(), 100'000'000);
 }
 
+class GivenARate : public ::testing::Test
+{
+protected:
+  FirstTokenSettings mSettings;
+  ReadingRate mRate{ mSettings };
+};
+
+TEST_F(GivenARate, ItIsLearnedFromWhatWasRead)
+{
+  for (int i = 0; i < 100; ++i) {
+    mRate.Note(8000, Millis(100));
+  }
+  EXPECT_NEAR(mRate.TokensPerMilli(), 80.0, 1.0);
+  EXPECT_EQ(mRate.TimeOf(8000).count() / 10, 10);
+}
+
+TEST_F(GivenARate, PromptsAsShortAsAStepTeachNothing)
+{
+  mRate.Note(mSettings.mLeastTokens - 1, Millis(500));
+  EXPECT_EQ(mRate.TokensPerMilli(), mSettings.mStartRate);
+}
+
+TEST_F(GivenARate, WhatCannotBeIsBounded)
+{
+  for (int i = 0; i < 1000; ++i) {
+    mRate.Note(INT64_MAX, Millis(-7));
+  }
+  EXPECT_LE(mRate.TokensPerMilli(), mSettings.mMostRate);
+  for (int i = 0; i < 1000; ++i) {
+    mRate.Note(mSettings.mLeastTokens, Millis::max());
+  }
+  EXPECT_GE(mRate.TokensPerMilli(), 0.9 * mSettings.mLeastRate);
+}
+
+class GivenARequestToSend : public ::testing::Test
+{
+protected:
+  int Urgency(Millis aElapsed, Millis aExpected, int aUrgency = 1) const
+  {
+    return UrgencyToSend({ aElapsed, aExpected, Millis(600), aUrgency },
+                         mSettings);
+  }
+
+  FirstTokenSettings mSettings;
+};
+
+TEST_F(GivenARequestToSend, OneThatMeetsItsObjectiveKeepsItsUrgency)
+{
+  EXPECT_EQ(Urgency(Millis(100), Millis(400)), 1);
+}
+
+TEST_F(GivenARequestToSend, OneThatMissesItGoesBehindAllThatMeetTheirs)
+{
+  EXPECT_EQ(Urgency(Millis(100), Millis(900)), 1 + mSettings.mLateLevels);
+  EXPECT_EQ(Urgency(Millis(900), Millis(100)), 1 + mSettings.mLateLevels);
+}
+
+TEST_F(GivenARequestToSend, ItNeverLeavesTheLevels)
+{
+  EXPECT_EQ(Urgency(Millis(0), Millis(5000), 8), kUrgencyLevels - 1);
+}
+
+/// An engine that reads 40 tokens a millisecond, and 40 requests of 9,000
+/// tokens (225 ms) in the 4.5 s in which it can read 20.
+class GivenTwiceWhatAnEngineReads : public ::testing::Test
+{
+protected:
+  std::vector<ModelRequest> Play(ModelOrder aOrder) const
+  {
+    std::vector<ModelRequest> requests;
+    for (int i = 0; i < 40; ++i) {
+      requests.push_back({ Millis(112 * i), 9000, Millis(600) });
+    }
+    EngineModel(40.0, aOrder, Millis(2400)).Play(requests);
+    return requests;
+  }
+
+  static long InTime(const std::vector<ModelRequest>& aRequests)
+  {
+    return std::count_if(aRequests.begin(),
+                         aRequests.end(),
+                         [](const auto& aOne) { return aOne.IsInTime(); });
+  }
+};
+
+TEST_F(GivenTwiceWhatAnEngineReads, AsTheyComeNearlyAllAreLate)
+{
+  EXPECT_LT(InTime(Play(ModelOrder::kAsTheyCome)), 8);
+}
+
+TEST_F(GivenTwiceWhatAnEngineReads, ByObjectiveMostOfWhatItReadsIsInTime)
+{
+  // Of the 20 that it can read meanwhile.
+  EXPECT_GE(InTime(Play(ModelOrder::kByObjective)), 15);
+}
+
+TEST_F(GivenTwiceWhatAnEngineReads, TheOthersAreStillServedFromWhatIsLeft)
+{
+  const auto requests = Play(ModelOrder::kByObjective);
+  const auto served =
+    std::count_if(requests.begin(), requests.end(), [](const auto& aOne) {
+      return aOne.mFirst.has_value();
+    });
+  EXPECT_GT(served, InTime(requests));
+}
+
 } // namespace shuntjunction::state
