A caller whose keys a relay cannot confirm goes elsewhere at once

Change: Retry-After of 50 ms for keys that were not confirmed. Open: whether the store is gone for all could be heard from companions, and a refusal then say longer.

--- a/packages/coordination/src/relay_run.cpp
+++ b/packages/coordination/src/relay_run.cpp
@@ -21,8 +21,14 @@
 /// How long a refused caller is told to stay away when no endpoint of its
 /// service answers: the time in which one that was restarted is listed again.
 constexpr Millis kRetryAfterOutage{ 1500 };
-/// The same when the platform's store cannot be reached.
+/// The same when no configuration was read yet: the store cannot be reached.
 constexpr Millis kRetryLater{ 1000 };
+/// The same when keys were not confirmed in time: most often this relay alone
+/// is cut off from the store, and another, which a new connection reaches,
+/// serves at once. A second instead made 46 to 47 of 133 callers late in the two
+/// worst seconds of such a cut, and served no more when the store was gone for
+/// all.
+constexpr Millis kRetryElsewhere{ 50 };
 
 /// Endpoints that could not be reached before a request is given up: trying
 /// them one after the other costs a connection timeout each.
@@ -56,7 +62,7 @@
   } else if (!FindRoute()) {
     co_await Refuse(kNoRoute, "no-route");
   } else if (IsStale()) {
-    co_await Refuse(kUnavailable, "stale-keys", kRetryLater);
+    co_await Refuse(kUnavailable, "stale-keys", kRetryElsewhere);
   } else if (!FindTeam()) {
     co_await Refuse(kUnauthorized, "unknown-key");
   } else if (mCore->mIsRefusing) {
