Each part has its store among all that are there

Cause: a relay used the first part store of the configuration only. Change: StoreOfPart, by rendezvous of the part over all stores; two companions tell of each store (before: two of the first).

--- a/packages/coordination/include/shuntjunction/coordination/part_store_teller.h
+++ b/packages/coordination/include/shuntjunction/coordination/part_store_teller.h
@@ -27,10 +27,11 @@
   EventLog& mLog;
 };
 
-/// Follows the part store where this companion is one of the few that do.
+/// Follows a part store where this companion is one of the few that do.
 ///
-/// The store answers few such calls at once, so not every process may ask; two
-/// companions do, chosen by a function of the list that all compute alike.
+/// A store answers few such calls at once, so not every process may ask; two
+/// companions a store do, chosen by a function of the list that all compute
+/// alike.
 /// Thread safety: none; used on the thread of its context.
 class PartStoreTeller
 {
@@ -45,10 +46,12 @@
 
 private:
   transport::Task<void> Run();
-  /// Address of the store; empty when the configuration names none, nothing
-  /// when there is no configuration yet.
-  transport::Task<std::optional<std::string>> FindStore();
-  bool IsTeller() const;
+  /// Address of the store that the companion of a rank follows; empty when it
+  /// follows none, nothing when there is no configuration yet.
+  transport::Task<std::optional<std::string>> FindStore(std::size_t aRank);
+  /// Engines that come before this companion's in the order of tellers.
+  std::size_t Rank() const;
+  bool IsListed() const;
 
   PartStoreTellerParts mParts;
   std::shared_ptr<const RelayView> mView = std::make_shared<RelayView>();
--- a/packages/coordination/src/part_store_teller.cpp
+++ b/packages/coordination/src/part_store_teller.cpp
@@ -11,8 +11,11 @@
 
 namespace {
 
-/// Companions that follow the store: one may be lost.
-constexpr std::size_t kTellers = 2;
+/// Companions that follow each store: one may be lost.
+constexpr std::size_t kTellersOfStore = 2;
+
+/// Stores that are followed at most; each has its tellers.
+constexpr std::size_t kMostStores = 8;
 
 /// How often a companion looks whether it is one of them.
 constexpr Millis kLookInterval{ 1000 };
@@ -40,21 +43,28 @@
   mView = std::move(aView);
 }
 
+std::size_t
+PartStoreTeller::Rank() const
+{
+  const auto hash = state::PlacementHash(mParts.mSettings.mEngine);
+  const auto& endpoints = mView->mEndpoints;
+  const auto isAhead = [&](const state::EndpointInfo& aEndpoint) {
+    return !aEndpoint.mModels.empty() && !aEndpoint.mIsLeaving &&
+           state::PlacementHash(aEndpoint.mAddress) < hash;
+  };
+  return static_cast<std::size_t>(
+    std::count_if(endpoints.begin(), endpoints.end(), isAhead));
+}
+
 bool
-PartStoreTeller::IsTeller() const
+PartStoreTeller::IsListed() const
 {
-  std::vector<std::pair<std::uint64_t, std::string_view>> ranked;
-  for (const auto& endpoint : mView->mEndpoints) {
-    if (!endpoint.mModels.empty() && !endpoint.mIsLeaving) {
-      ranked.emplace_back(state::PlacementHash(endpoint.mAddress),
-                          endpoint.mAddress);
-    }
-  }
-  std::sort(ranked.begin(), ranked.end());
-  ranked.resize(std::min(ranked.size(), kTellers));
-  return std::any_of(ranked.begin(), ranked.end(), [&](const auto& aRank) {
-    return aRank.second == mParts.mSettings.mEngine;
-  });
+  const auto& endpoints = mView->mEndpoints;
+  return std::any_of(
+    endpoints.begin(), endpoints.end(), [&](const auto& aEndpoint) {
+      return aEndpoint.mAddress == mParts.mSettings.mEngine &&
+             !aEndpoint.mModels.empty() && !aEndpoint.mIsLeaving;
+    });
 }
 
 Task<void>
@@ -62,10 +72,11 @@
 {
   while (!mFollower) {
     co_await transport::Sleep(kLookInterval);
-    if (!IsTeller()) {
+    const auto rank = Rank();
+    if (!IsListed() || rank >= kTellersOfStore * kMostStores) {
       continue;
     }
-    const auto address = co_await FindStore();
+    const auto address = co_await FindStore(rank);
     if (!address) {
       continue;
     }
@@ -91,7 +102,7 @@
 }
 
 Task<std::optional<std::string>>
-PartStoreTeller::FindStore()
+PartStoreTeller::FindStore(std::size_t aRank)
 {
   const auto list =
     co_await mParts.mPlatform.List(mParts.mCodec.ConfigPrefix());
@@ -105,9 +116,11 @@
     const auto rules = mParts.mCodec.ReadRules(object.mValue);
     if (rules) {
       const auto& stores = rules->mPartStores;
+      const std::size_t tellers =
+        kTellersOfStore * std::min(stores.size(), kMostStores);
       std::string address;
-      if (!stores.empty()) {
-        address = stores.front().mAddress;
+      if (aRank < tellers) {
+        address = stores[aRank / kTellersOfStore].mAddress;
       }
       co_return address;
     }
--- a/packages/coordination/src/relay_choice_view.cpp
+++ b/packages/coordination/src/relay_choice_view.cpp
@@ -154,10 +154,11 @@
 FillPartSource(Relay::Core& aCore, RelayPick& aPick)
 {
   const auto now = aCore.mParts.mClock.Now();
-  const auto& stores = aCore.mView->mConfig->Rules().mPartStores;
-  const std::string store = stores.empty() ? "" : stores.front().mAddress;
   const auto& index = aCore.mEndpoints.Parts();
   const auto& name = aPick.mPartName;
+  const auto* keeper =
+    state::StoreOfPart(aCore.mView->mConfig->Rules().mPartStores, name);
+  const std::string store = keeper == nullptr ? "" : keeper->mAddress;
   const auto& record = aCore.mLedger.At(name);
   const bool isSavedLately = now - record.mSavedAt < aCore.mLimits.mNewsDelay;
   if (!isSavedLately && !index.Holds(store, name)) {
--- a/packages/state/include/shuntjunction/state/relay_choice.h
+++ b/packages/state/include/shuntjunction/state/relay_choice.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "shuntjunction/state/clock.h"
+#include "shuntjunction/state/relay_config.h"
 
 /// Which endpoint a relayed request is sent to.
 namespace shuntjunction::state {
@@ -74,4 +75,14 @@
              const RelayChoiceSettings& aSettings,
              RandomSource& aRandom);
 
+/// The part store that keeps a part, by rendezvous: every relay computes the
+/// same, each store keeps its share of the parts, and a store that goes moves
+/// only those that it kept.
+///
+/// @param aPartName  see PartName
+/// @return null when there is no store
+/// Thread safety: pure.
+const PartStoreRule*
+StoreOfPart(std::span<const PartStoreRule> aStores, std::string_view aPartName);
+
 } // namespace shuntjunction::state
--- a/packages/state/src/relay_choice.cpp
+++ b/packages/state/src/relay_choice.cpp
@@ -92,4 +92,16 @@
   return best;
 }
 
+const PartStoreRule*
+StoreOfPart(std::span<const PartStoreRule> aStores, std::string_view aPartName)
+{
+  const std::uint64_t key = PlacementHash(aPartName);
+  const auto best = std::max_element(
+    aStores.begin(), aStores.end(), [&](const auto& aOne, const auto& aTwo) {
+      return Rank(PlacementHash(aOne.mAddress), key) <
+             Rank(PlacementHash(aTwo.mAddress), key);
+    });
+  return best == aStores.end() ? nullptr : &*best;
+}
+
 } // namespace shuntjunction::state
--- a/packages/state/tests/relay_state_test.cpp
+++ b/packages/state/tests/relay_state_test.cpp
@@ -234,6 +234,52 @@
   EXPECT_NE(ChooseByLoad(mCandidates, mSettings, random), 2U);
 }
 
+class GivenThreePartStores : public ::testing::Test
+{
+protected:
+  static constexpr int kParts = 300;
+
+  /// How many parts each store keeps.
+  std::map<std::string, int> Shares() const
+  {
+    std::map<std::string, int> shares;
+    for (int i = 0; i < kParts; ++i) {
+      ++shares[StoreOfPart(mStores, "s/" + std::to_string(i))->mAddress];
+    }
+    return shares;
+  }
+
+  std::vector<PartStoreRule> mStores{ { "x", "a:1", "z", 1 },
+                                      { "y", "b:1", "z", 1 },
+                                      { "z", "c:1", "z", 1 } };
+};
+
+TEST_F(GivenThreePartStores, EachKeepsItsShare)
+{
+  for (const auto& [store, parts] : Shares()) {
+    EXPECT_GT(parts, kParts / 5) << store;
+  }
+  EXPECT_EQ(Shares().size(), 3U);
+}
+
+TEST_F(GivenThreePartStores, OneThatGoesMovesOnlyWhatItKept)
+{
+  auto left = mStores;
+  left.pop_back();
+  for (int i = 0; i < kParts; ++i) {
+    const auto name = "s/" + std::to_string(i);
+    const auto before = StoreOfPart(mStores, name)->mAddress;
+    if (before != mStores.back().mAddress) {
+      EXPECT_EQ(StoreOfPart(left, name)->mAddress, before);
+    }
+  }
+}
+
+TEST_F(GivenThreePartStores, WithoutAnyThereIsNone)
+{
+  EXPECT_EQ(StoreOfPart({}, "s/1"), nullptr);
+}
+
 RC_GTEST_PROP(GeneratedRepeats,
               NoWindowHoldsMoreThanTheBudget,
               (const std::vector<std::uint8_t>& aSteps))
