--- a/packages/coordination/src/relay_reply.cpp
+++ b/packages/coordination/src/relay_reply.cpp
@@ -14,8 +14,6 @@
 
 namespace {
 
-constexpr std::string_view kPart = "relay";
-
 constexpr unsigned kBadGateway = 502;
 constexpr unsigned kUnavailable = 503;
 constexpr unsigned kTimedOut = 504;
@@ -110,28 +108,4 @@
   co_return true;
 }
 
-void
-RelayRun::LogOutcome(std::string_view aOutcome, std::string_view aReason)
-{
-  auto& parts = mCore->mParts;
-  const auto age = parts.mConfigConfirmed.Age(Now());
-  EventLine line(kPart, "request", mCall.mRequestId);
-  line.Add("outcome", aOutcome)
-    .Add("reason", aReason)
-    .Add("status", mFirstStatus)
-    .Add("route", mRoute != nullptr ? mRoute->mName : "")
-    .Add("service", mService)
-    .Add("team", mTeam != nullptr ? mTeam->mName : "")
-    .Add("attempts", mTried.size())
-    .Add("unsent", mUnsentTries)
-    .Add("may_have_run", mMayHaveRun)
-    .Add("config", mView->mConfig->Version())
-    .Add("config_age_ms", age.count())
-    .Add("ms", SinceArrival().count());
-  parts.mLog.Write(std::move(line));
-  parts.mMetrics.Count("shuntjunction_relay_requests_total",
-                       { { "route", mRoute != nullptr ? mRoute->mName : "" },
-                         { "outcome", std::string(aOutcome) } });
-}
-
 } // namespace shuntjunction::coordination
--- a/packages/coordination/src/relay_run.cpp
+++ b/packages/coordination/src/relay_run.cpp
@@ -11,7 +11,6 @@
 
 namespace {
 
-constexpr std::string_view kPart = "relay";
 constexpr std::string_view kBearer = "Bearer ";
 
 constexpr unsigned kUnauthorized = 401;
@@ -25,9 +24,9 @@
 constexpr Millis kRetryLater{ 1000 };
 /// The same when keys were not confirmed in time: most often this relay alone
 /// is cut off from the store, and another, which a new connection reaches,
-/// serves at once. A second instead made 46 to 47 of 133 callers late in the two
-/// worst seconds of such a cut, and served no more when the store was gone for
-/// all.
+/// serves at once. A second instead made 46 to 47 of 133 callers late in the
+/// two worst seconds of such a cut, and served no more when the store was gone
+/// for all.
 constexpr Millis kRetryElsewhere{ 50 };
 
 /// Endpoints that could not be reached before a request is given up: trying
@@ -298,58 +297,4 @@
   LogAttempt(aPick, aOutcome);
 }
 
-void
-RelayRun::LogSent(const RelayPick& aPick)
-{
-  // An attempt's own line is written at its end: only this one tells what a
-  // process that was killed had sent where.
-  EventLine line(kPart, "sent", mCall.mRequestId);
-  line.Add("endpoint", aPick.mEndpoint->mInfo.mId)
-    .Add("running", aPick.mEndpoint->mRunning)
-    .Add("candidates", aPick.mCandidates)
-    .Add("ms", SinceArrival().count());
-  if (aPick.mWeights != 0) {
-    line.Add("waiting_tokens", aPick.mWaitingTokens)
-      .Add("expected_ms", aPick.mExpected.count())
-      .Add("urgency", aPick.mUrgency)
-      .Add("news_age_ms", aPick.mNewsAge.count());
-  }
-  mCore->mParts.mLog.Write(std::move(line));
-}
-
-void
-RelayRun::LogAttempt(const RelayPick& aPick, AttemptOutcome aOutcome)
-{
-  const auto& endpoint = *aPick.mEndpoint;
-  EventLine line(kPart, "attempt", mCall.mRequestId);
-  line.Add("endpoint", endpoint.mInfo.mId)
-    .Add("zone", endpoint.mInfo.mZone)
-    .Add("outcome", kAttemptOutcomeNames.Name(aOutcome))
-    .Add("running", endpoint.mRunning)
-    .Add("ms", SinceArrival().count());
-  if (mTimes.mSent) {
-    line.Add("sent_ms", mTimes.mSent->count());
-  }
-  if (mTimes.mFirst) {
-    line.Add("first_ms", mTimes.mFirst->count())
-      .Add("pause_ms", mTimes.mLongestPause.count());
-  }
-  if (aPick.mWeights != 0) {
-    line.Add("weights", aPick.mWeights)
-      .Add("shared_part", aPick.mPart)
-      .Add("kept", aPick.mIsKept)
-      .Add("to_read", aPick.mTokensToRead)
-      .Add("source", aPick.mPartSource)
-      .Add("saves", !aPick.mPartStore.empty());
-  }
-  if (aOutcome != AttemptOutcome::kDone) {
-    line.Add("problem", mLastProblem);
-  }
-  mCore->mParts.mMetrics.Count(
-    "shuntjunction_relay_attempts_total",
-    { { "service", mService },
-      { "outcome", std::string(kAttemptOutcomeNames.Name(aOutcome)) } });
-  mCore->mParts.mLog.Write(std::move(line));
-}
-
 } // namespace shuntjunction::coordination
--- /dev/null
+++ b/packages/coordination/src/relay_run_log.cpp
@@ -0,0 +1,92 @@
+#include "relay_run.h"
+
+// The log lines of a run: what was sent where and on what belief, what became
+// of it, how the request ended.
+
+namespace shuntjunction::coordination {
+
+namespace {
+
+constexpr std::string_view kPart = "relay";
+
+} // namespace
+
+void
+RelayRun::LogSent(const RelayPick& aPick)
+{
+  // An attempt's own line is written at its end: only this one tells what a
+  // process that was killed had sent where.
+  EventLine line(kPart, "sent", mCall.mRequestId);
+  line.Add("endpoint", aPick.mEndpoint->mInfo.mId)
+    .Add("running", aPick.mEndpoint->mRunning)
+    .Add("candidates", aPick.mCandidates)
+    .Add("ms", SinceArrival().count());
+  if (aPick.mWeights != 0) {
+    line.Add("waiting_tokens", aPick.mWaitingTokens)
+      .Add("expected_ms", aPick.mExpected.count())
+      .Add("urgency", aPick.mUrgency)
+      .Add("news_age_ms", aPick.mNewsAge.count());
+  }
+  mCore->mParts.mLog.Write(std::move(line));
+}
+
+void
+RelayRun::LogAttempt(const RelayPick& aPick, AttemptOutcome aOutcome)
+{
+  const auto& endpoint = *aPick.mEndpoint;
+  EventLine line(kPart, "attempt", mCall.mRequestId);
+  line.Add("endpoint", endpoint.mInfo.mId)
+    .Add("zone", endpoint.mInfo.mZone)
+    .Add("outcome", kAttemptOutcomeNames.Name(aOutcome))
+    .Add("running", endpoint.mRunning)
+    .Add("ms", SinceArrival().count());
+  if (mTimes.mSent) {
+    line.Add("sent_ms", mTimes.mSent->count());
+  }
+  if (mTimes.mFirst) {
+    line.Add("first_ms", mTimes.mFirst->count())
+      .Add("pause_ms", mTimes.mLongestPause.count());
+  }
+  if (aPick.mWeights != 0) {
+    line.Add("weights", aPick.mWeights)
+      .Add("shared_part", aPick.mPart)
+      .Add("kept", aPick.mIsKept)
+      .Add("to_read", aPick.mTokensToRead)
+      .Add("source", aPick.mPartSource)
+      .Add("saves", !aPick.mPartStore.empty());
+  }
+  if (aOutcome != AttemptOutcome::kDone) {
+    line.Add("problem", mLastProblem);
+  }
+  mCore->mParts.mMetrics.Count(
+    "shuntjunction_relay_attempts_total",
+    { { "service", mService },
+      { "outcome", std::string(kAttemptOutcomeNames.Name(aOutcome)) } });
+  mCore->mParts.mLog.Write(std::move(line));
+}
+
+void
+RelayRun::LogOutcome(std::string_view aOutcome, std::string_view aReason)
+{
+  auto& parts = mCore->mParts;
+  const auto age = parts.mConfigConfirmed.Age(Now());
+  EventLine line(kPart, "request", mCall.mRequestId);
+  line.Add("outcome", aOutcome)
+    .Add("reason", aReason)
+    .Add("status", mFirstStatus)
+    .Add("route", mRoute != nullptr ? mRoute->mName : "")
+    .Add("service", mService)
+    .Add("team", mTeam != nullptr ? mTeam->mName : "")
+    .Add("attempts", mTried.size())
+    .Add("unsent", mUnsentTries)
+    .Add("may_have_run", mMayHaveRun)
+    .Add("config", mView->mConfig->Version())
+    .Add("config_age_ms", age.count())
+    .Add("ms", SinceArrival().count());
+  parts.mLog.Write(std::move(line));
+  parts.mMetrics.Count("shuntjunction_relay_requests_total",
+                       { { "route", mRoute != nullptr ? mRoute->mName : "" },
+                         { "outcome", std::string(aOutcome) } });
+}
+
+} // namespace shuntjunction::coordination
