--- a/packages/state/tests/engine_model.h
+++ b/packages/state/tests/engine_model.h
@@ -77,7 +77,7 @@
             { Millis(0), expected, aRequest.mObjective, aRequest.mUrgency },
             mSettings);
     mWaiting.Add(aRequest.mSentUrgency, aRequest.mTokens);
-    mAhead.push_back({ &aRequest, ahead });
+    mAhead.emplace_back(&aRequest, ahead);
   }
 
   void GiveUp(std::vector<ModelRequest*>& aWaiting, Millis aNow)
--- a/packages/state/tests/first_token_test.cpp
+++ b/packages/state/tests/first_token_test.cpp
@@ -118,8 +118,10 @@
 protected:
   std::vector<ModelRequest> Play(ModelOrder aOrder) const
   {
+    constexpr int kRequests = 40;
     std::vector<ModelRequest> requests;
-    for (int i = 0; i < 40; ++i) {
+    requests.reserve(kRequests);
+    for (int i = 0; i < kRequests; ++i) {
       requests.push_back({ Millis(112 * i), 9000, Millis(600) });
     }
     EngineModel(40.0, aOrder, Millis(2400)).Play(requests);
