Repeats are shared among the relays that are there

Cause: each relay had a thirty-second of the slack, whatever their number: 103 relays of the large deployment could repeat 721 times for the 246 allowed, and five used 5 of 56. Ruled out: an assumed 128 before any companion speaks: a share rounded down to nothing lets a lone relay repeat nothing (a test failed). Change: companions tell how many relays they hear; the slack is divided by twice the most ever told, by 32 before any is.

--- a/packages/coordination/src/engine_news_server.cpp
+++ b/packages/coordination/src/engine_news_server.cpp
@@ -147,6 +147,7 @@
   {
     aNews.mWaiting = AllWaiting();
     aNews.mWaiting -= aOwn;
+    aNews.mRelays = static_cast<std::uint32_t>(mChannels.size());
     return aNews;
   }
 
--- a/packages/coordination/src/relay.cpp
+++ b/packages/coordination/src/relay.cpp
@@ -74,13 +74,22 @@
   }
 }
 
+void
+Relay::Core::NoteRelays(std::uint32_t aRelays)
+{
+  mMostRelays = std::max(mMostRelays, aRelays);
+}
+
 state::WindowBudget&
 Relay::Core::BudgetOf(const std::string& aService)
 {
-  auto settings = mParts.mSettings.mBounds.mRetries;
-  settings.mSlack = std::floor(settings.mSlack / kAssumedRelays);
-  return mBudgets.try_emplace(aService, settings, mParts.mClock.Now())
-    .first->second;
+  const auto& settings = mParts.mSettings.mBounds.mRetries;
+  const double shares =
+    mMostRelays == 0 ? kAssumedRelays : kSharesOfRelay * mMostRelays;
+  auto& budget =
+    mBudgets.try_emplace(aService, settings, mParts.mClock.Now()).first->second;
+  budget.SetSlack(std::floor(settings.mSlack / shares));
+  return budget;
 }
 
 Relay::Relay(const RelayParts& aParts)
@@ -117,6 +126,7 @@
 void
 Relay::TakeNews(const protocol::EngineNews& aNews)
 {
+  mCore->NoteRelays(aNews.mRelays);
   mCore->mEndpoints.TakeNews(aNews, mCore->mParts.mClock.Now());
 }
 
--- a/packages/coordination/src/relay_core.h
+++ b/packages/coordination/src/relay_core.h
@@ -53,9 +53,12 @@
 /// A relay's state.
 struct Relay::Core
 {
-  /// Relays among which the slack of repeats is divided. No relay counts the
-  /// others; the largest fleet that is served has 27.
+  /// Relays among which the slack of repeats is divided before any companion
+  /// told how many there are: in the first moments of a relay's life.
   static constexpr double kAssumedRelays = 32;
+  /// Of what companions tell: one may not reach all relays, and a relay that is
+  /// restarted begins its share anew.
+  static constexpr double kSharesOfRelay = 2;
 
   explicit Core(const RelayParts& aParts);
 
@@ -65,6 +68,9 @@
   /// Closes connections on which no request has begun.
   void CloseIdleSessions();
 
+  /// Takes how many relays a companion tells; fewer than before change nothing.
+  void NoteRelays(std::uint32_t aRelays);
+
   /// The budget of a service's repeats, with this relay's share of the slack.
   state::WindowBudget& BudgetOf(const std::string& aService);
 
@@ -74,6 +80,7 @@
   state::PartLedger mLedger;
   state::ReadingRate mReadingRate;
   std::map<std::string, state::WindowBudget> mBudgets; ///< by service
+  std::uint32_t mMostRelays = 0; ///< that a companion told; 0: none did
   std::shared_ptr<const RelayView> mView = std::make_shared<RelayView>();
   state::RandomSource mRandom;
   std::shared_ptr<transport::asio::ip::tcp::acceptor> mAcceptor;
--- a/packages/protocol/include/shuntjunction/protocol/messages.h
+++ b/packages/protocol/include/shuntjunction/protocol/messages.h
@@ -232,6 +232,7 @@
   std::vector<std::string> mLost;   ///< parts that it keeps no more
   /// Prompt tokens there of the relays other than the one that is told.
   state::WaitingTokens mWaiting;
+  std::uint32_t mRelays = 0; ///< that the companion tells; 0: not known
 };
 
 /// What a relay tells the others, by an engine's companion: that the engine
--- a/packages/protocol/src/codec_pack.cpp
+++ b/packages/protocol/src/codec_pack.cpp
@@ -268,7 +268,8 @@
                                 aMessage.mIsWhole,
                                 gained,
                                 lost,
-                                waiting)
+                                waiting,
+                                aMessage.mRelays)
     .Union();
 }
 
--- a/packages/protocol/src/codec_unpack.cpp
+++ b/packages/protocol/src/codec_unpack.cpp
@@ -252,11 +252,17 @@
   // A phase that a newer peer added is none that takes work.
   const auto phase =
     EnumOf(aWire.phase(), kEnginePhaseNames, EnginePhase::kDown);
-  return { TextOf(aWire.endpoint()), TextOf(aWire.model()),
-           aWire.weights(),          phase,
-           aWire.running(),          aWire.queued(),
-           aWire.is_whole(),         TextsOf(aWire.gained()),
-           TextsOf(aWire.lost()),    WaitingOf(aWire.waiting()) };
+  return { TextOf(aWire.endpoint()),
+           TextOf(aWire.model()),
+           aWire.weights(),
+           phase,
+           aWire.running(),
+           aWire.queued(),
+           aWire.is_whole(),
+           TextsOf(aWire.gained()),
+           TextsOf(aWire.lost()),
+           WaitingOf(aWire.waiting()),
+           aWire.relays() };
 }
 
 PartReading
--- a/packages/protocol/tests/codec_test.cpp
+++ b/packages/protocol/tests/codec_test.cpp
@@ -70,6 +70,7 @@
   EngineNews news{ "i-1", "m",   7,         EnginePhase::kLoading, 3,
                    4,     false, { "s/a" }, { "s/b", "s/c" },      {} };
   news.mWaiting.Add(2, 5000);
+  news.mRelays = 103;
   const auto passed = Passed(news);
   EXPECT_EQ(passed.mEndpoint, "i-1");
   EXPECT_EQ(passed.mWeights, 7U);
@@ -80,6 +81,7 @@
   EXPECT_EQ(passed.mGained, news.mGained);
   EXPECT_EQ(passed.mLost, news.mLost);
   EXPECT_EQ(passed.mWaiting, news.mWaiting);
+  EXPECT_EQ(passed.mRelays, 103U);
 }
 
 TEST(GivenMessages, WhatARelayHasWaitingPassesWhole)
--- a/packages/state/include/shuntjunction/state/window_budget.h
+++ b/packages/state/include/shuntjunction/state/window_budget.h
@@ -27,6 +27,9 @@
 public:
   WindowBudget(const WindowBudgetSettings& aSettings, TimePoint aNow);
 
+  /// Sets the repeats allowed beside the ratio; counts stay.
+  void SetSlack(double aSlack) { mSettings.mSlack = aSlack; }
+
   /// Counts a first request.
   void NoteFirst(TimePoint aNow);
 
