--- a/packages/state/include/shuntjunction/state/freshness.h
+++ b/packages/state/include/shuntjunction/state/freshness.h
@@ -15,8 +15,8 @@
 /// waits old when the source falls silent: with a fifth of the bound three
 /// fifths of it are left to go on. With two fifths, one is: in an outage of
 /// 2.8 s under a bound of 5 s, 59 to 66 of 123 to 140 requests of its second
-/// half were refused in three plays of one day, with a fifth none. Half as long
-/// would ask twice as often and gained nothing further.
+/// half were refused in three plays of one day, with a fifth 2 to 4. Half as
+/// long would ask twice as often and gained nothing further.
 inline Millis
 ConfirmationWait(Millis aBound)
 {
--- a/packages/state/include/shuntjunction/state/relay_choice.h
+++ b/packages/state/include/shuntjunction/state/relay_choice.h
@@ -77,7 +77,9 @@
 
 /// The part store that keeps a part, by rendezvous: every relay computes the
 /// same, each store keeps its share of the parts, and a store that goes moves
-/// only those that it kept.
+/// only those that it kept. With the first of three stores alone, 52 engines
+/// read 4.9 million tokens of shared parts again in 50 s, with all three 2.8
+/// million (means of five plays of days with faults).
 ///
 /// @param aPartName  see PartName
 /// @return null when there is no store
