A claim that may be a request's own is no earlier request

The first companion was killed after it wrote the claim and before the router heard that it had started; the router offered the request to the second, which still lived, found the claim, and told the caller of 'an earlier request with this key' that never was. Change: when an endpoint was lost before, 'already taken' means unknown. Test: RequestLife remembers the loss when the claim is found taken; the process test stays as it is.

--- a/packages/coordination/src/request_run.cpp
+++ b/packages/coordination/src/request_run.cpp
@@ -343,6 +343,11 @@
   mLastText = aFailed.mText;
   switch (aFailed.mRunState) {
     case RunState::kAlreadyTaken:
+      // A lost endpoint may have taken this very request: then no earlier one
+      // did, and the caller must not be told of any.
+      mSettledAs = mLife->WasLost() ? RunState::kUnknown : aFailed.mRunState;
+      mLife->Settled();
+      return;
     case RunState::kKeyReused:
       mSettledAs = aFailed.mRunState;
       mLife->Settled();
@@ -372,7 +377,7 @@
 ApiError
 RequestRun::FinalError() const
 {
-  if (mSettledAs) {
+  if (mSettledAs && *mSettledAs != RunState::kUnknown) {
     return SettledError(*mSettledAs);
   }
   const bool isNotRun = mLife->IsNotRun();
--- a/packages/state/include/shuntjunction/state/request_life.h
+++ b/packages/state/include/shuntjunction/state/request_life.h
@@ -70,6 +70,9 @@
   /// Whether it may be sent to an endpoint now.
   bool MayOffer() const;
 
+  /// Whether an endpoint was lost to which it had been sent.
+  bool WasLost() const;
+
   /// Whether it is certain that no endpoint ran it.
   bool IsNotRun() const;
 
--- a/packages/state/src/request_life.cpp
+++ b/packages/state/src/request_life.cpp
@@ -164,6 +164,12 @@
   return false;
 }
 
+bool
+RequestLife::WasLost() const
+{
+  return mMachine->mWasUncertain;
+}
+
 bool
 RequestLife::IsNotRun() const
 {
--- a/packages/state/tests/at_most_once_test.cpp
+++ b/packages/state/tests/at_most_once_test.cpp
@@ -159,6 +159,19 @@
   EXPECT_FALSE(life.IsNotRun());
 }
 
+TEST_F(GivenARequest, ThatOneWasLostIsRememberedWhenItsClaimIsFoundTaken)
+{
+  // The claim may then be its own: no earlier request need have taken it.
+  RequestLife life(Repeatability::kClaimed);
+  life.Offered();
+  EXPECT_FALSE(life.WasLost());
+  life.Lost();
+  life.Offered();
+  life.Settled();
+  EXPECT_TRUE(life.WasLost());
+  EXPECT_FALSE(life.IsNotRun());
+}
+
 TEST_F(GivenARequest, LateNewsAfterItsEndChangesNothing)
 {
   RequestLife life(Repeatability::kRepeatable);
