Tidy: the rank of a store's teller in one pass, the engine's model without a side table

Cause: found on reading the change again: PartStoreTeller walked the endpoints twice with the same test, and the tests' model kept what waited before each request in a list beside the requests and searched it; its accessor of the rate was used by nobody. Ruled out: one rank of its own in state (it reads the view of the feed). Behaviour unchanged.

--- a/packages/coordination/include/shuntjunction/coordination/part_store_teller.h
+++ b/packages/coordination/include/shuntjunction/coordination/part_store_teller.h
@@ -49,9 +49,9 @@
   /// Address of the store that the companion of a rank follows; empty when it
   /// follows none, nothing when there is no configuration yet.
   transport::Task<std::optional<std::string>> FindStore(std::size_t aRank);
-  /// Engines that come before this companion's in the order of tellers.
-  std::size_t Rank() const;
-  bool IsListed() const;
+  /// Engines that come before this companion's in the order of tellers; empty
+  /// when its own is not listed.
+  std::optional<std::size_t> Rank() const;
 
   PartStoreTellerParts mParts;
   std::shared_ptr<const RelayView> mView = std::make_shared<RelayView>();
--- a/packages/coordination/src/part_store_teller.cpp
+++ b/packages/coordination/src/part_store_teller.cpp
@@ -43,28 +43,21 @@
   mView = std::move(aView);
 }
 
-std::size_t
+std::optional<std::size_t>
 PartStoreTeller::Rank() const
 {
-  const auto hash = state::PlacementHash(mParts.mSettings.mEngine);
-  const auto& endpoints = mView->mEndpoints;
-  const auto isAhead = [&](const state::EndpointInfo& aEndpoint) {
-    return !aEndpoint.mModels.empty() && !aEndpoint.mIsLeaving &&
-           state::PlacementHash(aEndpoint.mAddress) < hash;
-  };
-  return static_cast<std::size_t>(
-    std::count_if(endpoints.begin(), endpoints.end(), isAhead));
-}
-
-bool
-PartStoreTeller::IsListed() const
-{
-  const auto& endpoints = mView->mEndpoints;
-  return std::any_of(
-    endpoints.begin(), endpoints.end(), [&](const auto& aEndpoint) {
-      return aEndpoint.mAddress == mParts.mSettings.mEngine &&
-             !aEndpoint.mModels.empty() && !aEndpoint.mIsLeaving;
-    });
+  const auto& own = mParts.mSettings.mEngine;
+  const auto hash = state::PlacementHash(own);
+  bool isListed = false;
+  std::size_t ahead = 0;
+  for (const auto& endpoint : mView->mEndpoints) {
+    if (endpoint.mModels.empty() || endpoint.mIsLeaving) {
+      continue;
+    }
+    isListed = isListed || endpoint.mAddress == own;
+    ahead += state::PlacementHash(endpoint.mAddress) < hash ? 1 : 0;
+  }
+  return isListed ? std::optional(ahead) : std::nullopt;
 }
 
 Task<void>
@@ -73,10 +66,10 @@
   while (!mFollower) {
     co_await transport::Sleep(kLookInterval);
     const auto rank = Rank();
-    if (!IsListed() || rank >= kTellersOfStore * kMostStores) {
+    if (!rank || *rank >= kTellersOfStore * kMostStores) {
       continue;
     }
-    const auto address = co_await FindStore(rank);
+    const auto address = co_await FindStore(*rank);
     if (!address) {
       continue;
     }
--- a/packages/state/tests/engine_model.h
+++ b/packages/state/tests/engine_model.h
@@ -18,6 +18,7 @@
   Millis mObjective{ 0 };
   int mUrgency = 1;               ///< of its route
   int mSentUrgency = 0;           ///< as the decision made it
+  std::int64_t mAhead = 0;        ///< tokens that waited before it when sent
   std::optional<Millis> mFirst{}; ///< when its first token came
 
   bool IsInTime() const { return mFirst && *mFirst - mArrival <= mObjective; }
@@ -63,13 +64,11 @@
     }
   }
 
-  const ReadingRate& Rate() const { return mRate; }
-
 private:
   void Send(ModelRequest& aRequest)
   {
-    const auto ahead = mWaiting.AheadOf(aRequest.mUrgency);
-    const auto expected = mRate.TimeOf(ahead + aRequest.mTokens);
+    aRequest.mAhead = mWaiting.AheadOf(aRequest.mUrgency);
+    const auto expected = mRate.TimeOf(aRequest.mAhead + aRequest.mTokens);
     aRequest.mSentUrgency =
       mOrder == ModelOrder::kAsTheyCome
         ? aRequest.mUrgency
@@ -77,7 +76,6 @@
             { Millis(0), expected, aRequest.mObjective, aRequest.mUrgency },
             mSettings);
     mWaiting.Add(aRequest.mSentUrgency, aRequest.mTokens);
-    mAhead.emplace_back(&aRequest, ahead);
   }
 
   void GiveUp(std::vector<ModelRequest*>& aWaiting, Millis aNow)
@@ -104,28 +102,18 @@
     request.mFirst = aNow + took;
     mWaiting.Remove(request.mSentUrgency, request.mTokens);
     if (request.mSentUrgency == request.mUrgency) {
-      mRate.Note(AheadOf(request) + request.mTokens,
+      mRate.Note(request.mAhead + request.mTokens,
                  *request.mFirst - request.mArrival);
     }
     return took;
   }
 
-  std::int64_t AheadOf(const ModelRequest& aRequest) const
-  {
-    const auto found =
-      std::find_if(mAhead.begin(), mAhead.end(), [&](const auto& aItem) {
-        return aItem.first == &aRequest;
-      });
-    return found->second;
-  }
-
   double mReads;
   ModelOrder mOrder;
   Millis mPatience;
   FirstTokenSettings mSettings;
   ReadingRate mRate{ mSettings };
   WaitingTokens mWaiting;
-  std::vector<std::pair<const ModelRequest*, std::int64_t>> mAhead;
 };
 
 } // namespace shuntjunction::state
