Sight: how old the list of endpoints is, at each request and as a metric

Logs could not tell a relay that heard nothing from one that had nothing to hear. Each answer of the store tells its revision, so an answer about the configuration also says whether the list can have changed. New: listed and list_age_ms on 'sent' lines, 'endpoint-leaving' with what runs there, gauges of the list's age, its revision and the store's. No change of logic.

--- a/packages/coordination/include/shuntjunction/coordination/relay.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay.h
@@ -21,6 +21,7 @@
   const RelayCodec& mCodec;
   const state::Clock& mClock;
   const state::Freshness& mConfigConfirmed;
+  const state::ListFreshness& mEndpointList;
   EventLog& mLog;
   Metrics& mMetrics;
   /// Tells the other relays of a part that the engine of an address reads;
--- a/packages/coordination/include/shuntjunction/coordination/relay_feed.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay_feed.h
@@ -11,7 +11,7 @@
 #include "shuntjunction/coordination/platform.h"
 #include "shuntjunction/coordination/relay_codec.h"
 #include "shuntjunction/state/endpoint_directory.h"
-#include "shuntjunction/state/freshness.h"
+#include "shuntjunction/state/list_freshness.h"
 #include "shuntjunction/state/relay_config.h"
 
 /// What a process believes of the platform's objects.
@@ -76,7 +76,8 @@
 /// Keeps a view of configuration, endpoints and named weights.
 ///
 /// Configuration never falls back in a process's life.
-/// Thread safety: none; used on the thread of its context, but Confirmed.
+/// Thread safety: none; used on the thread of its context, but Confirmed and
+/// EndpointList.
 class RelayFeed
 {
 public:
@@ -101,6 +102,9 @@
   /// When the configuration was last confirmed; may be asked from any thread.
   const state::Freshness& Confirmed() const { return mConfirmed; }
 
+  /// How current the list of endpoints is; may be asked from any thread.
+  const state::ListFreshness& EndpointList() const { return mEndpointList; }
+
 private:
   struct Topic;
 
@@ -115,6 +119,8 @@
   /// Whether a topic asks, for all, whether a store that was lost is back. A
   /// whole watch would tell so only at its end; the others wait for the word.
   bool IsProbing(const Topic& aTopic) const;
+  /// Takes the store's revision from a topic's answer.
+  void NoteRevision(const Topic& aTopic, std::uint64_t aRevision);
   void NoteTrouble(Topic& aTopic, const state::Error& aError);
   void NoteSuccess(Topic& aTopic);
   /// Ends the calls that wait since before the last trouble: a store that fell
@@ -141,6 +147,7 @@
   std::unique_ptr<Topic> mWeightsTopic;
   state::EndpointDirectory mDirectory;
   state::Freshness mConfirmed;
+  state::ListFreshness mEndpointList;
   RelayView mView;
   state::TimePoint mTroubleAt; ///< of the last call that failed
   state::RandomSource mRandom;
--- a/packages/coordination/src/fleet_daemon.cpp
+++ b/packages/coordination/src/fleet_daemon.cpp
@@ -151,6 +151,7 @@
                   mAdapter.mRelayCodec,
                   mClock,
                   mFeed.Confirmed(),
+                  mFeed.EndpointList(),
                   mLog,
                   mMetrics,
                   [this](const auto& aAddress, const auto& aReading) {
--- a/packages/coordination/src/relay.cpp
+++ b/packages/coordination/src/relay.cpp
@@ -120,7 +120,16 @@
 Relay::TakeView(std::shared_ptr<const RelayView> aView)
 {
   mCore->mView = std::move(aView);
-  mCore->mEndpoints.Update(mCore->mView->mEndpoints);
+  const auto leaving = mCore->mEndpoints.Update(mCore->mView->mEndpoints);
+  for (const auto& endpoint : leaving) {
+    mCore->mParts.mLog.Write(
+      EventLine(kRelayPart, "endpoint-leaving")
+        .Add("endpoint", endpoint->mInfo.mId)
+        .Add("listed", endpoint->mIsListed)
+        .Add("revision", endpoint->mInfo.mRevision)
+        .Add("running", endpoint->mRunning)
+        .Add("idle_connections", endpoint->mIdle.size()));
+  }
 }
 
 void
@@ -158,6 +167,13 @@
               static_cast<double>(mCore->mView->mConfig->Version()));
   metrics.Set("shuntjunction_relay_config_age_ms",
               static_cast<double>(age.count()));
+  const auto& list = mCore->mParts.mEndpointList;
+  metrics.Set("shuntjunction_relay_list_age_ms",
+              list.IsKnown() ? static_cast<double>(list.Age(now).count()) : -1);
+  metrics.Set("shuntjunction_relay_list_revision",
+              static_cast<double>(list.Known()));
+  metrics.Set("shuntjunction_relay_store_revision",
+              static_cast<double>(list.Store()));
   metrics.Set("shuntjunction_relay_endpoints",
               static_cast<double>(mCore->mView->mEndpoints.size()));
 }
--- a/packages/coordination/src/relay_core.h
+++ b/packages/coordination/src/relay_core.h
@@ -16,6 +16,9 @@
 
 class RelaySession;
 
+/// Names a relay in log lines.
+inline constexpr std::string_view kRelayPart = "relay";
+
 /// Times and sizes of a relay that are no settings of its operators.
 struct RelayLimits
 {
--- a/packages/coordination/src/relay_endpoint.cpp
+++ b/packages/coordination/src/relay_endpoint.cpp
@@ -40,9 +40,10 @@
 {
 }
 
-void
+std::vector<RelayEndpointPtr>
 RelayEndpoints::Update(const std::vector<EndpointInfo>& aListed)
 {
+  std::vector<RelayEndpointPtr> leaving;
   std::set<std::string_view> listed;
   for (const auto& info : aListed) {
     listed.insert(info.mId);
@@ -51,17 +52,24 @@
       entry = std::make_shared<RelayEndpoint>();
       entry->mNameHash = state::PlacementHash(info.mId);
     }
+    if (info.mIsLeaving && !entry->mInfo.mIsLeaving) {
+      leaving.push_back(entry);
+    }
     entry->mInfo = info;
   }
   std::erase_if(mById, [&](const auto& aItem) {
     const bool isGone = !listed.contains(aItem.first);
     if (isGone) {
       aItem.second->mIsListed = false;
+      if (!aItem.second->mInfo.mIsLeaving) {
+        leaving.push_back(aItem.second);
+      }
       aItem.second->mIdle.clear();
       mParts.Forget(aItem.first);
     }
     return isGone;
   });
+  return leaving;
 }
 
 std::vector<RelayEndpointPtr>
--- a/packages/coordination/src/relay_endpoint.h
+++ b/packages/coordination/src/relay_endpoint.h
@@ -81,7 +81,10 @@
   explicit RelayEndpoints(const RelayEndpointSettings& aSettings);
 
   /// Takes the list; connections of endpoints that went are closed.
-  void Update(const std::vector<state::EndpointInfo>& aListed);
+  ///
+  /// @return those that took new work until now and take none any more
+  std::vector<RelayEndpointPtr> Update(
+    const std::vector<state::EndpointInfo>& aListed);
 
   /// Endpoints of a service that may get new work.
   std::vector<RelayEndpointPtr> Serving(std::string_view aService) const;
--- a/packages/coordination/src/relay_feed.cpp
+++ b/packages/coordination/src/relay_feed.cpp
@@ -135,6 +135,7 @@
   }
   aTopic.mRevision = list->mRevision;
   aTopic.mIsListed = true;
+  NoteRevision(aTopic, list->mRevision);
   aTopic.mTakeList(list->mObjects);
   if (aTopic.mConfirms) {
     mConfirmed.Confirm(*aTopic.mAskedAt);
@@ -160,6 +161,7 @@
     co_return Result<void>{};
   }
   aTopic.mRevision = std::max(aTopic.mRevision, answer->mRevision);
+  NoteRevision(aTopic, answer->mRevision);
   for (const auto& change : answer->mChanges) {
     aTopic.mTakeChange(change);
   }
@@ -175,6 +177,16 @@
   co_return Result<void>{};
 }
 
+void
+RelayFeed::NoteRevision(const Topic& aTopic, std::uint64_t aRevision)
+{
+  if (&aTopic == mEndpointTopic.get()) {
+    mEndpointList.TakeOwn(aRevision, *aTopic.mAskedAt);
+  } else {
+    mEndpointList.TakeStore(aRevision, *aTopic.mAskedAt);
+  }
+}
+
 bool
 RelayFeed::IsProbing(const Topic& aTopic) const
 {
--- a/packages/coordination/src/relay_run_log.cpp
+++ b/packages/coordination/src/relay_run_log.cpp
@@ -5,21 +5,17 @@
 
 namespace shuntjunction::coordination {
 
-namespace {
-
-constexpr std::string_view kPart = "relay";
-
-} // namespace
-
 void
 RelayRun::LogSent(const RelayPick& aPick)
 {
   // An attempt's own line is written at its end: only this one tells what a
   // process that was killed had sent where.
-  EventLine line(kPart, "sent", mCall.mRequestId);
+  EventLine line(kRelayPart, "sent", mCall.mRequestId);
   line.Add("endpoint", aPick.mEndpoint->mInfo.mId)
     .Add("running", aPick.mEndpoint->mRunning)
     .Add("candidates", aPick.mCandidates)
+    .Add("listed", aPick.mEndpoint->mInfo.mRevision)
+    .Add("list_age_ms", mCore->mParts.mEndpointList.Age(Now()).count())
     .Add("ms", SinceArrival().count());
   if (aPick.mWeights != 0) {
     line.Add("waiting_tokens", aPick.mWaitingTokens)
@@ -34,7 +30,7 @@
 RelayRun::LogAttempt(const RelayPick& aPick, AttemptOutcome aOutcome)
 {
   const auto& endpoint = *aPick.mEndpoint;
-  EventLine line(kPart, "attempt", mCall.mRequestId);
+  EventLine line(kRelayPart, "attempt", mCall.mRequestId);
   line.Add("endpoint", endpoint.mInfo.mId)
     .Add("zone", endpoint.mInfo.mZone)
     .Add("outcome", kAttemptOutcomeNames.Name(aOutcome))
@@ -70,7 +66,7 @@
 {
   auto& parts = mCore->mParts;
   const auto age = parts.mConfigConfirmed.Age(Now());
-  EventLine line(kPart, "request", mCall.mRequestId);
+  EventLine line(kRelayPart, "request", mCall.mRequestId);
   line.Add("outcome", aOutcome)
     .Add("reason", aReason)
     .Add("status", mFirstStatus)
--- /dev/null
+++ b/packages/state/include/shuntjunction/state/list_freshness.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <algorithm>
+#include <atomic>
+#include <cstdint>
+
+#include "shuntjunction/state/freshness.h"
+
+/// How current a followed list is.
+namespace shuntjunction::state {
+
+/// Whether a list that a watch follows is in line with its store.
+///
+/// The store counts all its changes in one revision, and each of its answers
+/// tells it. An answer about other objects therefore says that the list is as
+/// it was, or that something changed of which the list's own watch has not
+/// told yet.
+/// Thread safety: one thread takes answers; all else may be called from any.
+class ListFreshness
+{
+public:
+  /// Takes an answer about the list: it is known up to a revision.
+  void TakeOwn(std::uint64_t aRevision, TimePoint aAskedAt)
+  {
+    mKnown = std::max(mKnown.load(), aRevision);
+    TakeStore(aRevision, aAskedAt);
+  }
+
+  /// Takes the store's revision from an answer about any objects.
+  void TakeStore(std::uint64_t aRevision, TimePoint aAskedAt)
+  {
+    mStore = std::max(mStore.load(), aRevision);
+    if (aRevision <= mKnown) {
+      mConfirmed.Confirm(aAskedAt);
+    }
+  }
+
+  /// Whether the store has changes that the list has not been told of; they
+  /// need not be the list's.
+  bool IsBehind() const { return mKnown < mStore; }
+
+  /// Revision up to which the list is known.
+  std::uint64_t Known() const { return mKnown; }
+
+  /// Revision that the store is known to have reached.
+  std::uint64_t Store() const { return mStore; }
+
+  /// Time since the question whose answer confirmed the list last; very long
+  /// when none did.
+  Millis Age(TimePoint aNow) const { return mConfirmed.Age(aNow); }
+
+  /// Whether it was confirmed at all.
+  bool IsKnown() const { return mConfirmed.IsKnown(); }
+
+private:
+  std::atomic<std::uint64_t> mKnown{ 0 };
+  std::atomic<std::uint64_t> mStore{ 0 };
+  Freshness mConfirmed;
+};
+
+} // namespace shuntjunction::state
