--- a/packages/state/include/shuntjunction/state/endpoint_directory.h
+++ b/packages/state/include/shuntjunction/state/endpoint_directory.h
@@ -37,6 +37,9 @@
   /// Notes that the list could not be read.
   void NoteOutage(TimePoint aNow);
 
+  /// Notes that the store answered.
+  void NoteAnswer(TimePoint aNow);
+
   /// Drops lapsed entries whose grace has passed; true when any went.
   bool Expire(TimePoint aNow);
 
@@ -59,6 +62,7 @@
 
   std::map<std::string, Entry, std::less<>> mEntries;
   TimePoint mLastOutage;
+  TimePoint mLastWord; ///< the last answer, or failure, of a call
   bool mHadOutage = false;
 };
 
--- a/packages/state/src/endpoint_directory.cpp
+++ b/packages/state/src/endpoint_directory.cpp
@@ -57,6 +57,12 @@
   }
 }
 
+void
+EndpointDirectory::NoteAnswer(TimePoint aNow)
+{
+  mLastWord = aNow;
+}
+
 bool
 EndpointDirectory::IsInGrace(TimePoint aNow) const
 {
--- a/packages/state/tests/relay_state_test.cpp
+++ b/packages/state/tests/relay_state_test.cpp
@@ -100,6 +100,39 @@
   EXPECT_EQ(IdsOf(mDirectory), (Ids{ "a", "b" }));
 }
 
+// What users saw: see the story of WhoseWatchOfTheListIsDead. Order of events:
+// an entry's removal is heard soon after an outage; from then on the list
+// works, and now and then a call fails, as one that comes over a limit of
+// calls. Cause: each failed call put the end of every removed entry off by the
+// grace.
+TEST_F(WhoseListWasAway, CallsThatFailNowAndThenDoNotKeepARemovedEntry)
+{
+  mDirectory.Remove("a", mClock.Now());
+  for (int i = 0; i < 20; ++i) {
+    mClock.Advance(400ms);
+    mDirectory.NoteAnswer(mClock.Now());
+    mClock.Advance(100ms);
+    mDirectory.NoteOutage(mClock.Now());
+    mDirectory.Expire(mClock.Now());
+  }
+  EXPECT_EQ(IdsOf(mDirectory), Ids{ "b" });
+}
+
+TEST_F(WhoseListWasAway, AnotherOutageKeepsOneForAsLongAsItLasts)
+{
+  mDirectory.Remove("a", mClock.Now());
+  for (int i = 0; i < 10; ++i) {
+    mClock.Advance(1s);
+    mDirectory.NoteOutage(mClock.Now());
+    mDirectory.Expire(mClock.Now());
+  }
+  EXPECT_EQ(IdsOf(mDirectory), (Ids{ "a", "b" }));
+  mDirectory.NoteAnswer(mClock.Now());
+  mClock.Advance(kLapseGrace);
+  mDirectory.Expire(mClock.Now());
+  EXPECT_EQ(IdsOf(mDirectory), Ids{ "b" });
+}
+
 TEST_F(WhoseListWasAway, OneThatSaidItLeavesGoesAtOnce)
 {
   auto leaving = Endpoint("a", "1:1");
