A watch that keeps a change to itself is found out by the store's revision

Cause: a watch of the endpoints waits up to 20 s; when its answer is lost in a short outage, its connection never speaks again, no call fails, and its silence is taken for 'nothing changed'. Class: a belief without a bound on its age. The weights had met the same (CheckPulse, companions only); the list had not. Ruled out: an older answer over a newer one (one coroutine a topic); entries that come back (no log of 10 days shows one). Change: each answer of the store tells its revision. Answers that come late never undo what a list said. A connection to the store that rested over 1 s is not used again. The wait of the configuration's watch is at most half of the bound for leaving endpoints.

--- a/packages/coordination/include/shuntjunction/coordination/relay_feed.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay_feed.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -103,11 +104,13 @@
   const state::Freshness& Confirmed() const { return mConfirmed; }
 
   /// How current the list of endpoints is; may be asked from any thread.
-  const state::ListFreshness& EndpointList() const { return mEndpointList; }
+  const state::ListFreshness& EndpointList() const;
 
 private:
   struct Topic;
 
+  void DescribeTopics();
+  std::array<Topic*, 3> Topics() const;
   transport::Task<void> Follow(Topic& aTopic);
   transport::Task<state::Result<void>> ListOnce(Topic& aTopic);
   transport::Task<state::Result<void>> WatchOnce(Topic& aTopic);
@@ -120,19 +123,29 @@
   /// whole watch would tell so only at its end; the others wait for the word.
   bool IsProbing(const Topic& aTopic) const;
   /// Takes the store's revision from a topic's answer.
-  void NoteRevision(const Topic& aTopic, std::uint64_t aRevision);
+  void NoteRevision(Topic& aTopic,
+                    std::uint64_t aRevision,
+                    state::TimePoint aAskedAt);
+  void TakeChange(Topic& aTopic, const state::RawObject& aChange);
+  /// Reads the lists anew whose watches do not tell of what the store has.
+  void CheckLists();
+  transport::Task<void> CheckList(Topic& aTopic);
+  transport::Task<void> ReadListAnew(Topic& aTopic);
   void NoteTrouble(Topic& aTopic, const state::Error& aError);
   void NoteSuccess(Topic& aTopic);
   /// Ends the calls that wait since before the last trouble: a store that fell
   /// silent may never answer them, though it answers new ones.
   void AbandonOldCalls();
-  void TakeConfig(const state::RawObject& aObject);
+  /// @return whether it is newer than the one in force
+  bool TakeConfig(const state::RawObject& aObject);
   /// Reads an endpoint; one that cannot be read is logged and left out.
   std::optional<state::EndpointInfo> ReadEndpoint(
     const state::RawObject& aObject);
   void TakeEndpoint(const state::RawObject& aObject);
-  void TakeWeights(const state::RawObject& aObject);
-  void TakeEndpointList(const std::vector<state::RawObject>& aObjects);
+  /// @return whether it is newer than what is known
+  bool TakeWeights(const state::RawObject& aObject);
+  /// @return whether it brought anything new
+  bool TakeEndpointList(const std::vector<state::RawObject>& aObjects);
   void Publish();
 
   transport::asio::io_context& mContext;
@@ -147,7 +160,6 @@
   std::unique_ptr<Topic> mWeightsTopic;
   state::EndpointDirectory mDirectory;
   state::Freshness mConfirmed;
-  state::ListFreshness mEndpointList;
   RelayView mView;
   state::TimePoint mTroubleAt; ///< of the last call that failed
   state::RandomSource mRandom;
--- a/packages/coordination/include/shuntjunction/coordination/relay_settings.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay_settings.h
@@ -27,6 +27,8 @@
 {
   /// After a key's removal was accepted, no request with it may run.
   state::Millis mKeyRemoval{ 5000 };
+  /// After an endpoint said that it leaves, no request may reach it.
+  state::Millis mEndpointLeaving{ 2000 };
   /// From SIGTERM to SIGKILL.
   state::Millis mStopGrace{ 8000 };
   /// After newer weights were named, no request begins on older ones.
--- a/packages/coordination/src/fleet_daemon.cpp
+++ b/packages/coordination/src/fleet_daemon.cpp
@@ -1,5 +1,6 @@
 #include "shuntjunction/coordination/fleet_daemon.h"
 
+#include <algorithm>
 #include <thread>
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -135,7 +136,11 @@
   static RelayFeedSettings FeedSettings(const FleetSettings& aSettings)
   {
     RelayFeedSettings feed;
-    feed.mConfigWait = state::ConfirmationWait(aSettings.mBounds.mKeyRemoval);
+    // Its returns also tell when the list of endpoints is behind: half of the
+    // bound is left for reading it anew and for what is being sent.
+    feed.mConfigWait =
+      std::min(state::ConfirmationWait(aSettings.mBounds.mKeyRemoval),
+               aSettings.mBounds.mEndpointLeaving / 2);
     feed.mWatchesConfig = aSettings.mRole == FleetRole::kRelay;
     feed.mListPause = aSettings.mRole == FleetRole::kRelay
                         ? kRelayListPause
--- a/packages/coordination/src/relay_feed.cpp
+++ b/packages/coordination/src/relay_feed.cpp
@@ -4,7 +4,6 @@
 #include "shuntjunction/coordination/relay_feed.h"
 
 #include <algorithm>
-#include <array>
 #include <random>
 
 #include "relay_feed_topic.h"
@@ -27,10 +26,6 @@
 /// once.
 constexpr Millis kProbeWait{ 1 };
 
-/// How often a process that does not watch the configuration looks whether the
-/// store still answers: its own watches wait far longer.
-constexpr Millis kPulseInterval{ 3000 };
-
 } // namespace
 
 RelayFeed::RelayFeed(transport::asio::io_context& aContext,
@@ -51,39 +46,59 @@
   , mEndpointTopic(std::make_unique<Topic>())
   , mWeightsTopic(std::make_unique<Topic>())
   , mRandom(std::random_device{}())
+{
+  DescribeTopics();
+}
+
+RelayFeed::~RelayFeed() = default;
+
+void
+RelayFeed::DescribeTopics()
 {
   const auto each = [](auto aTake) {
     return [aTake](const std::vector<RawObject>& aObjects) {
+      bool isNews = false;
       for (const auto& object : aObjects) {
-        aTake(object);
+        isNews = aTake(object) || isNews;
       }
+      return isNews;
     };
   };
   const auto takeConfig = [this](const RawObject& aObject) {
-    TakeConfig(aObject);
+    return TakeConfig(aObject);
   };
   const auto takeWeights = [this](const RawObject& aObject) {
-    TakeWeights(aObject);
+    return TakeWeights(aObject);
+  };
+  mConfigTopic->mPrefix = mCodec.ConfigPrefix();
+  mConfigTopic->mWait = mSettings.mConfigWait;
+  mConfigTopic->mConfirms = true;
+  mConfigTopic->mTakeList = each(takeConfig);
+  mConfigTopic->mTakeChange = takeConfig;
+
+  mWeightsTopic->mPrefix = mCodec.WeightsPrefix();
+  mWeightsTopic->mWait = mSettings.mListWait;
+  mWeightsTopic->mIsChecked = true;
+  mWeightsTopic->mTakeList = each(takeWeights);
+  mWeightsTopic->mTakeChange = takeWeights;
+
+  mEndpointTopic->mPrefix = mCodec.EndpointPrefix();
+  mEndpointTopic->mWait = mSettings.mListWait;
+  mEndpointTopic->mPauseAfterChange = mSettings.mListPause;
+  mEndpointTopic->mIsChecked = true;
+  mEndpointTopic->mTakeList = [this](const auto& aObjects) {
+    return TakeEndpointList(aObjects);
+  };
+  mEndpointTopic->mTakeChange = [this](const auto& aObject) {
+    TakeEndpoint(aObject);
   };
-  *mConfigTopic = Topic{ mCodec.ConfigPrefix(),
-                         mSettings.mConfigWait,
-                         Millis(0),
-                         true,
-                         each(takeConfig),
-                         takeConfig };
-  *mWeightsTopic =
-    Topic{ mCodec.WeightsPrefix(), mSettings.mListWait, Millis(0), false,
-           each(takeWeights),      takeWeights };
-  *mEndpointTopic =
-    Topic{ mCodec.EndpointPrefix(),
-           mSettings.mListWait,
-           mSettings.mListPause,
-           false,
-           [this](const auto& aObjects) { TakeEndpointList(aObjects); },
-           [this](const auto& aObject) { TakeEndpoint(aObject); } };
 }
 
-RelayFeed::~RelayFeed() = default;
+const state::ListFreshness&
+RelayFeed::EndpointList() const
+{
+  return mEndpointTopic->mFreshness;
+}
 
 void
 RelayFeed::Start()
@@ -133,12 +148,15 @@
   if (!list) {
     co_return tl::unexpected(list.error());
   }
-  aTopic.mRevision = list->mRevision;
+  const auto askedAt = *std::exchange(aTopic.mAskedAt, std::nullopt);
   aTopic.mIsListed = true;
-  NoteRevision(aTopic, list->mRevision);
-  aTopic.mTakeList(list->mObjects);
+  if (list->mRevision >= aTopic.mRevision) {
+    aTopic.mRevision = list->mRevision;
+    aTopic.mTakeList(list->mObjects);
+  }
+  NoteRevision(aTopic, list->mRevision, askedAt);
   if (aTopic.mConfirms) {
-    mConfirmed.Confirm(*aTopic.mAskedAt);
+    mConfirmed.Confirm(askedAt);
   }
   Publish();
   co_return Result<void>{};
@@ -148,8 +166,8 @@
 RelayFeed::WatchOnce(Topic& aTopic)
 {
   const Millis wait = IsProbing(aTopic) ? kProbeWait : aTopic.mWait;
-  const auto answer =
-    co_await mPlatform.Watch(aTopic.mPrefix, aTopic.mRevision, wait);
+  const auto after = aTopic.mRevision;
+  const auto answer = co_await mPlatform.Watch(aTopic.mPrefix, after, wait);
   if (!answer) {
     co_return tl::unexpected(answer.error());
   }
@@ -160,13 +178,18 @@
                  .Add("revision", aTopic.mRevision));
     co_return Result<void>{};
   }
-  aTopic.mRevision = std::max(aTopic.mRevision, answer->mRevision);
-  NoteRevision(aTopic, answer->mRevision);
+  const auto askedAt = *std::exchange(aTopic.mAskedAt, std::nullopt);
+  // The list may have been read meanwhile, and know some of them already.
+  const auto known = aTopic.mRevision;
   for (const auto& change : answer->mChanges) {
-    aTopic.mTakeChange(change);
+    if (known == after || change.mRevision > known) {
+      TakeChange(aTopic, change);
+    }
   }
+  aTopic.mRevision = std::max(known, answer->mRevision);
+  NoteRevision(aTopic, answer->mRevision, askedAt);
   if (aTopic.mConfirms) {
-    mConfirmed.Confirm(*aTopic.mAskedAt);
+    mConfirmed.Confirm(askedAt);
   }
   if (!answer->mChanges.empty()) {
     Publish();
@@ -177,16 +200,6 @@
   co_return Result<void>{};
 }
 
-void
-RelayFeed::NoteRevision(const Topic& aTopic, std::uint64_t aRevision)
-{
-  if (&aTopic == mEndpointTopic.get()) {
-    mEndpointList.TakeOwn(aRevision, *aTopic.mAskedAt);
-  } else {
-    mEndpointList.TakeStore(aRevision, *aTopic.mAskedAt);
-  }
-}
-
 bool
 RelayFeed::IsProbing(const Topic& aTopic) const
 {
@@ -212,6 +225,7 @@
 RelayFeed::NoteSuccess(Topic& aTopic)
 {
   aTopic.mPause = Millis(0);
+  mDirectory.NoteAnswer(mClock.Now());
   if (!std::exchange(aTopic.mIsLost, false)) {
     return;
   }
@@ -221,50 +235,6 @@
   AbandonOldCalls();
 }
 
-void
-RelayFeed::AbandonOldCalls()
-{
-  const std::array topics{ mConfigTopic.get(),
-                           mEndpointTopic.get(),
-                           mWeightsTopic.get() };
-  const bool isAny =
-    std::any_of(topics.begin(), topics.end(), [&](const Topic* aTopic) {
-      return aTopic->mAskedAt && *aTopic->mAskedAt <= mTroubleAt;
-    });
-  if (!isAny) {
-    return;
-  }
-  for (auto* topic : topics) {
-    topic->mIsAbandoned = topic->mAskedAt.has_value();
-  }
-  mPlatform.AbandonCalls();
-}
-
-Task<void>
-RelayFeed::CheckPulse()
-{
-  bool areWatchesStale = false;
-  while (true) {
-    co_await transport::Sleep(kPulseInterval);
-    if (mWeightsTopic->mIsLost) {
-      // It asks again by itself.
-      continue;
-    }
-    const auto list = co_await mPlatform.Glance(mCodec.WeightsPrefix());
-    // Newer weights the watch should have told: it is not going to.
-    if (!list || HasNewerWeights(*list)) {
-      areWatchesStale = true;
-      mTroubleAt = mClock.Now();
-    }
-    if (list && std::exchange(areWatchesStale, false)) {
-      mLog.Write(EventLine(kFeedPart, "watches-renewed")
-                   .Add("objects", mWeightsTopic->mPrefix)
-                   .Add("revision", mWeightsTopic->mRevision));
-      AbandonOldCalls();
-    }
-  }
-}
-
 Task<void>
 RelayFeed::ExpireLapsed()
 {
--- a/packages/coordination/src/relay_feed_objects.cpp
+++ b/packages/coordination/src/relay_feed_objects.cpp
@@ -28,11 +28,11 @@
   return std::nullopt;
 }
 
-void
+bool
 RelayFeed::TakeConfig(const RawObject& aObject)
 {
   if (!mCodec.IsConfig(aObject.mKey) || aObject.mValue.empty()) {
-    return;
+    return false;
   }
   auto rules = mCodec.ReadRules(aObject.mValue);
   if (!rules) {
@@ -41,10 +41,10 @@
                  .Add("revision", aObject.mRevision)
                  .Add("in_force", mView.mConfig->Version())
                  .Add("error", rules.error().Describe()));
-    return;
+    return false;
   }
   if (rules->mVersion <= mView.mConfig->Version()) {
-    return;
+    return false;
   }
   mView.mConfig = std::make_shared<const state::RelayConfig>(std::move(*rules));
   mLog.Write(EventLine(kFeedPart, "config")
@@ -52,6 +52,7 @@
                .Add("revision", aObject.mRevision)
                .Add("routes", mView.mConfig->Rules().mRoutes.size())
                .Add("teams", mView.mConfig->Rules().mTeams.size()));
+  return true;
 }
 
 std::optional<state::EndpointInfo>
@@ -96,7 +97,7 @@
   mLog.Write(std::move(line));
 }
 
-void
+bool
 RelayFeed::TakeEndpointList(const std::vector<RawObject>& aObjects)
 {
   std::vector<state::EndpointInfo> listed;
@@ -105,28 +106,29 @@
       listed.push_back(std::move(*endpoint));
     }
   }
-  mDirectory.TakeList(listed, mClock.Now());
+  const bool isNews = mDirectory.TakeList(listed, mClock.Now());
   mLog.Write(EventLine(kFeedPart, "endpoint-list")
                .Add("endpoints", listed.size())
                .Add("revision", mEndpointTopic->mRevision));
+  return isNews;
 }
 
-void
+bool
 RelayFeed::TakeWeights(const RawObject& aObject)
 {
   if (aObject.mValue.empty()) {
-    return;
+    return false;
   }
   const auto weights = mCodec.ReadWeights(aObject.mKey, aObject.mValue);
   if (!weights) {
     mLog.Write(EventLine(kFeedPart, "weights-refused")
                  .Add("object", aObject.mKey)
                  .Add("error", weights.error().Describe()));
-    return;
+    return false;
   }
   auto& known = mView.mWeights[weights->mModel];
   if (weights->mVersion <= known.Newest()) {
-    return;
+    return false;
   }
   known.mNamings.push_back({ weights->mVersion, mClock.Now() });
   if (known.mNamings.size() > kMaxNamings) {
@@ -137,6 +139,7 @@
                .Add("model", weights->mModel)
                .Add("weights", weights->mVersion)
                .Add("revision", aObject.mRevision));
+  return true;
 }
 
 bool
--- a/packages/coordination/src/relay_feed_topic.h
+++ b/packages/coordination/src/relay_feed_topic.h
@@ -18,15 +18,20 @@
 struct RelayFeed::Topic
 {
   std::string mPrefix;
-  state::Millis mWait;
-  state::Millis mPauseAfterChange;
+  state::Millis mWait{ 0 };
+  state::Millis mPauseAfterChange{ 0 };
   bool mConfirms = false;
-  std::function<void(const std::vector<state::RawObject>&)> mTakeList;
+  /// Takes the whole list; whether it brought anything new.
+  std::function<bool(const std::vector<state::RawObject>&)> mTakeList;
   std::function<void(const state::RawObject&)> mTakeChange;
 
   std::uint64_t mRevision = 0;
   bool mIsListed = false;
   bool mIsLost = false; ///< the last call failed
+  /// Whether a silent watch shall be found out, see RelayFeed::CheckLists.
+  bool mIsChecked = false;
+  state::ListFreshness mFreshness;
+  bool mIsBeingChecked = false;
   /// When the call that waits was made; empty while none waits.
   std::optional<state::TimePoint> mAskedAt;
   bool mIsAbandoned = false; ///< that call was ended by this process itself
--- a/packages/state/include/shuntjunction/state/endpoint_directory.h
+++ b/packages/state/include/shuntjunction/state/endpoint_directory.h
@@ -26,13 +26,15 @@
 {
 public:
   /// Takes the whole list.
-  void TakeList(const std::vector<EndpointInfo>& aListed, TimePoint aNow);
+  ///
+  /// @return whether it brought anything new
+  bool TakeList(const std::vector<EndpointInfo>& aListed, TimePoint aNow);
 
-  /// Takes a changed or new entry.
-  void Put(const EndpointInfo& aEndpoint);
+  /// Takes a changed or new entry; whether it is new, or newer than before.
+  bool Put(const EndpointInfo& aEndpoint);
 
-  /// Takes the end of an entry.
-  void Remove(std::string_view aId, TimePoint aNow);
+  /// Takes the end of an entry; whether it was not known yet.
+  bool Remove(std::string_view aId, TimePoint aNow);
 
   /// Notes that the list could not be read.
   void NoteOutage(TimePoint aNow);
--- a/packages/state/include/shuntjunction/state/list_freshness.h
+++ b/packages/state/include/shuntjunction/state/list_freshness.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <algorithm>
 #include <atomic>
 #include <cstdint>
+#include <set>
 
 #include "shuntjunction/state/freshness.h"
 
@@ -20,20 +20,13 @@
 {
 public:
   /// Takes an answer about the list: it is known up to a revision.
-  void TakeOwn(std::uint64_t aRevision, TimePoint aAskedAt)
-  {
-    mKnown = std::max(mKnown.load(), aRevision);
-    TakeStore(aRevision, aAskedAt);
-  }
+  void TakeOwn(std::uint64_t aRevision, TimePoint aAskedAt);
+
+  /// Takes a change of other objects: at its revision the list did not change.
+  void TakeOther(std::uint64_t aRevision);
 
   /// Takes the store's revision from an answer about any objects.
-  void TakeStore(std::uint64_t aRevision, TimePoint aAskedAt)
-  {
-    mStore = std::max(mStore.load(), aRevision);
-    if (aRevision <= mKnown) {
-      mConfirmed.Confirm(aAskedAt);
-    }
-  }
+  void TakeStore(std::uint64_t aRevision, TimePoint aAskedAt);
 
   /// Whether the store has changes that the list has not been told of; they
   /// need not be the list's.
@@ -53,8 +46,11 @@
   bool IsKnown() const { return mConfirmed.IsKnown(); }
 
 private:
+  void AdvanceTo(std::uint64_t aRevision);
+
   std::atomic<std::uint64_t> mKnown{ 0 };
   std::atomic<std::uint64_t> mStore{ 0 };
+  std::set<std::uint64_t> mOthers; ///< revisions above mKnown, of other objects
   Freshness mConfirmed;
 };
 
--- a/packages/state/src/endpoint_directory.cpp
+++ b/packages/state/src/endpoint_directory.cpp
@@ -4,14 +4,15 @@
 
 namespace shuntjunction::state {
 
-void
+bool
 EndpointDirectory::TakeList(const std::vector<EndpointInfo>& aListed,
                             TimePoint aNow)
 {
+  bool isNews = false;
   std::set<std::string_view> listed;
   for (const auto& endpoint : aListed) {
     listed.insert(endpoint.mId);
-    Put(endpoint);
+    isNews = Put(endpoint) || isNews;
   }
   std::vector<std::string> missing;
   for (const auto& [id, entry] : mEntries) {
@@ -20,31 +21,36 @@
     }
   }
   for (const auto& id : missing) {
-    Remove(id, aNow);
+    isNews = Remove(id, aNow) || isNews;
   }
+  return isNews;
 }
 
-void
+bool
 EndpointDirectory::Put(const EndpointInfo& aEndpoint)
 {
   auto& entry = mEntries[aEndpoint.mId];
   const auto first = entry.mFirstRevision;
+  const bool isNews =
+    entry.mIsLapsed || entry.mInfo.mRevision != aEndpoint.mRevision;
   entry = Entry{ aEndpoint, first == 0 ? aEndpoint.mRevision : first };
+  return isNews;
 }
 
-void
+bool
 EndpointDirectory::Remove(std::string_view aId, TimePoint aNow)
 {
   const auto found = mEntries.find(aId);
-  if (found == mEntries.end()) {
-    return;
+  if (found == mEntries.end() || found->second.mIsLapsed) {
+    return false;
   }
   if (found->second.mInfo.mIsLeaving || !IsInGrace(aNow)) {
     mEntries.erase(found);
-  } else if (!found->second.mIsLapsed) {
+  } else {
     found->second.mIsLapsed = true;
     found->second.mGoesAt = mLastOutage + kLapseGrace;
   }
+  return true;
 }
 
 void
--- /dev/null
+++ b/packages/state/src/list_freshness.cpp
@@ -0,0 +1,55 @@
+#include "shuntjunction/state/list_freshness.h"
+
+#include <algorithm>
+
+namespace shuntjunction::state {
+
+namespace {
+
+/// Revisions of other objects that are remembered. One that is forgotten costs
+/// a reading of the list, no more.
+constexpr std::size_t kMaxOthers = 1024;
+
+} // namespace
+
+void
+ListFreshness::TakeOwn(std::uint64_t aRevision, TimePoint aAskedAt)
+{
+  AdvanceTo(aRevision);
+  TakeStore(aRevision, aAskedAt);
+}
+
+void
+ListFreshness::TakeOther(std::uint64_t aRevision)
+{
+  if (aRevision <= mKnown) {
+    return;
+  }
+  mOthers.insert(aRevision);
+  if (mOthers.size() > kMaxOthers) {
+    mOthers.erase(mOthers.begin());
+  }
+  AdvanceTo(mKnown);
+}
+
+void
+ListFreshness::TakeStore(std::uint64_t aRevision, TimePoint aAskedAt)
+{
+  mStore = std::max(mStore.load(), aRevision);
+  if (aRevision <= mKnown) {
+    mConfirmed.Confirm(aAskedAt);
+  }
+}
+
+void
+ListFreshness::AdvanceTo(std::uint64_t aRevision)
+{
+  std::uint64_t known = std::max(mKnown.load(), aRevision);
+  while (mOthers.contains(known + 1)) {
+    ++known;
+  }
+  mOthers.erase(mOthers.begin(), mOthers.upper_bound(known));
+  mKnown = known;
+}
+
+} // namespace shuntjunction::state
--- a/packages/transport/src/http_client.cpp
+++ b/packages/transport/src/http_client.cpp
@@ -20,6 +20,10 @@
 constexpr std::size_t kMaxIdleConnections = 16;
 constexpr std::size_t kReadBytes = 16UL * 1024;
 
+/// A connection that rested longer is not used again: one that a cut or a
+/// restart left without a word looks sound, and costs a call its whole timeout.
+constexpr std::chrono::milliseconds kMaxRest{ 1000 };
+
 http::request<http::string_body>
 ToBeast(const HttpRequest& aRequest, const std::string& aHost)
 {
@@ -51,7 +55,7 @@
 
   beast::tcp_stream mStream;
   beast::flat_buffer mBuffer;
-  bool mIsReused = false;
+  std::chrono::steady_clock::time_point mRestsSince;
 };
 
 /// An answer that is read in pieces over its own connection.
@@ -200,7 +204,7 @@
   }
   response.mBody = std::move(answer.body());
   if (isKept && mIdle.size() < kMaxIdleConnections) {
-    aConnection->mIsReused = true;
+    aConnection->mRestsSince = std::chrono::steady_clock::now();
     mIdle.push_back(std::move(aConnection));
   }
   co_return response;
@@ -220,7 +224,9 @@
     socket.non_blocking(true, error);
     socket.receive(
       asio::buffer(&probe, 1), asio::socket_base::message_peek, error);
-    if (error != asio::error::would_block) {
+    const auto rest =
+      std::chrono::steady_clock::now() - connection->mRestsSince;
+    if (error != asio::error::would_block || rest > kMaxRest) {
       connection.reset();
     }
   }
