An endpoint is looked at again right before a request is sent to it

Cause: between the choice and the first byte a request waits for a part (up to 350 ms) and for a connection (up to 400 ms), and nobody looked again whether the endpoint still takes work. Class: a belief used later than it was checked. Change: one that began to leave, or went, meanwhile gets nothing ('left'), and another is chosen. Resting connections of leaving endpoints are closed at once.

--- a/packages/coordination/src/relay_attempt.cpp
+++ b/packages/coordination/src/relay_attempt.cpp
@@ -87,6 +87,14 @@
   if (connected != AttemptOutcome::kDone) {
     co_return connected;
   }
+  // The wait for a part and the connection took up to 0.75 s since the choice:
+  // an endpoint that began to leave meanwhile gets nothing any more.
+  if (!endpoint.TakesWork()) {
+    mOpenAttempt = nullptr;
+    attempt.mConnection.mReader->Close(false);
+    mLastProblem = "endpoint left";
+    co_return AttemptOutcome::kLeft;
+  }
   if (const auto reason = ReasonToWithhold(); !reason.empty()) {
     // Nothing was sent yet, and the connection is as good as before.
     mOpenAttempt = nullptr;
--- a/packages/coordination/src/relay_endpoint.cpp
+++ b/packages/coordination/src/relay_endpoint.cpp
@@ -56,6 +56,9 @@
       leaving.push_back(entry);
     }
     entry->mInfo = info;
+    if (info.mIsLeaving) {
+      entry->mIdle.clear();
+    }
   }
   std::erase_if(mById, [&](const auto& aItem) {
     const bool isGone = !listed.contains(aItem.first);
@@ -77,8 +80,7 @@
 {
   std::vector<RelayEndpointPtr> serving;
   for (const auto& [id, endpoint] : mById) {
-    const auto& info = endpoint->mInfo;
-    if (info.mService == aService && !info.mIsLeaving) {
+    if (endpoint->mInfo.mService == aService && endpoint->TakesWork()) {
       serving.push_back(endpoint);
     }
   }
@@ -117,7 +119,7 @@
                         std::string_view aKeepAlive,
                         TimePoint aNow)
 {
-  if (!aEndpoint.mIsListed || aEndpoint.mInfo.mIsLeaving) {
+  if (!aEndpoint.TakesWork()) {
     aConnection.mReader->Close(false);
     return;
   }
--- a/packages/coordination/src/relay_endpoint.h
+++ b/packages/coordination/src/relay_endpoint.h
@@ -68,6 +68,9 @@
   /// What its companion said last; empty before it said anything.
   std::optional<protocol::EngineNews> mNews;
   state::TimePoint mNewsAt;
+
+  /// Whether it may get new work, as far as the list says.
+  bool TakesWork() const { return mIsListed && !mInfo.mIsLeaving; }
 };
 
 using RelayEndpointPtr = std::shared_ptr<RelayEndpoint>;
@@ -80,7 +83,8 @@
 public:
   explicit RelayEndpoints(const RelayEndpointSettings& aSettings);
 
-  /// Takes the list; connections of endpoints that went are closed.
+  /// Takes the list; resting connections of endpoints that leave, or went, are
+  /// closed.
   ///
   /// @return those that took new work until now and take none any more
   std::vector<RelayEndpointPtr> Update(
--- a/packages/coordination/src/relay_run.cpp
+++ b/packages/coordination/src/relay_run.cpp
@@ -291,6 +291,7 @@
       endpoint.mClosedUntil = Now() + endpoints.Settings().mMisdirectedPause;
       break;
     case AttemptOutcome::kWithheld:
+    case AttemptOutcome::kLeft:
     case AttemptOutcome::kInterrupted:
       break;
   }
--- a/packages/coordination/src/relay_run.h
+++ b/packages/coordination/src/relay_run.h
@@ -24,6 +24,7 @@
   kDone,        ///< the answer was passed on, whole
   kUnsent,      ///< the endpoint could not be reached; nothing was sent
   kWithheld,    ///< nothing was sent, and nothing may be any more
+  kLeft,        ///< nothing was sent: the endpoint takes no work any more
   kNotRun,      ///< the endpoint said that it did not run the request
   kMisdirected, ///< the endpoint is another, or has other weights
   kBroken,      ///< it may have run; the answer is missing or unusable
@@ -31,10 +32,11 @@
 };
 
 /// Names of AttemptOutcome.
-inline constexpr state::EnumNames<AttemptOutcome, 7> kAttemptOutcomeNames{
+inline constexpr state::EnumNames<AttemptOutcome, 8> kAttemptOutcomeNames{
   { "done",
     "unsent",
     "withheld",
+    "left",
     "not-run",
     "misdirected",
     "broken",
