Calls that fail now and then no longer keep a removed endpoint

Cause: each failed call of any topic put the end of every lapsed entry off by the whole grace. Class: a deadline that unrelated trouble moves. Change: only time in which the store gave no answer is added.

--- a/packages/state/include/shuntjunction/state/endpoint_directory.h
+++ b/packages/state/include/shuntjunction/state/endpoint_directory.h
@@ -36,7 +36,11 @@
   /// Takes the end of an entry; whether it was not known yet.
   bool Remove(std::string_view aId, TimePoint aNow);
 
-  /// Notes that the list could not be read.
+  /// Notes that a call to the store failed.
+  ///
+  /// The time since its last answer does not count for the grace of lapsed
+  /// entries: nobody could write one again. The time before does, or calls that
+  /// fail now and then would keep an endpoint that is gone for good.
   void NoteOutage(TimePoint aNow);
 
   /// Notes that the store answered.
--- a/packages/state/src/endpoint_directory.cpp
+++ b/packages/state/src/endpoint_directory.cpp
@@ -56,10 +56,14 @@
 void
 EndpointDirectory::NoteOutage(TimePoint aNow)
 {
+  const auto silence = aNow - mLastWord;
   mHadOutage = true;
   mLastOutage = aNow;
+  mLastWord = aNow;
   for (auto& [id, entry] : mEntries) {
-    entry.mGoesAt = aNow + kLapseGrace;
+    if (entry.mIsLapsed) {
+      entry.mGoesAt += silence;
+    }
   }
 }
 
