A late request that would wait in vain is refused at once

Cause: requests that are expected late go behind those that can be in time. In a burst of six times the traffic 770 did, 4 were in time, 62 late, and 704 waited to their deadline: their callers could not come back any more. Ruled out: bad placement (all nine engines have 17,000 to 44,000 tokens waiting). Change: LateQueue. While the longest waiting of them at an engine has waited for a whole objective, one more is refused: 503, nothing was sent, to come back once what waits now is read, spread over as long again. Only before the first send. Test: the model engine at twice its load, in vain before against after.

--- a/packages/coordination/src/relay_attempt.cpp
+++ b/packages/coordination/src/relay_attempt.cpp
@@ -105,6 +105,7 @@
   }
   mPartialEvent.clear();
   LogSent(attempt.mPick);
+  attempt.mPick.mSentAt = Now();
   ++endpoint.mRunning;
   NoteWaiting(attempt.mPick);
   mTried.push_back(endpoint.mInfo.mId);
@@ -240,6 +241,9 @@
 {
   auto& endpoint = *aPick.mEndpoint;
   endpoint.mWaiting.Add(aPick.mUrgency, aPick.mTokensToRead);
+  if (aPick.mIsBehind) {
+    endpoint.mLate.Add(aPick.mSentAt);
+  }
   TellWaiting(endpoint);
 }
 
@@ -248,6 +252,9 @@
 {
   auto& endpoint = *aPick.mEndpoint;
   endpoint.mWaiting.Remove(aPick.mUrgency, aPick.mTokensToRead);
+  if (aPick.mIsBehind) {
+    endpoint.mLate.Remove(aPick.mSentAt);
+  }
   TellWaiting(endpoint);
 }
 
--- a/packages/coordination/src/relay_choice_view.cpp
+++ b/packages/coordination/src/relay_choice_view.cpp
@@ -221,6 +221,7 @@
   pick.mUrgency = state::UrgencyToSend(
     { aAsk.mElapsed, pick.mExpected, aAsk.mObjective, aAsk.mUrgency },
     aCore.mLimits.mFirstToken);
+  pick.mIsBehind = pick.mUrgency > aAsk.mUrgency;
   return pick;
 }
 
--- a/packages/coordination/src/relay_endpoint.h
+++ b/packages/coordination/src/relay_endpoint.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "shuntjunction/protocol/messages.h"
+#include "shuntjunction/state/late_queue.h"
 #include "shuntjunction/state/part_index.h"
 #include "shuntjunction/state/relay_config.h"
 #include "shuntjunction/transport/relay_message.h"
@@ -61,6 +62,7 @@
   std::set<std::shared_ptr<transport::SocketReader>> mBusy;
   std::int64_t mRunning = 0;     ///< requests of this relay there
   state::WaitingTokens mWaiting; ///< of this relay's, by their urgency there
+  state::LateQueue mLate;        ///< of this relay's, behind all others there
   int mFailures = 0;             ///< in a row
   state::Millis mSuspicion{ 0 };
   state::TimePoint mSuspectUntil;
--- a/packages/coordination/src/relay_run.cpp
+++ b/packages/coordination/src/relay_run.cpp
@@ -183,6 +183,13 @@
     if (!pick) {
       break;
     }
+    if (IsInVain(*pick)) {
+      std::uniform_real_distribution<double> draw(0.0, 1.0);
+      mLastProblem = "overloaded";
+      mRetryAfter = pick->mEndpoint->mLate.ReturnAfter(pick->mExpected,
+                                                       draw(mCore->mRandom));
+      break;
+    }
     co_await WaitForPart(*pick);
     if (mInterrupt != RunInterrupt::kNone) {
       break;
@@ -232,6 +239,13 @@
   co_return std::nullopt;
 }
 
+bool
+RelayRun::IsInVain(const RelayPick& aPick) const
+{
+  return aPick.mIsBehind && mTried.empty() &&
+         aPick.mEndpoint->mLate.IsStuck(Now(), mRoute->mObjective);
+}
+
 Task<void>
 RelayRun::WaitForPart(const RelayPick& aPick)
 {
--- a/packages/coordination/src/relay_run.h
+++ b/packages/coordination/src/relay_run.h
@@ -82,6 +82,8 @@
   transport::Task<void> Serve();
   transport::Task<std::optional<RelayPick>> Pick();
   transport::Task<void> WaitForPart(const RelayPick& aPick);
+  /// Whether a request that nobody got yet would wait in vain at its endpoint.
+  bool IsInVain(const RelayPick& aPick) const;
   transport::Task<AttemptOutcome> Try(RelayPick aPick);
   transport::Task<AttemptOutcome> Connect(Attempt& aAttempt);
   /// Why a request must not be sent at this moment; empty: it may be.
--- /dev/null
+++ b/packages/state/src/late_queue.cpp
@@ -0,0 +1,48 @@
+#include "shuntjunction/state/late_queue.h"
+
+#include <algorithm>
+
+namespace shuntjunction::state {
+
+LateQueue::LateQueue(const LateQueueSettings& aSettings)
+  : mSettings(aSettings)
+{
+}
+
+void
+LateQueue::Add(TimePoint aSentAt)
+{
+  mSent.insert(aSentAt);
+}
+
+void
+LateQueue::Remove(TimePoint aSentAt)
+{
+  const auto found = mSent.find(aSentAt);
+  if (found != mSent.end()) {
+    mSent.erase(found);
+  }
+}
+
+bool
+LateQueue::IsStuck(TimePoint aNow, Millis aObjective) const
+{
+  if (mSent.empty()) {
+    return false;
+  }
+  const auto waited =
+    std::chrono::duration_cast<Millis>(aNow - *mSent.begin()).count();
+  return static_cast<double>(waited) >
+         mSettings.mMostWait * static_cast<double>(aObjective.count());
+}
+
+Millis
+LateQueue::ReturnAfter(Millis aExpected, double aDraw) const
+{
+  const double first =
+    static_cast<double>(std::max(aExpected, mSettings.mFirstReturn).count());
+  return Millis(
+    static_cast<std::int64_t>(first * (1.0 + mSettings.mReturnSpread * aDraw)));
+}
+
+} // namespace shuntjunction::state
--- a/packages/state/tests/engine_model.h
+++ b/packages/state/tests/engine_model.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "shuntjunction/state/first_token.h"
+#include "shuntjunction/state/late_queue.h"
 #include "shuntjunction/state/waiting_tokens.h"
 
 /// An engine in virtual time, and callers who ask it by the real decisions.
@@ -20,8 +21,15 @@
   int mSentUrgency = 0;           ///< as the decision made it
   std::int64_t mAhead = 0;        ///< tokens that waited before it when sent
   std::optional<Millis> mFirst{}; ///< when its first token came
+  bool mIsRefused = false;        ///< at once, when it came
 
   bool IsInTime() const { return mFirst && *mFirst - mArrival <= mObjective; }
+
+  /// Whether its caller waited as long as it could, and got nothing.
+  bool IsInVain() const { return !mFirst && !mIsRefused; }
+
+  bool IsBehind() const { return mSentUrgency > mUrgency; }
+  TimePoint SentAt() const { return TimePoint(mArrival); }
 };
 
 /// How requests are handed to the engine.
@@ -29,6 +37,7 @@
 {
   kAsTheyCome,  ///< by the route's urgency alone
   kByObjective, ///< by UrgencyToSend
+  kRefusing,    ///< the same, and LateQueue says which are refused
 };
 
 /// Plays requests, sorted by arrival, against an engine that reads one prompt
@@ -54,8 +63,10 @@
         now = std::max(now, aRequests[next].mArrival);
       }
       while (next < aRequests.size() && aRequests[next].mArrival <= now) {
-        Send(aRequests[next]);
-        waiting.push_back(&aRequests[next++]);
+        auto& request = aRequests[next++];
+        if (Send(request)) {
+          waiting.push_back(&request);
+        }
       }
       GiveUp(waiting, now);
       if (!waiting.empty()) {
@@ -65,7 +76,8 @@
   }
 
 private:
-  void Send(ModelRequest& aRequest)
+  /// Whether it waits from now on.
+  bool Send(ModelRequest& aRequest)
   {
     aRequest.mAhead = mWaiting.AheadOf(aRequest.mUrgency);
     const auto expected = mRate.TimeOf(aRequest.mAhead + aRequest.mTokens);
@@ -75,7 +87,26 @@
         : UrgencyToSend(
             { Millis(0), expected, aRequest.mObjective, aRequest.mUrgency },
             mSettings);
+    aRequest.mIsRefused = mOrder == ModelOrder::kRefusing &&
+                          aRequest.IsBehind() &&
+                          mLate.IsStuck(aRequest.SentAt(), aRequest.mObjective);
+    if (aRequest.mIsRefused) {
+      return false;
+    }
     mWaiting.Add(aRequest.mSentUrgency, aRequest.mTokens);
+    if (aRequest.IsBehind()) {
+      mLate.Add(aRequest.SentAt());
+    }
+    return true;
+  }
+
+  /// It waits no more.
+  void Leave(const ModelRequest& aRequest)
+  {
+    mWaiting.Remove(aRequest.mSentUrgency, aRequest.mTokens);
+    if (aRequest.IsBehind()) {
+      mLate.Remove(aRequest.SentAt());
+    }
   }
 
   void GiveUp(std::vector<ModelRequest*>& aWaiting, Millis aNow)
@@ -83,7 +114,7 @@
     std::erase_if(aWaiting, [&](const ModelRequest* aRequest) {
       const bool isGone = aNow - aRequest->mArrival > mPatience;
       if (isGone) {
-        mWaiting.Remove(aRequest->mSentUrgency, aRequest->mTokens);
+        Leave(*aRequest);
       }
       return isGone;
     });
@@ -100,7 +131,7 @@
     const Millis took(
       static_cast<std::int64_t>(static_cast<double>(request.mTokens) / mReads));
     request.mFirst = aNow + took;
-    mWaiting.Remove(request.mSentUrgency, request.mTokens);
+    Leave(request);
     if (request.mSentUrgency == request.mUrgency) {
       mRate.Note(request.mAhead + request.mTokens,
                  *request.mFirst - request.mArrival);
@@ -114,6 +145,7 @@
   FirstTokenSettings mSettings;
   ReadingRate mRate{ mSettings };
   WaitingTokens mWaiting;
+  LateQueue mLate;
 };
 
 } // namespace shuntjunction::state
--- a/packages/state/tests/first_token_test.cpp
+++ b/packages/state/tests/first_token_test.cpp
@@ -134,6 +134,13 @@
                          aRequests.end(),
                          [](const auto& aOne) { return aOne.IsInTime(); });
   }
+
+  static long InVain(const std::vector<ModelRequest>& aRequests)
+  {
+    return std::count_if(aRequests.begin(),
+                         aRequests.end(),
+                         [](const auto& aOne) { return aOne.IsInVain(); });
+  }
 };
 
 TEST_F(GivenTwiceWhatAnEngineReads, AsTheyComeNearlyAllAreLate)
@@ -157,4 +164,56 @@
   EXPECT_GT(served, InTime(requests));
 }
 
+TEST_F(GivenTwiceWhatAnEngineReads, WhoWouldWaitInVainIsRefusedAtOnce)
+{
+  const auto without = Play(ModelOrder::kByObjective);
+  const auto with = Play(ModelOrder::kRefusing);
+  EXPECT_GE(InTime(with), InTime(without));
+  EXPECT_LE(InVain(with), InVain(without) / 2);
+}
+
+TEST_F(GivenTwiceWhatAnEngineReads, NobodyIsWhileAllCanBeServed)
+{
+  std::vector<ModelRequest> requests;
+  for (int i = 0; i < 40; ++i) {
+    requests.push_back({ Millis(300 * i), 9000, Millis(600) });
+  }
+  EngineModel(40.0, ModelOrder::kRefusing, Millis(2400)).Play(requests);
+  EXPECT_EQ(InTime(requests), 40);
+}
+
+/// Requests that wait behind the others at an engine.
+class GivenALateQueue : public ::testing::Test
+{
+protected:
+  static constexpr Millis kObjective{ 600 };
+
+  ManualClock mClock;
+  LateQueue mQueue;
+};
+
+TEST_F(GivenALateQueue, ItIsStuckOnceOneHasWaitedForItsObjective)
+{
+  EXPECT_FALSE(mQueue.IsStuck(mClock.Now(), kObjective));
+  const auto first = mClock.Now();
+  mQueue.Add(first);
+  mClock.Advance(kObjective);
+  mQueue.Add(mClock.Now());
+  EXPECT_FALSE(mQueue.IsStuck(mClock.Now(), kObjective));
+  mClock.Advance(Millis(1));
+  EXPECT_TRUE(mQueue.IsStuck(mClock.Now(), kObjective));
+  {
+    SCOPED_TRACE("it got its first token");
+    mQueue.Remove(first);
+    EXPECT_FALSE(mQueue.IsStuck(mClock.Now(), kObjective));
+  }
+}
+
+TEST_F(GivenALateQueue, RefusedCallersComeBackSpreadAfterWhatWaitsIsRead)
+{
+  EXPECT_EQ(mQueue.ReturnAfter(Millis(800), 0.0), Millis(800));
+  EXPECT_EQ(mQueue.ReturnAfter(Millis(800), 1.0), Millis(1600));
+  EXPECT_EQ(mQueue.ReturnAfter(Millis(10), 0.0), Millis(300));
+}
+
 } // namespace shuntjunction::state
