--- a/packages/coordination/src/relay.cpp
+++ b/packages/coordination/src/relay.cpp
@@ -122,13 +122,11 @@
   mCore->mView = std::move(aView);
   const auto leaving = mCore->mEndpoints.Update(mCore->mView->mEndpoints);
   for (const auto& endpoint : leaving) {
-    mCore->mParts.mLog.Write(
-      EventLine(kRelayPart, "endpoint-leaving")
-        .Add("endpoint", endpoint->mInfo.mId)
-        .Add("listed", endpoint->mIsListed)
-        .Add("revision", endpoint->mInfo.mRevision)
-        .Add("running", endpoint->mRunning)
-        .Add("idle_connections", endpoint->mIdle.size()));
+    mCore->mParts.mLog.Write(EventLine(kRelayPart, "endpoint-leaving")
+                               .Add("endpoint", endpoint->mInfo.mId)
+                               .Add("listed", endpoint->mIsListed)
+                               .Add("revision", endpoint->mInfo.mRevision)
+                               .Add("running", endpoint->mRunning));
   }
 }
 
--- a/packages/coordination/src/relay_choice_view.h
+++ b/packages/coordination/src/relay_choice_view.h
@@ -31,8 +31,8 @@
   bool mIsKept = false;    ///< the endpoint keeps the part, as far as is known
   std::int64_t mTokensToRead = 0; ///< estimate
   int mUrgency = 0;               ///< by which the engine shall order it
-  bool mIsBehind = false; ///< expected late: behind those that can be in time
-  state::TimePoint mSentAt;
+  bool mIsBehind = false;   ///< expected late: behind those that can be in time
+  state::TimePoint mSentAt; ///< set when it is sent
   // What was known when it was chosen, for the log.
   std::size_t mCandidates = 0;     ///< endpoints that were weighed
   std::int64_t mWaitingTokens = 0; ///< to be read there before the request's
--- a/packages/coordination/src/relay_run.cpp
+++ b/packages/coordination/src/relay_run.cpp
@@ -184,10 +184,7 @@
       break;
     }
     if (IsInVain(*pick)) {
-      std::uniform_real_distribution<double> draw(0.0, 1.0);
-      mLastProblem = "overloaded";
-      mRetryAfter = pick->mEndpoint->mLate.ReturnAfter(pick->mExpected,
-                                                       draw(mCore->mRandom));
+      NoteOverload(*pick);
       break;
     }
     co_await WaitForPart(*pick);
@@ -246,6 +243,15 @@
          aPick.mEndpoint->mLate.IsStuck(Now(), mRoute->mObjective);
 }
 
+void
+RelayRun::NoteOverload(const RelayPick& aPick)
+{
+  std::uniform_real_distribution<double> draw(0.0, 1.0);
+  mLastProblem = "overloaded";
+  mRetryAfter =
+    aPick.mEndpoint->mLate.ReturnAfter(aPick.mExpected, draw(mCore->mRandom));
+}
+
 Task<void>
 RelayRun::WaitForPart(const RelayPick& aPick)
 {
--- a/packages/coordination/src/relay_run.h
+++ b/packages/coordination/src/relay_run.h
@@ -84,6 +84,8 @@
   transport::Task<void> WaitForPart(const RelayPick& aPick);
   /// Whether a request that nobody got yet would wait in vain at its endpoint.
   bool IsInVain(const RelayPick& aPick) const;
+  /// Notes what its caller is told then.
+  void NoteOverload(const RelayPick& aPick);
   transport::Task<AttemptOutcome> Try(RelayPick aPick);
   transport::Task<AttemptOutcome> Connect(Attempt& aAttempt);
   /// Why a request must not be sent at this moment; empty: it may be.
--- a/packages/coordination/src/relay_session.cpp
+++ b/packages/coordination/src/relay_session.cpp
@@ -14,7 +14,6 @@
 
 namespace {
 
-constexpr std::string_view kPart = "relay";
 constexpr unsigned kTooSlow = 408;
 constexpr unsigned kUnavailable = 503;
 
@@ -142,8 +141,9 @@
 Task<void>
 RelaySession::RefuseUnread(unsigned aStatus, std::string_view aProblem)
 {
-  mCore->mParts.mLog.Write(
-    EventLine(kPart, "unread").Add("status", aStatus).Add("problem", aProblem));
+  mCore->mParts.mLog.Write(EventLine(kRelayPart, "unread")
+                             .Add("status", aStatus)
+                             .Add("problem", aProblem));
   std::string text = "HTTP/1.1 " + std::to_string(aStatus) +
                      " refused\r\nContent-Length: 0\r\nConnection: close\r\n";
   if (aStatus == kUnavailable) {
