--- a/packages/state/src/late_queue.cpp
+++ b/packages/state/src/late_queue.cpp
@@ -39,7 +39,7 @@
 Millis
 LateQueue::ReturnAfter(Millis aExpected, double aDraw) const
 {
-  const double first =
+  const auto first =
     static_cast<double>(std::max(aExpected, mSettings.mFirstReturn).count());
   return Millis(
     static_cast<std::int64_t>(first * (1.0 + mSettings.mReturnSpread * aDraw)));
--- a/packages/state/tests/first_token_test.cpp
+++ b/packages/state/tests/first_token_test.cpp
@@ -174,12 +174,14 @@
 
 TEST_F(GivenTwiceWhatAnEngineReads, NobodyIsWhileAllCanBeServed)
 {
+  constexpr int kRequests = 40;
   std::vector<ModelRequest> requests;
-  for (int i = 0; i < 40; ++i) {
+  requests.reserve(kRequests);
+  for (int i = 0; i < kRequests; ++i) {
     requests.push_back({ Millis(300 * i), 9000, Millis(600) });
   }
   EngineModel(40.0, ModelOrder::kRefusing, Millis(2400)).Play(requests);
-  EXPECT_EQ(InTime(requests), 40);
+  EXPECT_EQ(InTime(requests), kRequests);
 }
 
 /// Requests that wait behind the others at an engine.
