A query that fails at one endpoint is tried at another

The caller's one retry found a failure again in 86 of 156 cases. Change: a failure of a repeatable route, read whole, is kept while one other endpoint is tried, within budget, attempts and time; if that does no better, the caller gets the endpoint's own failure with its signature.

--- a/packages/coordination/src/relay_answer.cpp
+++ b/packages/coordination/src/relay_answer.cpp
@@ -19,6 +19,7 @@
 constexpr unsigned kTooMany = 429;
 constexpr unsigned kRequestTimeout = 408;
 constexpr unsigned kUnavailable = 503;
+constexpr unsigned kServerError = 500;
 constexpr unsigned kNoContent = 204;
 constexpr unsigned kNotModified = 304;
 
@@ -89,6 +90,12 @@
     if (!aAttempt.mIsHeadJudged) {
       continue;
     }
+    if (isDone && !aAttempt.mIsStreamed && MayFailElsewhere(aAttempt)) {
+      aAttempt.mHeld += aAttempt.mAnswer->TakeBody();
+      KeepFailure(aAttempt);
+      Finish(aAttempt);
+      co_return AttemptOutcome::kFailed;
+    }
     if (!co_await PassBody(aAttempt, isDone)) {
       co_return mInterrupt != RunInterrupt::kNone ? AttemptOutcome::kInterrupted
                                                   : AttemptOutcome::kBroken;
@@ -258,8 +265,8 @@
   co_return true;
 }
 
-Task<bool>
-RelayRun::PassHeldAnswer(Attempt& aAttempt)
+std::string
+RelayRun::HeldAnswerText(const Attempt& aAttempt) const
 {
   const auto& head = aAttempt.mAnswer->Head();
   std::optional<std::size_t> length = aAttempt.mHeld.size();
@@ -269,12 +276,38 @@
   } else if (HasNoBody(head.mStatus)) {
     length = std::nullopt;
   }
-  std::string text = HeadText(head, length) + "\r\n" + aAttempt.mHeld;
+  return HeadText(head, length) + "\r\n" + aAttempt.mHeld;
+}
+
+Task<bool>
+RelayRun::PassHeldAnswer(Attempt& aAttempt)
+{
+  std::string text = HeldAnswerText(aAttempt);
   mIsHeadPassed = true;
-  mFirstStatus = head.mStatus;
+  mFirstStatus = aAttempt.mAnswer->Head().mStatus;
   co_return co_await WriteToCaller(std::move(text));
 }
 
+bool
+RelayRun::MayFailElsewhere(const Attempt& aAttempt) const
+{
+  const bool isFailure = aAttempt.mAnswer->Head().mStatus == kServerError &&
+                         mRoute->mKind == RouteKind::kRepeatable;
+  const bool mayTry = mFailure.empty() &&
+                      static_cast<int>(mTried.size()) < mRoute->mMaxAttempts;
+  // As long again, and some: otherwise the failure itself would come late.
+  const auto spent = SinceArrival();
+  return isFailure && mayTry && Now() + 2 * spent < mDeadline;
+}
+
+void
+RelayRun::KeepFailure(const Attempt& aAttempt)
+{
+  mFailure = HeldAnswerText(aAttempt);
+  mFailureStatus = aAttempt.mAnswer->Head().mStatus;
+  mLastProblem = "endpoint failed: " + std::to_string(mFailureStatus);
+}
+
 Task<bool>
 RelayRun::PassStreamPiece(Attempt& aAttempt, bool aIsDone)
 {
--- a/packages/coordination/src/relay_reply.cpp
+++ b/packages/coordination/src/relay_reply.cpp
@@ -1,5 +1,6 @@
 #include <array>
 #include <cstdio>
+#include <utility>
 
 #include <boost/asio/write.hpp>
 
@@ -34,6 +35,13 @@
       "cut", mInterrupt == RunInterrupt::kDeadline ? "deadline" : mLastProblem);
     co_return;
   }
+  if (!mFailure.empty()) {
+    // No other endpoint did better: the answer is the endpoint's own.
+    mFirstStatus = mFailureStatus;
+    co_await WriteToCaller(std::exchange(mFailure, {}));
+    LogOutcome("answered", mLastProblem);
+    co_return;
+  }
   const bool isLate = mInterrupt == RunInterrupt::kDeadline;
   const std::string reason = isLate ? "deadline" : mLastProblem;
   if (!mMayHaveRun) {
--- a/packages/coordination/src/relay_run.cpp
+++ b/packages/coordination/src/relay_run.cpp
@@ -310,6 +310,7 @@
     case AttemptOutcome::kMisdirected:
       endpoint.mClosedUntil = Now() + endpoints.Settings().mMisdirectedPause;
       break;
+    case AttemptOutcome::kFailed:
     case AttemptOutcome::kWithheld:
     case AttemptOutcome::kLeft:
     case AttemptOutcome::kInterrupted:
--- a/packages/coordination/src/relay_run.h
+++ b/packages/coordination/src/relay_run.h
@@ -27,18 +27,20 @@
   kLeft,        ///< nothing was sent: the endpoint takes no work any more
   kNotRun,      ///< the endpoint said that it did not run the request
   kMisdirected, ///< the endpoint is another, or has other weights
+  kFailed,      ///< the endpoint's own failure, which is kept for the caller
   kBroken,      ///< it may have run; the answer is missing or unusable
   kInterrupted, ///< see RunInterrupt
 };
 
 /// Names of AttemptOutcome.
-inline constexpr state::EnumNames<AttemptOutcome, 8> kAttemptOutcomeNames{
+inline constexpr state::EnumNames<AttemptOutcome, 9> kAttemptOutcomeNames{
   { "done",
     "unsent",
     "withheld",
     "left",
     "not-run",
     "misdirected",
+    "failed",
     "broken",
     "interrupted" }
 };
@@ -116,6 +118,11 @@
   std::optional<AttemptOutcome> JudgeHead(Attempt& aAttempt);
   transport::Task<bool> PassBody(Attempt& aAttempt, bool aIsDone);
   transport::Task<bool> PassHeldAnswer(Attempt& aAttempt);
+  /// Whether an endpoint's failure, read whole, is worth a try at another.
+  bool MayFailElsewhere(const Attempt& aAttempt) const;
+  /// Keeps an endpoint's failure for its caller, if no other does better.
+  void KeepFailure(const Attempt& aAttempt);
+  std::string HeldAnswerText(const Attempt& aAttempt) const;
   transport::Task<bool> PassStreamPiece(Attempt& aAttempt, bool aIsDone);
   std::string TakeWholeEvents(std::string aBytes, bool aIsDone);
   void NoteAnswerBegun(const Attempt& aAttempt);
@@ -157,6 +164,8 @@
   bool mMayHaveRun = false;
   bool mIsHeadPassed = false;
   bool mIsKept = true;
+  std::string mFailure; ///< an endpoint's own, as its caller would get it
+  unsigned mFailureStatus = 0;
   std::string mPartialEvent; ///< bytes of an event that is not yet whole
   std::string mLastEventId;  ///< of the last event passed on
   unsigned mFirstStatus = 0;
