--- a/packages/coordination/include/shuntjunction/coordination/zone_platform.h
+++ b/packages/coordination/include/shuntjunction/coordination/zone_platform.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <list>
 #include <memory>
 #include <string>
@@ -41,7 +42,8 @@
 ///
 /// Each process that followed the store itself made a call a second and one a
 /// change: 15,600 calls in 48 s for 283 processes.
-/// Thread safety: none; used on the thread of its context.
+/// Thread safety: none; used on the thread of its context, but for IsServed and
+/// Answers.
 class ZonePlatform final : public Platform
 {
 public:
@@ -65,8 +67,11 @@
   /// Whether others asked it lately.
   bool IsAsked() const;
 
-  /// Whether a watcher answers for the store.
-  bool IsServed() const { return mIsServed; }
+  /// Whether a watcher answers for the store; may be asked from any thread.
+  bool IsServed() const { return mIsServed.load(); }
+
+  /// Answers of watchers that were taken; may be asked from any thread.
+  std::uint64_t Answers() const { return mAnswers.load(); }
 
   transport::Task<state::Result<ObjectList>> List(std::string aPrefix) override;
   transport::Task<state::Result<ObjectList>> Glance(
@@ -123,8 +128,8 @@
   bool mIsWatcher = false;            ///< the first of them is this process
   std::uint64_t mEpoch = 0;           ///< of the mirror that answered last
   std::uint64_t mSequence = 0;        ///< up to which it told
-  std::uint64_t mAnswers = 0;
-  bool mIsServed = false;
+  std::atomic<std::uint64_t> mAnswers{ 0 };
+  std::atomic<bool> mIsServed{ false };
   std::optional<state::TimePoint> mAskedAt; ///< by others
   std::list<transport::asio::steady_timer> mWaiting;
   state::RandomSource mRandom;
--- a/packages/coordination/src/fleet_daemon.cpp
+++ b/packages/coordination/src/fleet_daemon.cpp
@@ -1,7 +1,6 @@
 #include "shuntjunction/coordination/fleet_daemon.h"
 
 #include <algorithm>
-#include <random>
 #include <thread>
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -14,9 +13,8 @@
 #include "shuntjunction/coordination/part_follower.h"
 #include "shuntjunction/coordination/part_store_teller.h"
 #include "shuntjunction/coordination/relay.h"
-#include "shuntjunction/coordination/snapshot_server.h"
 #include "shuntjunction/coordination/weights_keeper.h"
-#include "shuntjunction/coordination/zone_platform.h"
+#include "shuntjunction/coordination/zone_watch.h"
 
 namespace shuntjunction::coordination {
 
@@ -50,9 +48,6 @@
 /// Share of the grace after which the process ends whatever runs.
 constexpr double kEndShare = 0.94;
 
-/// How often a watcher looks whether it is still asked.
-constexpr Millis kAskedInterval{ 2000 };
-
 /// How often a process that stops looks whether its requests have ended.
 constexpr Millis kStopPoll{ 25 };
 
@@ -70,19 +65,18 @@
     , mLog(EventLogSettings{}, mClock)
     , mControlGuard(asio::make_work_guard(mControl))
     , mSignals(mTraffic, SIGTERM, SIGINT, SIGHUP)
-    , mMirror(DrawEpoch())
-    , mPlatform(mControl,
-                ZoneSettings(aSettings, aAdapter.mStoreCodec),
-                aAdapter.mPlatform,
-                mClock,
-                mLog)
+    , mZone(mControl,
+            ZoneSettingsOf(aSettings, aAdapter.mStoreCodec),
+            aAdapter.mPlatform,
+            mClock,
+            mLog)
     , mFeed(mControl,
             FeedSettings(aSettings),
-            mPlatform,
+            mZone.Store(),
             aAdapter.mStoreCodec,
             mClock,
             mLog,
-            mMirror,
+            mZone.Mirror(),
             [this](std::shared_ptr<const RelayView> aView) {
               TakeView(std::move(aView));
             })
@@ -118,7 +112,7 @@
     }
     AwaitSignal();
     if (!mSettings.mWatchListen.empty()) {
-      mPlatform.Start();
+      mZone.Start();
     }
     mFeed.Start();
     mControlThread = std::thread([this] { mControl.run(); });
@@ -143,6 +137,10 @@
   {
     mMetrics.Set("shuntjunction_log_lines_dropped",
                  static_cast<double>(mLog.Dropped()));
+    mMetrics.Set("shuntjunction_watch_served",
+                 mZone.Store().IsServed() ? 1 : 0);
+    mMetrics.Set("shuntjunction_watch_answers",
+                 static_cast<double>(mZone.Store().Answers()));
     mMetrics.Set("shuntjunction_refused_objects",
                  static_cast<double>(mFeed.RefusedObjects()));
     if (mRelay) {
@@ -166,66 +164,17 @@
     return feed;
   }
 
-  /// Another number in each life of a process; fits where JSON writes it.
-  static std::uint64_t DrawEpoch()
-  {
-    std::random_device random;
-    return 1 + random();
-  }
-
-  static ZonePlatformSettings ZoneSettings(const FleetSettings& aSettings,
-                                           const StoreCodec& aCodec)
-  {
-    ZonePlatformSettings zone;
-    zone.mName = aSettings.mName;
-    zone.mSecret = aSettings.mSecret;
-    zone.mZone = aSettings.mZone;
-    zone.mOwnEngine = aSettings.mEngine;
-    const auto watch = state::ParseAddress(aSettings.mWatchListen);
-    zone.mWatchPort = watch ? watch->mPort : 0;
-    zone.mPrefixes = { aCodec.ConfigPrefix(),
-                       aCodec.EndpointPrefix(),
-                       aCodec.WeightsPrefix() };
-    zone.mConfirmed = aCodec.ConfigPrefix();
-    return zone;
-  }
-
-  /// On the control thread: answers a process that asks instead of the store.
-  protocol::SnapshotReply AnswerAsker(const protocol::SnapshotRequest& aRequest)
-  {
-    mPlatform.NoteAsked();
-    mFeed.BeginWatching();
-    const auto page =
-      mMirror.PageSince(aRequest.mHaveInstances, aRequest.mHave, mClock.Now());
-    return { page.mSequence, state::WriteMirrorPage(page), {} };
-  }
-
-  Task<void> EndWatchingWhenNobodyAsks()
-  {
-    while (true) {
-      co_await transport::Sleep(kAskedInterval);
-      if (!mPlatform.IsAsked()) {
-        mFeed.EndWatching();
-      }
-    }
-  }
-
   /// Begins to answer for the store in this zone, if others ask.
-  Result<void> StartWatchServer()
+  Result<void> ServeZone()
   {
     const auto address = state::ParseAddress(mSettings.mWatchListen);
     if (!address) {
       return {};
     }
-    mWatchServer = std::make_unique<SnapshotServer>(
-      mControl, Identity(), mLog, [this](const auto& aRequest) {
-        return AnswerAsker(aRequest);
-      });
-    const auto bound = mWatchServer->Start(*address);
+    const auto bound = mZone.Serve(*address, mFeed);
     if (!bound) {
       return tl::unexpected(bound.error());
     }
-    transport::Spawn(mControl, EndWatchingWhenNobodyAsks());
     return {};
   }
 
@@ -281,7 +230,7 @@
     if (!started) {
       return started;
     }
-    started = StartWatchServer();
+    started = ServeZone();
     if (!started) {
       return started;
     }
@@ -335,7 +284,7 @@
     mStoreTeller = std::make_unique<PartStoreTeller>(
       PartStoreTellerParts{ mControl,
                             mSettings,
-                            mPlatform,
+                            mZone.Store(),
                             mAdapter.mStoreCodec,
                             mAdapter.mMakeControl,
                             *mNewsServer,
@@ -348,7 +297,7 @@
     mKeeper =
       std::make_unique<WeightsKeeper>(WeightsKeeperParts{ mControl,
                                                           mSettings,
-                                                          mPlatform,
+                                                          mZone.Store(),
                                                           mAdapter.mStoreCodec,
                                                           *mEngine,
                                                           *mNewsServer,
@@ -381,7 +330,7 @@
   /// On the control thread: hands a view to whom it concerns.
   void TakeView(std::shared_ptr<const RelayView> aView)
   {
-    mPlatform.TakeEndpoints(aView->mEndpoints);
+    mZone.TakeEndpoints(aView->mEndpoints);
     if (mKeeper) {
       mStoreTeller->TakeView(aView);
       mKeeper->TakeView(std::move(aView));
@@ -471,13 +420,11 @@
   asio::io_context mTraffic{ 1 };
   WorkGuard mControlGuard;
   asio::signal_set mSignals;
-  state::ObjectMirror mMirror; ///< of the store, for those who ask
-  ZonePlatform mPlatform;
+  ZoneWatch mZone;
   RelayFeed mFeed;
   std::unique_ptr<Relay> mRelay;
   std::unique_ptr<EngineNewsClient> mNewsClient;
   std::unique_ptr<EngineNewsServer> mNewsServer;
-  std::unique_ptr<SnapshotServer> mWatchServer;
   std::unique_ptr<EngineControl> mEngine;
   std::unique_ptr<PartFollower> mParts;
   std::unique_ptr<EngineWatch> mWatch;
--- a/packages/coordination/src/zone_platform.cpp
+++ b/packages/coordination/src/zone_platform.cpp
@@ -158,7 +158,7 @@
 void
 ZonePlatform::SetServed(bool aIsServed)
 {
-  if (std::exchange(mIsServed, aIsServed) == aIsServed) {
+  if (mIsServed.exchange(aIsServed) == aIsServed) {
     return;
   }
   mLog.Write(
@@ -236,7 +236,7 @@
     co_return co_await mStore.Watch(std::move(aPrefix), aAfter, aWait);
   }
   const auto until = mClock.Now() + aWait;
-  const auto answers = mAnswers;
+  const auto answers = mAnswers.load();
   WatchAnswer answer;
   answer.mRevision = aAfter;
   while (IsServedFor(aPrefix)) {
