--- a/packages/coordination/include/shuntjunction/coordination/zone_platform.h
+++ b/packages/coordination/include/shuntjunction/coordination/zone_platform.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <atomic>
 #include <list>
 #include <memory>
@@ -16,6 +17,21 @@
 /// The platform as the watchers of a process's zone tell it.
 namespace shuntjunction::coordination {
 
+/// Kinds of calls to the store, each of which has its price.
+enum class StoreCall : std::uint8_t
+{
+  kList,
+  kGlance, ///< a list that may be old
+  kRead,
+  kWrite,
+  kWatch,
+};
+
+/// Names of StoreCall.
+inline constexpr state::EnumNames<StoreCall, 5> kStoreCallNames{
+  { "list", "glance", "read", "write", "watch" }
+};
+
 /// Settings of a ZonePlatform.
 struct ZonePlatformSettings
 {
@@ -70,6 +86,13 @@
   /// Whether a watcher answers for the store; may be asked from any thread.
   bool IsServed() const { return mIsServed.load(); }
 
+  /// Calls that reached the store itself, of one kind; may be asked from any
+  /// thread.
+  std::uint64_t Calls(StoreCall aCall) const
+  {
+    return mCalls[static_cast<std::size_t>(aCall)].load();
+  }
+
   /// Answers of watchers that were taken; may be asked from any thread.
   std::uint64_t Answers() const { return mAnswers.load(); }
 
@@ -104,6 +127,7 @@
     kServed,
   };
 
+  void Count(StoreCall aCall);
   transport::Task<void> Run();
   /// Asks one watcher after the other, until one serves.
   transport::Task<AskOutcome> AskWatchers();
@@ -129,6 +153,7 @@
   std::uint64_t mEpoch = 0;           ///< of the mirror that answered last
   std::uint64_t mSequence = 0;        ///< up to which it told
   std::atomic<std::uint64_t> mAnswers{ 0 };
+  std::array<std::atomic<std::uint64_t>, kStoreCallNames.Size()> mCalls{};
   std::atomic<bool> mIsServed{ false };
   std::optional<state::TimePoint> mAskedAt; ///< by others
   std::list<transport::asio::steady_timer> mWaiting;
--- a/packages/coordination/src/fleet_daemon.cpp
+++ b/packages/coordination/src/fleet_daemon.cpp
@@ -139,6 +139,12 @@
                  static_cast<double>(mLog.Dropped()));
     mMetrics.Set("shuntjunction_watch_served",
                  mZone.Store().IsServed() ? 1 : 0);
+    for (std::size_t i = 0; i < kStoreCallNames.Size(); ++i) {
+      const auto call = static_cast<StoreCall>(i);
+      mMetrics.Set("shuntjunction_store_calls",
+                   static_cast<double>(mZone.Store().Calls(call)),
+                   { { "call", std::string(kStoreCallNames.Name(call)) } });
+    }
     mMetrics.Set("shuntjunction_watch_answers",
                  static_cast<double>(mZone.Store().Answers()));
     mMetrics.Set("shuntjunction_refused_objects",
--- a/packages/coordination/src/zone_platform.cpp
+++ b/packages/coordination/src/zone_platform.cpp
@@ -78,6 +78,12 @@
   return mAskedAt && mClock.Now() - *mAskedAt < kAskedFor;
 }
 
+void
+ZonePlatform::Count(StoreCall aCall)
+{
+  ++mCalls[static_cast<std::size_t>(aCall)];
+}
+
 // Asking.
 
 Task<void>
@@ -217,6 +223,7 @@
   if (auto list = ListHere(aPrefix)) {
     co_return std::move(*list);
   }
+  Count(StoreCall::kList);
   co_return co_await mStore.List(std::move(aPrefix));
 }
 
@@ -226,6 +233,7 @@
   if (auto list = ListHere(aPrefix)) {
     co_return std::move(*list);
   }
+  Count(StoreCall::kGlance);
   co_return co_await mStore.Glance(std::move(aPrefix));
 }
 
@@ -233,6 +241,7 @@
 ZonePlatform::Watch(std::string aPrefix, std::uint64_t aAfter, Millis aWait)
 {
   if (!IsServedFor(aPrefix)) {
+    Count(StoreCall::kWatch);
     co_return co_await mStore.Watch(std::move(aPrefix), aAfter, aWait);
   }
   const auto until = mClock.Now() + aWait;
@@ -263,6 +272,7 @@
 Task<Result<std::optional<RawObject>>>
 ZonePlatform::Read(std::string aKey)
 {
+  Count(StoreCall::kRead);
   return mStore.Read(std::move(aKey));
 }
 
@@ -271,12 +281,14 @@
                     std::string aValue,
                     std::uint64_t aIfRevision)
 {
+  Count(StoreCall::kWrite);
   return mStore.Write(std::move(aKey), std::move(aValue), aIfRevision);
 }
 
 Task<Result<void>>
 ZonePlatform::Delete(std::string aKey, std::uint64_t aIfRevision)
 {
+  Count(StoreCall::kWrite);
   return mStore.Delete(std::move(aKey), aIfRevision);
 }
 
