--- a/packages/coordination/tests/engine_news_test.cpp
+++ b/packages/coordination/tests/engine_news_test.cpp
@@ -189,17 +189,17 @@
   WhoseEngineStartedAgain()
   {
     mServer.SetState({ "i-1", "m", 1, protocol::EnginePhase::kOpen });
-    mServer.SetLife(kFormer);
+    mServer.SetLife(mFormer);
     AskFor("s/a");
     AskFor("s/b");
     AskFor("s/c");
-    mServer.ChangeParts(PartHolder::kEngine, kFormer, { "s/a" }, {});
-    mServer.SetLife(kNow);
-    Await([this] { return mOne.mNews.back().mLife == kNow; });
+    mServer.ChangeParts(PartHolder::kEngine, mFormer, { "s/a" }, {});
+    mServer.SetLife(mNow);
+    Await([this] { return mOne.mNews.back().mLife == mNow; });
   }
 
-  const state::EndpointLife kFormer{ 1000 };
-  const state::EndpointLife kNow{ 2000 };
+  const state::EndpointLife mFormer{ 1000 };
+  const state::EndpointLife mNow{ 2000 };
 };
 
 TEST_F(WhoseEngineStartedAgain, RelaysHearThatItKeepsNothing)
@@ -210,8 +210,8 @@
 
 TEST_F(WhoseEngineStartedAgain, WhatItsFormerLifeKeptIsNotTold)
 {
-  mServer.ChangeParts(PartHolder::kEngine, kFormer, { "s/b" }, {});
-  mServer.ChangeParts(PartHolder::kEngine, kNow, { "s/c" }, {});
+  mServer.ChangeParts(PartHolder::kEngine, mFormer, { "s/b" }, {});
+  mServer.ChangeParts(PartHolder::kEngine, mNow, { "s/c" }, {});
   Await([this] { return !mOne.mNews.back().mGained.empty(); });
   EXPECT_EQ(mOne.mNews.back().mGained, std::vector<std::string>{ "s/c" });
 }
