--- a/packages/coordination/src/zone_platform.cpp
+++ b/packages/coordination/src/zone_platform.cpp
@@ -120,6 +120,7 @@
 Task<ZonePlatform::AskOutcome>
 ZonePlatform::Ask(std::string aAddress)
 {
+  // What these two count is up to who is asked: here a mirror's pages.
   protocol::SnapshotRequest request;
   request.mHave = mSequence;
   request.mHaveInstances = mEpoch;
