Nothing is sent to an endpoint once the caller's time is up

Cause (soak): after a pause of the process the timer of a request's deadline comes behind what woke it, so that a stream was resumed with -1,649 ms left. Ruled out: the choice or the wait for a part, both of which look at the interruption first. Change: looked at right before each send. Test: a request with no time left went out on a resting connection before, and does not now.

--- a/packages/coordination/src/relay_attempt.cpp
+++ b/packages/coordination/src/relay_attempt.cpp
@@ -134,6 +134,11 @@
 std::string_view
 RelayRun::ReasonToWithhold()
 {
+  // After a pause of the process the deadline's timer comes behind what woke
+  // it.
+  if (Now() >= mDeadline) {
+    return "deadline";
+  }
   if (IsStale()) {
     return "stale-keys";
   }
