--- a/packages/coordination/src/relay_answer.cpp
+++ b/packages/coordination/src/relay_answer.cpp
@@ -293,8 +293,8 @@
 {
   const bool isFailure = aAttempt.mAnswer->Head().mStatus == kServerError &&
                          mRoute->mKind == RouteKind::kRepeatable;
-  const bool mayTry = mFailure.empty() &&
-                      static_cast<int>(mTried.size()) < mRoute->mMaxAttempts;
+  const bool mayTry =
+    mFailure.empty() && static_cast<int>(mTried.size()) < mRoute->mMaxAttempts;
   // As long again, and some: otherwise the failure itself would come late.
   const auto spent = SinceArrival();
   return isFailure && mayTry && Now() + 2 * spent < mDeadline;
