A page tells no revision that nobody reads

The store's revision travelled from a watcher's feed through mirror, page and answer to the asker, which took only how far each list is known and as of when: state that the change itself had made dead.

--- a/packages/coordination/include/shuntjunction/coordination/platform.h
+++ b/packages/coordination/include/shuntjunction/coordination/platform.h
@@ -19,7 +19,6 @@
 {
   /// All that the platform knew by then is in the answer.
   state::TimePoint mAsOf;
-  std::uint64_t mStore = 0; ///< revision that the platform had at least
   std::optional<state::TimePoint> mTroubleAt; ///< when it failed that process
 };
 
--- a/packages/coordination/src/relay_feed.cpp
+++ b/packages/coordination/src/relay_feed.cpp
@@ -270,8 +270,7 @@
     const auto& fresh = topic->mFreshness;
     const auto age = topic->mConfirms ? mConfirmed.Age(now) : fresh.Age(now);
     if (topic->mIsListed && age != Millis::max()) {
-      mMirror.NoteTopic(
-        topic->mPrefix, fresh.Known(), fresh.Store(), now - age);
+      mMirror.NoteTopic(topic->mPrefix, fresh.Known(), now - age);
     }
   }
 }
--- a/packages/coordination/src/zone_platform.cpp
+++ b/packages/coordination/src/zone_platform.cpp
@@ -201,7 +201,7 @@
 SecondHand
 ZonePlatform::Source(const MirroredTopic& aTopic) const
 {
-  return { aTopic.mAsOf, aTopic.mStore, mMirror.TroubleAt() };
+  return { aTopic.mAsOf, mMirror.TroubleAt() };
 }
 
 // Calls.
--- a/packages/state/include/shuntjunction/state/object_mirror.h
+++ b/packages/state/include/shuntjunction/state/object_mirror.h
@@ -21,7 +21,6 @@
 struct MirroredTopic
 {
   std::uint64_t mKnown = 0; ///< revision up to which they are known
-  std::uint64_t mStore = 0; ///< revision that the platform is known to have
   std::uint64_t mSince = 0; ///< revision from which every change is kept
   TimePoint mAsOf; ///< all that the platform knew by then is known here
 };
@@ -31,7 +30,6 @@
 {
   std::string mPrefix;
   std::uint64_t mKnown = 0;
-  std::uint64_t mStore = 0;
   Millis mAge{ 0 }; ///< of what is known, when it was told
 };
 
@@ -76,7 +74,6 @@
   /// Notes how far the objects below a prefix are known.
   void NoteTopic(std::string_view aPrefix,
                  std::uint64_t aKnown,
-                 std::uint64_t aStore,
                  TimePoint aAsOf);
 
   /// Notes that the platform failed this process.
--- a/packages/state/src/object_mirror.cpp
+++ b/packages/state/src/object_mirror.cpp
@@ -60,7 +60,6 @@
   for (const auto& topic : aPage.mTopics) {
     topics.push_back({ { "prefix", topic.mPrefix },
                        { "known", topic.mKnown },
-                       { "store", topic.mStore },
                        { "age_ms", topic.mAge.count() } });
   }
   boost::json::array changes;
@@ -95,7 +94,6 @@
   ReadAll(reader, "topics", [&](JsonReader& aTopic) {
     page.mTopics.push_back({ aTopic.Text("prefix"),
                              ReadNumber(aTopic, "known"),
-                             ReadNumber(aTopic, "store"),
                              ReadAge(aTopic, "age_ms") });
   });
   ReadAll(reader, "changes", [&](JsonReader& aChange) {
@@ -204,12 +202,10 @@
 void
 ObjectMirror::NoteTopic(std::string_view aPrefix,
                         std::uint64_t aKnown,
-                        std::uint64_t aStore,
                         TimePoint aAsOf)
 {
   auto& topic = mTopics.try_emplace(std::string(aPrefix)).first->second;
   topic.mKnown = std::max(topic.mKnown, aKnown);
-  topic.mStore = std::max(topic.mStore, aStore);
   topic.mAsOf = std::max(topic.mAsOf, aAsOf);
 }
 
@@ -225,7 +221,7 @@
                   aSequence > mSequence || aSequence == 0;
   for (const auto& [prefix, topic] : mTopics) {
     page.mTopics.push_back(
-      { prefix, topic.mKnown, topic.mStore, Millis(AgeOf(topic.mAsOf, aNow)) });
+      { prefix, topic.mKnown, Millis(AgeOf(topic.mAsOf, aNow)) });
   }
   if (mTroubleAt) {
     page.mTroubleAge = Millis(AgeOf(*mTroubleAt, aNow));
@@ -254,7 +250,7 @@
     mFirstKept = mSequence + 1;
   }
   for (const auto& topic : aPage.mTopics) {
-    NoteTopic(topic.mPrefix, topic.mKnown, topic.mStore, aAskedAt - topic.mAge);
+    NoteTopic(topic.mPrefix, topic.mKnown, aAskedAt - topic.mAge);
     if (aPage.mIsWhole) {
       mTopics.find(topic.mPrefix)->second.mSince = topic.mKnown;
     }
--- a/packages/state/tests/object_mirror_test.cpp
+++ b/packages/state/tests/object_mirror_test.cpp
@@ -40,7 +40,7 @@
 
   void Know(std::uint64_t aRevision)
   {
-    mMirror.NoteTopic("e/", aRevision, aRevision, Now());
+    mMirror.NoteTopic("e/", aRevision, Now());
   }
 
   void Change(const RawObject& aObject)
