One reader for lists of objects, and pages that name their topics

Cause: the mirror's pages brought a loop over a list of objects that raw_object.cpp had already, and whether a page is fresh was a search within a search. Change: ReadList beside JsonReader serves both; MirrorPage::Topic finds a topic. Ruled out: platform's ReadEach (lists there may be absent, and hold more).

--- a/packages/coordination/src/zone_platform.cpp
+++ b/packages/coordination/src/zone_platform.cpp
@@ -149,17 +149,14 @@
 bool
 ZonePlatform::IsFresh(const MirrorPage& aPage) const
 {
-  return std::all_of(
-    mSettings.mPrefixes.begin(),
-    mSettings.mPrefixes.end(),
-    [&](const std::string& aPrefix) {
-      return std::any_of(
-        aPage.mTopics.begin(), aPage.mTopics.end(), [&](const auto& aTopic) {
-          const bool isConfirmed =
-            aPrefix != mSettings.mConfirmed || aTopic.mAge < mSettings.mMostAge;
-          return aTopic.mPrefix == aPrefix && aTopic.mKnown != 0 && isConfirmed;
-        });
-    });
+  const auto isKnown = [&](const std::string& aPrefix) {
+    const auto* topic = aPage.Topic(aPrefix);
+    return topic != nullptr && topic->mKnown != 0;
+  };
+  const auto& prefixes = mSettings.mPrefixes;
+  const auto* confirmed = aPage.Topic(mSettings.mConfirmed);
+  return std::all_of(prefixes.begin(), prefixes.end(), isKnown) &&
+         confirmed != nullptr && confirmed->mAge < mSettings.mMostAge;
 }
 
 void
--- a/packages/state/include/shuntjunction/state/json_reader.h
+++ b/packages/state/include/shuntjunction/state/json_reader.h
@@ -109,4 +109,23 @@
   std::optional<Error> mError;
 };
 
+/// Reads each object of a list that has to be there and holds nothing else.
+///
+/// @param aRead  called with a reader of each
+template<typename Function>
+void
+ReadList(JsonReader& aReader, std::string_view aKey, Function aRead)
+{
+  const auto* list = aReader.Find(aKey);
+  if (list == nullptr || !list->is_array()) {
+    aReader.Note(aKey, "absent", "a list of objects");
+    return;
+  }
+  for (const auto& item : list->as_array()) {
+    JsonReader reader(item, aKey);
+    aRead(reader);
+    aReader.Merge(reader.Finish());
+  }
+}
+
 } // namespace shuntjunction::state
--- a/packages/state/include/shuntjunction/state/object_mirror.h
+++ b/packages/state/include/shuntjunction/state/object_mirror.h
@@ -42,6 +42,9 @@
   std::optional<Millis> mTroubleAge; ///< since the platform failed it last
   std::vector<TopicWord> mTopics;
   std::vector<RawObject> mChanges; ///< deleted ones have no value
+
+  /// What it tells of a prefix; null when nothing.
+  const TopicWord* Topic(std::string_view aPrefix) const;
 };
 
 /// A page as JSON text, and back.
--- a/packages/state/src/object_mirror.cpp
+++ b/packages/state/src/object_mirror.cpp
@@ -34,25 +34,18 @@
   return static_cast<std::uint64_t>(aReader.Integer(aKey, 0, INT64_MAX));
 }
 
-/// Reads each object of a list that has to be there.
-template<typename Function>
-void
-ReadAll(JsonReader& aReader, std::string_view aKey, Function aRead)
+} // namespace
+
+const TopicWord*
+MirrorPage::Topic(std::string_view aPrefix) const
 {
-  const auto* list = aReader.Find(aKey);
-  if (list == nullptr || !list->is_array()) {
-    aReader.Note(aKey, "absent", "a list");
-    return;
-  }
-  for (const auto& item : list->as_array()) {
-    JsonReader reader(item, aKey);
-    aRead(reader);
-    aReader.Merge(reader.Finish());
-  }
+  const auto found =
+    std::find_if(mTopics.begin(), mTopics.end(), [&](const auto& aTopic) {
+      return aTopic.mPrefix == aPrefix;
+    });
+  return found == mTopics.end() ? nullptr : &*found;
 }
 
-} // namespace
-
 std::string
 WriteMirrorPage(const MirrorPage& aPage)
 {
@@ -91,12 +84,12 @@
   page.mEpoch = ReadNumber(reader, "epoch");
   page.mSequence = ReadNumber(reader, "sequence");
   page.mIsWhole = reader.Flag("whole", false);
-  ReadAll(reader, "topics", [&](JsonReader& aTopic) {
+  ReadList(reader, "topics", [&](JsonReader& aTopic) {
     page.mTopics.push_back({ aTopic.Text("prefix"),
                              ReadNumber(aTopic, "known"),
                              ReadAge(aTopic, "age_ms") });
   });
-  ReadAll(reader, "changes", [&](JsonReader& aChange) {
+  ReadList(reader, "changes", [&](JsonReader& aChange) {
     auto object = ReadRawObject(aChange);
     object.mAge = ReadAge(aChange, "age_ms");
     page.mChanges.push_back(std::move(object));
--- a/packages/state/src/raw_object.cpp
+++ b/packages/state/src/raw_object.cpp
@@ -1,7 +1,5 @@
 #include "shuntjunction/state/raw_object.h"
 
-#include <boost/json/array.hpp>
-
 #include "shuntjunction/state/json_reader.h"
 
 namespace shuntjunction::state {
@@ -29,16 +27,9 @@
 ReadRawObjects(JsonReader& aReader, std::string_view aKey)
 {
   std::vector<RawObject> objects;
-  const auto* list = aReader.Find(aKey);
-  if (list == nullptr || !list->is_array()) {
-    aReader.Note(aKey, "absent", "a list of objects");
-    return objects;
-  }
-  for (const auto& item : list->as_array()) {
-    JsonReader reader(item, aKey);
-    objects.push_back(ReadRawObject(reader));
-    aReader.Merge(reader.Finish());
-  }
+  ReadList(aReader, aKey, [&](JsonReader& aItem) {
+    objects.push_back(ReadRawObject(aItem));
+  });
   return objects;
 }
 
