A feed takes a list in one place

Cause: mirror, revision and topic were told of a list at two places, of a change at one. Change: TakeList beside TakeChange.

--- a/packages/coordination/include/shuntjunction/coordination/relay_feed.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay_feed.h
@@ -83,7 +83,7 @@
 /// Keeps a view of configuration, endpoints and named weights.
 ///
 /// Configuration never falls back in a process's life.
-/// Thread safety: none; used on the thread of its context, but Confirmed and
+/// Thread safety: none; used on the thread of its context, but Confirmed,
 /// EndpointList and RefusedObjects.
 class RelayFeed
 {
@@ -152,6 +152,9 @@
   void NoteRevision(Topic& aTopic,
                     std::uint64_t aRevision,
                     state::TimePoint aAskedAt);
+  /// Takes all objects of a topic, for others too; whether it brought anything
+  /// new.
+  bool TakeList(Topic& aTopic, const ObjectList& aList);
   void TakeChange(Topic& aTopic, const state::RawObject& aChange);
   /// Reads the lists anew whose watches do not tell of what the store has.
   void CheckLists();
--- a/packages/coordination/src/relay_feed.cpp
+++ b/packages/coordination/src/relay_feed.cpp
@@ -193,10 +193,7 @@
     list->mSecondHand, *std::exchange(aTopic.mAskedAt, std::nullopt));
   aTopic.mIsListed = true;
   if (list->mRevision >= aTopic.mRevision) {
-    aTopic.mRevision = list->mRevision;
-    mMirror.TakeList(
-      aTopic.mPrefix, list->mRevision, list->mObjects, mClock.Now());
-    aTopic.mTakeList(list->mObjects);
+    TakeList(aTopic, *list);
   }
   if (aTopic.mConfirms) {
     mConfirmed.Confirm(askedAt);
--- a/packages/coordination/src/relay_feed_liveness.cpp
+++ b/packages/coordination/src/relay_feed_liveness.cpp
@@ -43,6 +43,15 @@
   }
 }
 
+bool
+RelayFeed::TakeList(Topic& aTopic, const ObjectList& aList)
+{
+  aTopic.mRevision = aList.mRevision;
+  mMirror.TakeList(
+    aTopic.mPrefix, aList.mRevision, aList.mObjects, mClock.Now());
+  return aTopic.mTakeList(aList.mObjects);
+}
+
 void
 RelayFeed::TakeChange(Topic& aTopic, const state::RawObject& aChange)
 {
@@ -110,10 +119,8 @@
     co_return;
   }
   askedAt = NoteSource(list->mSecondHand, askedAt);
-  const auto before = std::exchange(aTopic.mRevision, list->mRevision);
-  mMirror.TakeList(
-    aTopic.mPrefix, list->mRevision, list->mObjects, mClock.Now());
-  const bool isNews = aTopic.mTakeList(list->mObjects);
+  const auto before = aTopic.mRevision;
+  const bool isNews = TakeList(aTopic, *list);
   aTopic.mFreshness.TakeOwn(list->mRevision, askedAt);
   TellMirror();
   if (!isNews) {
