--- a/packages/coordination/src/engine_news_server.cpp
+++ b/packages/coordination/src/engine_news_server.cpp
@@ -42,9 +42,6 @@
 constexpr std::int64_t kRelaysToTell = 25;
 constexpr std::int64_t kMostTokensToTell = 16000;
 
-/// Pause after a failed accept, which would fail again at once.
-constexpr Millis kAcceptPause{ 100 };
-
 EngineNews
 NewsOf(const EngineState& aState)
 {
@@ -60,6 +57,13 @@
 
 struct EngineNewsServer::Shared : std::enable_shared_from_this<Shared>
 {
+  /// What a holder keeps, in the life that it is in.
+  struct Holding
+  {
+    std::set<std::string> mParts;
+    state::LifeTracker mLife;
+  };
+
   Shared(asio::io_context& aContext,
          transport::ChannelIdentity aIdentity,
          const state::Clock& aClock,
@@ -71,22 +75,6 @@
   {
   }
 
-  Task<void> Accept(std::shared_ptr<asio::ip::tcp::acceptor> aAcceptor)
-  {
-    const auto self = shared_from_this();
-    while (aAcceptor->is_open()) {
-      auto [error, socket] =
-        co_await aAcceptor->async_accept(transport::kAsTuple);
-      if (error) {
-        co_await transport::Sleep(kAcceptPause);
-        continue;
-      }
-      const auto peer =
-        std::make_shared<FrameChannel>(std::move(socket), "relay", mCounters);
-      transport::Spawn(mContext, Serve(peer));
-    }
-  }
-
   Task<void> Serve(std::shared_ptr<FrameChannel> aChannel)
   {
     const auto self = shared_from_this();
@@ -159,11 +147,20 @@
       mAskedFor.erase(mAskedOrder.front());
       mAskedOrder.pop_front();
     }
-    if (mParts[static_cast<std::size_t>(PartHolder::kEngine)].contains(aPart)) {
+    if (Of(PartHolder::kEngine).mParts.contains(aPart)) {
       SendParts(PartHolder::kEngine, { aPart }, {});
     }
   }
 
+  Holding& Of(PartHolder aHolder)
+  {
+    return mHoldings[static_cast<std::size_t>(aHolder)];
+  }
+  const Holding& Of(PartHolder aHolder) const
+  {
+    return mHoldings[static_cast<std::size_t>(aHolder)];
+  }
+
   bool IsTold(PartHolder aHolder, const std::string& aPart) const
   {
     return aHolder == PartHolder::kStore || mAskedFor.contains(aPart);
@@ -232,7 +229,7 @@
       }
       news.mRunning = mRunning;
       news.mQueued = mQueued;
-      news.mLife = mLives[static_cast<std::size_t>(aHolder)].Current();
+      news.mLife = Of(aHolder).mLife.Current();
       return news;
     }
     EngineNews news;
@@ -243,7 +240,7 @@
   EngineNews WholeNews(PartHolder aHolder) const
   {
     auto news = NewsOfHolder(aHolder);
-    const auto& parts = mParts[static_cast<std::size_t>(aHolder)];
+    const auto& parts = Of(aHolder).mParts;
     std::copy_if(parts.begin(),
                  parts.end(),
                  std::back_inserter(news.mGained),
@@ -254,14 +251,12 @@
   /// Forgets what a holder kept in its former life.
   void BeginLife(PartHolder aHolder)
   {
-    mParts[static_cast<std::size_t>(aHolder)].clear();
+    auto& holding = Of(aHolder);
+    holding.mParts.clear();
     if (aHolder == PartHolder::kEngine) {
-      mLog.Write(
-        EventLine(kPart, "engine-restarted")
-          .Add("endpoint", mState.mEndpoint)
-          .Add(
-            "started_at",
-            mLives[static_cast<std::size_t>(aHolder)].Current().StartedAt()));
+      mLog.Write(EventLine(kPart, "engine-restarted")
+                   .Add("endpoint", mState.mEndpoint)
+                   .Add("started_at", holding.mLife.Current().StartedAt()));
     }
     Send(WholeNews(aHolder));
   }
@@ -296,8 +291,7 @@
   std::uint32_t mRunning = 0;
   std::uint32_t mQueued = 0;
   std::string mStore;                           ///< address; empty: not told of
-  std::array<std::set<std::string>, 2> mParts;  ///< by PartHolder
-  std::array<state::LifeTracker, 2> mLives;     ///< by PartHolder
+  std::array<Holding, 2> mHoldings;             ///< by PartHolder
   std::set<std::string, std::less<>> mAskedFor; ///< parts that are told
   std::deque<std::string> mAskedOrder;          ///< the same, the oldest first
   std::int64_t mToldWaiting = 0;
@@ -323,7 +317,13 @@
   if (!acceptor) {
     return tl::unexpected(acceptor.error());
   }
-  transport::Spawn(mShared->mContext, mShared->Accept(*acceptor));
+  transport::Spawn(
+    mShared->mContext,
+    transport::AcceptEach(*acceptor, [shared = mShared](auto aSocket) {
+      const auto peer = std::make_shared<FrameChannel>(
+        std::move(aSocket), "relay", shared->mCounters);
+      transport::Spawn(shared->mContext, shared->Serve(peer));
+    }));
   transport::Spawn(mShared->mContext, mShared->Repeat());
   return transport::LocalAddress(**acceptor);
 }
@@ -370,7 +370,7 @@
 void
 EngineNewsServer::SetLife(state::EndpointLife aLife)
 {
-  auto& life = mShared->mLives[static_cast<std::size_t>(PartHolder::kEngine)];
+  auto& life = mShared->Of(PartHolder::kEngine).mLife;
   if (life.TakeOwnWord(aLife) == state::LifeWord::kNewer) {
     mShared->BeginLife(PartHolder::kEngine);
   }
@@ -383,15 +383,15 @@
                               const std::vector<std::string>& aLost)
 {
   const auto now = mShared->mClock.Now();
-  const auto word =
-    mShared->mLives[static_cast<std::size_t>(aHolder)].Take(aLife, now);
+  auto& holding = mShared->Of(aHolder);
+  const auto word = holding.mLife.Take(aLife, now);
   if (word == state::LifeWord::kFormer) {
     return;
   }
   if (word == state::LifeWord::kNewer) {
     mShared->BeginLife(aHolder);
   }
-  auto& parts = mShared->mParts[static_cast<std::size_t>(aHolder)];
+  auto& parts = holding.mParts;
   parts.insert(aGained.begin(), aGained.end());
   for (const auto& part : aLost) {
     parts.erase(part);
@@ -402,7 +402,7 @@
 void
 EngineNewsServer::ClearParts(PartHolder aHolder)
 {
-  mShared->mParts[static_cast<std::size_t>(aHolder)].clear();
+  mShared->Of(aHolder).mParts.clear();
   mShared->Send(mShared->WholeNews(aHolder));
 }
 
--- a/packages/coordination/src/snapshot_server.cpp
+++ b/packages/coordination/src/snapshot_server.cpp
@@ -2,19 +2,11 @@
 
 namespace shuntjunction::coordination {
 
-using state::Millis;
 using state::Result;
 using transport::FrameChannel;
 using transport::Task;
 namespace asio = transport::asio;
 
-namespace {
-
-/// Pause after a failed accept, which would fail again at once.
-constexpr Millis kAcceptPause{ 100 };
-
-} // namespace
-
 struct SnapshotServer::Shared : std::enable_shared_from_this<Shared>
 {
   Shared(asio::io_context& aContext,
@@ -28,22 +20,6 @@
   {
   }
 
-  Task<void> Accept(std::shared_ptr<asio::ip::tcp::acceptor> aAcceptor)
-  {
-    const auto self = shared_from_this();
-    while (aAcceptor->is_open()) {
-      auto [error, socket] =
-        co_await aAcceptor->async_accept(transport::kAsTuple);
-      if (error) {
-        co_await transport::Sleep(kAcceptPause);
-        continue;
-      }
-      const auto peer =
-        std::make_shared<FrameChannel>(std::move(socket), "asker", mCounters);
-      transport::Spawn(mContext, Serve(peer));
-    }
-  }
-
   Task<void> Serve(std::shared_ptr<FrameChannel> aChannel)
   {
     const auto self = shared_from_this();
@@ -90,7 +66,13 @@
   if (!acceptor) {
     return tl::unexpected(acceptor.error());
   }
-  transport::Spawn(mShared->mContext, mShared->Accept(*acceptor));
+  transport::Spawn(
+    mShared->mContext,
+    transport::AcceptEach(*acceptor, [shared = mShared](auto aSocket) {
+      const auto peer = std::make_shared<FrameChannel>(
+        std::move(aSocket), "asker", shared->mCounters);
+      transport::Spawn(shared->mContext, shared->Serve(peer));
+    }));
   return transport::LocalAddress(**acceptor);
 }
 
--- a/packages/transport/include/shuntjunction/transport/frame_channel.h
+++ b/packages/transport/include/shuntjunction/transport/frame_channel.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -113,6 +114,12 @@
 state::Result<std::shared_ptr<asio::ip::tcp::acceptor>>
 Listen(asio::io_context& aContext, const state::Address& aAddress);
 
+/// Accepts connections until the acceptor is closed, and hands each on; rests
+/// after a failure, which would come again at once.
+Task<void>
+AcceptEach(std::shared_ptr<asio::ip::tcp::acceptor> aAcceptor,
+           std::function<void(asio::ip::tcp::socket)> aTake);
+
 /// Address that a socket listens on, with the port that the kernel gave.
 state::Address
 LocalAddress(const asio::ip::tcp::acceptor& aAcceptor);
--- a/packages/transport/src/frame_channel.cpp
+++ b/packages/transport/src/frame_channel.cpp
@@ -20,6 +20,9 @@
 
 namespace {
 
+/// Pause after a failed accept.
+constexpr state::Millis kAcceptPause{ 100 };
+
 /// Closes a channel when time runs out, unless it was disarmed before.
 class Watchdog
 {
@@ -304,6 +307,20 @@
   return acceptor;
 }
 
+Task<void>
+AcceptEach(std::shared_ptr<tcp::acceptor> aAcceptor,
+           std::function<void(tcp::socket)> aTake)
+{
+  while (aAcceptor->is_open()) {
+    auto [error, socket] = co_await aAcceptor->async_accept(kAsTuple);
+    if (error) {
+      co_await Sleep(kAcceptPause);
+      continue;
+    }
+    aTake(std::move(socket));
+  }
+}
+
 state::Address
 LocalAddress(const tcp::acceptor& aAcceptor)
 {
