Whether anybody keeps a part is asked without a copy of all who do

Cause: each placement copied the list of holders three times, twice only to see whether it is empty. Change: PartIndex::IsKept.

--- a/packages/coordination/src/relay_attempt.cpp
+++ b/packages/coordination/src/relay_attempt.cpp
@@ -231,8 +231,7 @@
     return;
   }
   auto& record = mCore->mLedger.At(aPick.mPartName);
-  const bool isKept =
-    !mCore->mEndpoints.Parts().Holders(aPick.mPartName).empty();
+  const bool isKept = mCore->mEndpoints.Parts().IsKept(aPick.mPartName);
   const bool isNewsDue = Now() - record.mServedAt < mCore->mLimits.mNewsDelay;
   if (isKept || isNewsDue) {
     return;
--- a/packages/coordination/src/relay_choice_view.cpp
+++ b/packages/coordination/src/relay_choice_view.cpp
@@ -159,8 +159,7 @@
   if (parts.empty()) {
     return aAsk.mCall->mPromptTokens;
   }
-  const bool isKept =
-    !aCore.mEndpoints.Parts().Holders(aPick.mPartName).empty();
+  const bool isKept = aCore.mEndpoints.Parts().IsKept(aPick.mPartName);
   return parts.back().mTokens + (isKept ? 0 : aAsk.mCall->SharedTokens());
 }
 
--- a/packages/state/include/shuntjunction/state/part_index.h
+++ b/packages/state/include/shuntjunction/state/part_index.h
@@ -39,6 +39,12 @@
   /// Whether a holder keeps a part.
   bool Holds(std::string_view aHolder, const std::string& aPart) const;
 
+  /// Whether anybody keeps a part.
+  bool IsKept(const std::string& aPart) const
+  {
+    return mByPart.contains(aPart);
+  }
+
   /// All holders of a part, in the order of their names.
   std::vector<std::string> Holders(const std::string& aPart) const;
 
