Logs tell a request that comes again by the digest of what was asked

No decision changes. Ruled out: a faster hash without a key. What is believed of one request will get another refused, and then digests must not be made to collide.

--- a/packages/coordination/src/relay_run.cpp
+++ b/packages/coordination/src/relay_run.cpp
@@ -76,6 +76,7 @@
     co_await Refuse(kUnavailable, "stopping", Millis(0));
   } else {
     mService = DrawService();
+    mDigest = DigestOfRequest();
     ArmDeadline();
     mCaller.OnClosed([this] { Interrupt(RunInterrupt::kCallerGone); });
     co_await Serve();
@@ -150,6 +151,17 @@
   return mRoute->mTargets.back().mService;
 }
 
+state::RequestDigest
+RelayRun::DigestOfRequest() const
+{
+  return state::RequestDigest(
+    { mRequest->mMethod,
+      mRequest->Field("Host"),
+      mRequest->mTarget,
+      mTeam != nullptr ? std::string_view(mTeam->mName) : std::string_view(),
+      mRequest->mBody });
+}
+
 void
 RelayRun::ArmDeadline()
 {
--- a/packages/coordination/src/relay_run.h
+++ b/packages/coordination/src/relay_run.h
@@ -4,6 +4,7 @@
 
 #include "relay_choice_view.h"
 #include "relay_core.h"
+#include "shuntjunction/state/request_digest.h"
 
 namespace shuntjunction::coordination {
 
@@ -80,6 +81,7 @@
   bool FindRoute();
   bool FindTeam();
   std::string DrawService();
+  state::RequestDigest DigestOfRequest() const;
   bool IsStale() const;
 
   // Attempts.
@@ -159,6 +161,7 @@
   const state::RouteRule* mRoute = nullptr;
   const state::TeamRule* mTeam = nullptr;
   std::string mService;
+  state::RequestDigest mDigest; ///< of what its caller sent
   RunInterrupt mInterrupt = RunInterrupt::kNone;
   std::shared_ptr<transport::SocketReader> mOpenAttempt; ///< to be cut off
   std::vector<std::string> mTried; ///< endpoints that got the request
--- a/packages/coordination/src/relay_run_log.cpp
+++ b/packages/coordination/src/relay_run_log.cpp
@@ -11,7 +11,8 @@
   // An attempt's own line is written at its end: only this one tells what a
   // process that was killed had sent where.
   EventLine line(kRelayPart, "sent", mCall.mRequestId);
-  line.Add("endpoint", aPick.mEndpoint->mInfo.mId)
+  line.Add("content", mDigest.Text())
+    .Add("endpoint", aPick.mEndpoint->mInfo.mId)
     .Add("started_at", aPick.mEndpoint->mLife.Current().StartedAt())
     .Add("running", aPick.mEndpoint->mRunning)
     .Add("candidates", aPick.mCandidates)
@@ -70,6 +71,7 @@
   EventLine line(kRelayPart, "request", mCall.mRequestId);
   line.Add("outcome", aOutcome)
     .Add("reason", aReason)
+    .Add("content", mDigest.Text())
     .Add("status", mFirstStatus)
     .Add("route", mRoute != nullptr ? mRoute->mName : "")
     .Add("service", mService)
