--- a/packages/coordination/include/shuntjunction/coordination/engine_news.h
+++ b/packages/coordination/include/shuntjunction/coordination/engine_news.h
@@ -36,6 +36,9 @@
 /// Sends an engine's news to all relays that connect, and passes on what one of
 /// them tells the others.
 ///
+/// What relays saw of crashes it remembers for those that connect later: its
+/// own engine's crash is not its end.
+///
 /// Of the parts that the engine keeps only those are told that a relay asked
 /// for: the others are requests' own, which nobody asks for again.
 /// A change is sent at once; without any, the state is sent again each second,
@@ -96,16 +99,19 @@
 public:
   using Taker = std::function<void(const protocol::EngineNews&)>;
   using PartTaker = std::function<void(const protocol::PartReading&)>;
+  using CrashTaker = std::function<void(const protocol::CrashReports&)>;
 
   /// @param aPort  of the companions, the same on all machines
   /// @param aTake  called with each news
   /// @param aTakePart  called with what other relays tell of parts
+  /// @param aTakeCrashes  called with what they tell of crashes
   EngineNewsClient(transport::asio::io_context& aContext,
                    transport::ChannelIdentity aIdentity,
                    std::uint16_t aPort,
                    EventLog& aLog,
                    Taker aTake,
-                   PartTaker aTakePart);
+                   PartTaker aTakePart,
+                   CrashTaker aTakeCrashes);
   ~EngineNewsClient();
   EngineNewsClient(const EngineNewsClient&) = delete;
   EngineNewsClient& operator=(const EngineNewsClient&) = delete;
@@ -118,6 +124,14 @@
   void Tell(const std::string& aEndpointAddress,
             const protocol::PartReading& aReading);
 
+  /// Tells the other relays of crashes, by way of two companions: each of them
+  /// reaches all relays, and tells those that come later.
+  ///
+  /// @param aEndpoint  names the endpoint that crashed; all relays choose the
+  ///                   same companions for it, if they reach the same
+  void TellCrashes(std::uint64_t aEndpoint,
+                   const protocol::CrashReports& aReports);
+
   /// Sets what of this relay waits at an engine; its companion is told when it
   /// changed much.
   ///
--- a/packages/coordination/include/shuntjunction/coordination/relay.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay.h
@@ -33,6 +33,14 @@
   std::function<
     void(const std::string&, const state::WaitingTokens&, const std::string&)>
     mTellWaiting = {};
+  /// Tells the other relays of crashes of an endpoint, which the number names;
+  /// empty: they are not told.
+  std::function<void(std::uint64_t, const protocol::CrashReports&)>
+    mTellCrashes = {};
+  /// Keeps in the platform's store that a request is quarantined, and for how
+  /// long; empty: it is not kept.
+  std::function<void(const state::RequestDigest&, state::Millis)>
+    mKeepQuarantine = {};
 };
 
 /// The relay of one process.
@@ -58,6 +66,9 @@
   /// Takes what another relay told of a part.
   void TakePartReading(const protocol::PartReading& aReading);
 
+  /// Takes what other relays saw of crashes.
+  void TakeCrashReports(const protocol::CrashReports& aReports);
+
   /// Brings the gauges among the metrics up to date.
   void SetGauges();
 
--- a/packages/coordination/include/shuntjunction/coordination/relay_codec.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay_codec.h
@@ -8,6 +8,7 @@
 
 #include "shuntjunction/state/relay_choice.h"
 #include "shuntjunction/state/relay_config.h"
+#include "shuntjunction/state/request_digest.h"
 #include "shuntjunction/transport/relay_message.h"
 
 /// How requests, answers and objects of a platform are spelled.
@@ -85,6 +86,13 @@
     const transport::RelayAnswer& aAnswer) const = 0;
 };
 
+/// That a request is quarantined, as the store holds it.
+struct QuarantineEntry
+{
+  state::RequestDigest mRequest;
+  std::int64_t mUntilMillis = 0; ///< Unix time
+};
+
 /// Spelling of objects in the platform's store.
 ///
 /// Thread safety: const methods may be called from any thread.
@@ -100,6 +108,8 @@
   virtual std::string EndpointPrefix() const = 0;
   /// Prefix of the named weights.
   virtual std::string WeightsPrefix() const = 0;
+  /// Prefix of the requests that are quarantined, each named by its digest.
+  virtual std::string QuarantinePrefix() const = 0;
   /// Prefix of what this system writes of its own processes.
   virtual std::string ProcessPrefix() const = 0;
 
@@ -119,6 +129,14 @@
   virtual state::Result<state::NamedWeights> ReadWeights(
     std::string_view aKey,
     std::string_view aText) const = 0;
+
+  /// The object that says until when a request is quarantined, in Unix ms.
+  virtual std::string WriteQuarantine(std::int64_t aUntilMillis) const = 0;
+
+  /// Reads such an object; the last part of its key is the request's digest.
+  virtual state::Result<QuarantineEntry> ReadQuarantine(
+    std::string_view aKey,
+    std::string_view aText) const = 0;
 };
 
 } // namespace shuntjunction::coordination
--- a/packages/coordination/include/shuntjunction/coordination/relay_feed.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay_feed.h
@@ -16,6 +16,7 @@
 #include "shuntjunction/state/list_freshness.h"
 #include "shuntjunction/state/object_mirror.h"
 #include "shuntjunction/state/relay_config.h"
+#include "shuntjunction/state/request_digest.h"
 
 /// What a process believes of the platform's objects.
 namespace shuntjunction::coordination {
@@ -51,6 +52,16 @@
   std::optional<state::TimePoint> SupersededAt(std::uint64_t aVersion) const;
 };
 
+/// A request that crashed too many endpoints, as the store holds it.
+struct QuarantinedRequest
+{
+  std::int64_t mUntilMillis = 0; ///< Unix time
+  std::uint64_t mRevision = 0;
+};
+
+/// All of them.
+using QuarantinedRequests = std::map<state::RequestDigest, QuarantinedRequest>;
+
 /// A consistent view, replaced as a whole.
 struct RelayView
 {
@@ -58,6 +69,7 @@
     std::make_shared<const state::RelayConfig>();
   std::vector<state::EndpointInfo> mEndpoints;
   std::map<std::string, NamedWeightsNews, std::less<>> mWeights;
+  QuarantinedRequests mQuarantined;
 };
 
 /// Settings of a RelayFeed.
@@ -74,6 +86,8 @@
   state::Millis mFirstPause{ 100 }; ///< after a failed call
   state::Millis mLongestPause{ 600 };
   bool mWatchesConfig = true;
+  /// Whether quarantined requests are followed: relays do.
+  bool mFollowsQuarantine = false;
   /// Longest wait of the configuration's watch, and pause between two watches
   /// of the list, while others are told of both.
   state::Millis mWatcherWait{ 500 };
@@ -129,7 +143,7 @@
   struct Topic;
 
   void DescribeTopics();
-  std::array<Topic*, 3> Topics() const;
+  std::array<Topic*, 4> Topics() const;
   transport::Task<void> Follow(Topic& aTopic);
   transport::Task<state::Result<void>> ListOnce(Topic& aTopic);
   transport::Task<state::Result<void>> WatchOnce(Topic& aTopic);
@@ -179,6 +193,8 @@
   void TakeEndpoint(const state::RawObject& aObject);
   /// @return whether it is newer than what is known
   bool TakeWeights(const state::RawObject& aObject);
+  /// Takes a request that is quarantined, or no more; whether that is news.
+  bool TakeQuarantined(const state::RawObject& aObject);
   /// @return whether it brought anything new
   bool TakeEndpointList(const std::vector<state::RawObject>& aObjects);
   void Publish();
@@ -194,6 +210,7 @@
   std::unique_ptr<Topic> mConfigTopic;
   std::unique_ptr<Topic> mEndpointTopic;
   std::unique_ptr<Topic> mWeightsTopic;
+  std::unique_ptr<Topic> mQuarantineTopic;
   state::EndpointDirectory mDirectory;
   state::Freshness mConfirmed;
   RelayView mView;
--- a/packages/coordination/src/engine_news_client.cpp
+++ b/packages/coordination/src/engine_news_client.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <random>
 
+#include "shuntjunction/state/prefix_chain.h"
 #include "shuntjunction/state/spread_pause.h"
 
 namespace shuntjunction::coordination {
@@ -29,6 +30,9 @@
 /// 25 ms of an engine's reading.
 constexpr std::int64_t kTokensToTell = 1000;
 
+/// Companions that pass a crash on: one of them may be about to end itself.
+constexpr std::size_t kTellersOfCrashes = 2;
+
 /// Pauses between two attempts to reach a companion.
 constexpr Millis kFirstPause{ 100 };
 constexpr Millis kLongestPause{ 800 };
@@ -52,13 +56,15 @@
          std::uint16_t aPort,
          EventLog& aLog,
          Taker aTake,
-         PartTaker aTakePart)
+         PartTaker aTakePart,
+         CrashTaker aTakeCrashes)
     : mContext(aContext)
     , mIdentity(std::move(aIdentity))
     , mPort(aPort)
     , mLog(aLog)
     , mTake(std::move(aTake))
     , mTakePart(std::move(aTakePart))
+    , mTakeCrashes(std::move(aTakeCrashes))
   {
   }
 
@@ -89,7 +95,7 @@
     aSource->mChannel = aChannel;
     aSource->mToldWaiting = {};
     TellWaiting(*aSource);
-    asio::steady_timer silence(mContext);
+    transport::asio::steady_timer silence(mContext);
     while (aSource->mIsWanted) {
       silence.expires_after(kSilenceLimit);
       silence.async_wait([aChannel](const auto& aError) {
@@ -107,6 +113,9 @@
       } else if (const auto* reading =
                    std::get_if<protocol::PartReading>(&*message)) {
         mTakePart(*reading);
+      } else if (const auto* crashes =
+                   std::get_if<protocol::CrashReports>(&*message)) {
+        mTakeCrashes(*crashes);
       }
     }
     aChannel->Close();
@@ -151,6 +160,7 @@
   EventLog& mLog;
   Taker mTake;
   PartTaker mTakePart;
+  CrashTaker mTakeCrashes;
   transport::ChannelCounters mCounters;
   state::RandomSource mRandom{ std::random_device{}() };
   std::map<std::string, std::shared_ptr<Source>> mSources; ///< by address
@@ -161,13 +171,15 @@
                                    std::uint16_t aPort,
                                    EventLog& aLog,
                                    Taker aTake,
-                                   PartTaker aTakePart)
+                                   PartTaker aTakePart,
+                                   CrashTaker aTakeCrashes)
   : mShared(std::make_shared<Shared>(aContext,
                                      std::move(aIdentity),
                                      aPort,
                                      aLog,
                                      std::move(aTake),
-                                     std::move(aTakePart)))
+                                     std::move(aTakePart),
+                                     std::move(aTakeCrashes)))
 {
 }
 
@@ -216,6 +228,26 @@
   }
 }
 
+void
+EngineNewsClient::TellCrashes(std::uint64_t aEndpoint,
+                              const protocol::CrashReports& aReports)
+{
+  std::vector<std::pair<std::uint64_t, Shared::Source*>> ranked;
+  for (const auto& [address, source] : mShared->mSources) {
+    if (source->mChannel) {
+      ranked.emplace_back(state::PlacementHash(address, aEndpoint),
+                          source.get());
+    }
+  }
+  const auto count = std::min(kTellersOfCrashes, ranked.size());
+  std::partial_sort(ranked.begin(),
+                    ranked.begin() + static_cast<std::ptrdiff_t>(count),
+                    ranked.end());
+  for (std::size_t i = 0; i < count; ++i) {
+    ranked[i].second->mChannel->Send(aReports);
+  }
+}
+
 void
 EngineNewsClient::SetWaiting(const std::string& aEndpointAddress,
                              const state::WaitingTokens& aWaiting,
--- a/packages/coordination/src/engine_news_server.cpp
+++ b/packages/coordination/src/engine_news_server.cpp
@@ -9,6 +9,7 @@
 #include <iterator>
 #include <utility>
 
+#include "shuntjunction/state/crash_ledger.h"
 #include "shuntjunction/state/part_index.h"
 
 namespace shuntjunction::coordination {
@@ -42,6 +43,14 @@
 constexpr std::int64_t kRelaysToTell = 25;
 constexpr std::int64_t kMostTokensToTell = 16000;
 
+/// Crashes of one moment go to the relays together: each of these sees some of
+/// the requests that ran there.
+constexpr Millis kTellCrashesAfter{ 10 };
+
+/// Crashes that a relay is told when it connects: some 80 KB. Those of the
+/// requests with the most come first.
+constexpr std::size_t kMaxCrashesTold = 1024;
+
 EngineNews
 NewsOf(const EngineState& aState)
 {
@@ -89,6 +98,9 @@
     if (!mStore.empty()) {
       aChannel->Send(WholeNews(PartHolder::kStore));
     }
+    if (auto crashes = KnownCrashes(); !crashes.mWords.empty()) {
+      aChannel->Send(std::move(crashes));
+    }
     co_await Hear(aChannel);
     aChannel->Close();
     mChannels.erase(aChannel);
@@ -105,6 +117,9 @@
       }
       if (const auto* reading = std::get_if<protocol::PartReading>(&*message)) {
         PassOn(*reading, aChannel);
+      } else if (const auto* crashes =
+                   std::get_if<protocol::CrashReports>(&*message)) {
+        TakeCrashes(*crashes);
       } else if (const auto* waiting =
                    std::get_if<protocol::RelayWaiting>(&*message)) {
         mChannels[aChannel] = waiting->mWaiting;
@@ -116,6 +131,48 @@
     }
   }
 
+  /// Remembers what a relay saw of crashes; what is news goes to all relays.
+  void TakeCrashes(const protocol::CrashReports& aReports)
+  {
+    const auto now = mClock.Now();
+    const bool isFirst = mUntold.mWords.empty();
+    for (const auto& word : aReports.mWords) {
+      const auto& report = word.mReport.mReport;
+      const bool isNews = word.mIsCleared
+                            ? !mCrashes.Clear(report.mRequest).empty()
+                            : mCrashes.Note(report, now - word.mReport.mAge);
+      if (isNews) {
+        mUntold.mWords.push_back(word);
+      }
+    }
+    if (isFirst && !mUntold.mWords.empty()) {
+      transport::Spawn(mContext, TellCrashesSoon());
+    }
+  }
+
+  Task<void> TellCrashesSoon()
+  {
+    const auto self = shared_from_this();
+    co_await transport::Sleep(kTellCrashesAfter);
+    const auto reports = std::exchange(mUntold, {});
+    for (const auto& [channel, waiting] : mChannels) {
+      channel->Send(reports);
+    }
+  }
+
+  /// What is remembered of crashes, for a relay that connects.
+  protocol::CrashReports KnownCrashes() const
+  {
+    protocol::CrashReports known;
+    for (auto& report : mCrashes.Reports(mClock.Now())) {
+      if (known.mWords.size() >= kMaxCrashesTold) {
+        break;
+      }
+      known.mWords.push_back({ std::move(report), false });
+    }
+    return known;
+  }
+
   void PassOn(const protocol::PartReading& aReading,
               const std::shared_ptr<FrameChannel>& aFrom)
   {
@@ -295,6 +352,8 @@
   std::set<std::string, std::less<>> mAskedFor; ///< parts that are told
   std::deque<std::string> mAskedOrder;          ///< the same, the oldest first
   std::int64_t mToldWaiting = 0;
+  state::CrashLedger mCrashes{ state::CrashLedgerSettings{} };
+  protocol::CrashReports mUntold; ///< of crashes, to the relays
   /// Relays, and what of them waits at the engine.
   std::map<std::shared_ptr<FrameChannel>, state::WaitingTokens> mChannels;
 };
--- a/packages/coordination/src/fleet_daemon.cpp
+++ b/packages/coordination/src/fleet_daemon.cpp
@@ -12,6 +12,7 @@
 #include "shuntjunction/coordination/engine_watch.h"
 #include "shuntjunction/coordination/part_follower.h"
 #include "shuntjunction/coordination/part_store_teller.h"
+#include "shuntjunction/coordination/quarantine_keeper.h"
 #include "shuntjunction/coordination/relay.h"
 #include "shuntjunction/coordination/weights_keeper.h"
 #include "shuntjunction/coordination/zone_watch.h"
@@ -164,6 +165,7 @@
       std::min(state::ConfirmationWait(aSettings.mBounds.mKeyRemoval),
                aSettings.mBounds.mEndpointLeaving / 2);
     feed.mWatchesConfig = aSettings.mRole == FleetRole::kRelay;
+    feed.mFollowsQuarantine = feed.mWatchesConfig;
     feed.mListPause = aSettings.mRole == FleetRole::kRelay
                         ? kRelayListPause
                         : kCompanionListPause;
@@ -186,6 +188,8 @@
 
   Result<void> StartRelay()
   {
+    mQuarantine = std::make_unique<QuarantineKeeper>(QuarantineKeeperParts{
+      mControl, mZone.Store(), mAdapter.mStoreCodec, mClock, mLog });
     mRelay = std::make_unique<Relay>(RelayParts{
       mTraffic,
       mSettings,
@@ -200,6 +204,14 @@
       },
       [this](const auto& aAddress, const auto& aWaiting, const auto& aPart) {
         mNewsClient->SetWaiting(aAddress, aWaiting, aPart);
+      },
+      [this](auto aEndpoint, const auto& aReports) {
+        mNewsClient->TellCrashes(aEndpoint, aReports);
+      },
+      [this](const auto& aRequest, auto aFor) {
+        asio::post(mControl, [this, request = aRequest, aFor] {
+          mQuarantine->Keep(request, aFor);
+        });
       } });
     const auto address = mRelay->Start();
     if (!address) {
@@ -217,6 +229,9 @@
       [this](const protocol::EngineNews& aNews) { mRelay->TakeNews(aNews); },
       [this](const protocol::PartReading& aReading) {
         mRelay->TakePartReading(aReading);
+      },
+      [this](const protocol::CrashReports& aReports) {
+        mRelay->TakeCrashReports(aReports);
       });
     return Serve(
       mReadiness, mSettings.mReadiness, mSettings.mReadinessPath, [this] {
@@ -342,6 +357,7 @@
       mKeeper->TakeView(std::move(aView));
       return;
     }
+    mQuarantine->TakeView(aView);
     asio::post(mTraffic, [this, view = std::move(aView)]() mutable {
       const bool wasReady = mRelay->IsReady();
       mNewsClient->Follow(view->mEndpoints);
@@ -428,6 +444,7 @@
   asio::signal_set mSignals;
   ZoneWatch mZone;
   RelayFeed mFeed;
+  std::unique_ptr<QuarantineKeeper> mQuarantine;
   std::unique_ptr<Relay> mRelay;
   std::unique_ptr<EngineNewsClient> mNewsClient;
   std::unique_ptr<EngineNewsServer> mNewsServer;
--- a/packages/coordination/src/relay.cpp
+++ b/packages/coordination/src/relay.cpp
@@ -108,6 +108,7 @@
 Relay::Core::Core(const RelayParts& aParts)
   : mParts(aParts)
   , mEndpoints(RelayEndpointSettings{})
+  , mCrashes(mParts)
   , mLedger(mLimits.mMaxParts)
   , mReadingRate(mLimits.mFirstToken)
   , mRandom(std::random_device{}())
@@ -145,8 +146,13 @@
 }
 
 void
-Relay::Core::NoteRestart(const RelayEndpoint& aEndpoint)
+Relay::Core::NoteRestart(RelayEndpoint& aEndpoint)
 {
+  for (const auto& broken : std::exchange(aEndpoint.mBrokenOff, {})) {
+    if (mParts.mClock.Now() - broken.mAt < mLimits.mRestartHeard) {
+      mCrashes.Note(broken.mRequest, aEndpoint);
+    }
+  }
   mLedger.ForgetReader(aEndpoint.mInfo.mId);
   if (mParts.mTellWaiting && !aEndpoint.mInfo.mModels.empty()) {
     mParts.mTellWaiting(aEndpoint.mInfo.mAddress, {}, {});
@@ -201,6 +207,7 @@
 Relay::TakeView(std::shared_ptr<const RelayView> aView)
 {
   mCore->mView = std::move(aView);
+  mCore->mCrashes.TakeQuarantined(mCore->mView->mQuarantined);
   const auto changes = mCore->mEndpoints.Update(mCore->mView->mEndpoints,
                                                 mCore->mParts.mClock.Now());
   for (const auto& endpoint : changes.mRestarted) {
@@ -239,9 +246,16 @@
   }
 }
 
+void
+Relay::TakeCrashReports(const protocol::CrashReports& aReports)
+{
+  mCore->mCrashes.Take(aReports);
+}
+
 void
 Relay::SetGauges()
 {
+  mCore->mCrashes.SetGauges();
   auto& metrics = mCore->mParts.mMetrics;
   const auto now = mCore->mParts.mClock.Now();
   const auto age = mCore->mParts.mConfigConfirmed.IsKnown()
--- a/packages/coordination/src/relay_attempt.cpp
+++ b/packages/coordination/src/relay_attempt.cpp
@@ -75,6 +75,18 @@
 
 Task<AttemptOutcome>
 RelayRun::Try(RelayPick aPick)
+{
+  const auto endpoint = aPick.mEndpoint;
+  const int suspects = aPick.mIsApart ? 1 : 0;
+  // Before it connects: those that broke off together choose together.
+  endpoint->mSuspects += suspects;
+  const auto outcome = co_await TryThere(std::move(aPick));
+  endpoint->mSuspects -= suspects;
+  co_return outcome;
+}
+
+Task<AttemptOutcome>
+RelayRun::TryThere(RelayPick aPick)
 {
   Attempt attempt;
   attempt.mPick = std::move(aPick);
--- a/packages/coordination/src/relay_choice_view.cpp
+++ b/packages/coordination/src/relay_choice_view.cpp
@@ -83,6 +83,7 @@
       aEndpoint->mInfo.mZone == mCore.mParts.mSettings.mZone;
     candidate.mIsSuspect = mNow < aEndpoint->mSuspectUntil;
     candidate.mRunning = aEndpoint->mRunning;
+    candidate.mSuspects = aEndpoint->mSuspects;
     candidate.mSlots = aEndpoint->mInfo.mSlots;
     candidate.mQueuedTokens = aEndpoint->mWaiting.AheadOf(mAsk.mUrgency);
     if (news != nullptr) {
@@ -223,7 +224,9 @@
   std::optional<std::size_t> index;
   const bool isPlacedByPart =
     aAsk.mCall->SharedTokens() >= settings.mMinSharedTokens;
-  if (isPlacedByPart) {
+  if (aAsk.mApartBy) {
+    index = state::ChooseApart(candidates, *aAsk.mApartBy);
+  } else if (isPlacedByPart) {
     const auto key = state::PlacementHash(part);
     index = state::ChooseByPart(candidates, key, settings);
   } else {
@@ -235,6 +238,7 @@
     return std::nullopt;
   }
   RelayPick pick;
+  pick.mIsApart = aAsk.mApartBy.has_value();
   pick.mEndpoint = list.At(*index);
   pick.mWeights = candidates[*index].mVersion;
   pick.mIsKept = candidates[*index].mHoldsPart;
--- a/packages/coordination/src/relay_choice_view.h
+++ b/packages/coordination/src/relay_choice_view.h
@@ -16,6 +16,9 @@
   int mUrgency = 0;              ///< of the team or the route
   state::Millis mElapsed{ 0 };   ///< since the request's arrival
   state::Millis mObjective{ 0 }; ///< to its first token, from then
+  /// Hash of a request under which an endpoint crashed: it goes its own way,
+  /// apart from those that ran beside it.
+  std::optional<std::uint64_t> mApartBy;
 };
 
 /// An endpoint, and how the request is handed to it.
@@ -31,6 +34,7 @@
   bool mIsKept = false;    ///< the endpoint keeps the part, as far as is known
   std::int64_t mTokensToRead = 0; ///< estimate
   int mUrgency = 0;               ///< by which the engine shall order it
+  bool mIsApart = false;    ///< an endpoint crashed under the request before
   bool mIsBehind = false;   ///< expected late: behind those that can be in time
   state::TimePoint mSentAt; ///< set when it is sent
   // What was known when it was chosen, for the log.
--- a/packages/coordination/src/relay_core.h
+++ b/packages/coordination/src/relay_core.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include "relay_crashes.h"
 #include "relay_endpoint.h"
 #include "shuntjunction/coordination/relay.h"
 #include "shuntjunction/state/first_token.h"
@@ -55,6 +56,10 @@
   /// An engine that did not load its weights so long after its turn is used
   /// again meanwhile.
   state::Millis mLoadPatience{ 2500 };
+  /// A restart is heard of within this, by the list or by its companion.
+  state::Millis mRestartHeard{ 10000 };
+  /// Requests that broke off at one endpoint that are remembered for it.
+  std::size_t mMaxBrokenOff = 64;
   state::FirstTokenSettings mFirstToken;
 };
 
@@ -81,7 +86,7 @@
 
   /// Takes that an endpoint is in another life: what was read, or waited, there
   /// before counts no more.
-  void NoteRestart(const RelayEndpoint& aEndpoint);
+  void NoteRestart(RelayEndpoint& aEndpoint);
 
   /// Whether no more callers' connections can be taken now.
   bool IsFull() const;
@@ -92,6 +97,7 @@
   RelayParts mParts;
   RelayLimits mLimits;
   RelayEndpoints mEndpoints;
+  RelayCrashes mCrashes;
   state::PartLedger mLedger;
   state::ReadingRate mReadingRate;
   state::OverloadGuard mGuard;
--- /dev/null
+++ b/packages/coordination/src/relay_crashes.cpp
@@ -0,0 +1,219 @@
+#include "relay_crashes.h"
+
+#include <utility>
+
+#include "relay_core.h"
+#include "shuntjunction/transport/connect.h"
+
+namespace shuntjunction::coordination {
+
+using state::CrashReport;
+using state::Millis;
+using state::RequestDigest;
+using transport::Task;
+
+namespace {
+
+/// Crashes of one moment are told together: an endpoint that crashes cuts some
+/// ten requests off within a few milliseconds.
+constexpr Millis kTellAfter{ 10 };
+
+/// A machine in reach refuses a connection within some milliseconds; one that
+/// says nothing for longer did not crash as far as can be told.
+constexpr Millis kCheckTimeout{ 100 };
+
+/// What was found holds for all that broke off in this time.
+constexpr Millis kCheckHolds{ 100 };
+
+constexpr Millis kCheckStep{ 5 };
+
+} // namespace
+
+RelayCrashes::RelayCrashes(const RelayParts& aParts)
+  : mParts(aParts)
+  , mLedger(state::CrashLedgerSettings{})
+{
+}
+
+RelayCrashes::Running::iterator
+RelayCrashes::Begin(const RequestDigest& aRequest, std::function<void()> aEnd)
+{
+  return mRunning.emplace(aRequest, std::move(aEnd));
+}
+
+void
+RelayCrashes::Note(const RequestDigest& aRequest,
+                   const RelayEndpoint& aEndpoint)
+{
+  const CrashReport report{ aRequest, aEndpoint.mNameHash };
+  const bool wasFree = QuarantineLeft(aRequest) == Millis(0);
+  if (!mLedger.Note(report, Now())) {
+    return;
+  }
+  if (mSeen.size() >= mLedger.Settings().mMaxRequests) {
+    mSeen.clear();
+  }
+  mSeen.insert(aRequest);
+  mParts.mLog.Write(EventLine(kRelayPart, "endpoint-crashed")
+                      .Add("endpoint", aEndpoint.mInfo.mId)
+                      .Add("content", aRequest.Text())
+                      .Add("crashes", Crashes(aRequest)));
+  mParts.mMetrics.Count("shuntjunction_relay_crash_reports_total",
+                        { { "service", aEndpoint.mInfo.mService } });
+  Tell(report, false);
+  if (wasFree && QuarantineLeft(aRequest) > Millis(0)) {
+    BeginQuarantine(aRequest, "own");
+  }
+}
+
+void
+RelayCrashes::NoteEndedWell(const RequestDigest& aRequest)
+{
+  mSeen.erase(aRequest);
+  for (const auto& report : mLedger.Clear(aRequest)) {
+    Tell(report, true);
+  }
+}
+
+void
+RelayCrashes::Take(const protocol::CrashReports& aReports)
+{
+  for (const auto& word : aReports.mWords) {
+    const auto& report = word.mReport.mReport;
+    if (word.mIsCleared) {
+      mSeen.erase(report.mRequest);
+      mLedger.Clear(report.mRequest);
+      continue;
+    }
+    const bool wasFree = QuarantineLeft(report.mRequest) == Millis(0);
+    mLedger.Note(report, Now() - word.mReport.mAge);
+    if (wasFree && QuarantineLeft(report.mRequest) > Millis(0)) {
+      BeginQuarantine(report.mRequest, "relays");
+    }
+  }
+}
+
+void
+RelayCrashes::TakeQuarantined(const QuarantinedRequests& aQuarantined)
+{
+  const auto wall = mParts.mClock.WallMillis();
+  for (const auto& [request, kept] : aQuarantined) {
+    const bool isKnown = mStored.contains(request);
+    const Millis left{ kept.mUntilMillis - wall };
+    if (!isKnown && left > Millis(0) &&
+        mLedger.Quarantine(request, Now(), left)) {
+      BeginQuarantine(request, "store");
+    }
+  }
+  for (const auto& [request, kept] : mStored) {
+    if (!aQuarantined.contains(request)) {
+      mParts.mLog.Write(
+        EventLine(kRelayPart, "released").Add("content", request.Text()));
+      NoteEndedWell(request);
+    }
+  }
+  mStored = aQuarantined;
+}
+
+Millis
+RelayCrashes::QuarantineLeft(const RequestDigest& aRequest) const
+{
+  return mLedger.QuarantineLeft(aRequest, Now());
+}
+
+int
+RelayCrashes::Crashes(const RequestDigest& aRequest) const
+{
+  return mLedger.Crashes(aRequest, Now());
+}
+
+void
+RelayCrashes::SetGauges()
+{
+  mParts.mMetrics.Set("shuntjunction_relay_crash_suspects",
+                      static_cast<double>(mLedger.Suspects()));
+  mParts.mMetrics.Set("shuntjunction_relay_quarantined",
+                      static_cast<double>(mLedger.Quarantined(Now())));
+}
+
+void
+RelayCrashes::BeginQuarantine(const RequestDigest& aRequest,
+                              std::string_view aSource)
+{
+  const auto left = QuarantineLeft(aRequest);
+  mParts.mLog.Write(EventLine(kRelayPart, "quarantined")
+                      .Add("content", aRequest.Text())
+                      .Add("source", aSource)
+                      .Add("crashes", Crashes(aRequest))
+                      .Add("left_ms", left.count()));
+  // Those that saw a crash keep it, three at the most: not every relay.
+  if (mSeen.erase(aRequest) != 0 && mParts.mKeepQuarantine) {
+    mParts.mKeepQuarantine(aRequest, left);
+  }
+  const auto [first, last] = mRunning.equal_range(aRequest);
+  for (auto running = first; running != last; ++running) {
+    running->second();
+  }
+}
+
+void
+RelayCrashes::Tell(const CrashReport& aReport, bool aIsCleared)
+{
+  if (!mParts.mTellCrashes) {
+    return;
+  }
+  const bool isFirst = mUntold.empty();
+  mUntold[aReport.mEndpoint].mWords.push_back(
+    { { aReport, Millis(0) }, aIsCleared });
+  if (isFirst) {
+    transport::Spawn(mParts.mContext, FlushSoon());
+  }
+}
+
+Task<void>
+RelayCrashes::FlushSoon()
+{
+  co_await transport::Sleep(kTellAfter);
+  for (const auto& [endpoint, reports] : std::exchange(mUntold, {})) {
+    mParts.mTellCrashes(endpoint, reports);
+  }
+}
+
+Task<bool>
+HasCrashed(std::shared_ptr<Relay::Core> aCore, RelayEndpointPtr aEndpoint)
+{
+  const auto now = [&] { return aCore->mParts.mClock.Now(); };
+  while (aEndpoint->mIsBeingChecked) {
+    co_await transport::Sleep(kCheckStep);
+  }
+  if (aEndpoint->mHasCrashed) {
+    co_return true;
+  }
+  // One that leaves ends as planned, whatever it still runs.
+  if (!aEndpoint->TakesWork() || now() - aEndpoint->mCheckedAt < kCheckHolds) {
+    co_return false;
+  }
+  const auto address = state::ParseAddress(aEndpoint->mInfo.mAddress);
+  const auto target =
+    transport::EndpointOf(address.value_or(state::Address{}), "relay.check");
+  if (!target) {
+    co_return false;
+  }
+  aEndpoint->mIsBeingChecked = true;
+  auto socket = co_await transport::ConnectSocket(*target, kCheckTimeout);
+  aEndpoint->mIsBeingChecked = false;
+  aEndpoint->mCheckedAt = now();
+  if (!socket) {
+    aEndpoint->mHasCrashed =
+      socket.error() == transport::asio::error::connection_refused;
+    co_return aEndpoint->mHasCrashed;
+  }
+  EndpointConnection connection;
+  connection.mReader = std::make_shared<transport::SocketReader>(
+    std::move(*socket), aCore->mLimits.mReadAhead);
+  connection.mReader->Start();
+  aCore->mEndpoints.PutIdle(*aEndpoint, std::move(connection), {}, now());
+  co_return false;
+}
+
+} // namespace shuntjunction::coordination
--- a/packages/coordination/src/relay_endpoint.cpp
+++ b/packages/coordination/src/relay_endpoint.cpp
@@ -95,7 +95,9 @@
   aEntry->mInfo = former->mInfo;
   aEntry->mLife = former->mLife;
   aEntry->mNameHash = former->mNameHash;
+  aEntry->mBrokenOff = std::move(former->mBrokenOff);
   former->mIsListed = false;
+  former->mHasCrashed = true;
   CutOff(*former);
   mParts.Forget(former->mInfo.mId);
   return aEntry;
@@ -248,6 +250,7 @@
 RelayEndpoints::NoteSuccess(RelayEndpoint& aEndpoint)
 {
   aEndpoint.mFailures = 0;
+  aEndpoint.mHasCrashed = false;
   aEndpoint.mSuspicion = Millis(0);
 }
 
--- a/packages/coordination/src/relay_endpoint.h
+++ b/packages/coordination/src/relay_endpoint.h
@@ -12,6 +12,7 @@
 #include "shuntjunction/state/late_queue.h"
 #include "shuntjunction/state/part_index.h"
 #include "shuntjunction/state/relay_config.h"
+#include "shuntjunction/state/request_digest.h"
 #include "shuntjunction/transport/relay_message.h"
 #include "shuntjunction/transport/socket_reader.h"
 
@@ -51,6 +52,13 @@
   state::Millis mNewsLimit{ 2500 };
 };
 
+/// A request whose connection broke off at an endpoint.
+struct BrokenOff
+{
+  state::RequestDigest mRequest;
+  state::TimePoint mAt;
+};
+
 /// One endpoint as a relay knows it.
 struct RelayEndpoint
 {
@@ -62,12 +70,20 @@
   /// Connections on which a request waits for its answer.
   std::set<std::shared_ptr<transport::SocketReader>> mBusy;
   std::int64_t mRunning = 0;     ///< requests of this relay there
+  std::int64_t mSuspects = 0;    ///< of these, that go apart; see ChooseApart
   state::WaitingTokens mWaiting; ///< of this relay's, by their urgency there
   state::LateQueue mLate;        ///< of this relay's, behind all others there
   int mFailures = 0;             ///< in a row
   state::Millis mSuspicion{ 0 };
   state::TimePoint mSuspectUntil;
   state::TimePoint mClosedUntil; ///< rests after a refusal
+  /// Nothing listens at its address, or another life of it does.
+  bool mHasCrashed = false;
+  bool mIsBeingChecked = false; ///< whether it has; see HasCrashed
+  state::TimePoint mCheckedAt;
+  /// Requests that broke off here though it listens: it may have crashed and
+  /// be back already.
+  std::vector<BrokenOff> mBrokenOff;
   /// What its companion said last; empty before it said anything.
   std::optional<protocol::EngineNews> mNews;
   state::TimePoint mNewsAt;
--- a/packages/coordination/src/relay_feed.cpp
+++ b/packages/coordination/src/relay_feed.cpp
@@ -50,6 +50,7 @@
   , mConfigTopic(std::make_unique<Topic>())
   , mEndpointTopic(std::make_unique<Topic>())
   , mWeightsTopic(std::make_unique<Topic>())
+  , mQuarantineTopic(std::make_unique<Topic>())
   , mRandom(std::random_device{}())
 {
   DescribeTopics();
@@ -87,6 +88,19 @@
   mWeightsTopic->mTakeList = each(takeWeights);
   mWeightsTopic->mTakeChange = takeWeights;
 
+  mQuarantineTopic->mPrefix = mCodec.QuarantinePrefix();
+  mQuarantineTopic->mWait = mSettings.mListWait;
+  mQuarantineTopic->mTakeList = [this](const auto& aObjects) {
+    mView.mQuarantined.clear();
+    for (const auto& object : aObjects) {
+      TakeQuarantined(object);
+    }
+    return true;
+  };
+  mQuarantineTopic->mTakeChange = [this](const RawObject& aObject) {
+    TakeQuarantined(aObject);
+  };
+
   mEndpointTopic->mPrefix = mCodec.EndpointPrefix();
   mEndpointTopic->mWait = mSettings.mListWait;
   mEndpointTopic->mPauseAfterChange = mSettings.mListPause;
@@ -114,6 +128,9 @@
   }
   transport::Spawn(mContext, Follow(*mEndpointTopic));
   transport::Spawn(mContext, Follow(*mWeightsTopic));
+  if (mSettings.mFollowsQuarantine) {
+    transport::Spawn(mContext, Follow(*mQuarantineTopic));
+  }
   transport::Spawn(mContext, ExpireLapsed());
   if (!mSettings.mWatchesConfig) {
     transport::Spawn(mContext, CheckPulse());
--- a/packages/coordination/src/relay_feed_liveness.cpp
+++ b/packages/coordination/src/relay_feed_liveness.cpp
@@ -152,10 +152,13 @@
   mPlatform.AbandonCalls();
 }
 
-std::array<RelayFeed::Topic*, 3>
+std::array<RelayFeed::Topic*, 4>
 RelayFeed::Topics() const
 {
-  return { mConfigTopic.get(), mEndpointTopic.get(), mWeightsTopic.get() };
+  return { mConfigTopic.get(),
+           mEndpointTopic.get(),
+           mWeightsTopic.get(),
+           mQuarantineTopic.get() };
 }
 
 Task<void>
--- a/packages/coordination/src/relay_feed_objects.cpp
+++ b/packages/coordination/src/relay_feed_objects.cpp
@@ -183,6 +183,23 @@
   return true;
 }
 
+bool
+RelayFeed::TakeQuarantined(const RawObject& aObject)
+{
+  if (aObject.mValue.empty()) {
+    const auto request = state::RequestDigest::Parse(IdOf(aObject));
+    return request && mView.mQuarantined.erase(*request) != 0;
+  }
+  const auto entry = mCodec.ReadQuarantine(aObject.mKey, aObject.mValue);
+  if (!entry) {
+    RefuseObject("quarantine-refused", aObject, entry.error());
+    return false;
+  }
+  mView.mQuarantined[entry->mRequest] = { entry->mUntilMillis,
+                                          aObject.mRevision };
+  return true;
+}
+
 bool
 RelayFeed::HasNewerWeights(const ObjectList& aList) const
 {
--- a/packages/coordination/src/relay_reply.cpp
+++ b/packages/coordination/src/relay_reply.cpp
@@ -29,10 +29,16 @@
     LogOutcome("caller-gone", mLastProblem);
     co_return;
   }
+  const bool isLate = mInterrupt == RunInterrupt::kDeadline;
+  std::string reason = isLate ? "deadline" : mLastProblem;
+  const auto quarantine = mCore->mCrashes.QuarantineLeft(mDigest);
+  if (quarantine > Millis(0)) {
+    reason = kQuarantinedReason;
+    mRetryAfter = quarantine;
+  }
   if (mIsHeadPassed) {
     CutCaller();
-    LogOutcome(
-      "cut", mInterrupt == RunInterrupt::kDeadline ? "deadline" : mLastProblem);
+    LogOutcome("cut", reason);
     co_return;
   }
   if (!mFailure.empty()) {
@@ -42,8 +48,6 @@
     LogOutcome("answered", mLastProblem);
     co_return;
   }
-  const bool isLate = mInterrupt == RunInterrupt::kDeadline;
-  const std::string reason = isLate ? "deadline" : mLastProblem;
   if (!mMayHaveRun) {
     co_await Refuse(kUnavailable, reason, mRetryAfter);
   } else if (isLate) {
--- a/packages/coordination/src/relay_run.cpp
+++ b/packages/coordination/src/relay_run.cpp
@@ -2,6 +2,7 @@
 
 #include <random>
 
+#include "shuntjunction/state/prefix_chain.h"
 #include "shuntjunction/state/spread_pause.h"
 
 namespace shuntjunction::coordination {
@@ -18,6 +19,7 @@
 constexpr unsigned kUnauthorized = 401;
 constexpr unsigned kNoRoute = 404;
 constexpr unsigned kUnavailable = 503;
+constexpr unsigned kFirstServerError = 500;
 
 /// How long a refused caller is told to stay away when no endpoint of its
 /// service answers: the time in which one that was restarted is listed again.
@@ -39,6 +41,10 @@
 /// them one after the other costs a connection timeout each.
 constexpr int kMaxUnsentTries = 3;
 
+/// Endpoints that may crash under one try of a caller. The third would be the
+/// last that its request may ever crash: that trial is its caller's to make.
+constexpr int kMostCrashesOfRun = 2;
+
 /// How often a request that waits for an endpoint looks again.
 constexpr Millis kWaitStep{ 15 };
 
@@ -72,14 +78,20 @@
     co_await Refuse(kUnavailable, "stale-keys", kRetryElsewhere);
   } else if (!FindTeam()) {
     co_await Refuse(kUnauthorized, "unknown-key");
+  } else if (IsQuarantined()) {
+    co_await Refuse(kUnavailable,
+                    kQuarantinedReason,
+                    mCore->mCrashes.QuarantineLeft(mDigest));
   } else if (mCore->mIsRefusing) {
     co_await Refuse(kUnavailable, "stopping", Millis(0));
   } else {
     mService = DrawService();
-    mDigest = DigestOfRequest();
     ArmDeadline();
     mCaller.OnClosed([this] { Interrupt(RunInterrupt::kCallerGone); });
+    const auto running = mCore->mCrashes.Begin(
+      mDigest, [this] { Interrupt(RunInterrupt::kQuarantined); });
     co_await Serve();
+    mCore->mCrashes.End(running);
     mCaller.OnClosed(nullptr);
     mDeadlineTimer->cancel();
   }
@@ -162,14 +174,21 @@
       mRequest->mBody });
 }
 
+bool
+RelayRun::IsQuarantined()
+{
+  mDigest = DigestOfRequest();
+  return mCore->mCrashes.QuarantineLeft(mDigest) > Millis(0);
+}
+
 void
 RelayRun::ArmDeadline()
 {
   const auto limit =
     std::min(mRoute->mTimeout, mCall.mDeadline.value_or(mRoute->mTimeout));
   mDeadline = mArrival + limit;
-  mDeadlineTimer = std::make_shared<transport::asio::steady_timer>(
-    mCore->mParts.mContext, mDeadline);
+  mDeadlineTimer =
+    std::make_shared<transport::asio::steady_timer>(mCore->mParts.mContext, mDeadline);
   // Cancelled before the run ends, but a timer that ran out already still
   // calls: the token says whether the run is there.
   mDeadlineTimer->async_wait(
@@ -219,6 +238,9 @@
     }
     const auto outcome = co_await Try(*pick);
     NoteOutcome(*pick, outcome);
+    if (outcome == AttemptOutcome::kBroken) {
+      co_await NoteBrokenOff(*pick);
+    }
     if (outcome == AttemptOutcome::kDone) {
       co_return;
     }
@@ -241,7 +263,11 @@
                 mTeam != nullptr ? mTeam->mUrgency.value_or(mRoute->mUrgency)
                                  : mRoute->mUrgency,
                 SinceArrival(),
-                mRoute->mObjective };
+                mRoute->mObjective,
+                {} };
+  if (mCore->mCrashes.Crashes(mDigest) > 0) {
+    ask.mApartBy = state::PlacementHash(mDigest.Text());
+  }
   const auto objective = static_cast<double>(mRoute->mObjective.count());
   const auto until =
     mArrival +
@@ -313,10 +339,34 @@
   if (aOutcome == AttemptOutcome::kBroken && !mRoute->IsRepeatable()) {
     return false;
   }
+  if (mCrashes >= kMostCrashesOfRun) {
+    return false;
+  }
   return mUnsentTries < kMaxUnsentTries &&
          static_cast<int>(mTried.size()) < mRoute->mMaxAttempts;
 }
 
+Task<void>
+RelayRun::NoteBrokenOff(const RelayPick& aPick)
+{
+  const auto endpoint = aPick.mEndpoint;
+  if (co_await HasCrashed(mCore, endpoint)) {
+    ++mCrashes;
+    mCore->mCrashes.Note(mDigest, *endpoint);
+  } else if (endpoint->mBrokenOff.size() < mCore->mLimits.mMaxBrokenOff) {
+    endpoint->mBrokenOff.push_back({ mDigest, Now() });
+  }
+}
+
+void
+RelayRun::NoteEndedWell(unsigned aStatus)
+{
+  // A failure may be told by an endpoint that never began to run it.
+  if (aStatus < kFirstServerError) {
+    mCore->mCrashes.NoteEndedWell(mDigest);
+  }
+}
+
 void
 RelayRun::NoteOutcome(const RelayPick& aPick, AttemptOutcome aOutcome)
 {
@@ -325,6 +375,7 @@
   switch (aOutcome) {
     case AttemptOutcome::kDone:
       endpoints.NoteSuccess(endpoint);
+      NoteEndedWell(mFirstStatus);
       break;
     case AttemptOutcome::kUnsent:
     case AttemptOutcome::kBroken:
--- a/packages/coordination/src/relay_run.h
+++ b/packages/coordination/src/relay_run.h
@@ -8,6 +8,9 @@
 
 namespace shuntjunction::coordination {
 
+/// Why a request is refused that endpoints crash under.
+inline constexpr std::string_view kQuarantinedReason = "quarantined";
+
 /// How long a refused caller is told to stay away.
 inline constexpr state::Millis kRetrySoon{ 100 };
 
@@ -17,6 +20,7 @@
   kNone,
   kCallerGone,
   kDeadline,
+  kQuarantined, ///< endpoints crashed under the same request elsewhere
 };
 
 /// What became of one attempt at an endpoint.
@@ -82,6 +86,8 @@
   bool FindTeam();
   std::string DrawService();
   state::RequestDigest DigestOfRequest() const;
+  /// Whether endpoints crash under the request; notes its digest.
+  bool IsQuarantined();
   bool IsStale() const;
 
   // Attempts.
@@ -93,6 +99,7 @@
   /// Notes what its caller is told then.
   void NoteOverload(const RelayPick& aPick);
   transport::Task<AttemptOutcome> Try(RelayPick aPick);
+  transport::Task<AttemptOutcome> TryThere(RelayPick aPick);
   transport::Task<AttemptOutcome> Connect(Attempt& aAttempt);
   /// Why a request must not be sent at this moment; empty: it may be.
   std::string_view ReasonToWithhold();
@@ -107,6 +114,10 @@
   /// Tells the other relays that a part is being read, or was.
   void TellPart(const RelayPick& aPick, bool aIsDone);
   void NoteOutcome(const RelayPick& aPick, AttemptOutcome aOutcome);
+  /// Finds out whether an endpoint crashed under the request.
+  transport::Task<void> NoteBrokenOff(const RelayPick& aPick);
+  /// Takes that an endpoint ran the request and is well.
+  void NoteEndedWell(unsigned aStatus);
   void LogSent(const RelayPick& aPick);
   void LogAttempt(const RelayPick& aPick, AttemptOutcome aOutcome);
   bool MayTryAgain(AttemptOutcome aOutcome);
@@ -167,6 +178,7 @@
   std::vector<std::string> mTried; ///< endpoints that got the request
   AttemptTimes mTimes;             ///< of the last attempt
   int mUnsentTries = 0;            ///< endpoints that could not be reached
+  int mCrashes = 0;                ///< endpoints that crashed under this run
   bool mMayHaveRun = false;
   bool mIsHeadPassed = false;
   bool mIsKept = true;
--- a/packages/coordination/tests/engine_news_test.cpp
+++ b/packages/coordination/tests/engine_news_test.cpp
@@ -29,7 +29,11 @@
         aPort,
         aLog,
         [this](const EngineNews& aNews) { mNews.push_back(aNews); },
-        [this](const PartReading& aReading) { mReadings.push_back(aReading); })
+        [this](const PartReading& aReading) { mReadings.push_back(aReading); },
+        [this](const protocol::CrashReports& aReports) {
+          mCrashes.insert(
+            mCrashes.end(), aReports.mWords.begin(), aReports.mWords.end());
+        })
   {
     state::EndpointInfo engine;
     engine.mId = "i-1";
@@ -42,6 +46,7 @@
 
   std::vector<EngineNews> mNews;
   std::vector<PartReading> mReadings;
+  std::vector<protocol::CrashWord> mCrashes;
   EngineNewsClient mClient;
 };
 
@@ -138,6 +143,53 @@
   }
 }
 
+class OfWhichOneSawACrash : public GivenACompanionAndTwoRelays
+{
+protected:
+  OfWhichOneSawACrash() { Tell(false); }
+
+  void Tell(bool aIsCleared)
+  {
+    protocol::CrashReports reports;
+    reports.mWords.push_back(
+      { { { mRequest, kCrashed }, Millis(0) }, aIsCleared });
+    mOne.mClient.TellCrashes(kCrashed, reports);
+  }
+
+  static constexpr std::uint64_t kCrashed = 7;
+  const state::RequestDigest mRequest{ { "POST", "h", "/p", "", "body" } };
+};
+
+TEST_F(OfWhichOneSawACrash, TheOtherHearsOfItOnce)
+{
+  Tell(false);
+  Tell(true);
+  Await([this] { return mTwo.mCrashes.size() == 2; });
+  EXPECT_EQ(mTwo.mCrashes[0].mReport.mReport.mRequest, mRequest);
+  EXPECT_FALSE(mTwo.mCrashes[0].mIsCleared);
+  EXPECT_TRUE(mTwo.mCrashes[1].mIsCleared);
+}
+
+// What other processes know after a restart.
+TEST_F(OfWhichOneSawACrash, OneThatComesLaterHearsOfItWithItsAge)
+{
+  Await([this] { return !mTwo.mCrashes.empty(); });
+  Listener late(mContext, "relay-3", mPort, mLog);
+  Await([&] { return !late.mCrashes.empty(); });
+  EXPECT_EQ(late.mCrashes[0].mReport.mReport.mRequest, mRequest);
+  late.mClient.Follow({});
+}
+
+TEST_F(OfWhichOneSawACrash, OneThatComesAfterItWasClearedDoesNot)
+{
+  Tell(true);
+  Await([this] { return mTwo.mCrashes.size() == 2; });
+  Listener late(mContext, "relay-3", mPort, mLog);
+  Await([&] { return !late.mNews.empty(); });
+  EXPECT_TRUE(late.mCrashes.empty());
+  late.mClient.Follow({});
+}
+
 class OfWhichOneHasMuchWaiting : public GivenACompanionAndTwoRelays
 {
 protected:
--- a/packages/protocol/include/shuntjunction/protocol/messages.h
+++ b/packages/protocol/include/shuntjunction/protocol/messages.h
@@ -8,6 +8,7 @@
 
 #include "shuntjunction/state/waiting_tokens.h"
 #include "shuntjunction/state/block_index.h"
+#include "shuntjunction/state/crash_ledger.h"
 #include "shuntjunction/state/endpoint_life.h"
 #include "shuntjunction/state/prefix_chain.h"
 #include "shuntjunction/state/request_types.h"
@@ -256,6 +257,20 @@
   std::string mPart;
 };
 
+/// A crash of an endpoint while a request ran there, as one process tells it to
+/// another; or that the request ended well, and is innocent.
+struct CrashWord
+{
+  state::AgedCrashReport mReport;
+  bool mIsCleared = false; ///< no endpoint crashes under it: forget this crash
+};
+
+/// What relays saw of crashes, in order; companions pass it on to all relays.
+struct CrashReports
+{
+  std::vector<CrashWord> mWords;
+};
+
 /// Any message.
 using Message = std::variant<Challenge,
                              Hello,
@@ -275,6 +290,7 @@
                              SnapshotReply,
                              EngineNews,
                              PartReading,
-                             RelayWaiting>;
+                             RelayWaiting,
+                             CrashReports>;
 
 } // namespace shuntjunction::protocol
--- a/packages/protocol/src/codec.cpp
+++ b/packages/protocol/src/codec.cpp
@@ -12,12 +12,12 @@
 constexpr std::size_t kSmallBuffer = 256;
 
 /// Names of the messages, in the order of Message.
-constexpr std::array<std::string_view, 19> kMessageNames{
+constexpr std::array<std::string_view, 20> kMessageNames{
   "challenge",   "hello",        "welcome",          "probe",
   "probe-reply", "submit",       "started",          "tokens",
   "finished",    "refused",      "failed",           "cancel",
   "credit",      "leaving",      "snapshot-request", "snapshot-reply",
-  "engine-news", "part-reading", "relay-waiting"
+  "engine-news", "part-reading", "relay-waiting",    "crash-reports"
 };
 static_assert(std::variant_size_v<Message> == kMessageNames.size());
 static_assert(static_cast<std::size_t>(wire::Body::MAX) ==
--- a/packages/protocol/src/codec_pack.cpp
+++ b/packages/protocol/src/codec_pack.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "codec_bodies.h"
 
 namespace shuntjunction::protocol {
@@ -291,6 +293,26 @@
   return wire::CreateRelayWaiting(aBuilder, waiting, part).Union();
 }
 
+Offset<void>
+Pack(FlatBufferBuilder& aBuilder, const CrashReports& aMessage)
+{
+  std::vector<Offset<wire::CrashReport>> reports;
+  reports.reserve(aMessage.mWords.size());
+  for (const auto& word : aMessage.mWords) {
+    const auto& report = word.mReport.mReport;
+    const auto request = aBuilder.CreateString(report.mRequest.Text());
+    const auto age =
+      std::clamp<std::int64_t>(word.mReport.mAge.count(), 0, UINT32_MAX);
+    reports.push_back(wire::CreateCrashReport(aBuilder,
+                                              request,
+                                              report.mEndpoint,
+                                              static_cast<std::uint32_t>(age),
+                                              word.mIsCleared));
+  }
+  return wire::CreateCrashReports(aBuilder, aBuilder.CreateVector(reports))
+    .Union();
+}
+
 } // namespace
 
 Offset<void>
--- a/packages/protocol/src/codec_unpack.cpp
+++ b/packages/protocol/src/codec_unpack.cpp
@@ -272,6 +272,25 @@
   return { WaitingOf(aWire.waiting()), TextOf(aWire.part()) };
 }
 
+/// Words that name no request are passed over.
+CrashReports
+Unpack(const wire::CrashReports& aWire)
+{
+  CrashReports message;
+  if (aWire.reports() == nullptr) {
+    return message;
+  }
+  for (const auto* report : *aWire.reports()) {
+    auto request = state::RequestDigest::Parse(TextOf(report->request()));
+    if (request) {
+      message.mWords.push_back({ { { std::move(*request), report->endpoint() },
+                                   state::Millis(report->age_ms()) },
+                                 report->is_cleared() });
+    }
+  }
+  return message;
+}
+
 } // namespace
 
 std::optional<Message>
@@ -316,6 +335,8 @@
       return Unpack(*aFrame.body_as_PartReading());
     case wire::Body::RelayWaiting:
       return Unpack(*aFrame.body_as_RelayWaiting());
+    case wire::Body::CrashReports:
+      return Unpack(*aFrame.body_as_CrashReports());
     case wire::Body::NONE:
       break;
   }
--- a/packages/protocol/tests/codec_test.cpp
+++ b/packages/protocol/tests/codec_test.cpp
@@ -100,6 +100,26 @@
   EXPECT_TRUE(passed.mIsDone);
 }
 
+TEST(GivenMessages, WordOfCrashesPassesWhole)
+{
+  const state::RequestDigest request({ "POST", "h", "/p", "team", "body" });
+  CrashReports told;
+  told.mWords.push_back({ { { request, 1ULL << 63 }, state::Millis(70) } });
+  told.mWords.push_back({ { { request, 5 }, state::Millis(0) }, true });
+  told.mWords.push_back(
+    { { { state::RequestDigest(), 5 }, state::Millis(0) } });
+  const auto passed = Passed(told).mWords;
+  {
+    SCOPED_TRACE("but for words of no request");
+    ASSERT_EQ(passed.size(), 2U);
+  }
+  EXPECT_EQ(passed[0].mReport.mReport.mRequest, request);
+  EXPECT_EQ(passed[0].mReport.mReport.mEndpoint, 1ULL << 63);
+  EXPECT_EQ(passed[0].mReport.mAge, state::Millis(70));
+  EXPECT_FALSE(passed[0].mIsCleared);
+  EXPECT_TRUE(passed[1].mIsCleared);
+}
+
 TEST(GivenMessages, AProbeStaysWithinItsShareOfTheControlBudget)
 {
   // 6 KB a second for 14 requests a second leave about 440 bytes a request;
--- a/packages/state/include/shuntjunction/state/relay_choice.h
+++ b/packages/state/include/shuntjunction/state/relay_choice.h
@@ -30,6 +30,7 @@
   std::int64_t mSlots = 1;    ///< that it works on at once
   std::int64_t mQueuedTokens = 0; ///< prompt tokens that wait to be read there
   bool mHoldsPart = false;        ///< keeps the prompt's last shared part
+  std::int64_t mSuspects = 0;     ///< requests there under which others crashed
 };
 
 /// Settings of the choice.
@@ -84,6 +85,19 @@
              const RelayChoiceSettings& aSettings,
              RandomSource& aRandom);
 
+/// Chooses where the fewest other suspects run, among these by rendezvous of
+/// the request alone, whatever its prompt and the endpoints' load.
+///
+/// Of the requests that ran where an endpoint crashed, one may have crashed it.
+/// By their prompts they would stay together until three endpoints crashed, and
+/// all be taken for it. Apart, the next crash tells which of them it is.
+///
+/// @param aKey  hash of the request
+/// @return index of aCandidates; empty when there are none
+/// Thread safety: pure.
+std::optional<std::size_t>
+ChooseApart(std::span<const RelayCandidate> aCandidates, std::uint64_t aKey);
+
 /// The part store to which an engine saves a part: one of its own zone, since a
 /// move between zones holds up the store's link for twice as long; among
 /// several by rendezvous, so that every relay computes the same, each store
--- /dev/null
+++ b/packages/state/src/crash_ledger.cpp
@@ -0,0 +1,176 @@
+#include "shuntjunction/state/crash_ledger.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace shuntjunction::state {
+
+namespace {
+
+/// Share of a full ledger that is dropped at once, so that a flood of suspects
+/// costs one look at all of them a thousand times more seldom.
+constexpr std::size_t kDropDivisor = 8;
+
+} // namespace
+
+bool
+CrashLedger::Note(const CrashReport& aReport, TimePoint aAt)
+{
+  auto& record = RecordOf(aReport.mRequest, aAt);
+  const auto isSame = [&](const Crash& aCrash) {
+    const auto apart = std::max(aAt, aCrash.mAt) - std::min(aAt, aCrash.mAt);
+    return aCrash.mEndpoint == aReport.mEndpoint &&
+           apart < mSettings.mSameCrash;
+  };
+  const bool isKnown =
+    std::any_of(record.mCrashes.begin(), record.mCrashes.end(), isSame);
+  if (isKnown) {
+    return false;
+  }
+  record.mCrashes.push_back({ aReport.mEndpoint, aAt });
+  record.mLatest = std::max(record.mLatest, aAt);
+  const auto most = static_cast<std::size_t>(mSettings.mMostCrashes);
+  if (record.mCrashes.size() >= most) {
+    record.mRefusedUntil =
+      std::max(record.mRefusedUntil, aAt + mSettings.mQuarantine);
+  }
+  if (record.mCrashes.size() > most) {
+    record.mCrashes.erase(record.mCrashes.begin());
+  }
+  return true;
+}
+
+std::vector<CrashReport>
+CrashLedger::Clear(const RequestDigest& aRequest)
+{
+  std::vector<CrashReport> known;
+  const auto found = mRequests.find(aRequest);
+  if (found == mRequests.end()) {
+    return known;
+  }
+  for (const auto& crash : found->second.mCrashes) {
+    known.push_back({ aRequest, crash.mEndpoint });
+  }
+  mRequests.erase(found);
+  return known;
+}
+
+bool
+CrashLedger::Quarantine(const RequestDigest& aRequest,
+                        TimePoint aNow,
+                        Millis aFor)
+{
+  const bool isNew = QuarantineLeft(aRequest, aNow) == Millis(0);
+  auto& record = RecordOf(aRequest, aNow);
+  record.mLatest = std::max(record.mLatest, aNow);
+  record.mRefusedUntil = std::max(record.mRefusedUntil,
+                                  aNow + std::min(aFor, mSettings.mQuarantine));
+  return isNew;
+}
+
+int
+CrashLedger::Crashes(const RequestDigest& aRequest, TimePoint aNow) const
+{
+  const auto found = mRequests.find(aRequest);
+  const bool isKnown =
+    found != mRequests.end() && !IsForgotten(found->second, aNow);
+  return isKnown ? static_cast<int>(found->second.mCrashes.size()) : 0;
+}
+
+Millis
+CrashLedger::QuarantineLeft(const RequestDigest& aRequest, TimePoint aNow) const
+{
+  const auto found = mRequests.find(aRequest);
+  if (found == mRequests.end() || found->second.mRefusedUntil <= aNow) {
+    return Millis(0);
+  }
+  return std::chrono::ceil<Millis>(found->second.mRefusedUntil - aNow);
+}
+
+std::vector<AgedCrashReport>
+CrashLedger::Reports(TimePoint aNow) const
+{
+  std::vector<std::pair<std::size_t, AgedCrashReport>> ranked;
+  for (const auto& [request, record] : mRequests) {
+    if (IsForgotten(record, aNow)) {
+      continue;
+    }
+    for (const auto& crash : record.mCrashes) {
+      const auto age = std::max(aNow - crash.mAt, TimePoint::duration(0));
+      ranked.push_back({ record.mCrashes.size(),
+                         { { request, crash.mEndpoint },
+                           std::chrono::duration_cast<Millis>(age) } });
+    }
+  }
+  std::stable_sort(
+    ranked.begin(), ranked.end(), [](const auto& aOne, const auto& aTwo) {
+      return aOne.first > aTwo.first;
+    });
+  std::vector<AgedCrashReport> reports;
+  reports.reserve(ranked.size());
+  for (auto& [crashes, report] : ranked) {
+    reports.push_back(std::move(report));
+  }
+  return reports;
+}
+
+std::size_t
+CrashLedger::Quarantined(TimePoint aNow) const
+{
+  return static_cast<std::size_t>(
+    std::count_if(mRequests.begin(), mRequests.end(), [&](const auto& aItem) {
+      return aItem.second.mRefusedUntil > aNow;
+    }));
+}
+
+bool
+CrashLedger::IsForgotten(const Record& aRecord, TimePoint aNow) const
+{
+  // One that was quarantined is on probation as long again: a single crash
+  // brings it back.
+  const auto since = std::max(aRecord.mLatest, aRecord.mRefusedUntil);
+  return aNow - since >= mSettings.mMemory;
+}
+
+CrashLedger::Record&
+CrashLedger::RecordOf(const RequestDigest& aRequest, TimePoint aNow)
+{
+  const auto found = mRequests.find(aRequest);
+  if (found != mRequests.end()) {
+    if (IsForgotten(found->second, aNow)) {
+      found->second = {};
+    }
+    return found->second;
+  }
+  if (mRequests.size() >= mSettings.mMaxRequests) {
+    DropLeast(aNow);
+  }
+  return mRequests[aRequest];
+}
+
+void
+CrashLedger::DropLeast(TimePoint aNow)
+{
+  // Whoever has many requests crash beside others shall not be able to push
+  // out one that is quarantined.
+  const auto rankOf = [&](const Record& aRecord) {
+    return std::tuple(
+      aRecord.mRefusedUntil > aNow, aRecord.mCrashes.size(), aRecord.mLatest);
+  };
+  using Entry = std::map<RequestDigest, Record>::iterator;
+  std::vector<Entry> entries;
+  for (auto entry = mRequests.begin(); entry != mRequests.end(); ++entry) {
+    entries.push_back(entry);
+  }
+  const auto count = std::max<std::size_t>(entries.size() / kDropDivisor, 1);
+  const auto end = entries.begin() + static_cast<std::ptrdiff_t>(count);
+  std::nth_element(
+    entries.begin(), end - 1, entries.end(), [&](Entry aOne, Entry aTwo) {
+      return rankOf(aOne->second) < rankOf(aTwo->second);
+    });
+  for (auto entry = entries.begin(); entry != end; ++entry) {
+    mRequests.erase(*entry);
+  }
+}
+
+} // namespace shuntjunction::state
--- a/packages/state/src/relay_choice.cpp
+++ b/packages/state/src/relay_choice.cpp
@@ -121,6 +121,21 @@
   return cost <= bestCost + aSettings.mSmallPartLead ? first : best;
 }
 
+std::optional<std::size_t>
+ChooseApart(std::span<const RelayCandidate> aCandidates, std::uint64_t aKey)
+{
+  const auto allowed = WithoutSuspects(aCandidates);
+  const auto rankOf = [&](std::size_t aIndex) {
+    const auto& candidate = aCandidates[aIndex];
+    return std::pair(-candidate.mSuspects, Rank(candidate.mNameHash, aKey));
+  };
+  const auto first =
+    std::max_element(allowed.begin(), allowed.end(), [&](auto aOne, auto aTwo) {
+      return rankOf(aOne) < rankOf(aTwo);
+    });
+  return first == allowed.end() ? std::nullopt : std::optional(*first);
+}
+
 const PartStoreRule*
 StoreOfPart(std::span<const PartStoreRule> aStores,
             std::string_view aPartName,
--- a/packages/state/tests/relay_state_test.cpp
+++ b/packages/state/tests/relay_state_test.cpp
@@ -271,6 +271,41 @@
   EXPECT_NE(ChooseByLoad(mCandidates, std::nullopt, mSettings, random), 2U);
 }
 
+// One request of ten crashed the endpoint that they shared. Chosen by prompt,
+// all ten would meet again; apart, each meets the culprit where chance has it.
+TEST(ChooseApart, SendsThoseThatRanTogetherDifferentWays)
+{
+  constexpr std::uint64_t kEndpoints = 8;
+  constexpr int kRequests = 800;
+  std::vector<RelayCandidate> candidates(kEndpoints);
+  for (std::uint64_t i = 0; i < kEndpoints; ++i) {
+    candidates[i].mNameHash = PlacementHash("endpoint " + std::to_string(i));
+  }
+  std::map<std::size_t, int> chosen;
+  for (int i = 0; i < kRequests; ++i) {
+    const auto key = PlacementHash("request " + std::to_string(i));
+    const auto index = ChooseApart(candidates, key);
+    ASSERT_TRUE(index);
+    EXPECT_EQ(ChooseApart(candidates, key), index);
+    ++chosen[*index];
+  }
+  for (const auto& [index, count] : chosen) {
+    EXPECT_LT(count, kRequests / 4) << index;
+  }
+  EXPECT_EQ(chosen.size(), kEndpoints);
+  EXPECT_FALSE(ChooseApart({}, 1));
+  {
+    SCOPED_TRACE("and none to where another of them runs, if it can be helped");
+    const auto first = *ChooseApart(candidates, 1);
+    candidates[first].mSuspects = 1;
+    EXPECT_NE(ChooseApart(candidates, 1), first);
+    for (auto& candidate : candidates) {
+      candidate.mSuspects = 1;
+    }
+    EXPECT_EQ(ChooseApart(candidates, 1), first);
+  }
+}
+
 // Notes of a team share 200 tokens that are not worth a move. Wherever one goes
 // its parts are read, so that they are read again wherever the next one goes.
 class GivenNotesOfManyTeams : public ::testing::Test
