Time goes on while a machine is suspended

Cause: all bounds counted on the steady clock, which stands still while the machine is suspended: keys, lists and companions' news were as fresh as before, kept connections as young, and deadlines came later by as long. Ruled out: noticing a suspension and starting the process's beliefs anew. Each bound would have to be found; a clock of another type lets the compiler find them. Conclusion: every age, key, deadline and pause of our processes counts true time.

--- a/apps/ctl_processes.cpp
+++ b/apps/ctl_processes.cpp
@@ -222,10 +222,9 @@
 int
 Commands::AwaitInForce(std::uint64_t aRevision)
 {
-  const auto until =
-    std::chrono::steady_clock::now() + Millis(mOptions.mWaitMs);
+  const auto until = state::BootClock::now() + Millis(mOptions.mWaitMs);
   auto late = NotInForce(aRevision);
-  while (late && !late->empty() && std::chrono::steady_clock::now() < until) {
+  while (late && !late->empty() && state::BootClock::now() < until) {
     std::this_thread::sleep_for(kInForcePoll);
     late = NotInForce(aRevision);
   }
--- a/bench/fleet_slopes.cpp
+++ b/bench/fleet_slopes.cpp
@@ -238,7 +238,7 @@
                 const std::vector<std::string>& aRouters,
                 const std::string& aModel)
 {
-  const auto begin = std::chrono::steady_clock::now();
+  const auto begin = state::BootClock::now();
   aFleet.Apply("config/models/" + aModel, R"({"weights":1})");
   for (const auto& name : aRouters) {
     transport::HttpRequest request;
@@ -250,8 +250,7 @@
       isInForce = answer && answer->mBody.find(aModel) != std::string::npos;
     }
   }
-  const std::chrono::duration<double> time =
-    std::chrono::steady_clock::now() - begin;
+  const std::chrono::duration<double> time = state::BootClock::now() - begin;
   return time.count();
 }
 
--- a/bench/policy.cpp
+++ b/bench/policy.cpp
@@ -212,15 +212,14 @@
        const Options* aOptions,
        const TimedCall* aTimed,
        std::size_t aNumber,
-       std::chrono::steady_clock::time_point aBegin,
+       state::TimePoint aBegin,
        const std::size_t* aGeneration,
        CallerOutcome* aOutcome)
 {
   const std::chrono::duration<double> at(aTimed->mAt);
   const auto due =
-    aBegin +
-    std::chrono::duration_cast<std::chrono::steady_clock::duration>(at);
-  co_await transport::Sleep(due - std::chrono::steady_clock::now());
+    aBegin + std::chrono::duration_cast<state::BootClock::duration>(at);
+  co_await transport::Sleep(due - state::BootClock::now());
   standins::CallerCall call;
   call.mKey = "team-" + std::to_string(aTimed->mTeam);
   call.mModel = "m";
@@ -280,7 +279,7 @@
   std::vector<CallerOutcome> outcomes(timed.size());
   boost::asio::io_context context(1);
   std::size_t generation = 0;
-  const auto begin = std::chrono::steady_clock::now();
+  const auto begin = state::BootClock::now();
   for (std::size_t i = 0; i < timed.size(); ++i) {
     transport::Spawn(
       context,
@@ -289,7 +288,7 @@
   }
   const std::chrono::duration<double> strikeAt(
     aOptions.mWorkload.mBurstEvery * 2 - 0.05);
-  boost::asio::steady_timer timer(
+  transport::Timer timer(
     context, std::chrono::duration_cast<std::chrono::nanoseconds>(strikeAt));
   timer.async_wait([&](auto) { Strike(fleet, aOptions, generation); });
   context.run();
--- a/packages/coordination/include/shuntjunction/coordination/companion.h
+++ b/packages/coordination/include/shuntjunction/coordination/companion.h
@@ -125,7 +125,7 @@
   std::unordered_set<std::shared_ptr<Session>> mSessions;
   std::shared_ptr<boost::asio::ip::tcp::acceptor> mAcceptor;
   transport::ChannelCounters mChannelCounters;
-  boost::asio::steady_timer mPumpTimer;
+  transport::Timer mPumpTimer;
   BackendState mState;
   std::uint64_t mNextTicket = 0;
   std::uint64_t mHeardVersion = 0;
--- a/packages/coordination/include/shuntjunction/coordination/status_writer.h
+++ b/packages/coordination/include/shuntjunction/coordination/status_writer.h
@@ -43,7 +43,7 @@
   std::string mWritten;
   std::uint64_t mRevision = 0;
   state::RandomSource mRandom;
-  boost::asio::steady_timer mWake;
+  transport::Timer mWake;
   Log mLog;
 };
 
--- a/packages/coordination/include/shuntjunction/coordination/weights_keeper.h
+++ b/packages/coordination/include/shuntjunction/coordination/weights_keeper.h
@@ -70,7 +70,7 @@
 
   WeightsKeeperParts mParts;
   std::shared_ptr<const RelayView> mView = std::make_shared<RelayView>();
-  transport::asio::steady_timer mWake;
+  transport::Timer mWake;
   std::uint64_t mFence = 0;
   /// What the engine reported last; its listed entry lags behind, or is of a
   /// former life.
--- a/packages/coordination/include/shuntjunction/coordination/zone_platform.h
+++ b/packages/coordination/include/shuntjunction/coordination/zone_platform.h
@@ -156,7 +156,7 @@
   std::array<std::atomic<std::uint64_t>, kStoreCallNames.Size()> mCalls{};
   std::atomic<bool> mIsServed{ false };
   std::optional<state::TimePoint> mAskedAt; ///< by others
-  std::list<transport::asio::steady_timer> mWaiting;
+  std::list<transport::Timer> mWaiting;
   state::RandomSource mRandom;
 };
 
--- a/packages/coordination/src/engine_news_client.cpp
+++ b/packages/coordination/src/engine_news_client.cpp
@@ -95,7 +95,7 @@
     aSource->mChannel = aChannel;
     aSource->mToldWaiting = {};
     TellWaiting(*aSource);
-    transport::asio::steady_timer silence(mContext);
+    transport::Timer silence(mContext);
     while (aSource->mIsWanted) {
       silence.expires_after(kSilenceLimit);
       silence.async_wait([aChannel](const auto& aError) {
--- a/packages/coordination/src/engine_orders.cpp
+++ b/packages/coordination/src/engine_orders.cpp
@@ -201,8 +201,8 @@
 Task<void>
 EngineOrders::WaitForStreams()
 {
-  const auto until = std::chrono::steady_clock::now() + mSettings.mDrainTimeout;
-  while (mCompanion.Running() > 0 && std::chrono::steady_clock::now() < until) {
+  const auto until = state::BootClock::now() + mSettings.mDrainTimeout;
+  while (mCompanion.Running() > 0 && state::BootClock::now() < until) {
     co_await transport::Sleep(kStreamPoll);
   }
 }
@@ -213,7 +213,7 @@
   if (mCompanion.LastState().mModel != aModel) {
     co_return true; // It serves nothing of this model that could be missed.
   }
-  const auto now = std::chrono::steady_clock::now();
+  const auto now = state::BootClock::now();
   mWaitsSince = mWaitsSince.value_or(now);
   if (now - *mWaitsSince > kMaxTurnWait) {
     co_return true;
--- a/packages/coordination/src/relay_run.cpp
+++ b/packages/coordination/src/relay_run.cpp
@@ -188,7 +188,7 @@
     std::min(mRoute->mTimeout, mCall.mDeadline.value_or(mRoute->mTimeout));
   mDeadline = mArrival + limit;
   mDeadlineTimer =
-    std::make_shared<transport::asio::steady_timer>(mCore->mParts.mContext, mDeadline);
+    std::make_shared<transport::Timer>(mCore->mParts.mContext, mDeadline);
   // Cancelled before the run ends, but a timer that ran out already still
   // calls: the token says whether the run is there.
   mDeadlineTimer->async_wait(
--- a/packages/coordination/src/relay_run.h
+++ b/packages/coordination/src/relay_run.h
@@ -166,7 +166,7 @@
   std::shared_ptr<transport::RelayRequest> mRequest;
   state::TimePoint mArrival;
   state::TimePoint mDeadline;
-  std::shared_ptr<transport::asio::steady_timer> mDeadlineTimer;
+  std::shared_ptr<transport::Timer> mDeadlineTimer;
   std::shared_ptr<const RelayView> mView;
   CallFacts mCall;
   const state::RouteRule* mRoute = nullptr;
--- a/packages/coordination/src/snapshot_client.cpp
+++ b/packages/coordination/src/snapshot_client.cpp
@@ -55,7 +55,7 @@
   }
   const ChannelPtr& channel = *opened;
   channel->Send(aHave);
-  asio::steady_timer timer(mContext, mTimeout);
+  transport::Timer timer(mContext, mTimeout);
   timer.async_wait([weak = std::weak_ptr(channel)](auto aError) {
     const auto open = weak.lock();
     if (!aError && open) {
--- a/packages/coordination/tests/engine_news_test.cpp
+++ b/packages/coordination/tests/engine_news_test.cpp
@@ -81,8 +81,8 @@
   void Await(const std::function<bool()>& aIsSo)
   {
     constexpr std::chrono::seconds kPatience{ 30 };
-    const auto until = std::chrono::steady_clock::now() + kPatience;
-    while (!aIsSo() && std::chrono::steady_clock::now() < until) {
+    const auto until = state::BootClock::now() + kPatience;
+    while (!aIsSo() && state::BootClock::now() < until) {
       mContext.restart();
       mContext.run_for(Millis(5));
     }
--- a/packages/state/include/shuntjunction/state/clock.h
+++ b/packages/state/include/shuntjunction/state/clock.h
@@ -7,8 +7,27 @@
 /// Time and chance as interfaces, so that decisions run by a seed in tests.
 namespace shuntjunction::state {
 
-/// A point on the monotonic clock.
-using TimePoint = std::chrono::steady_clock::time_point;
+/// A monotonic clock that goes on while the machine is suspended.
+///
+/// The steady clock stands still then: a machine that slept for seconds took
+/// keys, lists and leases for as fresh as before, and held requests past their
+/// deadlines for as long as it had slept.
+///
+/// Thread safety: may be asked from any thread.
+struct BootClock
+{
+  using duration = std::chrono::nanoseconds;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<BootClock>;
+  static constexpr bool is_steady = true;
+
+  /// Time since the machine was started.
+  static time_point now() noexcept;
+};
+
+/// A point on that clock.
+using TimePoint = BootClock::time_point;
 
 /// Whole milliseconds.
 using Millis = std::chrono::milliseconds;
@@ -21,7 +40,7 @@
 public:
   virtual ~Clock() = default;
 
-  /// Monotonic time; stands still for no pause of the process.
+  /// Monotonic time; stands still for no pause of the process or the machine.
   virtual TimePoint Now() const = 0;
 
   /// Milliseconds since the Unix epoch, for records that outlive a process.
@@ -32,7 +51,7 @@
 class SystemClock final : public Clock
 {
 public:
-  TimePoint Now() const override { return std::chrono::steady_clock::now(); }
+  TimePoint Now() const override { return BootClock::now(); }
 
   std::int64_t WallMillis() const override
   {
--- a/packages/transport/include/shuntjunction/transport/mailbox.h
+++ b/packages/transport/include/shuntjunction/transport/mailbox.h
@@ -49,7 +49,7 @@
   std::size_t Size() const { return mValues.size(); }
 
 private:
-  asio::steady_timer mTimer;
+  Timer mTimer;
   std::deque<T> mValues;
 };
 
--- a/packages/transport/include/shuntjunction/transport/socket_reader.h
+++ b/packages/transport/include/shuntjunction/transport/socket_reader.h
@@ -66,7 +66,7 @@
   void MarkClosed(const boost::system::error_code& aError);
 
   asio::ip::tcp::socket mSocket;
-  asio::steady_timer mSignal;
+  Timer mSignal;
   std::size_t mMaxBuffered;
   std::string mBuffer;
   std::size_t mConsumed = 0;
--- a/packages/transport/include/shuntjunction/transport/task.h
+++ b/packages/transport/include/shuntjunction/transport/task.h
@@ -7,9 +7,9 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/basic_waitable_timer.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "shuntjunction/state/clock.h"
@@ -23,6 +23,12 @@
 template<typename T>
 using Task = asio::awaitable<T>;
 
+/// A timer on the clock that goes on while the machine is suspended.
+///
+/// After a suspension it runs out with the next timer of its context that the
+/// kernel ends: a context that must be in time again soon has one that ticks.
+using Timer = asio::basic_waitable_timer<state::BootClock>;
+
 /// Completion token: an operation gives its error code as a value.
 inline constexpr auto kAsTuple = asio::as_tuple(asio::use_awaitable);
 
@@ -44,7 +50,7 @@
 inline Task<void>
 Sleep(std::chrono::nanoseconds aTime)
 {
-  asio::steady_timer timer(co_await asio::this_coro::executor);
+  Timer timer(co_await asio::this_coro::executor);
   timer.expires_after(aTime);
   co_await timer.async_wait(kAsTuple);
 }
--- a/packages/transport/src/connect.cpp
+++ b/packages/transport/src/connect.cpp
@@ -57,7 +57,7 @@
   const auto executor = co_await asio::this_coro::executor;
   // Shared: a timer that ran out may still call when this has ended.
   const auto socket = std::make_shared<tcp::socket>(executor);
-  asio::steady_timer timer(executor, aTimeout);
+  Timer timer(executor, aTimeout);
   timer.async_wait([socket](const auto& aError) {
     if (!aError) {
       boost::system::error_code ignored;
--- a/packages/transport/src/frame_channel.cpp
+++ b/packages/transport/src/frame_channel.cpp
@@ -41,7 +41,7 @@
   }
 
 private:
-  asio::steady_timer mTimer;
+  Timer mTimer;
 };
 
 } // namespace
--- a/packages/transport/src/http_client.cpp
+++ b/packages/transport/src/http_client.cpp
@@ -55,7 +55,7 @@
 
   beast::tcp_stream mStream;
   beast::flat_buffer mBuffer;
-  std::chrono::steady_clock::time_point mRestsSince;
+  state::TimePoint mRestsSince;
 };
 
 /// An answer that is read in pieces over its own connection.
@@ -204,7 +204,7 @@
   }
   response.mBody = std::move(answer.body());
   if (isKept && mIdle.size() < kMaxIdleConnections) {
-    aConnection->mRestsSince = std::chrono::steady_clock::now();
+    aConnection->mRestsSince = state::BootClock::now();
     mIdle.push_back(std::move(aConnection));
   }
   co_return response;
@@ -224,8 +224,7 @@
     socket.non_blocking(true, error);
     socket.receive(
       asio::buffer(&probe, 1), asio::socket_base::message_peek, error);
-    const auto rest =
-      std::chrono::steady_clock::now() - connection->mRestsSince;
+    const auto rest = state::BootClock::now() - connection->mRestsSince;
     if (error != asio::error::would_block || rest > kMaxRest) {
       connection.reset();
     }
--- a/packages/transport/src/http_server.cpp
+++ b/packages/transport/src/http_server.cpp
@@ -186,7 +186,7 @@
     // The stream's own timer would close the socket and leave no way to say
     // why, so a timer of this request cancels the read instead.
     mStream.expires_never();
-    asio::steady_timer timer(mShared->mContext, limits.mHeaderTimeout);
+    Timer timer(mShared->mContext, limits.mHeaderTimeout);
     timer.async_wait([weak = weak_from_this()](auto aError) {
       const auto session = weak.lock();
       if (!aError && session) {
--- a/packages/transport/tests/http_server_test.cpp
+++ b/packages/transport/tests/http_server_test.cpp
@@ -278,7 +278,7 @@
     const auto handle = std::make_shared<CancelHandle>();
     HttpRequest request;
     request.mTarget = "/wait";
-    asio::steady_timer timer(co_await asio::this_coro::executor, Millis(20));
+    Timer timer(co_await asio::this_coro::executor, Millis(20));
     timer.async_wait([handle](auto) { handle->Cancel(); });
     const auto stream =
       co_await client.Open(request, Millis(5000), Millis(5000), handle);
--- a/standins/caller.cpp
+++ b/standins/caller.cpp
@@ -17,7 +17,7 @@
 
 namespace {
 
-using SteadyClock = std::chrono::steady_clock;
+using SteadyClock = state::BootClock;
 
 constexpr std::size_t kMaxAnswerBytes = 64UL * 1024 * 1024;
 constexpr std::string_view kData = "data: ";
@@ -200,7 +200,7 @@
   for (std::size_t i = 0; i < aCalls.size(); ++i) {
     transport::Spawn(context, run(aCalls[i], &outcomes[i]));
   }
-  boost::asio::steady_timer timer(context, aWhen);
+  transport::Timer timer(context, aWhen);
   timer.async_wait([&](auto) { aMeanwhile(); });
   context.run();
   return outcomes;
--- a/standins/engine_standin.cpp
+++ b/standins/engine_standin.cpp
@@ -185,7 +185,7 @@
   const auto missed = aJob.mContent.size() - aHits;
   mPromptBlocks += aJob.mContent.size();
   mComputedBlocks += missed;
-  const auto now = std::chrono::steady_clock::now();
+  const auto now = state::BootClock::now();
   const auto cost = std::chrono::microseconds(
     static_cast<std::int64_t>(missed) * mSettings.mMicrosPerBlock);
   mPrefillFree = std::max(mPrefillFree, now) + cost;
@@ -279,7 +279,7 @@
     { mSequence,
       std::move(aKind),
       std::move(aBlock),
-      std::chrono::steady_clock::now() + Millis(mSettings.mEventDelayMs) });
+      state::BootClock::now() + Millis(mSettings.mEventDelayMs) });
   if (mEvents.size() > kEventsKept) {
     mEvents.pop_front();
   }
@@ -290,10 +290,10 @@
 {
   const auto after = NumberOf<std::uint64_t>(aRequest.Query("after"), 0);
   const auto until =
-    std::chrono::steady_clock::now() +
+    state::BootClock::now() +
     Millis(NumberOf<std::uint64_t>(aRequest.Query("wait_ms"), 0));
   while (true) {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = state::BootClock::now();
     json::array events;
     const auto first =
       std::upper_bound(mEvents.begin(),
--- a/standins/platform_standin.cpp
+++ b/standins/platform_standin.cpp
@@ -231,7 +231,7 @@
   const std::string prefix = aRequest.Query("prefix");
   const auto after = NumberOf<std::uint64_t>(aRequest.Query("after"), 0);
   const auto until =
-    std::chrono::steady_clock::now() +
+    state::BootClock::now() +
     Millis(NumberOf<std::uint64_t>(aRequest.Query("wait_ms"), 0));
   if (!mChanges.empty() && after + 1 < mChanges.front().mRevision) {
     co_return Refusal(410, "changes are forgotten");
@@ -254,7 +254,7 @@
         newest[at->mKey] = &*at;
       }
     }
-    const bool isOver = std::chrono::steady_clock::now() >= until;
+    const bool isOver = state::BootClock::now() >= until;
     const bool isEnded =
       isOver || isFuture || mFaults.mIsDown || restores != mRestores;
     if (!newest.empty() || isEnded) {
@@ -275,10 +275,9 @@
 {
   const auto after = NumberOf<std::uint64_t>(aRequest.Query("after"), 0);
   const auto until =
-    std::chrono::steady_clock::now() +
+    state::BootClock::now() +
     Millis(NumberOf<std::uint64_t>(aRequest.Query("wait_ms"), 0));
-  while (mInstancesRevision <= after &&
-         std::chrono::steady_clock::now() < until) {
+  while (mInstancesRevision <= after && state::BootClock::now() < until) {
     co_await transport::Sleep(kWatchPoll);
   }
   json::array list;
@@ -309,7 +308,7 @@
 PlatformStandin::AnswerWeights()
 {
   if (mFaults.mWeightsPerSecond > 0) {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = state::BootClock::now();
     const std::chrono::duration<double> passed = now - mWeightsAt;
     const auto rate = static_cast<double>(mFaults.mWeightsPerSecond);
     mWeightTokens = std::min(rate, mWeightTokens + passed.count() * rate);
