An endpoint that listens for a moment after its connections broke has crashed too

Change: one that still listens is looked at again after 250 ms, while nobody waits, if the connection that was made broke too. Ruled out: waiting before the first look, which every broken connection would pay.

--- a/packages/coordination/src/relay.cpp
+++ b/packages/coordination/src/relay.cpp
@@ -146,13 +146,19 @@
 }
 
 void
-Relay::Core::NoteRestart(RelayEndpoint& aEndpoint)
+Relay::Core::NoteCrashOfBrokenOff(RelayEndpoint& aEndpoint)
 {
   for (const auto& broken : std::exchange(aEndpoint.mBrokenOff, {})) {
     if (mParts.mClock.Now() - broken.mAt < mLimits.mRestartHeard) {
       mCrashes.Note(broken.mRequest, aEndpoint);
     }
   }
+}
+
+void
+Relay::Core::NoteRestart(RelayEndpoint& aEndpoint)
+{
+  NoteCrashOfBrokenOff(aEndpoint);
   mLedger.ForgetReader(aEndpoint.mInfo.mId);
   if (mParts.mTellWaiting && !aEndpoint.mInfo.mModels.empty()) {
     mParts.mTellWaiting(aEndpoint.mInfo.mAddress, {}, {});
--- a/packages/coordination/src/relay_core.h
+++ b/packages/coordination/src/relay_core.h
@@ -88,6 +88,10 @@
   /// before counts no more.
   void NoteRestart(RelayEndpoint& aEndpoint);
 
+  /// Takes that an endpoint crashed under the requests that broke off there
+  /// lately.
+  void NoteCrashOfBrokenOff(RelayEndpoint& aEndpoint);
+
   /// Whether no more callers' connections can be taken now.
   bool IsFull() const;
 
--- a/packages/coordination/src/relay_crashes.cpp
+++ b/packages/coordination/src/relay_crashes.cpp
@@ -27,6 +27,10 @@
 
 constexpr Millis kCheckStep{ 5 };
 
+/// A process that crashes closes all it has within this, also on a machine with
+/// much else to do; nobody waits for it.
+constexpr Millis kCheckAgainAfter{ 250 };
+
 } // namespace
 
 RelayCrashes::RelayCrashes(const RelayParts& aParts)
@@ -179,41 +183,80 @@
   }
 }
 
-Task<bool>
-HasCrashed(std::shared_ptr<Relay::Core> aCore, RelayEndpointPtr aEndpoint)
+namespace {
+
+/// Asks whether anything listens at an endpoint's address; the connection, if
+/// so. Notes a crash if not.
+Task<std::shared_ptr<transport::SocketReader>>
+Check(std::shared_ptr<Relay::Core> aCore, RelayEndpointPtr aEndpoint)
 {
-  const auto now = [&] { return aCore->mParts.mClock.Now(); };
-  while (aEndpoint->mIsBeingChecked) {
-    co_await transport::Sleep(kCheckStep);
-  }
-  if (aEndpoint->mHasCrashed) {
-    co_return true;
-  }
-  // One that leaves ends as planned, whatever it still runs.
-  if (!aEndpoint->TakesWork() || now() - aEndpoint->mCheckedAt < kCheckHolds) {
-    co_return false;
-  }
   const auto address = state::ParseAddress(aEndpoint->mInfo.mAddress);
   const auto target =
     transport::EndpointOf(address.value_or(state::Address{}), "relay.check");
   if (!target) {
-    co_return false;
+    co_return nullptr;
   }
   aEndpoint->mIsBeingChecked = true;
   auto socket = co_await transport::ConnectSocket(*target, kCheckTimeout);
   aEndpoint->mIsBeingChecked = false;
-  aEndpoint->mCheckedAt = now();
+  aEndpoint->mCheckedAt = aCore->mParts.mClock.Now();
   if (!socket) {
     aEndpoint->mHasCrashed =
       socket.error() == transport::asio::error::connection_refused;
-    co_return aEndpoint->mHasCrashed;
+    co_return nullptr;
   }
-  EndpointConnection connection;
-  connection.mReader = std::make_shared<transport::SocketReader>(
+  const auto reader = std::make_shared<transport::SocketReader>(
     std::move(*socket), aCore->mLimits.mReadAhead);
-  connection.mReader->Start();
-  aCore->mEndpoints.PutIdle(*aEndpoint, std::move(connection), {}, now());
-  co_return false;
+  reader->Start();
+  co_return reader;
+}
+
+/// Looks again at an endpoint that listened: one that is about to end may close
+/// its connections some moments before.
+Task<void>
+CheckAgain(std::shared_ptr<Relay::Core> aCore,
+           RelayEndpointPtr aEndpoint,
+           std::shared_ptr<transport::SocketReader> aConnection)
+{
+  co_await transport::Sleep(kCheckAgainAfter);
+  if (!aConnection->IsClosed() || !aEndpoint->TakesWork()) {
+    co_return;
+  }
+  const auto second = co_await Check(aCore, aEndpoint);
+  if (second) {
+    second->Close(false);
+  }
+  if (aEndpoint->mHasCrashed) {
+    aCore->NoteCrashOfBrokenOff(*aEndpoint);
+  }
+}
+
+} // namespace
+
+Task<bool>
+HasCrashed(std::shared_ptr<Relay::Core> aCore, RelayEndpointPtr aEndpoint)
+{
+  while (aEndpoint->mIsBeingChecked) {
+    co_await transport::Sleep(kCheckStep);
+  }
+  const auto now = aCore->mParts.mClock.Now();
+  if (aEndpoint->mHasCrashed) {
+    co_return true;
+  }
+  // One that leaves ends as planned, whatever it still runs.
+  if (!aEndpoint->TakesWork() || now - aEndpoint->mCheckedAt < kCheckHolds) {
+    co_return false;
+  }
+  const auto connection = co_await Check(aCore, aEndpoint);
+  if (connection) {
+    // It serves a request, if one comes soon: it has cost a connection.
+    EndpointConnection kept;
+    kept.mReader = connection;
+    aCore->mEndpoints.PutIdle(*aEndpoint, std::move(kept), {}, now);
+    transport::Spawn(aCore->mParts.mContext,
+                     CheckAgain(aCore, aEndpoint, connection));
+  }
+  co_return aEndpoint->mHasCrashed;
 }
 
 } // namespace shuntjunction::coordination
--- a/packages/coordination/src/relay_run.cpp
+++ b/packages/coordination/src/relay_run.cpp
@@ -353,8 +353,12 @@
   if (co_await HasCrashed(mCore, endpoint)) {
     ++mCrashes;
     mCore->mCrashes.Note(mDigest, *endpoint);
-  } else if (endpoint->mBrokenOff.size() < mCore->mLimits.mMaxBrokenOff) {
-    endpoint->mBrokenOff.push_back({ mDigest, Now() });
+  } else {
+    auto& brokenOff = endpoint->mBrokenOff;
+    brokenOff.push_back({ mDigest, Now() });
+    if (brokenOff.size() > mCore->mLimits.mMaxBrokenOff) {
+      brokenOff.erase(brokenOff.begin());
+    }
   }
 }
 
