Linter: the clock's names are the standard's

Cause: a clock of the standard's form has names in its case. Change: the two lines say so to the linter.

--- a/packages/state/include/shuntjunction/state/clock.h
+++ b/packages/state/include/shuntjunction/state/clock.h
@@ -20,10 +20,10 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<BootClock>;
-  static constexpr bool is_steady = true;
+  static constexpr bool is_steady = true; // NOLINT: a standard clock's name
 
   /// Time since the machine was started.
-  static time_point now() noexcept;
+  static time_point now() noexcept; // NOLINT: a standard clock's name
 };
 
 /// A point on that clock.
