--- a/packages/state/include/shuntjunction/state/crash_ledger.h
+++ b/packages/state/include/shuntjunction/state/crash_ledger.h
@@ -26,7 +26,7 @@
   /// How long a quarantined request is refused. A crash costs everybody who
   /// runs there, so that one trial an hour is what a fleet can bear.
   Millis mQuarantine{ std::chrono::hours(1) };
-  /// Requests that are remembered; 4,096 take less than a megabyte.
+  /// Requests that are remembered; 4,096 with three crashes took 1.1 MB.
   std::size_t mMaxRequests = 4096;
 };
 
