A machine that says nothing gets no new work while others can take it

Cause: when a machine stops, or is cut off, nothing tells of it: its companion's last word was believed for 2.5 s, and then nothing was known, which was no reason to avoid its engine. Requests went there until its entry lapsed. Ruled out: the companion's silence alone as proof, since a companion that was killed leaves its engine well, and its machine ends the connection; shorter words, which cost every relay's link. Change: state::IsSilent weighs the companion's silence, the engine's own bytes and who ended the connection; a silent engine is taken only if no other can be.

--- a/packages/coordination/include/shuntjunction/coordination/engine_news.h
+++ b/packages/coordination/include/shuntjunction/coordination/engine_news.h
@@ -100,18 +100,22 @@
   using Taker = std::function<void(const protocol::EngineNews&)>;
   using PartTaker = std::function<void(const protocol::PartReading&)>;
   using CrashTaker = std::function<void(const protocol::CrashReports&)>;
+  using EndTaker = std::function<void(const std::string&)>;
 
   /// @param aPort  of the companions, the same on all machines
   /// @param aTake  called with each news
   /// @param aTakePart  called with what other relays tell of parts
   /// @param aTakeCrashes  called with what they tell of crashes
+  /// @param aTakeEnd  called with the host of a companion whose connection was
+  ///                  ended by its machine, and not given up in silence
   EngineNewsClient(transport::asio::io_context& aContext,
                    transport::ChannelIdentity aIdentity,
                    std::uint16_t aPort,
                    EventLog& aLog,
                    Taker aTake,
                    PartTaker aTakePart,
-                   CrashTaker aTakeCrashes);
+                   CrashTaker aTakeCrashes,
+                   EndTaker aTakeEnd);
   ~EngineNewsClient();
   EngineNewsClient(const EngineNewsClient&) = delete;
   EngineNewsClient& operator=(const EngineNewsClient&) = delete;
--- a/packages/coordination/include/shuntjunction/coordination/relay.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay.h
@@ -63,6 +63,9 @@
   /// Takes what an engine's companion said.
   void TakeNews(const protocol::EngineNews& aNews);
 
+  /// Takes that the machine of a host ended its companion's connection.
+  void TakeNewsEnd(const std::string& aHost);
+
   /// Takes what another relay told of a part.
   void TakePartReading(const protocol::PartReading& aReading);
 
--- a/packages/coordination/src/engine_news_client.cpp
+++ b/packages/coordination/src/engine_news_client.cpp
@@ -57,7 +57,8 @@
          EventLog& aLog,
          Taker aTake,
          PartTaker aTakePart,
-         CrashTaker aTakeCrashes)
+         CrashTaker aTakeCrashes,
+         EndTaker aTakeEnd)
     : mContext(aContext)
     , mIdentity(std::move(aIdentity))
     , mPort(aPort)
@@ -65,6 +66,7 @@
     , mTake(std::move(aTake))
     , mTakePart(std::move(aTakePart))
     , mTakeCrashes(std::move(aTakeCrashes))
+    , mTakeEnd(std::move(aTakeEnd))
   {
   }
 
@@ -80,16 +82,22 @@
         pause = kFirstPause;
         mLog.Write(EventLine(kPart, "companion-regained")
                      .Add("address", aSource->mAddress));
-        co_await Listen(aSource, *channel);
-        mLog.Write(
-          EventLine(kPart, "companion-lost").Add("address", aSource->mAddress));
+        const bool isEnded = co_await Listen(aSource, *channel);
+        if (isEnded) {
+          mTakeEnd(address->mHost);
+        }
+        mLog.Write(EventLine(kPart, "companion-lost")
+                     .Add("address", aSource->mAddress)
+                     .Add("ended", isEnded));
       }
       co_await transport::Sleep(state::SpreadPause(pause, mRandom));
       pause = std::min(pause * 2, kLongestPause);
     }
   }
 
-  Task<void> Listen(std::shared_ptr<Source> aSource,
+  /// Takes what a companion tells; whether its machine ended the connection,
+  /// rather than saying nothing any more.
+  Task<bool> Listen(std::shared_ptr<Source> aSource,
                     std::shared_ptr<FrameChannel> aChannel)
   {
     aSource->mChannel = aChannel;
@@ -120,6 +128,7 @@
     }
     aChannel->Close();
     aSource->mChannel = nullptr;
+    co_return aChannel->IsEndedByPeer();
   }
 
   /// Tells what waits there, if that differs enough from what was told, or asks
@@ -161,6 +170,7 @@
   Taker mTake;
   PartTaker mTakePart;
   CrashTaker mTakeCrashes;
+  EndTaker mTakeEnd;
   transport::ChannelCounters mCounters;
   state::RandomSource mRandom{ std::random_device{}() };
   std::map<std::string, std::shared_ptr<Source>> mSources; ///< by address
@@ -172,14 +182,16 @@
                                    EventLog& aLog,
                                    Taker aTake,
                                    PartTaker aTakePart,
-                                   CrashTaker aTakeCrashes)
+                                   CrashTaker aTakeCrashes,
+                                   EndTaker aTakeEnd)
   : mShared(std::make_shared<Shared>(aContext,
                                      std::move(aIdentity),
                                      aPort,
                                      aLog,
                                      std::move(aTake),
                                      std::move(aTakePart),
-                                     std::move(aTakeCrashes)))
+                                     std::move(aTakeCrashes),
+                                     std::move(aTakeEnd)))
 {
 }
 
--- a/packages/coordination/src/fleet_daemon.cpp
+++ b/packages/coordination/src/fleet_daemon.cpp
@@ -232,7 +232,8 @@
       },
       [this](const protocol::CrashReports& aReports) {
         mRelay->TakeCrashReports(aReports);
-      });
+      },
+      [this](const std::string& aHost) { mRelay->TakeNewsEnd(aHost); });
     return Serve(
       mReadiness, mSettings.mReadiness, mSettings.mReadinessPath, [this] {
         return mRelay->IsReady() ? PlainAnswer(200, "ready\n")
--- a/packages/coordination/src/relay.cpp
+++ b/packages/coordination/src/relay.cpp
@@ -239,6 +239,12 @@
   }
 }
 
+void
+Relay::TakeNewsEnd(const std::string& aHost)
+{
+  mCore->mEndpoints.NoteNewsEnded(aHost);
+}
+
 void
 Relay::TakePartReading(const protocol::PartReading& aReading)
 {
--- a/packages/coordination/src/relay_answer.cpp
+++ b/packages/coordination/src/relay_answer.cpp
@@ -82,6 +82,7 @@
     if (const auto verdict = JudgeOnce(aAttempt, *step)) {
       co_return *verdict;
     }
+    aAttempt.mPick.mEndpoint->mBytesAt = Now();
     const bool isDone = *step == ReadStep::kDone;
     if (aAttempt.mIsOther) {
       SkipOther(aAttempt, isDone);
--- a/packages/coordination/src/relay_attempt.cpp
+++ b/packages/coordination/src/relay_attempt.cpp
@@ -118,7 +118,9 @@
   mPartialEvent.clear();
   LogSent(attempt.mPick);
   attempt.mPick.mSentAt = Now();
-  ++endpoint.mRunning;
+  if (endpoint.mRunning++ == 0) {
+    endpoint.mBytesAt = Now();
+  }
   NoteWaiting(attempt.mPick);
   mTried.push_back(endpoint.mInfo.mId);
   Send(attempt);
--- a/packages/coordination/src/relay_choice_view.cpp
+++ b/packages/coordination/src/relay_choice_view.cpp
@@ -81,7 +81,8 @@
     candidate.mNameHash = aEndpoint->mNameHash;
     candidate.mIsSameZone =
       aEndpoint->mInfo.mZone == mCore.mParts.mSettings.mZone;
-    candidate.mIsSuspect = mNow < aEndpoint->mSuspectUntil;
+    candidate.mIsSuspect = mNow < aEndpoint->mSuspectUntil ||
+                           mCore.mEndpoints.IsSilent(*aEndpoint, mNow);
     candidate.mRunning = aEndpoint->mRunning;
     candidate.mSuspects = aEndpoint->mSuspects;
     candidate.mSlots = aEndpoint->mInfo.mSlots;
@@ -278,7 +279,8 @@
       const bool isDown =
         news != nullptr && news->mPhase == protocol::EnginePhase::kDown;
       return isDown || now < aEndpoint->mClosedUntil ||
-             now < aEndpoint->mSuspectUntil;
+             now < aEndpoint->mSuspectUntil ||
+             aCore.mEndpoints.IsSilent(*aEndpoint, now);
     });
 }
 
--- a/packages/coordination/src/relay_endpoint.cpp
+++ b/packages/coordination/src/relay_endpoint.cpp
@@ -5,6 +5,7 @@
 #include <set>
 
 #include "shuntjunction/state/prefix_chain.h"
+#include "shuntjunction/state/settings.h"
 
 namespace shuntjunction::coordination {
 
@@ -211,6 +212,7 @@
   aEndpoint.mNews->mGained.clear();
   aEndpoint.mNews->mLost.clear();
   aEndpoint.mNewsAt = aNow;
+  aEndpoint.mIsNewsEnded = false;
   if (aNews.mPhase == protocol::EnginePhase::kDown) {
     CutOff(aEndpoint);
   }
@@ -234,6 +236,31 @@
   return isFresh ? &*aEndpoint.mNews : nullptr;
 }
 
+void
+RelayEndpoints::NoteNewsEnded(std::string_view aHost)
+{
+  for (auto& [id, endpoint] : mById) {
+    const auto address = state::ParseAddress(endpoint->mInfo.mAddress);
+    if (address && address->mHost == aHost) {
+      endpoint->mIsNewsEnded = true;
+    }
+  }
+}
+
+bool
+RelayEndpoints::IsSilent(const RelayEndpoint& aEndpoint, TimePoint aNow) const
+{
+  const auto since = [&](TimePoint aThen) {
+    return std::chrono::duration_cast<Millis>(aNow - aThen);
+  };
+  return state::IsSilent({ aEndpoint.mNews.has_value(),
+                           since(aEndpoint.mNewsAt),
+                           aEndpoint.mIsNewsEnded,
+                           aEndpoint.mRunning > 0,
+                           since(aEndpoint.mBytesAt) },
+                         mSettings.mSilence);
+}
+
 void
 RelayEndpoints::NoteFailure(RelayEndpoint& aEndpoint, TimePoint aNow)
 {
--- a/packages/coordination/src/relay_endpoint.h
+++ b/packages/coordination/src/relay_endpoint.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "shuntjunction/protocol/messages.h"
+#include "shuntjunction/state/endpoint_silence.h"
 #include "shuntjunction/state/late_queue.h"
 #include "shuntjunction/state/part_index.h"
 #include "shuntjunction/state/relay_config.h"
@@ -50,6 +51,7 @@
   state::Millis mRefusedPause{ 300 };
   /// Companions speak at least once a second; older news is not believed.
   state::Millis mNewsLimit{ 2500 };
+  state::SilenceSettings mSilence;
 };
 
 /// A request whose connection broke off at an endpoint.
@@ -87,6 +89,10 @@
   /// What its companion said last; empty before it said anything.
   std::optional<protocol::EngineNews> mNews;
   state::TimePoint mNewsAt;
+  /// Its companion's connection was ended by the companion's machine.
+  bool mIsNewsEnded = false;
+  /// Its last bytes, or the sending of a request when none waited there.
+  state::TimePoint mBytesAt;
 
   /// Whether it may get new work, as far as the list says.
   bool TakesWork() const { return mIsListed && !mInfo.mIsLeaving; }
@@ -148,6 +154,12 @@
   const protocol::EngineNews* FreshNews(const RelayEndpoint& aEndpoint,
                                         state::TimePoint aNow) const;
 
+  /// Takes that the machine of a host ended its companion's connection.
+  void NoteNewsEnded(std::string_view aHost);
+
+  /// Whether nothing shows that an endpoint's machine still runs.
+  bool IsSilent(const RelayEndpoint& aEndpoint, state::TimePoint aNow) const;
+
   /// Notes that a request failed there, or that it went well.
   void NoteFailure(RelayEndpoint& aEndpoint, state::TimePoint aNow);
   void NoteSuccess(RelayEndpoint& aEndpoint);
--- a/packages/coordination/tests/engine_news_test.cpp
+++ b/packages/coordination/tests/engine_news_test.cpp
@@ -33,7 +33,8 @@
         [this](const protocol::CrashReports& aReports) {
           mCrashes.insert(
             mCrashes.end(), aReports.mWords.begin(), aReports.mWords.end());
-        })
+        },
+        [this](const std::string& aHost) { mEnded.push_back(aHost); })
   {
     state::EndpointInfo engine;
     engine.mId = "i-1";
@@ -47,6 +48,7 @@
   std::vector<EngineNews> mNews;
   std::vector<PartReading> mReadings;
   std::vector<protocol::CrashWord> mCrashes;
+  std::vector<std::string> mEnded; ///< hosts whose companion ended
   EngineNewsClient mClient;
 };
 
--- a/packages/transport/include/shuntjunction/transport/frame_channel.h
+++ b/packages/transport/include/shuntjunction/transport/frame_channel.h
@@ -67,6 +67,10 @@
   /// Whether it can still carry messages.
   bool IsOpen() const { return mSocket.is_open(); }
 
+  /// Whether the peer's machine ended the channel; false while it is open, and
+  /// when it was given up here or because nothing came any more.
+  bool IsEndedByPeer() const { return mIsEndedByPeer; }
+
   /// Address of the other side.
   const std::string& Peer() const { return mPeer; }
 
@@ -98,6 +102,7 @@
   std::uint64_t mPeerConfigVersion = 0;
   std::uint64_t mToldVersion = 0;
   ChannelCounters& mCounters;
+  bool mIsEndedByPeer = false;
   std::deque<std::vector<std::uint8_t>> mQueue;
   std::size_t mPendingBytes = 0;
   bool mIsWriting = false;
--- a/packages/transport/src/frame_channel.cpp
+++ b/packages/transport/src/frame_channel.cpp
@@ -109,6 +109,8 @@
   const auto [prefixError, prefixBytes] =
     co_await asio::async_read(mSocket, asio::buffer(prefix), kAsTuple);
   if (prefixError) {
+    mIsEndedByPeer = prefixError == asio::error::eof ||
+                     prefixError == asio::error::connection_reset;
     Close();
     co_return Fail(
       ErrorCode::kUnavailable, "frame.receive", mPeer, prefixError.message());
@@ -125,6 +127,8 @@
   const auto [frameError, frameBytes] =
     co_await asio::async_read(mSocket, rest, kAsTuple);
   if (frameError) {
+    mIsEndedByPeer = frameError == asio::error::eof ||
+                     frameError == asio::error::connection_reset;
     Close();
     co_return Fail(ErrorCode::kUnavailable,
                    "frame.receive",
