Callers, endpoints and peers share one budget of descriptors

Cause: nobody counted descriptors together. Connections to endpoints, kept ones among them, took what callers left over; then a caller's connection could be neither taken nor refused and waited in the kernel past its route's time-out. And a resting connection to an endpoint that leaves was let go, not closed: its reader stayed open until the peer closed it. Change: state::DescriptorBudget (callers get half of what is not reserved for the store, files and peers, endpoints what callers leave); connections that rest longest are given up first; without any a request is refused as not run. Resting connections to endpoints that leave are closed. Gauges for all of it.

--- a/packages/coordination/include/shuntjunction/coordination/relay_settings.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay_settings.h
@@ -53,6 +53,7 @@
   std::string mPlatform; ///< of the store
   std::string mEngine;   ///< companion: the engine beside it
   std::int64_t mMemoryBytes = 256L * 1024 * 1024; ///< of this process
+  std::int64_t mDescriptors = 4096; ///< that this process may hold
   FleetBounds mBounds;
   state::LoadTurnSettings mLoadTurns;
   state::RelayChoiceSettings mChoice;
--- a/packages/coordination/src/relay.cpp
+++ b/packages/coordination/src/relay.cpp
@@ -1,5 +1,6 @@
 #include "shuntjunction/coordination/relay.h"
 
+#include <algorithm>
 #include <cmath>
 #include <random>
 
@@ -20,6 +21,9 @@
 constexpr Millis kStaleInterval{ 500 };
 /// Connections that are taken in one turn, so that other work goes on.
 constexpr int kMostAccepts = 64;
+/// Files, the store, listening sockets, checks of the balancer, and processes
+/// that ask this one.
+constexpr std::int64_t kReservedDescriptors = 300;
 /// Pause after a connection that could not be accepted.
 constexpr Millis kAcceptPause{ 50 };
 
@@ -107,6 +111,7 @@
 
 Relay::Core::Core(const RelayParts& aParts)
   : mParts(aParts)
+  , mDescriptors({ mParts.mSettings.mDescriptors, kReservedDescriptors })
   , mEndpoints(RelayEndpointSettings{})
   , mCrashes(mParts)
   , mLedger(mLimits.mMaxParts)
@@ -142,7 +147,22 @@
 {
   const auto most = static_cast<std::size_t>(mParts.mSettings.mMemoryBytes /
                                              mLimits.mBytesPerSession);
-  return mGuard.IsOverloaded() || mSessions.size() >= most;
+  const auto callers = static_cast<std::int64_t>(mSessions.size());
+  return mGuard.IsOverloaded() || mSessions.size() >= most ||
+         callers >= mDescriptors.MostCallers();
+}
+
+bool
+Relay::Core::MakeRoomForEndpoint()
+{
+  const auto most =
+    mDescriptors.MostToEndpoints(static_cast<std::int64_t>(mSessions.size()));
+  while (mEndpoints.OpenConnections() >= most) {
+    if (!mEndpoints.DropLongestIdle()) {
+      return false;
+    }
+  }
+  return true;
 }
 
 void
@@ -214,6 +234,11 @@
 {
   mCore->mView = std::move(aView);
   mCore->mCrashes.TakeQuarantined(mCore->mView->mQuarantined);
+  const auto& endpoints = mCore->mView->mEndpoints;
+  mCore->mDescriptors.SetPeers(std::count_if(
+    endpoints.begin(), endpoints.end(), [](const auto& aEndpoint) {
+      return !aEndpoint.mModels.empty(); // Beside each is a companion.
+    }));
   const auto changes = mCore->mEndpoints.Update(mCore->mView->mEndpoints,
                                                 mCore->mParts.mClock.Now());
   for (const auto& endpoint : changes.mRestarted) {
@@ -277,6 +302,10 @@
   metrics.Set("shuntjunction_relay_active", static_cast<double>(Active()));
   metrics.Set("shuntjunction_relay_connections",
               static_cast<double>(Connections()));
+  metrics.Set("shuntjunction_relay_connections_most",
+              static_cast<double>(mCore->mDescriptors.MostCallers()));
+  metrics.Set("shuntjunction_relay_endpoint_connections",
+              static_cast<double>(mCore->mEndpoints.OpenConnections()));
   metrics.Set("shuntjunction_relay_config_version",
               static_cast<double>(mCore->mView->mConfig->Version()));
   metrics.Set("shuntjunction_relay_config_age_ms",
--- a/packages/coordination/src/relay_attempt.cpp
+++ b/packages/coordination/src/relay_attempt.cpp
@@ -183,6 +183,11 @@
     mLastProblem = "bad-address";
     co_return AttemptOutcome::kUnsent;
   }
+  if (!mCore->MakeRoomForEndpoint()) {
+    mLastProblem = "no-descriptors";
+    co_return AttemptOutcome::kWithheld;
+  }
+  auto count = mCore->mEndpoints.CountConnection();
   auto socket =
     co_await transport::ConnectSocket(*target, settings.mConnectTimeout);
   if (!socket) {
@@ -194,6 +199,7 @@
   }
   aAttempt.mConnection.mReader = std::make_shared<SocketReader>(
     std::move(*socket), mCore->mLimits.mReadAhead);
+  aAttempt.mConnection.mReader->KeepWhileOpen(std::move(count));
   aAttempt.mConnection.mReader->Start();
   mCore->mParts.mMetrics.Count("shuntjunction_relay_connections_opened_total");
   mOpenAttempt = aAttempt.mConnection.mReader;
--- a/packages/coordination/src/relay_core.h
+++ b/packages/coordination/src/relay_core.h
@@ -9,6 +9,7 @@
 #include "relay_crashes.h"
 #include "relay_endpoint.h"
 #include "shuntjunction/coordination/relay.h"
+#include "shuntjunction/state/descriptor_budget.h"
 #include "shuntjunction/state/first_token.h"
 #include "shuntjunction/state/overload_guard.h"
 #include "shuntjunction/state/part_ledger.h"
@@ -95,11 +96,16 @@
   /// Whether no more callers' connections can be taken now.
   bool IsFull() const;
 
+  /// Makes room for one more connection to an endpoint, by giving up the one
+  /// that has rested the longest if need be; whether there is room.
+  bool MakeRoomForEndpoint();
+
   /// The budget of a service's repeats, with this relay's share of the slack.
   state::WindowBudget& BudgetOf(const std::string& aService);
 
   RelayParts mParts;
   RelayLimits mLimits;
+  state::DescriptorBudget mDescriptors;
   RelayEndpoints mEndpoints;
   RelayCrashes mCrashes;
   state::PartLedger mLedger;
--- a/packages/coordination/src/relay_endpoint.cpp
+++ b/packages/coordination/src/relay_endpoint.cpp
@@ -35,6 +35,17 @@
   return std::chrono::seconds(seconds);
 }
 
+/// Closes what rests; a reader that is only let go stays open until its peer
+/// closes.
+void
+CloseIdle(RelayEndpoint& aEndpoint)
+{
+  for (const auto& connection : aEndpoint.mIdle) {
+    connection.mReader->Close(false);
+  }
+  aEndpoint.mIdle.clear();
+}
+
 } // namespace
 
 RelayEndpoints::RelayEndpoints(const RelayEndpointSettings& aSettings)
@@ -71,7 +82,7 @@
       entry->mInfo = info;
     }
     if (entry->mInfo.mIsLeaving) {
-      entry->mIdle.clear();
+      CloseIdle(*entry);
     }
   }
   std::erase_if(mById, [&](const auto& aItem) {
@@ -81,7 +92,7 @@
       if (!aItem.second->mInfo.mIsLeaving) {
         changes.mLeaving.push_back(aItem.second);
       }
-      aItem.second->mIdle.clear();
+      CloseIdle(*aItem.second);
       mParts.Forget(aItem.first);
     }
     return isGone;
@@ -162,6 +173,25 @@
   aEndpoint.mIdle.push_back(std::move(aConnection));
 }
 
+bool
+RelayEndpoints::DropLongestIdle()
+{
+  RelayEndpoint* oldest = nullptr;
+  for (auto& [id, endpoint] : mById) {
+    const bool hasIdle = !endpoint->mIdle.empty();
+    if (hasIdle && (oldest == nullptr || endpoint->mIdle.front().mIdleSince <
+                                           oldest->mIdle.front().mIdleSince)) {
+      oldest = endpoint.get();
+    }
+  }
+  if (oldest == nullptr) {
+    return false;
+  }
+  oldest->mIdle.front().mReader->Close(false);
+  oldest->mIdle.erase(oldest->mIdle.begin());
+  return true;
+}
+
 void
 RelayEndpoints::CloseStale(TimePoint aNow)
 {
@@ -221,7 +251,7 @@
 void
 RelayEndpoints::CutOff(RelayEndpoint& aEndpoint)
 {
-  aEndpoint.mIdle.clear();
+  CloseIdle(aEndpoint);
   const auto busy = std::exchange(aEndpoint.mBusy, {});
   for (const auto& connection : busy) {
     connection->Close(true);
--- a/packages/coordination/src/relay_endpoint.h
+++ b/packages/coordination/src/relay_endpoint.h
@@ -19,6 +19,23 @@
 
 namespace shuntjunction::coordination {
 
+/// Counts a connection to an endpoint for as long as it is open.
+class ConnectionCount
+{
+public:
+  explicit ConnectionCount(std::shared_ptr<std::int64_t> aOpen)
+    : mOpen(std::move(aOpen))
+  {
+    ++*mOpen;
+  }
+  ~ConnectionCount() { --*mOpen; }
+  ConnectionCount(const ConnectionCount&) = delete;
+  ConnectionCount& operator=(const ConnectionCount&) = delete;
+
+private:
+  std::shared_ptr<std::int64_t> mOpen;
+};
+
 /// A connection to an endpoint, used by one request at a time.
 struct EndpointConnection
 {
@@ -141,6 +158,18 @@
                std::string_view aKeepAlive,
                state::TimePoint aNow);
 
+  /// Counts a connection that is about to be opened.
+  std::shared_ptr<ConnectionCount> CountConnection() const
+  {
+    return std::make_shared<ConnectionCount>(mOpen);
+  }
+
+  /// Connections to endpoints that are open or being opened.
+  std::int64_t OpenConnections() const { return *mOpen; }
+
+  /// Closes the connection that has rested the longest; false: none rests.
+  bool DropLongestIdle();
+
   /// Closes connections that rested too long.
   void CloseStale(state::TimePoint aNow);
 
@@ -187,6 +216,7 @@
   state::PartIndex mParts;
   std::map<std::string, RelayEndpointPtr, std::less<>> mById;
   std::uint64_t mFormerWords = 0;
+  std::shared_ptr<std::int64_t> mOpen = std::make_shared<std::int64_t>(0);
 };
 
 } // namespace shuntjunction::coordination
--- a/packages/transport/include/shuntjunction/transport/socket_reader.h
+++ b/packages/transport/include/shuntjunction/transport/socket_reader.h
@@ -58,6 +58,9 @@
   /// Closes the connection in order, or so that the peer sees it cut.
   void Close(bool aIsCut);
 
+  /// Keeps something until the socket is closed here.
+  void KeepWhileOpen(std::shared_ptr<void> aKept) { mKept = std::move(aKept); }
+
   asio::ip::tcp::socket& Socket() { return mSocket; }
 
 private:
@@ -71,6 +74,7 @@
   std::string mBuffer;
   std::size_t mConsumed = 0;
   std::function<void()> mOnClosed;
+  std::shared_ptr<void> mKept;
   bool mIsArmed = false;
   bool mIsClosed = false;
   bool mIsEndedInOrder = false;
--- a/packages/transport/src/socket_reader.cpp
+++ b/packages/transport/src/socket_reader.cpp
@@ -65,6 +65,7 @@
   }
   boost::system::error_code ignored;
   mSocket.close(ignored);
+  mKept = nullptr;
   mIsClosed = true;
   mOnClosed = nullptr;
   Wake();
