Teams' limits hold over all relays, in shares that companions keep

Cause: no relay knew a limit; a team took what it liked. Ruled out: a fixed part for each relay (callers of a team meet few relays), sums of what relays told (late by a word, nothing known when cut off), one keeper a team (its loss takes the whole limit); see docs/DESIGN.md. Change: state/limit_shares.h: four shares a limit, each kept by the companion that the list leads to; a relay takes what a request needs before it is placed, and gives back what was not run. Companions start with empty shares and give from one that moved only after 5 s. state::UsageBucket is one for this and for the routers' TeamLimiter. 429 at once with Retry-After; a log line and a metric for each refusal. Open: who of a team is refused first, bursts of a return, soak kinds.

--- a/packages/coordination/include/shuntjunction/coordination/engine_news.h
+++ b/packages/coordination/include/shuntjunction/coordination/engine_news.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -56,6 +57,11 @@
   EngineNewsServer(const EngineNewsServer&) = delete;
   EngineNewsServer& operator=(const EngineNewsServer&) = delete;
 
+  /// Gives relays what this companion keeps of the teams' limits.
+  ///
+  /// @param aShares  outlives the server
+  void SetShares(state::ShareKeeper& aShares);
+
   /// Begins to accept relays; returns the address with the kernel's port.
   state::Result<state::Address> Start(const state::Address& aAddress);
 
@@ -136,6 +142,16 @@
   void TellCrashes(std::uint64_t aEndpoint,
                    const protocol::CrashReports& aReports);
 
+  /// Asks the companion of a host for a part of a limit; empty when it cannot
+  /// be reached, or gives no answer soon.
+  transport::Task<std::optional<state::ShareGrant>> AskShare(
+    std::string aHost,
+    state::ShareAsk aAsk);
+
+  /// Gives back to it what was not used; dropped while it cannot be reached.
+  void ReturnShare(const std::string& aHost,
+                   const protocol::LimitReturn& aBack);
+
   /// Sets what of this relay waits at an engine; its companion is told when it
   /// changed much.
   ///
--- a/packages/coordination/include/shuntjunction/coordination/relay.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay.h
@@ -37,6 +37,15 @@
   /// empty: they are not told.
   std::function<void(std::uint64_t, const protocol::CrashReports&)>
     mTellCrashes = {};
+  /// Asks the companion of a host for a part of a team's limit; empty: no
+  /// companion can be asked, and teams with limits are refused.
+  std::function<transport::Task<std::optional<state::ShareGrant>>(
+    std::string,
+    state::ShareAsk)>
+    mAskShare = {};
+  /// Gives back to it what was not used.
+  std::function<void(const std::string&, const protocol::LimitReturn&)>
+    mReturnShare = {};
   /// Keeps in the platform's store that a request is quarantined, and for how
   /// long; empty: it is not kept.
   std::function<void(const state::RequestDigest&, state::Millis)>
--- a/packages/coordination/include/shuntjunction/coordination/relay_feed.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay_feed.h
@@ -72,6 +72,10 @@
   QuarantinedRequests mQuarantined;
 };
 
+/// Hosts of the companions, one beside each engine, with their zones.
+std::map<std::string, std::string>
+CompanionsOf(const std::vector<state::EndpointInfo>& aEndpoints);
+
 /// Settings of a RelayFeed.
 struct RelayFeedSettings
 {
--- a/packages/coordination/include/shuntjunction/coordination/relay_settings.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay_settings.h
@@ -33,6 +33,8 @@
   state::Millis mStopGrace{ 8000 };
   /// After newer weights were named, no request begins on older ones.
   state::Millis mWeightsLimit{ 10000 };
+  /// What a team may use beyond its limit without harm, in the limit's unit.
+  double mUsageTolerance = 0;
   state::WindowBudgetSettings mRetries{ 0.2, 56.0, state::Millis(10000) };
 };
 
--- a/packages/coordination/src/engine_news_client.cpp
+++ b/packages/coordination/src/engine_news_client.cpp
@@ -33,6 +33,10 @@
 /// Companions that pass a crash on: one of them may be about to end itself.
 constexpr std::size_t kTellersOfCrashes = 2;
 
+/// Wait for what a companion gives of a limit: longer than a machine pauses for
+/// its processor quota. Another companion is asked then.
+constexpr Millis kGrantTimeout{ 100 };
+
 /// Pauses between two attempts to reach a companion.
 constexpr Millis kFirstPause{ 100 };
 constexpr Millis kLongestPause{ 800 };
@@ -124,6 +128,9 @@
       } else if (const auto* crashes =
                    std::get_if<protocol::CrashReports>(&*message)) {
         mTakeCrashes(*crashes);
+      } else if (const auto* grant =
+                   std::get_if<protocol::LimitGrant>(&*message)) {
+        TakeGrant(*grant);
       }
     }
     aChannel->Close();
@@ -146,6 +153,44 @@
     aSource.mChannel->Send(protocol::RelayWaiting{ aSource.mWaiting, aPart });
   }
 
+  /// A question for a part of a limit that waits for its answer.
+  struct OpenAsk
+  {
+    explicit OpenAsk(asio::io_context& aContext)
+      : mSignal(aContext, kGrantTimeout)
+    {
+    }
+
+    transport::Timer mSignal; ///< cancelled by the answer
+    std::optional<state::ShareGrant> mGrant;
+  };
+
+  void TakeGrant(const protocol::LimitGrant& aGrant)
+  {
+    const auto found = mOpenAsks.find(aGrant.mId);
+    if (found != mOpenAsks.end()) {
+      found->second->mGrant = aGrant.mGrant;
+      found->second->mSignal.cancel();
+    }
+  }
+
+  Task<std::optional<state::ShareGrant>> AskShare(std::string aHost,
+                                                  state::ShareAsk aAsk)
+  {
+    const auto self = shared_from_this();
+    const auto found = mSources.find(CompanionOf(aHost));
+    if (found == mSources.end() || !found->second->mChannel) {
+      co_return std::nullopt;
+    }
+    const auto id = ++mLastAsk;
+    const auto open = std::make_shared<OpenAsk>(mContext);
+    mOpenAsks.emplace(id, open);
+    found->second->mChannel->Send(protocol::LimitAsk{ id, aAsk });
+    co_await open->mSignal.async_wait(transport::kAsTuple);
+    mOpenAsks.erase(id);
+    co_return open->mGrant;
+  }
+
   /// The companion beside an engine; null when it is not followed.
   Source* Find(const std::string& aEndpointAddress) const
   {
@@ -153,14 +198,14 @@
     if (!address) {
       return nullptr;
     }
-    const auto found = mSources.find(CompanionOf(*address));
+    const auto found = mSources.find(CompanionOf(address->mHost));
     return found == mSources.end() ? nullptr : found->second.get();
   }
 
-  /// Address of the companion beside an engine.
-  std::string CompanionOf(const state::Address& aEngine) const
+  /// Address of the companion on a host.
+  std::string CompanionOf(const std::string& aHost) const
   {
-    return aEngine.mHost + ":" + std::to_string(mPort);
+    return aHost + ":" + std::to_string(mPort);
   }
 
   asio::io_context& mContext;
@@ -174,6 +219,8 @@
   transport::ChannelCounters mCounters;
   state::RandomSource mRandom{ std::random_device{}() };
   std::map<std::string, std::shared_ptr<Source>> mSources; ///< by address
+  std::uint32_t mLastAsk = 0;
+  std::map<std::uint32_t, std::shared_ptr<OpenAsk>> mOpenAsks; ///< by id
 };
 
 EngineNewsClient::EngineNewsClient(asio::io_context& aContext,
@@ -209,7 +256,7 @@
     if (endpoint.mModels.empty() || !address) {
       continue;
     }
-    const std::string companion = mShared->CompanionOf(*address);
+    const std::string companion = mShared->CompanionOf(address->mHost);
     wanted.insert(companion);
     auto& source = mShared->mSources[companion];
     if (!source) {
@@ -260,6 +307,22 @@
   }
 }
 
+Task<std::optional<state::ShareGrant>>
+EngineNewsClient::AskShare(std::string aHost, state::ShareAsk aAsk)
+{
+  return mShared->AskShare(std::move(aHost), aAsk);
+}
+
+void
+EngineNewsClient::ReturnShare(const std::string& aHost,
+                              const protocol::LimitReturn& aBack)
+{
+  const auto found = mShared->mSources.find(mShared->CompanionOf(aHost));
+  if (found != mShared->mSources.end() && found->second->mChannel) {
+    found->second->mChannel->Send(aBack);
+  }
+}
+
 void
 EngineNewsClient::SetWaiting(const std::string& aEndpointAddress,
                              const state::WaitingTokens& aWaiting,
--- a/packages/coordination/src/engine_news_server.cpp
+++ b/packages/coordination/src/engine_news_server.cpp
@@ -125,12 +125,30 @@
         mChannels[aChannel] = waiting->mWaiting;
         NoteAskedFor(waiting->mPart);
         TellWaiting();
+      } else if (const auto* ask = std::get_if<protocol::LimitAsk>(&*message)) {
+        aChannel->Send(protocol::LimitGrant{ ask->mId, Grant(ask->mAsk) });
+      } else if (const auto* back =
+                   std::get_if<protocol::LimitReturn>(&*message)) {
+        TakeBack(*back);
       } else {
         co_return;
       }
     }
   }
 
+  state::ShareGrant Grant(const state::ShareAsk& aAsk)
+  {
+    return mShares == nullptr ? state::ShareGrant{}
+                              : mShares->Take(aAsk, mClock.Now());
+  }
+
+  void TakeBack(const protocol::LimitReturn& aReturn)
+  {
+    if (mShares != nullptr) {
+      mShares->GiveBack(aReturn.mKey, aReturn.mAmount);
+    }
+  }
+
   /// Remembers what a relay saw of crashes; what is news goes to all relays.
   void TakeCrashes(const protocol::CrashReports& aReports)
   {
@@ -341,6 +359,7 @@
   transport::ChannelIdentity mIdentity;
   EventLog& mLog;
   const state::Clock& mClock;
+  state::ShareKeeper* mShares = nullptr;
   transport::ChannelCounters mCounters;
   EngineState mState;
   std::uint32_t mToldQueued = 0;
@@ -369,6 +388,12 @@
 
 EngineNewsServer::~EngineNewsServer() = default;
 
+void
+EngineNewsServer::SetShares(state::ShareKeeper& aShares)
+{
+  mShared->mShares = &aShares;
+}
+
 Result<state::Address>
 EngineNewsServer::Start(const state::Address& aAddress)
 {
--- a/packages/coordination/src/fleet_daemon.cpp
+++ b/packages/coordination/src/fleet_daemon.cpp
@@ -208,6 +208,12 @@
       [this](auto aEndpoint, const auto& aReports) {
         mNewsClient->TellCrashes(aEndpoint, aReports);
       },
+      [this](auto aHost, auto aAsk) {
+        return mNewsClient->AskShare(std::move(aHost), aAsk);
+      },
+      [this](const auto& aHost, const auto& aBack) {
+        mNewsClient->ReturnShare(aHost, aBack);
+      },
       [this](const auto& aRequest, auto aFor) {
         asio::post(mControl, [this, request = aRequest, aFor] {
           mQuarantine->Keep(request, aFor);
@@ -275,6 +281,12 @@
     }
     mNewsServer =
       std::make_unique<EngineNewsServer>(mControl, Identity(), mClock, mLog);
+    state::ShareKeeperSettings shares;
+    // A relay that hears of no list for longer refuses all keys.
+    shares.mHandover = mSettings.mBounds.mKeyRemoval;
+    shares.mBurstTolerance = mSettings.mBounds.mUsageTolerance / 2;
+    mShares = std::make_unique<state::ShareKeeper>(shares, peers->mHost);
+    mNewsServer->SetShares(*mShares);
     const auto bound = mNewsServer->Start(*peers);
     if (!bound) {
       return tl::unexpected(bound.error());
@@ -354,6 +366,7 @@
   {
     mZone.TakeEndpoints(aView->mEndpoints);
     if (mKeeper) {
+      TakeCompanions(aView->mEndpoints);
       mStoreTeller->TakeView(aView);
       mKeeper->TakeView(std::move(aView));
       return;
@@ -369,6 +382,18 @@
     });
   }
 
+  void TakeCompanions(const std::vector<state::EndpointInfo>& aEndpoints)
+  {
+    std::vector<std::string> hosts;
+    for (const auto& [host, zone] : CompanionsOf(aEndpoints)) {
+      hosts.push_back(host);
+    }
+    const auto count = hosts.size();
+    if (mShares->SetHosts(std::move(hosts), mClock.Now())) {
+      mLog.Write(EventLine(kPart, "limit-keepers").Add("companions", count));
+    }
+  }
+
   void AwaitSignal()
   {
     mSignals.async_wait([this](const auto& aError, int aSignal) {
@@ -448,6 +473,7 @@
   std::unique_ptr<QuarantineKeeper> mQuarantine;
   std::unique_ptr<Relay> mRelay;
   std::unique_ptr<EngineNewsClient> mNewsClient;
+  std::unique_ptr<state::ShareKeeper> mShares;
   std::unique_ptr<EngineNewsServer> mNewsServer;
   std::unique_ptr<EngineControl> mEngine;
   std::unique_ptr<PartFollower> mParts;
--- a/packages/coordination/src/relay.cpp
+++ b/packages/coordination/src/relay.cpp
@@ -6,6 +6,7 @@
 
 #include "relay_core.h"
 #include "relay_session.h"
+#include "shuntjunction/state/prefix_chain.h"
 #include "shuntjunction/transport/connect.h"
 #include "shuntjunction/transport/frame_channel.h"
 
@@ -114,6 +115,7 @@
   , mDescriptors({ mParts.mSettings.mDescriptors, kReservedDescriptors })
   , mEndpoints(RelayEndpointSettings{})
   , mCrashes(mParts)
+  , mShares(state::PlacementHash(mParts.mSettings.mName))
   , mLedger(mLimits.mMaxParts)
   , mReadingRate(mLimits.mFirstToken)
   , mRandom(std::random_device{}())
@@ -234,11 +236,9 @@
 {
   mCore->mView = std::move(aView);
   mCore->mCrashes.TakeQuarantined(mCore->mView->mQuarantined);
-  const auto& endpoints = mCore->mView->mEndpoints;
-  mCore->mDescriptors.SetPeers(std::count_if(
-    endpoints.begin(), endpoints.end(), [](const auto& aEndpoint) {
-      return !aEndpoint.mModels.empty(); // Beside each is a companion.
-    }));
+  const auto companions = CompanionsOf(mCore->mView->mEndpoints);
+  mCore->mDescriptors.SetPeers(static_cast<std::int64_t>(companions.size()));
+  mCore->mShares.SetHosts(companions);
   const auto changes = mCore->mEndpoints.Update(mCore->mView->mEndpoints,
                                                 mCore->mParts.mClock.Now());
   for (const auto& endpoint : changes.mRestarted) {
--- a/packages/coordination/src/relay_core.h
+++ b/packages/coordination/src/relay_core.h
@@ -11,6 +11,7 @@
 #include "shuntjunction/coordination/relay.h"
 #include "shuntjunction/state/descriptor_budget.h"
 #include "shuntjunction/state/first_token.h"
+#include "shuntjunction/state/limit_shares.h"
 #include "shuntjunction/state/overload_guard.h"
 #include "shuntjunction/state/part_ledger.h"
 #include "shuntjunction/state/window_budget.h"
@@ -108,6 +109,7 @@
   state::DescriptorBudget mDescriptors;
   RelayEndpoints mEndpoints;
   RelayCrashes mCrashes;
+  state::ShareDirectory mShares;
   state::PartLedger mLedger;
   state::ReadingRate mReadingRate;
   state::OverloadGuard mGuard;
--- a/packages/coordination/src/relay_feed_objects.cpp
+++ b/packages/coordination/src/relay_feed_objects.cpp
@@ -5,9 +5,23 @@
 #include "relay_feed_topic.h"
 #include "shuntjunction/coordination/relay_feed.h"
 #include "shuntjunction/state/load_turns.h"
+#include "shuntjunction/state/settings.h"
 
 namespace shuntjunction::coordination {
 
+std::map<std::string, std::string>
+CompanionsOf(const std::vector<state::EndpointInfo>& aEndpoints)
+{
+  std::map<std::string, std::string> zoneByHost;
+  for (const auto& endpoint : aEndpoints) {
+    const auto address = state::ParseAddress(endpoint.mAddress);
+    if (address && !endpoint.mModels.empty()) {
+      zoneByHost[address->mHost] = endpoint.mZone;
+    }
+  }
+  return zoneByHost;
+}
+
 using state::RawObject;
 
 namespace {
--- a/packages/coordination/src/relay_reply.cpp
+++ b/packages/coordination/src/relay_reply.cpp
@@ -15,6 +15,7 @@
 
 namespace {
 
+constexpr unsigned kTooMany = 429;
 constexpr unsigned kBadGateway = 502;
 constexpr unsigned kUnavailable = 503;
 constexpr unsigned kTimedOut = 504;
@@ -49,7 +50,8 @@
     co_return;
   }
   if (!mMayHaveRun) {
-    co_await Refuse(kUnavailable, reason, mRetryAfter);
+    co_await Refuse(
+      mIsOverLimit ? kTooMany : kUnavailable, reason, mRetryAfter);
   } else if (isLate) {
     co_await Refuse(kTimedOut, reason);
   } else {
--- a/packages/coordination/src/relay_run.cpp
+++ b/packages/coordination/src/relay_run.cpp
@@ -91,6 +91,7 @@
     const auto running = mCore->mCrashes.Begin(
       mDigest, [this] { Interrupt(RunInterrupt::kQuarantined); });
     co_await Serve();
+    ReturnUsage();
     mCore->mCrashes.End(running);
     mCaller.OnClosed(nullptr);
     mDeadlineTimer->cancel();
@@ -224,6 +225,9 @@
 {
   mCore->BudgetOf(mService).NoteFirst(Now());
   while (mInterrupt == RunInterrupt::kNone) {
+    if (!co_await HoldUsage()) {
+      break;
+    }
     auto pick = co_await Pick();
     if (!pick) {
       break;
@@ -237,6 +241,7 @@
       break;
     }
     const auto outcome = co_await Try(*pick);
+    NoteUsage(outcome);
     NoteOutcome(*pick, outcome);
     if (outcome == AttemptOutcome::kBroken) {
       co_await NoteBrokenOff(*pick);
--- a/packages/coordination/src/relay_run.h
+++ b/packages/coordination/src/relay_run.h
@@ -50,6 +50,22 @@
     "interrupted" }
 };
 
+/// What a relay holds of a share of a team's limit.
+struct HeldUsage
+{
+  state::ShareSource mSource;
+  std::uint32_t mAmount = 0;
+};
+
+/// What a team's companions said to the question for its limit.
+struct UsageAnswer
+{
+  int mAsked = 0;  ///< shares whose companions answered, or were known empty
+  int mSilent = 0; ///< shares whose companions could not be asked
+  std::uint32_t mHeld = 0;
+  state::Millis mRefill{ 0 }; ///< until one of them has more
+};
+
 /// How one attempt went on, counted from the request's arrival.
 struct AttemptTimes
 {
@@ -90,6 +106,19 @@
   bool IsQuarantined();
   bool IsStale() const;
 
+  // The team's limit.
+  /// Takes from it what the request will use; whether it may be sent.
+  transport::Task<bool> HoldUsage();
+  /// Asks the team's companions, one after the other, until enough is held.
+  transport::Task<UsageAnswer> AskForUsage(std::uint32_t aAmount);
+  /// What the request counts in the unit of its team's limit.
+  std::uint32_t UsageOfRequest() const;
+  /// Gives back what is held and was not used.
+  void ReturnUsage();
+  /// Takes that an endpoint may have run the request: what is held is used.
+  void NoteUsage(AttemptOutcome aOutcome);
+  void LogLimit(const UsageAnswer& aAnswer, std::uint32_t aAmount);
+
   // Attempts.
   transport::Task<void> Serve();
   transport::Task<std::optional<RelayPick>> Pick();
@@ -189,6 +218,8 @@
   unsigned mFirstStatus = 0;
   std::string mLastProblem;
   state::Millis mRetryAfter = kRetrySoon; ///< if it is refused unserved
+  std::vector<HeldUsage> mHeldUsage;      ///< of the team's limit
+  bool mIsOverLimit = false;              ///< the team has used its limit up
 };
 
 } // namespace shuntjunction::coordination
--- a/packages/protocol/include/shuntjunction/protocol/messages.h
+++ b/packages/protocol/include/shuntjunction/protocol/messages.h
@@ -10,6 +10,7 @@
 #include "shuntjunction/state/block_index.h"
 #include "shuntjunction/state/crash_ledger.h"
 #include "shuntjunction/state/endpoint_life.h"
+#include "shuntjunction/state/limit_shares.h"
 #include "shuntjunction/state/prefix_chain.h"
 #include "shuntjunction/state/request_types.h"
 
@@ -271,6 +272,27 @@
   std::vector<CrashWord> mWords;
 };
 
+/// Asks a companion for a part of a team's limit.
+struct LimitAsk
+{
+  std::uint32_t mId = 0; ///< of the answer
+  state::ShareAsk mAsk;
+};
+
+/// Answer to a LimitAsk.
+struct LimitGrant
+{
+  std::uint32_t mId = 0;
+  state::ShareGrant mGrant;
+};
+
+/// Gives back what a request did not use.
+struct LimitReturn
+{
+  state::ShareKey mKey;
+  std::uint32_t mAmount = 0;
+};
+
 /// Any message.
 using Message = std::variant<Challenge,
                              Hello,
@@ -291,6 +313,9 @@
                              EngineNews,
                              PartReading,
                              RelayWaiting,
-                             CrashReports>;
+                             CrashReports,
+                             LimitAsk,
+                             LimitGrant,
+                             LimitReturn>;
 
 } // namespace shuntjunction::protocol
--- a/packages/protocol/src/codec_pack.cpp
+++ b/packages/protocol/src/codec_pack.cpp
@@ -313,6 +313,43 @@
     .Union();
 }
 
+Offset<void>
+Pack(FlatBufferBuilder& aBuilder, const LimitAsk& aMessage)
+{
+  const auto& ask = aMessage.mAsk;
+  return wire::CreateLimitAsk(aBuilder,
+                              aMessage.mId,
+                              ask.mKey.mTeam,
+                              ask.mKey.mShare,
+                              ask.mAmount,
+                              static_cast<float>(ask.mLimit.mPerSecond),
+                              static_cast<float>(ask.mLimit.mBurst),
+                              ask.mVersion)
+    .Union();
+}
+
+Offset<void>
+Pack(FlatBufferBuilder& aBuilder, const LimitGrant& aMessage)
+{
+  const auto refill =
+    std::clamp<std::int64_t>(aMessage.mGrant.mRefill.count(), 0, UINT32_MAX);
+  return wire::CreateLimitGrant(aBuilder,
+                                aMessage.mId,
+                                aMessage.mGrant.mAmount,
+                                static_cast<std::uint32_t>(refill))
+    .Union();
+}
+
+Offset<void>
+Pack(FlatBufferBuilder& aBuilder, const LimitReturn& aMessage)
+{
+  return wire::CreateLimitReturn(aBuilder,
+                                 aMessage.mKey.mTeam,
+                                 aMessage.mKey.mShare,
+                                 aMessage.mAmount)
+    .Union();
+}
+
 } // namespace
 
 Offset<void>
--- a/packages/protocol/src/codec_unpack.cpp
+++ b/packages/protocol/src/codec_unpack.cpp
@@ -1,3 +1,6 @@
+#include <algorithm>
+#include <cmath>
+
 #include "codec_bodies.h"
 
 namespace shuntjunction::protocol {
@@ -291,6 +294,36 @@
   return message;
 }
 
+/// A number of a limit; one that is none, or absurd, is bounded.
+double
+LimitNumber(float aNumber)
+{
+  constexpr double kMost = 1e12;
+  return std::isfinite(aNumber) ? std::clamp<double>(aNumber, 0.0, kMost) : 0.0;
+}
+
+LimitAsk
+Unpack(const wire::LimitAsk& aWire)
+{
+  return { aWire.id(),
+           { { aWire.team(), aWire.share() },
+             { LimitNumber(aWire.per_second()), LimitNumber(aWire.burst()) },
+             aWire.version(),
+             aWire.amount() } };
+}
+
+LimitGrant
+Unpack(const wire::LimitGrant& aWire)
+{
+  return { aWire.id(), { aWire.amount(), state::Millis(aWire.refill_ms()) } };
+}
+
+LimitReturn
+Unpack(const wire::LimitReturn& aWire)
+{
+  return { { aWire.team(), aWire.share() }, aWire.amount() };
+}
+
 } // namespace
 
 std::optional<Message>
@@ -337,6 +370,12 @@
       return Unpack(*aFrame.body_as_RelayWaiting());
     case wire::Body::CrashReports:
       return Unpack(*aFrame.body_as_CrashReports());
+    case wire::Body::LimitAsk:
+      return Unpack(*aFrame.body_as_LimitAsk());
+    case wire::Body::LimitGrant:
+      return Unpack(*aFrame.body_as_LimitGrant());
+    case wire::Body::LimitReturn:
+      return Unpack(*aFrame.body_as_LimitReturn());
     case wire::Body::NONE:
       break;
   }
--- a/packages/protocol/tests/codec_test.cpp
+++ b/packages/protocol/tests/codec_test.cpp
@@ -1,6 +1,7 @@
 // The story of a frame: what goes in comes out, and what is malformed is
 // refused before it is used.
 
+#include <limits>
 #include <random>
 
 #include <gtest/gtest.h>
@@ -120,6 +121,31 @@
   EXPECT_TRUE(passed[1].mIsCleared);
 }
 
+TEST(GivenMessages, WhatIsAskedAndGivenOfALimitPassesWhole)
+{
+  const state::ShareKey key{ 1ULL << 63, 3 };
+  const auto ask = Passed(LimitAsk{ 7, { key, { 450000, 90000 }, 12, 9200 } });
+  EXPECT_EQ(ask.mId, 7U);
+  EXPECT_EQ(ask.mAsk.mKey, key);
+  EXPECT_EQ(ask.mAsk.mLimit, (state::UsageLimit{ 450000, 90000 }));
+  EXPECT_EQ(ask.mAsk.mVersion, 12U);
+  EXPECT_EQ(ask.mAsk.mAmount, 9200U);
+  const auto grant = Passed(LimitGrant{ 7, { 4000, state::Millis(12) } });
+  EXPECT_EQ(grant.mGrant.mAmount, 4000U);
+  EXPECT_EQ(grant.mGrant.mRefill, state::Millis(12));
+  const auto back = Passed(LimitReturn{ key, 4000 });
+  EXPECT_EQ(back.mKey, key);
+  EXPECT_EQ(back.mAmount, 4000U);
+}
+
+TEST(GivenMessages, AnAbsurdLimitIsNone)
+{
+  constexpr double kNone = std::numeric_limits<double>::quiet_NaN();
+  const auto ask = Passed(LimitAsk{ 1, { {}, { kNone, -5 }, 1, 1 } });
+  EXPECT_FALSE(ask.mAsk.mLimit.IsLimited());
+  EXPECT_EQ(ask.mAsk.mLimit.mBurst, 0);
+}
+
 TEST(GivenMessages, AProbeStaysWithinItsShareOfTheControlBudget)
 {
   // 6 KB a second for 14 requests a second leave about 440 bytes a request;
--- a/packages/state/include/shuntjunction/state/config_objects.h
+++ b/packages/state/include/shuntjunction/state/config_objects.h
@@ -48,8 +48,8 @@
 {
   std::string mName;
   std::vector<std::string> mKeyDigests; ///< SHA-256 of its bearer keys, as hex
-  TeamLimit mLimit;
-  double mWeight = 1.0; ///< share among teams of a class
+  UsageLimit mLimit;                    ///< in requests
+  double mWeight = 1.0;                 ///< share among teams of a class
 };
 
 /// A model and the weights version in force.
--- a/packages/state/include/shuntjunction/state/relay_config.h
+++ b/packages/state/include/shuntjunction/state/relay_config.h
@@ -12,6 +12,7 @@
 #include "shuntjunction/state/clock.h"
 #include "shuntjunction/state/enum_names.h"
 #include "shuntjunction/state/endpoint_life.h"
+#include "shuntjunction/state/usage_limit.h"
 
 /// What a relay is told to do: routes, teams, services and limits.
 namespace shuntjunction::state {
@@ -66,6 +67,9 @@
   std::vector<std::string> mKeys;
   std::optional<int> mUrgency; ///< goes before a route's
   bool mIsIsolated = false;    ///< shares no cached part with other teams
+  UsageLimit mLimit;           ///< over all relays
+  UsageUnit mUnit = UsageUnit::kRequests; ///< of the limit
+  std::int64_t mPlainUsage = 1; ///< tokens of a request that names none
 };
 
 /// What the engines of a service have in common.
--- a/packages/state/include/shuntjunction/state/team_limiter.h
+++ b/packages/state/include/shuntjunction/state/team_limiter.h
@@ -4,22 +4,16 @@
 #include <string_view>
 #include <unordered_map>
 
-#include "shuntjunction/state/clock.h"
+#include "shuntjunction/state/usage_limit.h"
 
-/// Limits on the rate of each team's requests.
+/// Limits on the rate of each team's requests, without a message.
 namespace shuntjunction::state {
 
-/// A team's limit over all routers; zero is no limit.
-struct TeamLimit
-{
-  double mRequestsPerSecond = 0;
-  double mBurst = 0; ///< requests above the rate that may come at once
-};
-
-/// Token buckets by team, each the router's share of the team's limit.
+/// Keeps this router's fixed part of each team's limit.
 ///
-/// A router knows how many routers there are and takes that share, so that a
-/// limit holds over all of them without a message.
+/// A router knows how many routers there are and takes that part, so that a
+/// limit holds over all of them without a message. Callers that meet few of the
+/// routers get less than their team's limit; limit_shares.h is for those.
 /// Thread safety: none; owned by one thread.
 class TeamLimiter
 {
@@ -29,18 +23,12 @@
   /// @param aRouters  routers that share the limit, at least 1
   /// @return zero when the request may go on, or the time to come back after
   Millis Take(std::string_view aTeam,
-              const TeamLimit& aLimit,
+              const UsageLimit& aLimit,
               std::size_t aRouters,
               TimePoint aNow);
 
 private:
-  struct Bucket
-  {
-    double mTokens = 0;
-    TimePoint mFilled;
-  };
-
-  std::unordered_map<std::string, Bucket> mBuckets;
+  std::unordered_map<std::string, UsageBucket> mBuckets;
 };
 
 } // namespace shuntjunction::state
--- a/packages/state/src/config_objects.cpp
+++ b/packages/state/src/config_objects.cpp
@@ -52,17 +52,17 @@
   return std::string(kConfigKindNames.Name(aKind)) + "/" + std::string(aName);
 }
 
-TeamLimit
+UsageLimit
 ReadLimit(JsonReader& aReader)
 {
-  TeamLimit limit;
+  UsageLimit limit;
   const auto* value = aReader.Find("limit");
   if (value == nullptr) {
     return limit;
   }
   JsonReader reader(*value, aReader.Where("limit"));
-  limit.mRequestsPerSecond = reader.Number("requestsPerSecond", 0, kMaxRate);
-  limit.mBurst = reader.Number("burst", 0, kMaxRate, limit.mRequestsPerSecond);
+  limit.mPerSecond = reader.Number("requestsPerSecond", 0, kMaxRate);
+  limit.mBurst = reader.Number("burst", 0, kMaxRate, limit.mPerSecond);
   aReader.Merge(reader.Finish());
   return limit;
 }
