A large prompt goes to the least loaded of six engines of its order

Cause: an event of a stream holds several tokens, and each waits for a piece of reading while its engine reads. A prompt left the first engine of its order only for the second, and only when 20,000 tokens more waited there: engines read without a break for over half a second, and all streams beside paused for longer than allowed. Change: RelayChoiceSettings: six of the order are weighed, lead 3,000 tokens. Test: placement_load_test, 117 of 2,953 streams paused, now 5 of 2,945.

--- a/packages/state/include/shuntjunction/state/relay_choice.h
+++ b/packages/state/include/shuntjunction/state/relay_choice.h
@@ -37,9 +37,13 @@
 struct RelayChoiceSettings
 {
   /// Waiting tokens by which the first endpoint of a prompt's order may exceed
-  /// the second before the second takes it: about 0.35 s of reading. Less
-  /// spreads each part over two engines, which together forget twice as much.
-  std::int64_t mMaxLeadTokens = 20000;
+  /// the least loaded before that one takes it. With more, engines read for so
+  /// long without a break that streams beside them pause; with less, each part
+  /// is spread over more engines, which forget it sooner.
+  std::int64_t mMaxLeadTokens = 3000;
+  /// Endpoints of a prompt's order that are weighed, two at least: with more, a
+  /// prompt finds one that reads nothing while many arrive at once.
+  std::size_t mPartCandidates = 6;
   /// Prompts that share less go where little waits: reading it again takes a
   /// few milliseconds.
   std::int64_t mMinSharedTokens = 1000;
@@ -53,8 +57,11 @@
   std::int64_t mTokensOfRunning = 1000;
 };
 
-/// Chooses by rendezvous of a prompt's shared part, the first two weighed by
-/// whether they keep the part and by what waits there.
+/// Chooses by rendezvous of a prompt's shared part: of the first two the one
+/// that keeps the part, unless much less waits at another near the front.
+///
+/// Guards the streams beside: an engine that reads prompts without a break
+/// makes each token of its streams wait for a piece of reading.
 ///
 /// Older weights are no reason to pass an engine over: while a new version is
 /// loaded, the few that have it cannot carry all work, and their callers waited
--- a/packages/state/src/relay_choice.cpp
+++ b/packages/state/src/relay_choice.cpp
@@ -41,6 +41,20 @@
          (aCandidate.mIsSameZone ? 0 : aSettings.mZoneLead);
 }
 
+bool
+IsFull(const RelayCandidate& aCandidate)
+{
+  return aCandidate.mRunning >= aCandidate.mSlots;
+}
+
+/// Whether an endpoint has room where the other has none, or less to read.
+bool
+IsLessLoaded(const RelayCandidate& aOne, const RelayCandidate& aOther)
+{
+  return std::pair(IsFull(aOne), aOne.mQueuedTokens) <
+         std::pair(IsFull(aOther), aOther.mQueuedTokens);
+}
+
 /// The first of a key's rendezvous order, the own zone before the others.
 ///
 /// @pre  aAllowed is not empty
@@ -81,17 +95,27 @@
     return first;
   }
   const auto second = ranked[1].second;
-  const auto& one = aCandidates[first];
-  const auto& two = aCandidates[second];
-  const bool isSecondAhead = two.mHoldsPart && !one.mHoldsPart;
+  const bool isSecondAhead =
+    aCandidates[second].mHoldsPart && !aCandidates[first].mHoldsPart;
   const auto leader = isSecondAhead ? second : first;
-  const auto other = isSecondAhead ? first : second;
+  // The least loaded of the others that are near the front of the order.
+  const auto end =
+    ranked.begin() + static_cast<std::ptrdiff_t>(
+                       std::min(ranked.size(), aSettings.mPartCandidates));
+  std::optional<std::size_t> other;
+  for (auto item = ranked.begin(); item != end; ++item) {
+    const auto index = item->second;
+    if (index != leader &&
+        (!other || IsLessLoaded(aCandidates[index], aCandidates[*other]))) {
+      other = index;
+    }
+  }
   const auto& led = aCandidates[leader];
-  const auto& next = aCandidates[other];
-  const bool isFull = led.mRunning >= led.mSlots && next.mRunning < next.mSlots;
+  const auto& next = aCandidates[*other];
+  const bool isFull = IsFull(led) && !IsFull(next);
   const bool isBehind =
     led.mQueuedTokens > next.mQueuedTokens + aSettings.mMaxLeadTokens;
-  return isFull || isBehind ? other : leader;
+  return isFull || isBehind ? *other : leader;
 }
 
 std::optional<std::size_t>
