Comments say what a choice guards against, not how it was found

A test bounds the bytes that a limit's question takes of a request's share of control. Figures: none; no behaviour changes.

--- a/packages/coordination/src/engine_news_server.cpp
+++ b/packages/coordination/src/engine_news_server.cpp
@@ -38,7 +38,7 @@
 
 /// Relays up to which that holds. Among more, each is told of proportionally
 /// larger changes, up to the most, a third of a second of reading: that is
-/// enough to pass an engine over, and 103 relays in six zones otherwise cost
+/// enough to pass an engine over, and a hundred relays would otherwise cost
 /// more bytes between zones than their callers' requests.
 constexpr std::int64_t kRelaysToTell = 25;
 constexpr std::int64_t kMostTokensToTell = 16000;
--- a/packages/coordination/src/relay.cpp
+++ b/packages/coordination/src/relay.cpp
@@ -47,8 +47,8 @@
   transport::Spawn(aCore->mParts.mContext, session->Run());
 }
 
-/// Takes the connections that wait already. One at a turn of all other work
-/// left callers unread for 2.4 s in a burst, of which nothing else told.
+/// Takes the connections that wait already: with one at a turn of all other
+/// work callers would lie unread in a burst, of which nothing else tells.
 void
 AcceptWaiting(const std::shared_ptr<Relay::Core>& aCore)
 {
--- a/packages/coordination/src/relay_core.h
+++ b/packages/coordination/src/relay_core.h
@@ -44,8 +44,7 @@
   /// Share of the process's memory for bodies of requests.
   double mBodyShare = 0.3;
   /// Memory that an open connection of a caller may need, with its request
-  /// under way and the connection to its endpoint: 110 MB were full with 2,600
-  /// of them of which 960 had one.
+  /// under way and the connection to its endpoint.
   std::int64_t mBytesPerSession = 64L * 1024;
   /// Parts of prompts that are remembered.
   std::size_t mMaxParts = 4096;
--- a/packages/coordination/src/relay_run.cpp
+++ b/packages/coordination/src/relay_run.cpp
@@ -28,9 +28,7 @@
 constexpr Millis kRetryLater{ 1000 };
 /// The same when keys were not confirmed in time: most often this relay alone
 /// is cut off from the store, and another, which a new connection reaches,
-/// serves at once. A second instead made 46 to 47 of 133 callers late in the
-/// two worst seconds of such a cut, and served no more when the store was gone
-/// for all.
+/// serves at once.
 constexpr Millis kRetryElsewhere{ 50 };
 
 /// The same when this relay has more work than it can answer: in that time it
--- a/packages/protocol/tests/codec_test.cpp
+++ b/packages/protocol/tests/codec_test.cpp
@@ -138,6 +138,17 @@
   EXPECT_EQ(back.mAmount, 4000U);
 }
 
+TEST(GivenMessages, ALimitsQuestionLeavesMostOfTheControlBudget)
+{
+  // Of the 440 bytes of control a request, beside probes and news.
+  constexpr std::size_t kShare = 440 / 2;
+  const LimitAsk ask{ 7, { { 1ULL << 63, 3 }, { 4.5e5, 4.5e5 }, 12, 9200 } };
+  const LimitGrant grant{ 7, { 4000, state::Millis(12) } };
+  const auto bytes = Encode(ask).size() + Encode(grant).size();
+  RecordProperty("bytes", static_cast<int>(bytes));
+  EXPECT_LE(bytes, kShare);
+}
+
 TEST(GivenMessages, AnAbsurdLimitIsNone)
 {
   constexpr double kNone = std::numeric_limits<double>::quiet_NaN();
--- a/packages/state/include/shuntjunction/state/first_token.h
+++ b/packages/state/include/shuntjunction/state/first_token.h
@@ -23,10 +23,7 @@
   std::int64_t mLeastTokens = 2000;
   /// Share of the objective beyond which a request counts as late. The estimate
   /// errs to both sides, and one that is put behind although it could have been
-  /// in time loses more than one that keeps its place in vain. Callers got .557
-  /// of what they asked for in time with half of the objective, .564 with .8,
-  /// .568 with 1.2 (less what it cost; means of 15 plays of days with faults);
-  /// 1.5 gained nothing more.
+  /// in time loses more than one that keeps its place in vain.
   double mOnTimeShare = 1.2;
   /// Levels by which a request is less urgent once it is expected to be late.
   int mLateLevels = 5;
@@ -70,9 +67,8 @@
 /// When more arrives than engines read, first come, first served makes every
 /// request late, and one that is late takes as long to read as one that is not.
 /// Requests that are expected to miss their objective therefore go behind those
-/// that can still meet it, and are served by what these leave over. At twice
-/// what an engine reads, 15 and more of 40 requests are in time instead of
-/// under 8 (played in the tests' model of an engine). Thread safety: pure.
+/// that can still meet it, and are served by what these leave over.
+/// Thread safety: pure.
 int
 UrgencyToSend(const FirstTokenAsk& aAsk, const FirstTokenSettings& aSettings);
 
--- a/packages/state/include/shuntjunction/state/freshness.h
+++ b/packages/state/include/shuntjunction/state/freshness.h
@@ -5,7 +5,7 @@
 
 #include "shuntjunction/state/clock.h"
 
-/// Age of what is believed, by the steady clock.
+/// Age of what is believed, suspended time included.
 namespace shuntjunction::state {
 
 /// How long each question to the source may wait for news, if a belief may be
@@ -13,10 +13,8 @@
 ///
 /// An answer confirms the moment of its question, so that a belief is up to two
 /// waits old when the source falls silent: with a fifth of the bound three
-/// fifths of it are left to go on. With two fifths, one is: in an outage of
-/// 2.8 s under a bound of 5 s, 59 to 66 of 123 to 140 requests of its second
-/// half were refused in three plays of one day, with a fifth 2 to 4. Half as
-/// long would ask twice as often and gained nothing further.
+/// fifths of it are left to go on in an outage of the source. Shorter waits ask
+/// more often and leave little more.
 inline Millis
 ConfirmationWait(Millis aBound)
 {
--- a/packages/state/include/shuntjunction/state/late_queue.h
+++ b/packages/state/include/shuntjunction/state/late_queue.h
@@ -11,9 +11,7 @@
 struct LateQueueSettings
 {
   /// Share of the objective that the longest waiting may have waited so far for
-  /// another to join: beyond it, what comes in time takes all that is read. Of
-  /// 770 requests that joined in a burst of six times the traffic, 66 were
-  /// served. Half and twice as much differ by less than plays of equal code.
+  /// another to join: beyond it, what comes in time takes all that is read.
   double mMostWait = 1.0;
   /// Refused callers come back after what waits now is read, and up to this
   /// share of it later, so that they don't come back together.
@@ -26,10 +24,7 @@
 ///
 /// They are served from what the others leave over. When that is nothing, one
 /// more would wait until its deadline, in vain, and its caller could come back
-/// no more. In bursts of 6, 12 and 24 times the traffic, 4 s long, refusing it
-/// at once left 435, 835 and 2,689 tries that ended at their deadline instead
-/// of 1,566, 4,714 and 6,233, and callers got .545, .385 and .189 of what they
-/// were owed instead of .489, .365 and .170 (one play each, equal seeds).
+/// no more. Refused at once, it can.
 ///
 /// Thread safety: none.
 class LateQueue
--- a/packages/state/include/shuntjunction/state/relay_choice.h
+++ b/packages/state/include/shuntjunction/state/relay_choice.h
@@ -64,8 +64,7 @@
 /// makes each token of its streams wait for a piece of reading.
 ///
 /// Older weights are no reason to pass an engine over: while a new version is
-/// loaded, the few that have it cannot carry all work, and their callers waited
-/// 1.5 s and more for engines that were free next to them.
+/// loaded, the few that have it cannot carry all work.
 ///
 /// @param aKey  hash of the shared part and its scope
 /// @return index of aCandidates; empty when there are none
@@ -110,9 +109,7 @@
 /// several by rendezvous, so that every relay computes the same, each store
 /// keeps its share, and one that goes moves only the parts that it kept.
 ///
-/// With one store for all parts 52 engines read 4.9 million tokens of shared
-/// parts again in 50 s, with each part in one of three 2.8 million (means of
-/// five plays of days with faults).
+/// One store for all parts would forget most of them before their next use.
 ///
 /// @param aPartName  see PartName
 /// @param aZone  of the engine; where it has no store, all are as good
