A request waits for a companion of its team's limit for half of its objective

Cause: after all processes were killed at once 456 requests of two seconds were refused because their relay had found no companion within 100 ms, and a companion that was not yet connected was left out for half a second. Ruled out: letting requests through unasked; waiting up to the deadline. Change: they wait until half of their route's objective has passed; only a companion that gave no answer is left out.

--- a/packages/coordination/src/relay_limits.cpp
+++ b/packages/coordination/src/relay_limits.cpp
@@ -69,7 +69,7 @@
     co_return true;
   }
   const auto amount = UsageOfRequest();
-  const auto until = Now() + kRetrySoon;
+  const auto until = mArrival + std::max(kRetrySoon, mRoute->mObjective / 2);
   UsageAnswer answer;
   while (mInterrupt == RunInterrupt::kNone) {
     answer = co_await AskForUsage(amount);
@@ -77,8 +77,8 @@
       co_return true;
     }
     ReturnUsage();
-    // With no companion in reach nothing is known of the limit: after a
-    // restart they are found within some ten milliseconds.
+    // With no companion in reach nothing is known of the limit. After a return
+    // of everything they come one after the other, and one is enough.
     if (answer.mAsked > 0 || Now() >= until) {
       break;
     }
@@ -115,14 +115,18 @@
                                     mTeam->mLimit,
                                     mView->mConfig->Version(),
                                     aAmount - answer.mHeld };
+    const auto askedAt = Now();
     std::optional<state::ShareGrant> grant;
     if (ask) {
       grant = co_await ask(source.mHost, question);
     }
     if (!grant) {
       ++answer.mSilent;
-      shares.Close(
-        source.mKey, state::ShareState::kSilent, Now() + kSilentPause);
+      // One that is not connected costs nothing to ask again.
+      if (Now() - askedAt >= kWaitStep) {
+        shares.Close(
+          source.mKey, state::ShareState::kSilent, Now() + kSilentPause);
+      }
       continue;
     }
     ++answer.mAsked;
