A relay sees and logs the rate that an endpoint names

Change: the adapter reads the field into AnswerFacts; a relay logs endpoint-limit when what an endpoint says changes, counts what it sends there meanwhile, and what is unreadable. Nothing is decided by it yet.

--- a/packages/coordination/src/relay_answer.cpp
+++ b/packages/coordination/src/relay_answer.cpp
@@ -182,6 +182,7 @@
     mLastProblem = "misdirected";
     return AttemptOutcome::kMisdirected;
   }
+  NoteRate(*aAttempt.mPick.mEndpoint, facts.mRate);
   if (facts.mIsNotRun) {
     mLastProblem = "endpoint refused: " + std::to_string(head.mStatus);
     return AttemptOutcome::kNotRun;
--- a/packages/coordination/src/relay_attempt.cpp
+++ b/packages/coordination/src/relay_attempt.cpp
@@ -122,6 +122,11 @@
     endpoint.mBytesAt = Now();
   }
   NoteWaiting(attempt.mPick);
+  if (endpoint.mRate) {
+    ++endpoint.mSentAtRate;
+    mCore->mParts.mMetrics.Count("shuntjunction_relay_limited_sends_total",
+                                 { { "service", mService } });
+  }
   mTried.push_back(endpoint.mInfo.mId);
   Send(attempt);
   mTimes.mSent = SinceArrival();
--- a/packages/coordination/src/relay_endpoint.h
+++ b/packages/coordination/src/relay_endpoint.h
@@ -108,6 +108,9 @@
   state::TimePoint mNewsAt;
   /// Its companion's connection was ended by the companion's machine.
   bool mIsNewsEnded = false;
+  /// Requests a second that it takes from all relays, while it names a rate.
+  std::optional<double> mRate;
+  std::int64_t mSentAtRate = 0; ///< requests that it got meanwhile
   /// Its last bytes, or the sending of a request when none waited there.
   state::TimePoint mBytesAt;
 
--- a/packages/coordination/src/relay_run.h
+++ b/packages/coordination/src/relay_run.h
@@ -119,6 +119,11 @@
   void NoteUsage(AttemptOutcome aOutcome);
   void LogLimit(const UsageAnswer& aAnswer, std::uint32_t aAmount);
 
+  // The endpoint's own limit.
+  /// Takes what an endpoint's answer says of the rate that it takes.
+  void NoteRate(RelayEndpoint& aEndpoint, const state::EndpointRate& aRate);
+  void LogRate(const RelayEndpoint& aEndpoint, state::RateNotice aNotice);
+
   // Attempts.
   transport::Task<void> Serve();
   transport::Task<std::optional<RelayPick>> Pick();
