Which companion keeps a limit's share is a part of its own

Cause: the lists of companions that relays may believe in, and the handover between two keepers, were inside ShareKeeper; an endpoint's rate needs the same of another keeper. Change: KeeperListings, moved out of ShareKeeper with its settings; ShareDirectory names the companion for an endpoint: the one on its host, otherwise by rendezvous.

--- a/packages/coordination/src/fleet_daemon.cpp
+++ b/packages/coordination/src/fleet_daemon.cpp
@@ -283,7 +283,7 @@
       std::make_unique<EngineNewsServer>(mControl, Identity(), mClock, mLog);
     state::ShareKeeperSettings shares;
     // A relay that hears of no list for longer refuses all keys.
-    shares.mHandover = mSettings.mBounds.mKeyRemoval;
+    shares.mListings.mHandover = mSettings.mBounds.mKeyRemoval;
     shares.mBurstTolerance = mSettings.mBounds.mUsageTolerance / 2;
     mShares = std::make_unique<state::ShareKeeper>(shares, peers->mHost);
     mNewsServer->SetShares(*mShares);
--- a/packages/protocol/src/codec_pack.cpp
+++ b/packages/protocol/src/codec_pack.cpp
@@ -319,7 +319,7 @@
   const auto& ask = aMessage.mAsk;
   return wire::CreateLimitAsk(aBuilder,
                               aMessage.mId,
-                              ask.mKey.mTeam,
+                              ask.mKey.mLimit,
                               ask.mKey.mShare,
                               ask.mAmount,
                               static_cast<float>(ask.mLimit.mPerSecond),
@@ -344,7 +344,7 @@
 Pack(FlatBufferBuilder& aBuilder, const LimitReturn& aMessage)
 {
   return wire::CreateLimitReturn(aBuilder,
-                                 aMessage.mKey.mTeam,
+                                 aMessage.mKey.mLimit,
                                  aMessage.mKey.mShare,
                                  aMessage.mAmount)
     .Union();
--- a/packages/state/include/shuntjunction/state/limit_shares.h
+++ b/packages/state/include/shuntjunction/state/limit_shares.h
@@ -2,13 +2,14 @@
 
 #include <array>
 #include <cstdint>
-#include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
 
+#include "shuntjunction/state/keeper_listings.h"
 #include "shuntjunction/state/usage_limit.h"
 
 /// A team's limit over all relays: cut into shares, each kept by one companion.
@@ -27,32 +28,12 @@
 inline constexpr std::size_t kSharesOfLimit = 4;
 
 /// Names a team where bytes are scarce.
-using TeamHash = std::uint64_t;
+using TeamHash = LimitHash;
 
 /// The hash of a team's name. Thread safety: pure.
 TeamHash
 HashOfTeam(std::string_view aTeam);
 
-/// A share of a team's limit.
-struct ShareKey
-{
-  TeamHash mTeam = 0;
-  std::uint8_t mShare = 0; ///< below kSharesOfLimit
-
-  auto operator<=>(const ShareKey&) const = default;
-};
-
-/// Which of some companions keeps a share, by rendezvous: each process computes
-/// the same of the same list, and a companion that comes or goes moves only its
-/// own shares.
-///
-/// @param aHosts  of the companions
-/// @return index of aHosts
-/// @pre  aHosts is not empty
-/// Thread safety: pure.
-std::size_t
-KeeperOfShare(const std::vector<std::string>& aHosts, const ShareKey& aKey);
-
 /// A relay's question for a part of a limit.
 struct ShareAsk
 {
@@ -72,14 +53,7 @@
 /// Settings of a ShareKeeper.
 struct ShareKeeperSettings
 {
-  /// Before a share that came from another companion is given from: so long may
-  /// relays believe in a list in which the other still keeps it.
-  Millis mHandover{ 5000 };
-  /// After its first list, in which a companion takes what changes there
-  /// without a handover: engines that started with it are listed one after the
-  /// other, and after a return of everything all teams would wait for the last
-  /// of them.
-  Millis mSettling{ 2000 };
+  KeeperListingsSettings mListings;
   /// Added to a limit's burst: half of what the operator tolerates beyond it.
   /// The other half is for the time between a grant and a request's arrival.
   double mBurstTolerance = 0;
@@ -105,35 +79,25 @@
   /// Takes back what was given and not used.
   void GiveBack(const ShareKey& aKey, std::uint32_t aAmount);
 
+  /// The lists of companions, which other keepers of limits share.
+  KeeperListings& Listings() { return mListings; }
+
   /// Shares that were asked for lately.
   std::size_t Buckets() const { return mBuckets.size(); }
 
 private:
-  /// Companions that were listed, and since when.
-  struct Listing
-  {
-    std::vector<std::string> mHosts;
-    TimePoint mSince;
-    std::map<ShareKey, bool> mIsOwn; ///< of the shares that were looked up
-  };
-
   struct Share
   {
     UsageBucket mBucket;
     std::uint64_t mVersion = 0;
   };
 
-  /// Whether it has kept a share for so long that nobody asks another for it.
-  bool IsMine(const ShareKey& aKey, TimePoint aNow);
-  bool IsOwnIn(Listing& aListing, const ShareKey& aKey) const;
   UsageLimit LimitOfShare(const UsageLimit& aWhole) const;
   Share& ShareOf(const ShareAsk& aAsk, TimePoint aNow);
   void ForgetFull(TimePoint aNow);
 
   ShareKeeperSettings mSettings;
-  std::string mOwnHost;
-  std::deque<Listing> mListings; ///< the newest last
-  bool mIsFirstListing = true;   ///< the oldest of them is this process's first
+  KeeperListings mListings;
   std::map<ShareKey, Share> mBuckets;
 };
 
@@ -144,6 +108,13 @@
   std::string mHost;
 };
 
+/// The companion that keeps an endpoint's rate.
+struct RateKeeper
+{
+  std::string mHost;
+  bool mIsBeside = false; ///< it stands beside the endpoint
+};
+
 /// Why a relay leaves a share out.
 enum class ShareState : std::uint8_t
 {
@@ -171,6 +142,11 @@
   /// first. Empty while no companion is known.
   std::vector<ShareSource> SourcesOf(TeamHash aTeam, std::string_view aZone);
 
+  /// The companion that keeps the rate of an endpoint: the one on its host, if
+  /// there is one. Empty while no companion is known.
+  std::optional<RateKeeper> KeeperOfEndpoint(const std::string& aEndpointHost,
+                                             LimitHash aEndpoint) const;
+
   /// Leaves a share out for some time: a team that is over its limit would
   /// otherwise cost questions for each of its requests.
   void Close(const ShareKey& aKey, ShareState aWhy, TimePoint aUntil);
--- a/packages/state/src/limit_shares.cpp
+++ b/packages/state/src/limit_shares.cpp
@@ -23,47 +23,23 @@
   return PlacementHash(aTeam);
 }
 
-std::size_t
-KeeperOfShare(const std::vector<std::string>& aHosts, const ShareKey& aKey)
-{
-  const auto rankOf = [&](const std::string& aHost) {
-    return PlacementHash(aHost, aKey.mTeam + aKey.mShare);
-  };
-  const auto best = std::max_element(
-    aHosts.begin(), aHosts.end(), [&](const auto& aOne, const auto& aTwo) {
-      return rankOf(aOne) < rankOf(aTwo);
-    });
-  return static_cast<std::size_t>(best - aHosts.begin());
-}
-
 ShareKeeper::ShareKeeper(const ShareKeeperSettings& aSettings,
                          std::string aOwnHost)
   : mSettings(aSettings)
-  , mOwnHost(std::move(aOwnHost))
+  , mListings(aSettings.mListings, std::move(aOwnHost))
 {
 }
 
 bool
 ShareKeeper::SetHosts(std::vector<std::string> aHosts, TimePoint aNow)
 {
-  std::sort(aHosts.begin(), aHosts.end());
-  aHosts.erase(std::unique(aHosts.begin(), aHosts.end()), aHosts.end());
-  const bool isKnown = !mListings.empty() && mListings.back().mHosts == aHosts;
-  if (aHosts.empty() || isKnown) {
+  if (!mListings.SetHosts(std::move(aHosts), aNow)) {
     return false;
   }
-  const bool isSettling = mIsFirstListing && mListings.size() == 1 &&
-                          aNow - mListings.back().mSince < mSettings.mSettling;
-  if (isSettling) {
-    mListings.back().mHosts = std::move(aHosts);
-    mListings.back().mIsOwn.clear();
-  } else {
-    mListings.push_back({ std::move(aHosts), aNow, {} });
-  }
   // A share that comes back later starts anew: another gave of it meanwhile.
-  auto& newest = mListings.back();
-  std::erase_if(
-    mBuckets, [&](const auto& aItem) { return !IsOwnIn(newest, aItem.first); });
+  std::erase_if(mBuckets, [&](const auto& aItem) {
+    return !mListings.IsMineInNewest(aItem.first);
+  });
   return true;
 }
 
@@ -72,8 +48,8 @@
 {
   const bool isSound = aAsk.mKey.mShare < kSharesOfLimit &&
                        aAsk.mLimit.IsLimited() && aAsk.mAmount <= kMostAmount;
-  if (!isSound || !IsMine(aAsk.mKey, aNow)) {
-    return { 0, mSettings.mHandover };
+  if (!isSound || !mListings.IsMine(aAsk.mKey, aNow)) {
+    return { 0, mSettings.mListings.mHandover };
   }
   auto& bucket = ShareOf(aAsk, aNow).mBucket;
   ShareGrant grant;
@@ -94,38 +70,6 @@
   }
 }
 
-bool
-ShareKeeper::IsMine(const ShareKey& aKey, TimePoint aNow)
-{
-  if (mListings.empty()) {
-    return false;
-  }
-  while (mListings.size() > 1 &&
-         aNow - mListings[1].mSince >= mSettings.mHandover) {
-    mListings.pop_front();
-    mIsFirstListing = false;
-  }
-  return std::all_of(
-    mListings.begin(), mListings.end(), [&](Listing& aListing) {
-      return IsOwnIn(aListing, aKey);
-    });
-}
-
-bool
-ShareKeeper::IsOwnIn(Listing& aListing, const ShareKey& aKey) const
-{
-  const auto [found, isNew] = aListing.mIsOwn.try_emplace(aKey, false);
-  if (isNew && !aListing.mHosts.empty()) {
-    const auto keeper = KeeperOfShare(aListing.mHosts, aKey);
-    found->second = aListing.mHosts[keeper] == mOwnHost;
-  }
-  const bool isOwn = found->second;
-  if (aListing.mIsOwn.size() > mSettings.mMaxBuckets) {
-    aListing.mIsOwn.clear();
-  }
-  return isOwn;
-}
-
 UsageLimit
 ShareKeeper::LimitOfShare(const UsageLimit& aWhole) const
 {
@@ -143,10 +87,8 @@
     ForgetFull(aNow);
     // What a former life of this process, or another keeper, gave is not known:
     // the bucket was empty when this one could first give.
-    const auto& oldest = mListings.front();
-    const auto since =
-      oldest.mSince + (mIsFirstListing ? Millis(0) : mSettings.mHandover);
-    const std::chrono::duration<double> kept = std::max(aNow - since, {});
+    const std::chrono::duration<double> kept =
+      std::max(aNow - mListings.KeptSince(), {});
     found =
       mBuckets
         .emplace(
@@ -220,6 +162,20 @@
   return sources;
 }
 
+std::optional<RateKeeper>
+ShareDirectory::KeeperOfEndpoint(const std::string& aEndpointHost,
+                                 LimitHash aEndpoint) const
+{
+  if (mHosts.empty()) {
+    return std::nullopt;
+  }
+  const auto beside = mZoneByHost.find(aEndpointHost);
+  if (beside != mZoneByHost.end()) {
+    return RateKeeper{ beside->first, true };
+  }
+  return RateKeeper{ mHosts[KeeperOfShare(mHosts, { aEndpoint, 0 })], false };
+}
+
 void
 ShareDirectory::Close(const ShareKey& aKey, ShareState aWhy, TimePoint aUntil)
 {
--- a/packages/state/tests/limit_model_test.cpp
+++ b/packages/state/tests/limit_model_test.cpp
@@ -155,7 +155,7 @@
   void Restart(int aCompanion)
   {
     ShareKeeperSettings settings;
-    settings.mHandover = mPlay.mHandover;
+    settings.mListings.mHandover = mPlay.mHandover;
     const auto at = static_cast<std::size_t>(aCompanion);
     mKeepers[at] = std::make_unique<ShareKeeper>(settings, mHosts[at]);
     const auto since =
--- a/packages/state/tests/limit_shares_test.cpp
+++ b/packages/state/tests/limit_shares_test.cpp
@@ -19,7 +19,7 @@
   ShareKey key{ 1, 0 };
   const std::vector<std::string> both{ kOwn, kOther };
   while (both[KeeperOfShare(both, key)] == kOwn) {
-    ++key.mTeam;
+    ++key.mLimit;
   }
   return key;
 }
@@ -29,7 +29,7 @@
 class GivenACompanion : public ::testing::Test
 {
 protected:
-  GivenACompanion() { mSettings.mHandover = Millis(5000); }
+  GivenACompanion() { mSettings.mListings.mHandover = Millis(5000); }
 
   void List(std::vector<std::string> aHosts)
   {
@@ -123,7 +123,7 @@
 
 TEST_F(ThatHasJustStarted, ItTakesWhatTheListStillLacksWithoutAHandover)
 {
-  mClock.Advance(mSettings.mSettling - Millis(1));
+  mClock.Advance(mSettings.mListings.mSettling - Millis(1));
   List({ kOwn });
   mClock.Advance(Millis(101));
   EXPECT_GT(Take(100), 0U);
@@ -137,7 +137,7 @@
 
 TEST_F(ThatHasJustStarted, OnceThatTimeIsOverAShareIsHandedOver)
 {
-  mClock.Advance(mSettings.mSettling);
+  mClock.Advance(mSettings.mListings.mSettling);
   List({ kOwn });
   mClock.Advance(Millis(100));
   EXPECT_EQ(Take(100), 0U);
@@ -157,13 +157,13 @@
 
 TEST_F(ThatGetsAShareOfAnother, ItGivesNothingWhileRelaysMayAskTheOther)
 {
-  mClock.Advance(mSettings.mHandover - Millis(1));
+  mClock.Advance(mSettings.mListings.mHandover - Millis(1));
   EXPECT_EQ(Take(100), 0U);
 }
 
 TEST_F(ThatGetsAShareOfAnother, ThenItBeginsEmpty)
 {
-  mClock.Advance(mSettings.mHandover + Millis(100));
+  mClock.Advance(mSettings.mListings.mHandover + Millis(100));
   EXPECT_EQ(Take(1000), 100U);
 }
 
