--- a/packages/coordination/include/shuntjunction/coordination/engine_news.h
+++ b/packages/coordination/include/shuntjunction/coordination/engine_news.h
@@ -57,10 +57,11 @@
   EngineNewsServer(const EngineNewsServer&) = delete;
   EngineNewsServer& operator=(const EngineNewsServer&) = delete;
 
-  /// Gives relays what this companion keeps of the teams' limits.
+  /// Gives relays what this companion keeps of limits.
   ///
-  /// @param aShares  outlives the server
-  void SetShares(state::ShareKeeper& aShares);
+  /// @param aShares  of teams' limits; outlives the server
+  /// @param aLimits  rates of endpoints; outlives the server
+  void SetLimits(state::ShareKeeper& aShares, state::EndpointLimits& aLimits);
 
   /// Begins to accept relays; returns the address with the kernel's port.
   state::Result<state::Address> Start(const state::Address& aAddress);
@@ -106,12 +107,14 @@
   using Taker = std::function<void(const protocol::EngineNews&)>;
   using PartTaker = std::function<void(const protocol::PartReading&)>;
   using CrashTaker = std::function<void(const protocol::CrashReports&)>;
+  using RateTaker = std::function<void(const state::RateNews&)>;
   using EndTaker = std::function<void(const std::string&)>;
 
   /// @param aPort  of the companions, the same on all machines
   /// @param aTake  called with each news
   /// @param aTakePart  called with what other relays tell of parts
   /// @param aTakeCrashes  called with what they tell of crashes
+  /// @param aTakeRate  called with what companions tell of endpoints' rates
   /// @param aTakeEnd  called with the host of a companion whose connection was
   ///                  ended by its machine, and not given up in silence
   EngineNewsClient(transport::asio::io_context& aContext,
@@ -121,6 +124,7 @@
                    Taker aTake,
                    PartTaker aTakePart,
                    CrashTaker aTakeCrashes,
+                   RateTaker aTakeRate,
                    EndTaker aTakeEnd);
   ~EngineNewsClient();
   EngineNewsClient(const EngineNewsClient&) = delete;
@@ -152,6 +156,18 @@
   void ReturnShare(const std::string& aHost,
                    const protocol::LimitReturn& aBack);
 
+  /// Asks the companion of a host for a place at an endpoint; empty when it
+  /// cannot be reached, or gives no answer soon.
+  transport::Task<std::optional<state::PlaceGrant>> AskPlace(
+    std::string aHost,
+    state::PlaceAsk aAsk);
+
+  /// Gives back a place; dropped while its keeper cannot be reached.
+  void ReturnPlace(const std::string& aHost, state::LimitHash aEndpoint);
+
+  /// Reports what an endpoint's answer said of its rate; dropped likewise.
+  void ReportRate(const std::string& aHost, const state::RateReport& aReport);
+
   /// Sets what of this relay waits at an engine; its companion is told when it
   /// changed much.
   ///
--- a/packages/coordination/include/shuntjunction/coordination/relay.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay.h
@@ -46,6 +46,17 @@
   /// Gives back to it what was not used.
   std::function<void(const std::string&, const protocol::LimitReturn&)>
     mReturnShare = {};
+  /// Asks the companion of a host for a place at an endpoint that names a rate;
+  /// empty: none can be asked, and such endpoints get nothing.
+  std::function<transport::Task<std::optional<state::PlaceGrant>>(
+    std::string,
+    state::PlaceAsk)>
+    mAskPlace = {};
+  /// Gives back to it a place whose request was not sent.
+  std::function<void(const std::string&, state::LimitHash)> mReturnPlace = {};
+  /// Reports to it what an endpoint's answer said of its rate.
+  std::function<void(const std::string&, const state::RateReport&)>
+    mReportRate = {};
   /// Keeps in the platform's store that a request is quarantined, and for how
   /// long; empty: it is not kept.
   std::function<void(const state::RequestDigest&, state::Millis)>
@@ -81,6 +92,9 @@
   /// Takes what other relays saw of crashes.
   void TakeCrashReports(const protocol::CrashReports& aReports);
 
+  /// Takes what the keeper of an endpoint's rate tells all relays.
+  void TakeRateNews(const state::RateNews& aNews);
+
   /// Brings the gauges among the metrics up to date.
   void SetGauges();
 
--- a/packages/coordination/src/engine_news_client.cpp
+++ b/packages/coordination/src/engine_news_client.cpp
@@ -62,6 +62,7 @@
          Taker aTake,
          PartTaker aTakePart,
          CrashTaker aTakeCrashes,
+         RateTaker aTakeRate,
          EndTaker aTakeEnd)
     : mContext(aContext)
     , mIdentity(std::move(aIdentity))
@@ -70,6 +71,7 @@
     , mTake(std::move(aTake))
     , mTakePart(std::move(aTakePart))
     , mTakeCrashes(std::move(aTakeCrashes))
+    , mTakeRate(std::move(aTakeRate))
     , mTakeEnd(std::move(aTakeEnd))
   {
   }
@@ -128,9 +130,15 @@
       } else if (const auto* crashes =
                    std::get_if<protocol::CrashReports>(&*message)) {
         mTakeCrashes(*crashes);
+      } else if (const auto* news =
+                   std::get_if<protocol::RateNews>(&*message)) {
+        mTakeRate(news->mNews);
       } else if (const auto* grant =
                    std::get_if<protocol::LimitGrant>(&*message)) {
-        TakeGrant(*grant);
+        TakeReply(grant->mId, *message);
+      } else if (const auto* place =
+                   std::get_if<protocol::PlaceGrant>(&*message)) {
+        TakeReply(place->mId, *message);
       }
     }
     aChannel->Close();
@@ -153,7 +161,7 @@
     aSource.mChannel->Send(protocol::RelayWaiting{ aSource.mWaiting, aPart });
   }
 
-  /// A question for a part of a limit that waits for its answer.
+  /// A question that waits for its answer.
   struct OpenAsk
   {
     explicit OpenAsk(asio::io_context& aContext)
@@ -162,20 +170,24 @@
     }
 
     transport::Timer mSignal; ///< cancelled by the answer
-    std::optional<state::ShareGrant> mGrant;
+    std::optional<protocol::Message> mReply;
   };
 
-  void TakeGrant(const protocol::LimitGrant& aGrant)
+  void TakeReply(std::uint32_t aId, const protocol::Message& aReply)
   {
-    const auto found = mOpenAsks.find(aGrant.mId);
+    const auto found = mOpenAsks.find(aId);
     if (found != mOpenAsks.end()) {
-      found->second->mGrant = aGrant.mGrant;
+      found->second->mReply = aReply;
       found->second->mSignal.cancel();
     }
   }
 
-  Task<std::optional<state::ShareGrant>> AskShare(std::string aHost,
-                                                  state::ShareAsk aAsk)
+  /// Asks a companion; empty when it cannot be reached or does not answer soon.
+  ///
+  /// @param aMake  makes the question of its id
+  /// @tparam Reply  what answers it
+  template<typename Reply, typename Make>
+  Task<std::optional<Reply>> AskCompanion(std::string aHost, Make aMake)
   {
     const auto self = shared_from_this();
     const auto found = mSources.find(CompanionOf(aHost));
@@ -185,10 +197,21 @@
     const auto id = ++mLastAsk;
     const auto open = std::make_shared<OpenAsk>(mContext);
     mOpenAsks.emplace(id, open);
-    found->second->mChannel->Send(protocol::LimitAsk{ id, aAsk });
+    found->second->mChannel->Send(aMake(id));
     co_await open->mSignal.async_wait(transport::kAsTuple);
     mOpenAsks.erase(id);
-    co_return open->mGrant;
+    const auto* reply =
+      open->mReply ? std::get_if<Reply>(&*open->mReply) : nullptr;
+    co_return reply == nullptr ? std::nullopt : std::optional(*reply);
+  }
+
+  /// Sends a companion what needs no answer; dropped while it is not reached.
+  void Send(const std::string& aHost, const protocol::Message& aMessage)
+  {
+    const auto found = mSources.find(CompanionOf(aHost));
+    if (found != mSources.end() && found->second->mChannel) {
+      found->second->mChannel->Send(aMessage);
+    }
   }
 
   /// The companion beside an engine; null when it is not followed.
@@ -215,6 +238,7 @@
   Taker mTake;
   PartTaker mTakePart;
   CrashTaker mTakeCrashes;
+  RateTaker mTakeRate;
   EndTaker mTakeEnd;
   transport::ChannelCounters mCounters;
   state::RandomSource mRandom{ std::random_device{}() };
@@ -230,6 +254,7 @@
                                    Taker aTake,
                                    PartTaker aTakePart,
                                    CrashTaker aTakeCrashes,
+                                   RateTaker aTakeRate,
                                    EndTaker aTakeEnd)
   : mShared(std::make_shared<Shared>(aContext,
                                      std::move(aIdentity),
@@ -238,6 +263,7 @@
                                      std::move(aTake),
                                      std::move(aTakePart),
                                      std::move(aTakeCrashes),
+                                     std::move(aTakeRate),
                                      std::move(aTakeEnd)))
 {
 }
@@ -310,17 +336,42 @@
 Task<std::optional<state::ShareGrant>>
 EngineNewsClient::AskShare(std::string aHost, state::ShareAsk aAsk)
 {
-  return mShared->AskShare(std::move(aHost), aAsk);
+  const auto reply = co_await mShared->AskCompanion<protocol::LimitGrant>(
+    std::move(aHost), [&](std::uint32_t aId) {
+      return protocol::LimitAsk{ aId, aAsk };
+    });
+  co_return reply ? std::optional(reply->mGrant) : std::nullopt;
 }
 
 void
 EngineNewsClient::ReturnShare(const std::string& aHost,
                               const protocol::LimitReturn& aBack)
 {
-  const auto found = mShared->mSources.find(mShared->CompanionOf(aHost));
-  if (found != mShared->mSources.end() && found->second->mChannel) {
-    found->second->mChannel->Send(aBack);
-  }
+  mShared->Send(aHost, aBack);
+}
+
+Task<std::optional<state::PlaceGrant>>
+EngineNewsClient::AskPlace(std::string aHost, state::PlaceAsk aAsk)
+{
+  const auto reply = co_await mShared->AskCompanion<protocol::PlaceGrant>(
+    std::move(aHost), [&](std::uint32_t aId) {
+      return protocol::PlaceAsk{ aId, aAsk };
+    });
+  co_return reply ? std::optional(reply->mGrant) : std::nullopt;
+}
+
+void
+EngineNewsClient::ReturnPlace(const std::string& aHost,
+                              state::LimitHash aEndpoint)
+{
+  mShared->Send(aHost, protocol::PlaceReturn{ aEndpoint });
+}
+
+void
+EngineNewsClient::ReportRate(const std::string& aHost,
+                             const state::RateReport& aReport)
+{
+  mShared->Send(aHost, protocol::RateReport{ aReport });
 }
 
 void
--- a/packages/coordination/src/engine_news_server.cpp
+++ b/packages/coordination/src/engine_news_server.cpp
@@ -101,6 +101,7 @@
     if (auto crashes = KnownCrashes(); !crashes.mWords.empty()) {
       aChannel->Send(std::move(crashes));
     }
+    TellKnownRates(*aChannel);
     co_await Hear(aChannel);
     aChannel->Close();
     mChannels.erase(aChannel);
@@ -130,7 +131,7 @@
       } else if (const auto* back =
                    std::get_if<protocol::LimitReturn>(&*message)) {
         TakeBack(*back);
-      } else {
+      } else if (!TakeOfRates(*message, *aChannel)) {
         co_return;
       }
     }
@@ -149,6 +150,66 @@
     }
   }
 
+  /// Takes what concerns the rate of an endpoint; whether a message did.
+  bool TakeOfRates(const protocol::Message& aMessage, FrameChannel& aChannel)
+  {
+    if (mLimits == nullptr) {
+      return false;
+    }
+    const auto now = mClock.Now();
+    if (const auto* ask = std::get_if<protocol::PlaceAsk>(&aMessage)) {
+      const auto grant = mLimits->Take(ask->mAsk, now);
+      aChannel.Send(protocol::PlaceGrant{ ask->mId, grant });
+    } else if (const auto* back =
+                 std::get_if<protocol::PlaceReturn>(&aMessage)) {
+      mLimits->GiveBack(back->mEndpoint);
+    } else if (const auto* report =
+                 std::get_if<protocol::RateReport>(&aMessage)) {
+      if (const auto news = mLimits->Note(report->mReport, now)) {
+        TellRate(*news);
+      }
+    } else {
+      return false;
+    }
+    return true;
+  }
+
+  void TellRate(const state::RateNews& aNews)
+  {
+    LogRateUses();
+    mLog.Write(EventLine(kPart, "rate")
+                 .Add("hash", aNews.mEndpoint)
+                 .Add("named", aNews.mPerSecond.has_value())
+                 .Add("per_second", aNews.mPerSecond.value_or(0)));
+    for (const auto& [channel, waiting] : mChannels) {
+      channel->Send(protocol::RateNews{ aNews });
+    }
+  }
+
+  void TellKnownRates(FrameChannel& aChannel) const
+  {
+    if (mLimits == nullptr) {
+      return;
+    }
+    for (const auto& news : mLimits->Known()) {
+      aChannel.Send(protocol::RateNews{ news });
+    }
+  }
+
+  void LogRateUses()
+  {
+    if (mLimits == nullptr) {
+      return;
+    }
+    for (const auto& use : mLimits->TakeUses()) {
+      mLog.Write(EventLine(kPart, "rate-used")
+                   .Add("hash", use.mEndpoint)
+                   .Add("per_second", use.mPerSecond)
+                   .Add("given", use.mGiven)
+                   .Add("denied", use.mDenied));
+    }
+  }
+
   /// Remembers what a relay saw of crashes; what is news goes to all relays.
   void TakeCrashes(const protocol::CrashReports& aReports)
   {
@@ -291,6 +352,7 @@
     while (true) {
       co_await transport::Sleep(kRepeatInterval);
       SendState();
+      LogRateUses();
     }
   }
 
@@ -360,6 +422,7 @@
   EventLog& mLog;
   const state::Clock& mClock;
   state::ShareKeeper* mShares = nullptr;
+  state::EndpointLimits* mLimits = nullptr;
   transport::ChannelCounters mCounters;
   EngineState mState;
   std::uint32_t mToldQueued = 0;
@@ -389,9 +452,11 @@
 EngineNewsServer::~EngineNewsServer() = default;
 
 void
-EngineNewsServer::SetShares(state::ShareKeeper& aShares)
+EngineNewsServer::SetLimits(state::ShareKeeper& aShares,
+                            state::EndpointLimits& aLimits)
 {
   mShared->mShares = &aShares;
+  mShared->mLimits = &aLimits;
 }
 
 Result<state::Address>
--- a/packages/coordination/src/fleet_daemon.cpp
+++ b/packages/coordination/src/fleet_daemon.cpp
@@ -1,6 +1,7 @@
 #include "shuntjunction/coordination/fleet_daemon.h"
 
 #include <algorithm>
+#include <random>
 #include <thread>
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -214,6 +215,15 @@
       [this](const auto& aHost, const auto& aBack) {
         mNewsClient->ReturnShare(aHost, aBack);
       },
+      [this](auto aHost, auto aAsk) {
+        return mNewsClient->AskPlace(std::move(aHost), aAsk);
+      },
+      [this](const auto& aHost, auto aEndpoint) {
+        mNewsClient->ReturnPlace(aHost, aEndpoint);
+      },
+      [this](const auto& aHost, const auto& aReport) {
+        mNewsClient->ReportRate(aHost, aReport);
+      },
       [this](const auto& aRequest, auto aFor) {
         asio::post(mControl, [this, request = aRequest, aFor] {
           mQuarantine->Keep(request, aFor);
@@ -239,6 +249,7 @@
       [this](const protocol::CrashReports& aReports) {
         mRelay->TakeCrashReports(aReports);
       },
+      [this](const state::RateNews& aNews) { mRelay->TakeRateNews(aNews); },
       [this](const std::string& aHost) { mRelay->TakeNewsEnd(aHost); });
     return Serve(
       mReadiness, mSettings.mReadiness, mSettings.mReadinessPath, [this] {
@@ -286,7 +297,11 @@
     shares.mListings.mHandover = mSettings.mBounds.mKeyRemoval;
     shares.mBurstTolerance = mSettings.mBounds.mUsageTolerance / 2;
     mShares = std::make_unique<state::ShareKeeper>(shares, peers->mHost);
-    mNewsServer->SetShares(*mShares);
+    mLimits =
+      std::make_unique<state::EndpointLimits>(state::EndpointLimitsSettings{},
+                                              mShares->Listings(),
+                                              std::random_device{}());
+    mNewsServer->SetLimits(*mShares, *mLimits);
     const auto bound = mNewsServer->Start(*peers);
     if (!bound) {
       return tl::unexpected(bound.error());
@@ -390,6 +405,7 @@
     }
     const auto count = hosts.size();
     if (mShares->SetHosts(std::move(hosts), mClock.Now())) {
+      mLimits->ForgetOthers();
       mLog.Write(EventLine(kPart, "limit-keepers").Add("companions", count));
     }
   }
@@ -474,6 +490,7 @@
   std::unique_ptr<Relay> mRelay;
   std::unique_ptr<EngineNewsClient> mNewsClient;
   std::unique_ptr<state::ShareKeeper> mShares;
+  std::unique_ptr<state::EndpointLimits> mLimits;
   std::unique_ptr<EngineNewsServer> mNewsServer;
   std::unique_ptr<EngineControl> mEngine;
   std::unique_ptr<PartFollower> mParts;
--- a/packages/coordination/src/relay.cpp
+++ b/packages/coordination/src/relay.cpp
@@ -20,6 +20,8 @@
 
 /// How often connections that rested too long are closed.
 constexpr Millis kStaleInterval{ 500 };
+/// How often the use of endpoints' rates is logged.
+constexpr Millis kRatesInterval{ 1000 };
 /// Connections that are taken in one turn, so that other work goes on.
 constexpr int kMostAccepts = 64;
 /// Files, the store, listening sockets, checks of the balancer, and processes
@@ -99,6 +101,21 @@
   }
 }
 
+/// Logs what became of requests for endpoints that name rates.
+Task<void>
+LogRates(std::shared_ptr<Relay::Core> aCore)
+{
+  while (true) {
+    co_await transport::Sleep(kRatesInterval);
+    for (const auto& endpoint : aCore->mEndpoints.Limited()) {
+      const auto& rate = *endpoint->mRate;
+      if (rate.mSent + rate.mWithoutPlace > 0) {
+        aCore->mRates.LogUse(*endpoint, "used");
+      }
+    }
+  }
+}
+
 Task<void>
 CloseStaleConnections(std::shared_ptr<Relay::Core> aCore)
 {
@@ -116,6 +133,7 @@
   , mEndpoints(RelayEndpointSettings{})
   , mCrashes(mParts)
   , mShares(state::PlacementHash(mParts.mSettings.mName))
+  , mRates(mParts, mShares)
   , mLedger(mLimits.mMaxParts)
   , mReadingRate(mLimits.mFirstToken)
   , mRandom(std::random_device{}())
@@ -227,6 +245,7 @@
   mCore->mAcceptor->non_blocking(true, ignored);
   transport::Spawn(mCore->mParts.mContext, Accept(mCore));
   transport::Spawn(mCore->mParts.mContext, CloseStaleConnections(mCore));
+  transport::Spawn(mCore->mParts.mContext, LogRates(mCore));
   transport::Spawn(mCore->mParts.mContext, WatchForOverload(mCore));
   return transport::LocalAddress(*mCore->mAcceptor);
 }
@@ -289,6 +308,15 @@
   mCore->mCrashes.Take(aReports);
 }
 
+void
+Relay::TakeRateNews(const state::RateNews& aNews)
+{
+  const auto endpoint = mCore->mEndpoints.FindLife(aNews.mEndpoint);
+  if (endpoint) {
+    mCore->mRates.TakeNews(*endpoint, aNews);
+  }
+}
+
 void
 Relay::SetGauges()
 {
@@ -306,6 +334,8 @@
               static_cast<double>(mCore->mDescriptors.MostCallers()));
   metrics.Set("shuntjunction_relay_endpoint_connections",
               static_cast<double>(mCore->mEndpoints.OpenConnections()));
+  metrics.Set("shuntjunction_relay_limited_endpoints",
+              static_cast<double>(mCore->mEndpoints.Limited().size()));
   metrics.Set("shuntjunction_relay_config_version",
               static_cast<double>(mCore->mView->mConfig->Version()));
   metrics.Set("shuntjunction_relay_config_age_ms",
--- a/packages/coordination/src/relay_answer.cpp
+++ b/packages/coordination/src/relay_answer.cpp
@@ -182,7 +182,9 @@
     mLastProblem = "misdirected";
     return AttemptOutcome::kMisdirected;
   }
-  NoteRate(*aAttempt.mPick.mEndpoint, facts.mRate);
+  mCore->mRates.Note(*aAttempt.mPick.mEndpoint,
+                     facts.mRate,
+                     aAttempt.mPlace ? &*aAttempt.mPlace : nullptr);
   if (facts.mIsNotRun) {
     mLastProblem = "endpoint refused: " + std::to_string(head.mStatus);
     return AttemptOutcome::kNotRun;
--- a/packages/coordination/src/relay_attempt.cpp
+++ b/packages/coordination/src/relay_attempt.cpp
@@ -107,6 +107,14 @@
     mLastProblem = "endpoint left";
     co_return AttemptOutcome::kLeft;
   }
+  // It may have named a rate since it was chosen.
+  if (endpoint.mRate && !HasPlaceAt(attempt.mPick.mEndpoint)) {
+    mOpenAttempt = nullptr;
+    mCore->mEndpoints.PutIdle(
+      endpoint, std::move(attempt.mConnection), {}, Now());
+    mLastProblem = "endpoint named a rate";
+    co_return AttemptOutcome::kNoPlace;
+  }
   if (const auto reason = ReasonToWithhold(); !reason.empty()) {
     // Nothing was sent yet, and the connection is as good as before.
     mOpenAttempt = nullptr;
@@ -123,10 +131,11 @@
   }
   NoteWaiting(attempt.mPick);
   if (endpoint.mRate) {
-    ++endpoint.mSentAtRate;
+    ++endpoint.mRate->mSent;
     mCore->mParts.mMetrics.Count("shuntjunction_relay_limited_sends_total",
                                  { { "service", mService } });
   }
+  attempt.mPlace = std::exchange(mPlace, std::nullopt);
   mTried.push_back(endpoint.mInfo.mId);
   Send(attempt);
   mTimes.mSent = SinceArrival();
--- a/packages/coordination/src/relay_attempt.h
+++ b/packages/coordination/src/relay_attempt.h
@@ -25,6 +25,7 @@
   std::shared_ptr<Sending> mSending;
   std::unique_ptr<transport::RelayAnswerReader> mAnswer;
   AnswerFacts mFacts;
+  std::optional<HeldPlace> mPlace; ///< that it used
   bool mIsHeadJudged = false;
   bool mIsOther = false;        ///< the answer is to another request
   std::string mHeld;            ///< body that waits until the answer is whole
--- a/packages/coordination/src/relay_choice_view.cpp
+++ b/packages/coordination/src/relay_choice_view.cpp
@@ -13,6 +13,10 @@
 
 namespace {
 
+/// An endpoint whose rate nobody asked about for so long is no longer passed
+/// over for others.
+constexpr Millis kRateRest{ 1000 };
+
 std::string
 SaltOf(const RelayAsk& aAsk, std::uint64_t aWeights)
 {
@@ -61,7 +65,10 @@
     const bool isTried =
       std::find(tried.begin(), tried.end(), aEndpoint->mInfo.mId) !=
       tried.end();
-    if (isTried || mNow < aEndpoint->mClosedUntil) {
+    const auto& rate = aEndpoint->mRate;
+    const bool hasNoPlace =
+      rate && mNow < rate->PlaceAt(IsUrgent(mAsk.mUrgency));
+    if (isTried || hasNoPlace || mNow < aEndpoint->mClosedUntil) {
       return;
     }
     RelayCandidate candidate;
@@ -83,6 +90,9 @@
       aEndpoint->mInfo.mZone == mCore.mParts.mSettings.mZone;
     candidate.mIsSuspect = mNow < aEndpoint->mSuspectUntil ||
                            mCore.mEndpoints.IsSilent(*aEndpoint, mNow);
+    // Now and then it is asked like any other: its answer may say that the rate
+    // is over.
+    candidate.mIsLimited = rate && mNow - rate->mHeardAt < kRateRest;
     candidate.mRunning = aEndpoint->mRunning;
     candidate.mSuspects = aEndpoint->mSuspects;
     candidate.mSlots = aEndpoint->mInfo.mSlots;
@@ -226,7 +236,7 @@
   const bool isPlacedByPart =
     aAsk.mCall->SharedTokens() >= settings.mMinSharedTokens;
   if (aAsk.mApartBy) {
-    index = state::ChooseApart(candidates, *aAsk.mApartBy);
+    index = state::ChooseApart(candidates, *aAsk.mApartBy, settings);
   } else if (isPlacedByPart) {
     const auto key = state::PlacementHash(part);
     index = state::ChooseByPart(candidates, key, settings);
@@ -268,6 +278,28 @@
   return pick;
 }
 
+std::optional<LimitedService>
+ServiceBeyondRates(Relay::Core& aCore,
+                   const std::string& aService,
+                   bool aIsUrgent)
+{
+  const auto serving = aCore.mEndpoints.Serving(aService);
+  std::optional<LimitedService> limited;
+  for (const auto& endpoint : serving) {
+    const auto& rate = endpoint->mRate;
+    if (!rate) {
+      return std::nullopt;
+    }
+    const auto placeAt = rate->PlaceAt(aIsUrgent);
+    if (!limited) {
+      limited = LimitedService{ 0, placeAt };
+    }
+    limited->mPerSecond += rate->mPerSecond;
+    limited->mPlaceAt = std::min(limited->mPlaceAt, placeAt);
+  }
+  return limited;
+}
+
 bool
 IsServiceDown(Relay::Core& aCore, const std::string& aService)
 {
--- a/packages/coordination/src/relay_choice_view.h
+++ b/packages/coordination/src/relay_choice_view.h
@@ -48,6 +48,20 @@
 std::optional<RelayPick>
 ChooseEndpoint(Relay::Core& aCore, const RelayAsk& aAsk);
 
+/// Whether a request goes first where places are few.
+inline bool
+IsUrgent(int aUrgency)
+{
+  return aUrgency == 0;
+}
+
+/// A service all of whose endpoints that take work name rates; empty: not all
+/// do.
+std::optional<LimitedService>
+ServiceBeyondRates(Relay::Core& aCore,
+                   const std::string& aService,
+                   bool aIsUrgent);
+
 /// Whether no endpoint of a service can be reached, as far as is known.
 bool
 IsServiceDown(Relay::Core& aCore, const std::string& aService);
--- a/packages/coordination/src/relay_core.h
+++ b/packages/coordination/src/relay_core.h
@@ -8,6 +8,7 @@
 
 #include "relay_crashes.h"
 #include "relay_endpoint.h"
+#include "relay_rates.h"
 #include "shuntjunction/coordination/relay.h"
 #include "shuntjunction/state/descriptor_budget.h"
 #include "shuntjunction/state/first_token.h"
@@ -100,6 +101,9 @@
   /// that has rested the longest if need be; whether there is room.
   bool MakeRoomForEndpoint();
 
+  /// Relays, as far as companions told; one at least.
+  double Relays() const { return std::max<double>(mMostRelays, 1.0); }
+
   /// The budget of a service's repeats, with this relay's share of the slack.
   state::WindowBudget& BudgetOf(const std::string& aService);
 
@@ -109,6 +113,7 @@
   RelayEndpoints mEndpoints;
   RelayCrashes mCrashes;
   state::ShareDirectory mShares;
+  RelayRates mRates;
   state::PartLedger mLedger;
   state::ReadingRate mReadingRate;
   state::OverloadGuard mGuard;
--- a/packages/coordination/src/relay_endpoint.cpp
+++ b/packages/coordination/src/relay_endpoint.cpp
@@ -134,6 +134,29 @@
   return found == mById.end() ? nullptr : found->second;
 }
 
+RelayEndpointPtr
+RelayEndpoints::FindLife(state::LimitHash aHash) const
+{
+  for (const auto& [id, endpoint] : mById) {
+    if (state::HashOfLife(id, endpoint->mLife.Current()) == aHash) {
+      return endpoint;
+    }
+  }
+  return nullptr;
+}
+
+std::vector<RelayEndpointPtr>
+RelayEndpoints::Limited() const
+{
+  std::vector<RelayEndpointPtr> limited;
+  for (const auto& [id, endpoint] : mById) {
+    if (endpoint->mRate) {
+      limited.push_back(endpoint);
+    }
+  }
+  return limited;
+}
+
 EndpointConnection
 RelayEndpoints::TakeIdle(RelayEndpoint& aEndpoint,
                          Millis aMaxRest,
--- a/packages/coordination/src/relay_endpoint.h
+++ b/packages/coordination/src/relay_endpoint.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "shuntjunction/protocol/messages.h"
+#include "shuntjunction/state/endpoint_limits.h"
 #include "shuntjunction/state/endpoint_silence.h"
 #include "shuntjunction/state/late_queue.h"
 #include "shuntjunction/state/part_index.h"
@@ -78,6 +79,25 @@
   state::TimePoint mAt;
 };
 
+/// The rate that an endpoint in need takes from all relays, as one knows it.
+struct NamedRate
+{
+  double mPerSecond = 0;
+  /// When its keeper may have a place, for urgent requests and for others.
+  state::TimePoint mUrgentPlaceAt;
+  state::TimePoint mPlaceAt;
+  /// Its last word, or the last question for a place.
+  state::TimePoint mHeardAt;
+  // Requests since the last line of the log.
+  std::int64_t mSent = 0;
+  std::int64_t mWithoutPlace = 0; ///< went elsewhere, or were refused
+
+  state::TimePoint PlaceAt(bool aIsUrgent) const
+  {
+    return aIsUrgent ? mUrgentPlaceAt : mPlaceAt;
+  }
+};
+
 /// One endpoint as a relay knows it.
 struct RelayEndpoint
 {
@@ -108,9 +128,7 @@
   state::TimePoint mNewsAt;
   /// Its companion's connection was ended by the companion's machine.
   bool mIsNewsEnded = false;
-  /// Requests a second that it takes from all relays, while it names a rate.
-  std::optional<double> mRate;
-  std::int64_t mSentAtRate = 0; ///< requests that it got meanwhile
+  std::optional<NamedRate> mRate; ///< while it names one
   /// Its last bytes, or the sending of a request when none waited there.
   state::TimePoint mBytesAt;
 
@@ -146,6 +164,12 @@
   /// The endpoint of an id; null when it is not listed.
   RelayEndpointPtr Find(std::string_view aId) const;
 
+  /// The endpoint whose life has a hash; null when it is not listed.
+  RelayEndpointPtr FindLife(state::LimitHash aHash) const;
+
+  /// Endpoints that name a rate.
+  std::vector<RelayEndpointPtr> Limited() const;
+
   /// Takes a connection that rested; empty reader when there is none.
   ///
   /// @param aMaxRest  longest rest that is accepted
--- a/packages/coordination/src/relay_limits.cpp
+++ b/packages/coordination/src/relay_limits.cpp
@@ -163,6 +163,7 @@
     case AttemptOutcome::kUnsent:
     case AttemptOutcome::kWithheld:
     case AttemptOutcome::kLeft:
+    case AttemptOutcome::kNoPlace:
     case AttemptOutcome::kNotRun:
     case AttemptOutcome::kMisdirected:
       return;
--- a/packages/coordination/src/relay_rates.cpp
+++ b/packages/coordination/src/relay_rates.cpp
@@ -1,28 +1,175 @@
-#include "relay_run.h"
+#include "relay_rates.h"
 
-// The part of a run that keeps its endpoint's own limit.
+#include "shuntjunction/state/settings.h"
 
 namespace shuntjunction::coordination {
 
+using state::EndpointRate;
+using state::Millis;
+using state::RateNotice;
+using transport::Task;
+
+namespace {
+
+constexpr std::string_view kPart = "relay";
+
+/// How long an endpoint is left out whose keeper gives no answer.
+constexpr Millis kSilentPause{ 250 };
+/// The least time for which one without a place is left out.
+constexpr Millis kLeastPause{ 10 };
+
+} // namespace
+
+RelayRates::RelayRates(const RelayParts& aParts,
+                       const state::ShareDirectory& aKeepers)
+  : mParts(aParts)
+  , mKeepers(aKeepers)
+{
+}
+
 void
-RelayRun::NoteRate(RelayEndpoint& aEndpoint, const state::EndpointRate& aRate)
+RelayRates::Note(RelayEndpoint& aEndpoint,
+                 const EndpointRate& aRate,
+                 const HeldPlace* aPlace)
 {
-  using state::RateNotice;
   if (aRate.mNotice == RateNotice::kUnreadable) {
-    mCore->mParts.mMetrics.Count("shuntjunction_relay_unreadable_rates_total",
-                                 { { "service", mService } });
-    LogRate(aEndpoint, aRate.mNotice);
+    mParts.mMetrics.Count("shuntjunction_relay_unreadable_rates_total");
     return;
   }
-  const auto named = aRate.mNotice == RateNotice::kNamed
-                       ? std::optional(aRate.mPerSecond)
-                       : std::nullopt;
-  if (aEndpoint.mRate == named) {
+  const bool isNamed = aRate.mNotice == RateNotice::kNamed;
+  if (isNamed) {
+    Set(aEndpoint, aRate.mPerSecond);
+  }
+  // Without a place, the request may be older than the rate: its answer is no
+  // sign of the rate's end.
+  const bool isEnd = !isNamed && aEndpoint.mRate && aPlace != nullptr;
+  const auto keeper = KeeperOf(aEndpoint);
+  if ((isNamed || isEnd) && keeper && mParts.mReportRate) {
+    const auto edition = aPlace != nullptr ? aPlace->mEdition : 0;
+    mParts.mReportRate(keeper->mHost, { keeper->mName, aRate, edition });
+  }
+}
+
+void
+RelayRates::TakeNews(RelayEndpoint& aEndpoint, const state::RateNews& aNews)
+{
+  Set(aEndpoint, aNews.mPerSecond);
+}
+
+void
+RelayRates::Set(RelayEndpoint& aEndpoint, std::optional<double> aPerSecond)
+{
+  auto& rate = aEndpoint.mRate;
+  if (!aPerSecond) {
+    if (rate) {
+      LogUse(aEndpoint, "ended");
+      rate.reset();
+    }
     return;
   }
-  aEndpoint.mRate = named;
-  LogRate(aEndpoint, aRate.mNotice);
-  aEndpoint.mSentAtRate = 0;
+  const bool isChanged = rate && rate->mPerSecond != *aPerSecond;
+  if (isChanged) {
+    LogUse(aEndpoint, "changed");
+  }
+  const bool isNew = !rate;
+  if (isNew) {
+    rate.emplace();
+  }
+  rate->mPerSecond = *aPerSecond;
+  rate->mHeardAt = mParts.mClock.Now();
+  if (isNew) {
+    LogUse(aEndpoint, "named");
+  }
+}
+
+Task<std::optional<HeldPlace>>
+RelayRates::Ask(RelayEndpointPtr aEndpoint, bool aIsUrgent)
+{
+  const auto keeper = KeeperOf(*aEndpoint);
+  const auto askedAt = mParts.mClock.Now();
+  aEndpoint->mRate->mHeardAt = askedAt;
+  std::optional<state::PlaceGrant> grant;
+  if (keeper && mParts.mAskPlace) {
+    grant = co_await mParts.mAskPlace(
+      keeper->mHost,
+      { keeper->mName, aEndpoint->mRate->mPerSecond, aIsUrgent });
+  }
+  const bool isGiven = grant && grant->mIsGiven;
+  mParts.mMetrics.Count(
+    "shuntjunction_relay_places_total",
+    { { "outcome", !grant ? "silent" : (isGiven ? "given" : "none") } });
+  if (isGiven) {
+    co_return HeldPlace{
+      std::move(aEndpoint), keeper->mHost, keeper->mName, grant->mEdition
+    };
+  }
+  // It may have ended while its keeper was asked.
+  if (aEndpoint->mRate) {
+    auto& rate = *aEndpoint->mRate;
+    ++rate.mWithoutPlace;
+    const auto pause =
+      grant ? std::max(grant->mRefill, kLeastPause) : kSilentPause;
+    const auto until = mParts.mClock.Now() + pause;
+    rate.mPlaceAt = std::max(rate.mPlaceAt, until);
+    if (aIsUrgent) {
+      rate.mUrgentPlaceAt = std::max(rate.mUrgentPlaceAt, until);
+    }
+  }
+  co_return std::nullopt;
+}
+
+void
+RelayRates::Return(const HeldPlace& aPlace)
+{
+  if (mParts.mReturnPlace) {
+    mParts.mReturnPlace(aPlace.mKeeper, aPlace.mName.mHash);
+  }
+}
+
+Millis
+RelayRates::ReturnAfter(const std::string& aService,
+                        const LimitedService& aLimited,
+                        double aRelays)
+{
+  mParts.mMetrics.Count("shuntjunction_relay_limited_refusals_total",
+                        { { "service", aService } });
+  constexpr double kLeastRate = 0.1;
+  return mReturns[aService].Next(std::max(aLimited.mPerSecond, kLeastRate),
+                                 std::max(aRelays, 1.0),
+                                 mParts.mClock.Now());
+}
+
+void
+RelayRates::LogUse(RelayEndpoint& aEndpoint, std::string_view aWhat)
+{
+  auto& rate = *aEndpoint.mRate;
+  const auto keeper = KeeperOf(aEndpoint);
+  mParts.mLog.Write(
+    EventLine(kPart, "endpoint-limit")
+      .Add("what", aWhat)
+      .Add("endpoint", aEndpoint.mInfo.mId)
+      .Add("service", aEndpoint.mInfo.mService)
+      .Add("hash", keeper ? keeper->mName.mHash : 0)
+      .Add("keeper", keeper ? keeper->mHost : std::string())
+      .Add("per_second", rate.mPerSecond)
+      .Add("sent", std::exchange(rate.mSent, 0))
+      .Add("without_place", std::exchange(rate.mWithoutPlace, 0)));
+}
+
+std::optional<RelayRates::Keeper>
+RelayRates::KeeperOf(const RelayEndpoint& aEndpoint) const
+{
+  const auto address = state::ParseAddress(aEndpoint.mInfo.mAddress);
+  if (!address) {
+    return std::nullopt;
+  }
+  const auto hash =
+    state::HashOfLife(aEndpoint.mInfo.mId, aEndpoint.mLife.Current());
+  const auto keeper = mKeepers.KeeperOfEndpoint(address->mHost, hash);
+  if (!keeper) {
+    return std::nullopt;
+  }
+  return Keeper{ keeper->mHost, { hash, keeper->mIsBeside } };
 }
 
 } // namespace shuntjunction::coordination
--- a/packages/coordination/src/relay_run.cpp
+++ b/packages/coordination/src/relay_run.cpp
@@ -90,6 +90,7 @@
       mDigest, [this] { Interrupt(RunInterrupt::kQuarantined); });
     co_await Serve();
     ReturnUsage();
+    ReturnPlace();
     mCore->mCrashes.End(running);
     mCaller.OnClosed(nullptr);
     mDeadlineTimer->cancel();
@@ -235,10 +236,15 @@
       break;
     }
     co_await WaitForPart(*pick);
+    const bool mayBeSent = co_await HoldPlace(*pick);
     if (mInterrupt != RunInterrupt::kNone) {
       break;
     }
+    if (!mayBeSent) {
+      continue;
+    }
     const auto outcome = co_await Try(*pick);
+    ReturnPlace();
     NoteUsage(outcome);
     NoteOutcome(*pick, outcome);
     if (outcome == AttemptOutcome::kBroken) {
@@ -254,6 +260,13 @@
   co_await AnswerFailure();
 }
 
+int
+RelayRun::Urgency() const
+{
+  return mTeam != nullptr ? mTeam->mUrgency.value_or(mRoute->mUrgency)
+                          : mRoute->mUrgency;
+}
+
 Task<std::optional<RelayPick>>
 RelayRun::Pick()
 {
@@ -263,8 +276,7 @@
                   ? std::string_view(mTeam->mName)
                   : std::string_view(),
                 &mTried,
-                mTeam != nullptr ? mTeam->mUrgency.value_or(mRoute->mUrgency)
-                                 : mRoute->mUrgency,
+                Urgency(),
                 SinceArrival(),
                 mRoute->mObjective,
                 {} };
@@ -280,6 +292,9 @@
     if (auto pick = ChooseEndpoint(*mCore, ask)) {
       co_return pick;
     }
+    if (IsBeyondRates(std::min(until, mDeadline))) {
+      break;
+    }
     if (Now() >= until) {
       mLastProblem = "no-endpoint";
       mRetryAfter =
@@ -397,6 +412,7 @@
     case AttemptOutcome::kFailed:
     case AttemptOutcome::kWithheld:
     case AttemptOutcome::kLeft:
+    case AttemptOutcome::kNoPlace:
     case AttemptOutcome::kInterrupted:
       break;
   }
--- a/packages/coordination/src/relay_run.h
+++ b/packages/coordination/src/relay_run.h
@@ -30,6 +30,7 @@
   kUnsent,      ///< the endpoint could not be reached; nothing was sent
   kWithheld,    ///< nothing was sent, and nothing may be any more
   kLeft,        ///< nothing was sent: the endpoint takes no work any more
+  kNoPlace,     ///< nothing was sent: the endpoint named a rate meanwhile
   kNotRun,      ///< the endpoint said that it did not run the request
   kMisdirected, ///< the endpoint is another, or has other weights
   kFailed,      ///< the endpoint's own failure, which is kept for the caller
@@ -38,11 +39,12 @@
 };
 
 /// Names of AttemptOutcome.
-inline constexpr state::EnumNames<AttemptOutcome, 9> kAttemptOutcomeNames{
+inline constexpr state::EnumNames<AttemptOutcome, 10> kAttemptOutcomeNames{
   { "done",
     "unsent",
     "withheld",
     "left",
+    "no-place",
     "not-run",
     "misdirected",
     "failed",
@@ -120,12 +122,20 @@
   void LogLimit(const UsageAnswer& aAnswer, std::uint32_t aAmount);
 
   // The endpoint's own limit.
-  /// Takes what an endpoint's answer says of the rate that it takes.
-  void NoteRate(RelayEndpoint& aEndpoint, const state::EndpointRate& aRate);
-  void LogRate(const RelayEndpoint& aEndpoint, state::RateNotice aNotice);
+  /// Whether its endpoint may get the request now, as far as its rate goes.
+  transport::Task<bool> HoldPlace(const RelayPick& aPick);
+  /// Whether the place that is held is one at an endpoint.
+  bool HasPlaceAt(const RelayEndpointPtr& aEndpoint) const;
+  /// Gives a place back whose request was not sent.
+  void ReturnPlace();
+  /// Whether a request for a service all of whose endpoints name rates would
+  /// wait too long for a place; notes what its caller is told then.
+  bool IsBeyondRates(state::TimePoint aUntil);
 
   // Attempts.
   transport::Task<void> Serve();
+  /// Of the team, or of the route; the lowest is the most urgent.
+  int Urgency() const;
   transport::Task<std::optional<RelayPick>> Pick();
   transport::Task<void> WaitForPart(const RelayPick& aPick);
   /// Whether a request that nobody got yet would wait in vain at its endpoint.
@@ -224,7 +234,8 @@
   std::string mLastProblem;
   state::Millis mRetryAfter = kRetrySoon; ///< if it is refused unserved
   std::vector<HeldUsage> mHeldUsage;      ///< of the team's limit
-  bool mIsOverLimit = false;              ///< the team has used its limit up
+  std::optional<HeldPlace> mPlace; ///< at the endpoint, if it names a rate
+  bool mIsOverLimit = false;       ///< the team has used its limit up
 };
 
 } // namespace shuntjunction::coordination
--- a/packages/coordination/src/relay_run_log.cpp
+++ b/packages/coordination/src/relay_run_log.cpp
@@ -63,17 +63,6 @@
   mCore->mParts.mLog.Write(std::move(line));
 }
 
-void
-RelayRun::LogRate(const RelayEndpoint& aEndpoint, state::RateNotice aNotice)
-{
-  mCore->mParts.mLog.Write(
-    EventLine(kRelayPart, "endpoint-limit", mCall.mRequestId)
-      .Add("endpoint", aEndpoint.mInfo.mId)
-      .Add("notice", state::kRateNoticeNames.Name(aNotice))
-      .Add("per_second", aEndpoint.mRate.value_or(0))
-      .Add("sent", aEndpoint.mSentAtRate));
-}
-
 void
 RelayRun::LogOutcome(std::string_view aOutcome, std::string_view aReason)
 {
--- a/packages/coordination/tests/engine_news_test.cpp
+++ b/packages/coordination/tests/engine_news_test.cpp
@@ -34,6 +34,7 @@
           mCrashes.insert(
             mCrashes.end(), aReports.mWords.begin(), aReports.mWords.end());
         },
+        [this](const state::RateNews& aNews) { mRates.push_back(aNews); },
         [this](const std::string& aHost) { mEnded.push_back(aHost); })
   {
     state::EndpointInfo engine;
@@ -48,6 +49,7 @@
   std::vector<EngineNews> mNews;
   std::vector<PartReading> mReadings;
   std::vector<protocol::CrashWord> mCrashes;
+  std::vector<state::RateNews> mRates;
   std::vector<std::string> mEnded; ///< hosts whose companion ended
   EngineNewsClient mClient;
 };
--- a/packages/protocol/include/shuntjunction/protocol/messages.h
+++ b/packages/protocol/include/shuntjunction/protocol/messages.h
@@ -10,6 +10,7 @@
 #include "shuntjunction/state/block_index.h"
 #include "shuntjunction/state/crash_ledger.h"
 #include "shuntjunction/state/endpoint_life.h"
+#include "shuntjunction/state/endpoint_limits.h"
 #include "shuntjunction/state/limit_shares.h"
 #include "shuntjunction/state/prefix_chain.h"
 #include "shuntjunction/state/request_types.h"
@@ -293,6 +294,38 @@
   std::uint32_t mAmount = 0;
 };
 
+/// What an endpoint's answer said of the rate that it takes.
+struct RateReport
+{
+  state::RateReport mReport;
+};
+
+/// The same, from the companion that keeps the rate to all relays.
+struct RateNews
+{
+  state::RateNews mNews;
+};
+
+/// Asks a companion for leave to send an endpoint one request.
+struct PlaceAsk
+{
+  std::uint32_t mId = 0; ///< of the answer
+  state::PlaceAsk mAsk;
+};
+
+/// Answer to a PlaceAsk.
+struct PlaceGrant
+{
+  std::uint32_t mId = 0;
+  state::PlaceGrant mGrant;
+};
+
+/// Gives back a place whose request was not sent.
+struct PlaceReturn
+{
+  state::LimitHash mEndpoint = 0;
+};
+
 /// Any message.
 using Message = std::variant<Challenge,
                              Hello,
@@ -316,6 +349,11 @@
                              CrashReports,
                              LimitAsk,
                              LimitGrant,
-                             LimitReturn>;
+                             LimitReturn,
+                             RateReport,
+                             RateNews,
+                             PlaceAsk,
+                             PlaceGrant,
+                             PlaceReturn>;
 
 } // namespace shuntjunction::protocol
--- a/packages/protocol/src/codec.cpp
+++ b/packages/protocol/src/codec.cpp
@@ -12,13 +12,14 @@
 constexpr std::size_t kSmallBuffer = 256;
 
 /// Names of the messages, in the order of Message.
-constexpr std::array<std::string_view, 23> kMessageNames{
+constexpr std::array<std::string_view, 28> kMessageNames{
   "challenge",   "hello",        "welcome",          "probe",
   "probe-reply", "submit",       "started",          "tokens",
   "finished",    "refused",      "failed",           "cancel",
   "credit",      "leaving",      "snapshot-request", "snapshot-reply",
   "engine-news", "part-reading", "relay-waiting",    "crash-reports",
-  "limit-ask",   "limit-grant",  "limit-return"
+  "limit-ask",   "limit-grant",  "limit-return",     "rate-report",
+  "rate-news",   "place-ask",    "place-grant",      "place-return"
 };
 static_assert(std::variant_size_v<Message> == kMessageNames.size());
 static_assert(static_cast<std::size_t>(wire::Body::MAX) ==
--- a/packages/protocol/src/codec_pack.cpp
+++ b/packages/protocol/src/codec_pack.cpp
@@ -293,6 +293,14 @@
   return wire::CreateRelayWaiting(aBuilder, waiting, part).Union();
 }
 
+/// A time as it stands on the wire; one that does not fit is bounded.
+std::uint32_t
+WholeMillis(state::Millis aTime)
+{
+  return static_cast<std::uint32_t>(
+    std::clamp<std::int64_t>(aTime.count(), 0, UINT32_MAX));
+}
+
 Offset<void>
 Pack(FlatBufferBuilder& aBuilder, const CrashReports& aMessage)
 {
@@ -301,12 +309,10 @@
   for (const auto& word : aMessage.mWords) {
     const auto& report = word.mReport.mReport;
     const auto request = aBuilder.CreateString(report.mRequest.Text());
-    const auto age =
-      std::clamp<std::int64_t>(word.mReport.mAge.count(), 0, UINT32_MAX);
     reports.push_back(wire::CreateCrashReport(aBuilder,
                                               request,
                                               report.mEndpoint,
-                                              static_cast<std::uint32_t>(age),
+                                              WholeMillis(word.mReport.mAge),
                                               word.mIsCleared));
   }
   return wire::CreateCrashReports(aBuilder, aBuilder.CreateVector(reports))
@@ -331,12 +337,10 @@
 Offset<void>
 Pack(FlatBufferBuilder& aBuilder, const LimitGrant& aMessage)
 {
-  const auto refill =
-    std::clamp<std::int64_t>(aMessage.mGrant.mRefill.count(), 0, UINT32_MAX);
   return wire::CreateLimitGrant(aBuilder,
                                 aMessage.mId,
                                 aMessage.mGrant.mAmount,
-                                static_cast<std::uint32_t>(refill))
+                                WholeMillis(aMessage.mGrant.mRefill))
     .Union();
 }
 
@@ -350,6 +354,62 @@
     .Union();
 }
 
+Offset<void>
+Pack(FlatBufferBuilder& aBuilder, const RateReport& aMessage)
+{
+  const auto& report = aMessage.mReport;
+  return wire::CreateRateReport(aBuilder,
+                                report.mEndpoint.mHash,
+                                report.mEndpoint.mIsBeside,
+                                report.mRate.mNotice ==
+                                  state::RateNotice::kNamed,
+                                report.mRate.mPerSecond,
+                                report.mEdition)
+    .Union();
+}
+
+Offset<void>
+Pack(FlatBufferBuilder& aBuilder, const RateNews& aMessage)
+{
+  const auto& news = aMessage.mNews;
+  return wire::CreateRateNews(aBuilder,
+                              news.mEndpoint,
+                              news.mPerSecond.has_value(),
+                              news.mPerSecond.value_or(0))
+    .Union();
+}
+
+Offset<void>
+Pack(FlatBufferBuilder& aBuilder, const PlaceAsk& aMessage)
+{
+  const auto& ask = aMessage.mAsk;
+  return wire::CreatePlaceAsk(aBuilder,
+                              aMessage.mId,
+                              ask.mEndpoint.mHash,
+                              ask.mEndpoint.mIsBeside,
+                              ask.mPerSecond,
+                              ask.mIsUrgent)
+    .Union();
+}
+
+Offset<void>
+Pack(FlatBufferBuilder& aBuilder, const PlaceGrant& aMessage)
+{
+  const auto& grant = aMessage.mGrant;
+  return wire::CreatePlaceGrant(aBuilder,
+                                aMessage.mId,
+                                grant.mIsGiven,
+                                grant.mEdition,
+                                WholeMillis(grant.mRefill))
+    .Union();
+}
+
+Offset<void>
+Pack(FlatBufferBuilder& aBuilder, const PlaceReturn& aMessage)
+{
+  return wire::CreatePlaceReturn(aBuilder, aMessage.mEndpoint).Union();
+}
+
 } // namespace
 
 Offset<void>
--- a/packages/protocol/src/codec_unpack.cpp
+++ b/packages/protocol/src/codec_unpack.cpp
@@ -296,10 +296,10 @@
 
 /// A number of a limit; one that is none, or absurd, is bounded.
 double
-LimitNumber(float aNumber)
+LimitNumber(double aNumber)
 {
   constexpr double kMost = 1e12;
-  return std::isfinite(aNumber) ? std::clamp<double>(aNumber, 0.0, kMost) : 0.0;
+  return std::isfinite(aNumber) ? std::clamp(aNumber, 0.0, kMost) : 0.0;
 }
 
 LimitAsk
@@ -324,6 +324,50 @@
   return { { aWire.team(), aWire.share() }, aWire.amount() };
 }
 
+RateReport
+Unpack(const wire::RateReport& aWire)
+{
+  const auto notice =
+    aWire.is_named() ? state::RateNotice::kNamed : state::RateNotice::kAbsent;
+  return { { { aWire.endpoint(), aWire.is_beside() },
+             { notice, LimitNumber(aWire.per_second()) },
+             aWire.edition() } };
+}
+
+RateNews
+Unpack(const wire::RateNews& aWire)
+{
+  state::RateNews news{ aWire.endpoint(), std::nullopt };
+  if (aWire.is_named()) {
+    news.mPerSecond = LimitNumber(aWire.per_second());
+  }
+  return { news };
+}
+
+PlaceAsk
+Unpack(const wire::PlaceAsk& aWire)
+{
+  return { aWire.id(),
+           { { aWire.endpoint(), aWire.is_beside() },
+             LimitNumber(aWire.per_second()),
+             aWire.is_urgent() } };
+}
+
+PlaceGrant
+Unpack(const wire::PlaceGrant& aWire)
+{
+  return {
+    aWire.id(),
+    { aWire.is_given(), aWire.edition(), state::Millis(aWire.refill_ms()) }
+  };
+}
+
+PlaceReturn
+Unpack(const wire::PlaceReturn& aWire)
+{
+  return { aWire.endpoint() };
+}
+
 } // namespace
 
 std::optional<Message>
@@ -376,6 +420,16 @@
       return Unpack(*aFrame.body_as_LimitGrant());
     case wire::Body::LimitReturn:
       return Unpack(*aFrame.body_as_LimitReturn());
+    case wire::Body::RateReport:
+      return Unpack(*aFrame.body_as_RateReport());
+    case wire::Body::RateNews:
+      return Unpack(*aFrame.body_as_RateNews());
+    case wire::Body::PlaceAsk:
+      return Unpack(*aFrame.body_as_PlaceAsk());
+    case wire::Body::PlaceGrant:
+      return Unpack(*aFrame.body_as_PlaceGrant());
+    case wire::Body::PlaceReturn:
+      return Unpack(*aFrame.body_as_PlaceReturn());
     case wire::Body::NONE:
       break;
   }
--- a/packages/state/include/shuntjunction/state/relay_choice.h
+++ b/packages/state/include/shuntjunction/state/relay_choice.h
@@ -25,6 +25,7 @@
   std::uint64_t mNameHash = 0; ///< PlacementHash of its id
   bool mIsSameZone = false;
   bool mIsSuspect = false;    ///< failed lately: taken only if none is better
+  bool mIsLimited = false;    ///< names a rate: taken if no other has room
   std::uint64_t mVersion = 0; ///< of the weights; 0 for a plain service
   std::int64_t mRunning = 0;  ///< requests there, as far as known
   std::int64_t mSlots = 1;    ///< that it works on at once
@@ -52,6 +53,8 @@
   std::int64_t mSmallPartLead = 4;
   /// Requests by which an endpoint of the own zone may exceed another's.
   std::int64_t mZoneLead = 2;
+  /// Waiting tokens up to which an endpoint has room where others name rates.
+  std::int64_t mRoomTokens = 16000;
   /// Waiting tokens that weigh as much as a request that runs: a token of its
   /// answer takes as long as a piece of prompt that is read beside it.
   std::int64_t mTokensOfRunning = 1000;
@@ -102,7 +105,9 @@
 /// @return index of aCandidates; empty when there are none
 /// Thread safety: pure.
 std::optional<std::size_t>
-ChooseApart(std::span<const RelayCandidate> aCandidates, std::uint64_t aKey);
+ChooseApart(std::span<const RelayCandidate> aCandidates,
+            std::uint64_t aKey,
+            const RelayChoiceSettings& aSettings);
 
 /// The part store to which an engine saves a part: one of its own zone, since a
 /// move between zones holds up the store's link for twice as long; among
--- /dev/null
+++ b/packages/state/src/endpoint_limits.cpp
@@ -0,0 +1,161 @@
+#include "shuntjunction/state/endpoint_limits.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "shuntjunction/state/prefix_chain.h"
+
+namespace shuntjunction::state {
+
+LimitHash
+HashOfLife(std::string_view aEndpointId, EndpointLife aLife)
+{
+  return PlacementHash(aEndpointId,
+                       static_cast<std::uint64_t>(aLife.StartedAt()));
+}
+
+EndpointLimits::EndpointLimits(const EndpointLimitsSettings& aSettings,
+                               KeeperListings& aListings,
+                               std::uint32_t aFirstEdition)
+  : mSettings(aSettings)
+  , mListings(aListings)
+  , mEdition(aFirstEdition)
+{
+}
+
+std::optional<RateNews>
+EndpointLimits::Note(const RateReport& aReport, TimePoint aNow)
+{
+  const auto& endpoint = aReport.mEndpoint;
+  if (!IsMine(endpoint, aNow)) {
+    return std::nullopt;
+  }
+  const auto found = mLimited.find(endpoint.mHash);
+  const bool isKnown = found != mLimited.end();
+  if (aReport.mRate.mNotice == RateNotice::kAbsent) {
+    if (!isKnown || found->second.mEdition != aReport.mEdition) {
+      return std::nullopt;
+    }
+    mLimited.erase(found);
+    return RateNews{ endpoint.mHash, std::nullopt };
+  }
+  const double named = aReport.mRate.mPerSecond;
+  auto& limited = Find(endpoint, named, aNow);
+  limited.mEdition = ++mEdition;
+  if (isKnown && limited.mNamed == named) {
+    return std::nullopt;
+  }
+  limited.mNamed = named;
+  limited.mBucket.SetLimit(LimitOf(named), aNow);
+  return RateNews{ endpoint.mHash, named };
+}
+
+PlaceGrant
+EndpointLimits::Take(const PlaceAsk& aAsk, TimePoint aNow)
+{
+  if (!IsMine(aAsk.mEndpoint, aNow)) {
+    // Another keeps it, or may have until now.
+    return { false, 0, mSettings.mElsewherePause };
+  }
+  auto& limited = Find(aAsk.mEndpoint, aAsk.mPerSecond, aNow);
+  auto& bucket = limited.mBucket;
+  const double needed = aAsk.mIsUrgent ? 1.0 : 1.0 + mSettings.mUrgentReserve;
+  PlaceGrant grant;
+  grant.mEdition = limited.mEdition;
+  grant.mIsGiven = bucket.Left(aNow) >= needed;
+  if (grant.mIsGiven) {
+    bucket.TakeUpTo(1.0, aNow);
+    ++limited.mGiven;
+  } else {
+    ++limited.mDenied;
+    grant.mRefill = bucket.TimeUntil(needed, aNow);
+  }
+  return grant;
+}
+
+void
+EndpointLimits::GiveBack(LimitHash aEndpoint)
+{
+  const auto found = mLimited.find(aEndpoint);
+  if (found != mLimited.end()) {
+    found->second.mBucket.GiveBack(1.0);
+  }
+}
+
+void
+EndpointLimits::ForgetOthers()
+{
+  std::erase_if(mLimited, [&](const auto& aItem) {
+    return !aItem.second.mIsBeside &&
+           !mListings.IsMineInNewest({ aItem.first, 0 });
+  });
+}
+
+std::vector<RateNews>
+EndpointLimits::Known() const
+{
+  std::vector<RateNews> known;
+  for (const auto& [endpoint, limited] : mLimited) {
+    known.push_back({ endpoint, limited.mNamed });
+  }
+  return known;
+}
+
+std::vector<RateUse>
+EndpointLimits::TakeUses()
+{
+  std::vector<RateUse> uses;
+  for (auto& [endpoint, limited] : mLimited) {
+    const auto given = std::exchange(limited.mGiven, 0);
+    const auto denied = std::exchange(limited.mDenied, 0);
+    if (given + denied > 0) {
+      uses.push_back({ endpoint, limited.mNamed, given, denied });
+    }
+  }
+  return uses;
+}
+
+bool
+EndpointLimits::IsMine(const LimitedEndpoint& aEndpoint, TimePoint aNow)
+{
+  return aEndpoint.mIsBeside || mListings.IsMine({ aEndpoint.mHash, 0 }, aNow);
+}
+
+UsageLimit
+EndpointLimits::LimitOf(double aPerSecond) const
+{
+  const double rate =
+    std::clamp(aPerSecond, mSettings.mLeastRate, mSettings.mMostRate);
+  return { rate, rate * mSettings.mBurstSeconds + mSettings.mBurstRequests };
+}
+
+EndpointLimits::Limited&
+EndpointLimits::Find(const LimitedEndpoint& aEndpoint,
+                     double aPerSecond,
+                     TimePoint aNow)
+{
+  ForgetSilent(aNow);
+  const auto limit = LimitOf(aPerSecond);
+  const auto [found, isNew] = mLimited.try_emplace(
+    aEndpoint.mHash,
+    Limited{ UsageBucket(limit, 0, aNow), mEdition, aPerSecond, false, aNow });
+  found->second.mIsBeside = aEndpoint.mIsBeside;
+  found->second.mHeardAt = aNow;
+  return found->second;
+}
+
+void
+EndpointLimits::ForgetSilent(TimePoint aNow)
+{
+  if (mLimited.size() > mSettings.mMaxEndpoints) {
+    mLimited.erase(std::min_element(
+      mLimited.begin(), mLimited.end(), [](const auto& aOne, const auto& aTwo) {
+        return aOne.second.mHeardAt < aTwo.second.mHeardAt;
+      }));
+  }
+  std::erase_if(mLimited, [&](const auto& aItem) {
+    return aNow - aItem.second.mHeardAt >= mSettings.mForgetAfter;
+  });
+}
+
+} // namespace shuntjunction::state
--- a/packages/state/src/relay_choice.cpp
+++ b/packages/state/src/relay_choice.cpp
@@ -8,18 +8,38 @@
 
 namespace {
 
-/// Suspects come after all others.
+bool
+IsFull(const RelayCandidate& aCandidate)
+{
+  return aCandidate.mRunning >= aCandidate.mSlots;
+}
+
+/// Those that name a rate come after others that have room, and suspects after
+/// all.
 std::vector<std::size_t>
-WithoutSuspects(std::span<const RelayCandidate> aCandidates)
+Allowed(std::span<const RelayCandidate> aCandidates,
+        const RelayChoiceSettings& aSettings)
 {
+  std::vector<std::size_t> free;
   std::vector<std::size_t> sound;
   std::vector<std::size_t> all;
+  bool hasRoom = false;
   for (std::size_t index = 0; index < aCandidates.size(); ++index) {
+    const auto& candidate = aCandidates[index];
     all.push_back(index);
-    if (!aCandidates[index].mIsSuspect) {
-      sound.push_back(index);
+    if (candidate.mIsSuspect) {
+      continue;
+    }
+    sound.push_back(index);
+    if (!candidate.mIsLimited) {
+      free.push_back(index);
+      hasRoom |=
+        !IsFull(candidate) && candidate.mQueuedTokens <= aSettings.mRoomTokens;
     }
   }
+  if (hasRoom) {
+    return free;
+  }
   return sound.empty() ? all : sound;
 }
 
@@ -41,12 +61,6 @@
          (aCandidate.mIsSameZone ? 0 : aSettings.mZoneLead);
 }
 
-bool
-IsFull(const RelayCandidate& aCandidate)
-{
-  return aCandidate.mRunning >= aCandidate.mSlots;
-}
-
 /// Whether an endpoint has room where the other has none, or less to read.
 bool
 IsLessLoaded(const RelayCandidate& aOne, const RelayCandidate& aOther)
@@ -80,7 +94,7 @@
              std::uint64_t aKey,
              const RelayChoiceSettings& aSettings)
 {
-  const auto allowed = WithoutSuspects(aCandidates);
+  const auto allowed = Allowed(aCandidates, aSettings);
   if (allowed.empty()) {
     return std::nullopt;
   }
@@ -124,7 +138,7 @@
              const RelayChoiceSettings& aSettings,
              RandomSource& aRandom)
 {
-  const auto allowed = WithoutSuspects(aCandidates);
+  const auto allowed = Allowed(aCandidates, aSettings);
   std::optional<std::size_t> best;
   std::int64_t bestCost = 0;
   std::uint64_t bestDraw = 0;
@@ -146,9 +160,11 @@
 }
 
 std::optional<std::size_t>
-ChooseApart(std::span<const RelayCandidate> aCandidates, std::uint64_t aKey)
+ChooseApart(std::span<const RelayCandidate> aCandidates,
+            std::uint64_t aKey,
+            const RelayChoiceSettings& aSettings)
 {
-  const auto allowed = WithoutSuspects(aCandidates);
+  const auto allowed = Allowed(aCandidates, aSettings);
   const auto rankOf = [&](std::size_t aIndex) {
     const auto& candidate = aCandidates[aIndex];
     return std::pair(-candidate.mSuspects, Rank(candidate.mNameHash, aKey));
--- a/packages/state/tests/relay_state_test.cpp
+++ b/packages/state/tests/relay_state_test.cpp
@@ -284,25 +284,25 @@
   std::map<std::size_t, int> chosen;
   for (int i = 0; i < kRequests; ++i) {
     const auto key = PlacementHash("request " + std::to_string(i));
-    const auto index = ChooseApart(candidates, key);
+    const auto index = ChooseApart(candidates, key, {});
     ASSERT_TRUE(index);
-    EXPECT_EQ(ChooseApart(candidates, key), index);
+    EXPECT_EQ(ChooseApart(candidates, key, {}), index);
     ++chosen[*index];
   }
   for (const auto& [index, count] : chosen) {
     EXPECT_LT(count, kRequests / 4) << index;
   }
   EXPECT_EQ(chosen.size(), kEndpoints);
-  EXPECT_FALSE(ChooseApart({}, 1));
+  EXPECT_FALSE(ChooseApart({}, 1, {}));
   {
     SCOPED_TRACE("and none to where another of them runs, if it can be helped");
-    const auto first = *ChooseApart(candidates, 1);
+    const auto first = *ChooseApart(candidates, 1, {});
     candidates[first].mSuspects = 1;
-    EXPECT_NE(ChooseApart(candidates, 1), first);
+    EXPECT_NE(ChooseApart(candidates, 1, {}), first);
     for (auto& candidate : candidates) {
       candidate.mSuspects = 1;
     }
-    EXPECT_EQ(ChooseApart(candidates, 1), first);
+    EXPECT_EQ(ChooseApart(candidates, 1, {}), first);
   }
 }
 
