One wait step, and one bound of what a request counts

Cause: the pause of a waiting request, and the most that one request counts, each stood twice. Change: kWaitStep in relay_run.h, kMostUsage in limit_shares.h.

--- a/packages/coordination/src/relay_limits.cpp
+++ b/packages/coordination/src/relay_limits.cpp
@@ -12,9 +12,6 @@
 
 namespace {
 
-/// Most that one request counts: no prompt and answer are longer.
-constexpr std::int64_t kMostUsage = 100'000'000;
-
 /// How long a share whose companion gives no answer is left out.
 constexpr Millis kSilentPause{ 500 };
 
@@ -27,9 +24,6 @@
 constexpr Millis kLeastReturn{ 300 };
 constexpr Millis kMostReturn{ 2000 };
 
-/// How often a request looks again for a companion that can be asked.
-constexpr Millis kWaitStep{ 15 };
-
 /// How long a share that ran dry is left out.
 Millis
 PauseOfShare(const state::UsageLimit& aLimit)
@@ -53,7 +47,7 @@
     return 1;
   }
   const auto bounded = [](std::int64_t aTokens) {
-    return std::clamp<std::int64_t>(aTokens, 0, kMostUsage);
+    return std::clamp<std::int64_t>(aTokens, 0, state::kMostUsage);
   };
   const auto named =
     bounded(mCall.mPromptTokens) + bounded(mCall.mMaxNewTokens);
--- a/packages/coordination/src/relay_run.cpp
+++ b/packages/coordination/src/relay_run.cpp
@@ -43,9 +43,6 @@
 /// last that its request may ever crash: that trial is its caller's to make.
 constexpr int kMostCrashesOfRun = 2;
 
-/// How often a request that waits for an endpoint looks again.
-constexpr Millis kWaitStep{ 15 };
-
 } // namespace
 
 RelayRun::RelayRun(std::shared_ptr<Relay::Core> aCore,
--- a/packages/coordination/src/relay_run.h
+++ b/packages/coordination/src/relay_run.h
@@ -14,6 +14,9 @@
 /// How long a refused caller is told to stay away.
 inline constexpr state::Millis kRetrySoon{ 100 };
 
+/// How often a request that waits looks again.
+inline constexpr state::Millis kWaitStep{ 15 };
+
 /// Why a run was interrupted.
 enum class RunInterrupt : std::uint8_t
 {
--- a/packages/state/include/shuntjunction/state/limit_shares.h
+++ b/packages/state/include/shuntjunction/state/limit_shares.h
@@ -27,6 +27,10 @@
 /// notices the loss of one companion in nothing.
 inline constexpr std::size_t kSharesOfLimit = 4;
 
+/// Most that one request counts, in a limit's unit: no prompt and answer are
+/// longer.
+inline constexpr std::uint32_t kMostUsage = 100'000'000;
+
 /// Names a team where bytes are scarce.
 using TeamHash = LimitHash;
 
--- a/packages/state/src/limit_shares.cpp
+++ b/packages/state/src/limit_shares.cpp
@@ -12,9 +12,6 @@
 /// Teams whose keepers are remembered between two lists.
 constexpr std::size_t kMaxTeams = 16384;
 
-/// What a share is asked for at most: more than any prompt holds.
-constexpr std::uint32_t kMostAmount = 100'000'000;
-
 } // namespace
 
 TeamHash
@@ -47,7 +44,7 @@
 ShareKeeper::Take(const ShareAsk& aAsk, TimePoint aNow)
 {
   const bool isSound = aAsk.mKey.mShare < kSharesOfLimit &&
-                       aAsk.mLimit.IsLimited() && aAsk.mAmount <= kMostAmount;
+                       aAsk.mLimit.IsLimited() && aAsk.mAmount <= kMostUsage;
   if (!isSound || !mListings.IsMine(aAsk.mKey, aNow)) {
     return { 0, mSettings.mListings.mHandover };
   }
@@ -66,7 +63,7 @@
 {
   const auto found = mBuckets.find(aKey);
   if (found != mBuckets.end()) {
-    found->second.mBucket.GiveBack(std::min(aAmount, kMostAmount));
+    found->second.mBucket.GiveBack(std::min(aAmount, kMostUsage));
   }
 }
 
