--- a/packages/state/src/endpoint_limits.cpp
+++ b/packages/state/src/endpoint_limits.cpp
@@ -95,6 +95,7 @@
 EndpointLimits::Known() const
 {
   std::vector<RateNews> known;
+  known.reserve(mLimited.size());
   for (const auto& [endpoint, limited] : mLimited) {
     known.push_back({ endpoint, limited.mNamed });
   }
