--- a/packages/coordination/src/engine_news_server.cpp
+++ b/packages/coordination/src/engine_news_server.cpp
@@ -101,7 +101,7 @@
     if (auto crashes = KnownCrashes(); !crashes.mWords.empty()) {
       aChannel->Send(std::move(crashes));
     }
-    TellKnownRates(*aChannel);
+    PublishKnownRates(*aChannel);
     co_await Hear(aChannel);
     aChannel->Close();
     mChannels.erase(aChannel);
@@ -131,7 +131,7 @@
       } else if (const auto* back =
                    std::get_if<protocol::LimitReturn>(&*message)) {
         TakeBack(*back);
-      } else if (!TakeOfRates(*message, *aChannel)) {
+      } else if (!HandleRateMessage(*message, *aChannel)) {
         co_return;
       }
     }
@@ -151,7 +151,8 @@
   }
 
   /// Takes what concerns the rate of an endpoint; whether a message did.
-  bool TakeOfRates(const protocol::Message& aMessage, FrameChannel& aChannel)
+  bool HandleRateMessage(const protocol::Message& aMessage,
+                         FrameChannel& aChannel)
   {
     if (mLimits == nullptr) {
       return false;
@@ -166,7 +167,7 @@
     } else if (const auto* report =
                  std::get_if<protocol::RateReport>(&aMessage)) {
       if (const auto news = mLimits->Note(report->mReport, now)) {
-        TellRate(*news);
+        PublishRate(*news);
       }
     } else {
       return false;
@@ -174,7 +175,7 @@
     return true;
   }
 
-  void TellRate(const state::RateNews& aNews)
+  void PublishRate(const state::RateNews& aNews)
   {
     LogRateUses();
     mLog.Write(EventLine(kPart, "rate")
@@ -186,7 +187,7 @@
     }
   }
 
-  void TellKnownRates(FrameChannel& aChannel) const
+  void PublishKnownRates(FrameChannel& aChannel) const
   {
     if (mLimits == nullptr) {
       return;
