An answer that says nothing of a rate costs no search for its keeper

Cause: found in reading the change: for every answer of every endpoint a relay parsed an address and hashed a life to find a keeper that only answers about a rate need. The part's name in log lines stood a second time beside kRelayPart. Change: the keeper is looked for only when something is reported; one name; a variable that was used once is gone. Behaviour is as before.

--- a/packages/coordination/src/relay_rates.cpp
+++ b/packages/coordination/src/relay_rates.cpp
@@ -1,5 +1,6 @@
 #include "relay_rates.h"
 
+#include "relay_core.h"
 #include "shuntjunction/state/settings.h"
 
 namespace shuntjunction::coordination {
@@ -11,8 +12,6 @@
 
 namespace {
 
-constexpr std::string_view kPart = "relay";
-
 /// How long an endpoint is left out whose keeper gives no answer.
 constexpr Millis kSilentPause{ 250 };
 /// The least time for which one without a place is left out.
@@ -43,8 +42,11 @@
   // Without a place, the request may be older than the rate: its answer is no
   // sign of the rate's end.
   const bool isEnd = !isNamed && aEndpoint.mRate && aPlace != nullptr;
+  if (!isNamed && !isEnd) {
+    return;
+  }
   const auto keeper = KeeperOf(aEndpoint);
-  if ((isNamed || isEnd) && keeper && mParts.mReportRate) {
+  if (keeper && mParts.mReportRate) {
     const auto edition = aPlace != nullptr ? aPlace->mEdition : 0;
     mParts.mReportRate(keeper->mHost, { keeper->mName, aRate, edition });
   }
@@ -86,8 +88,7 @@
 RelayRates::Ask(RelayEndpointPtr aEndpoint, bool aIsUrgent)
 {
   const auto keeper = KeeperOf(*aEndpoint);
-  const auto askedAt = mParts.mClock.Now();
-  aEndpoint->mRate->mHeardAt = askedAt;
+  aEndpoint->mRate->mHeardAt = mParts.mClock.Now();
   std::optional<state::PlaceGrant> grant;
   if (keeper && mParts.mAskPlace) {
     grant = co_await mParts.mAskPlace(
@@ -145,7 +146,7 @@
   auto& rate = *aEndpoint.mRate;
   const auto keeper = KeeperOf(aEndpoint);
   mParts.mLog.Write(
-    EventLine(kPart, "endpoint-limit")
+    EventLine(kRelayPart, "endpoint-limit")
       .Add("what", aWhat)
       .Add("endpoint", aEndpoint.mInfo.mId)
       .Add("service", aEndpoint.mInfo.mService)
