Relays log what answers report of their endpoints

Callers saw requests sent to endpoints that had reported a drain or asked for a cooldown; no log line or metric of a relay showed that an answer carried either, so that three hypotheses could not be told apart.

The adapter decodes the drain and the Retry-After of refusals into one type (EndpointNotice) beside the rate; the relay keeps them with the incarnation (EndpointAvailability), logs each change and counts what is sent despite it. No decision uses it yet.

--- a/packages/coordination/include/shuntjunction/coordination/relay_codec.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay_codec.h
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <vector>
 
-#include "shuntjunction/state/endpoint_rate.h"
+#include "shuntjunction/state/endpoint_notice.h"
 #include "shuntjunction/state/relay_choice.h"
 #include "shuntjunction/state/relay_config.h"
 #include "shuntjunction/state/request_digest.h"
@@ -57,7 +57,7 @@
   bool mIsEncoded = false; ///< the body is not as the endpoint made it
   std::string mEndpointId; ///< of the endpoint that refused as not meant
   std::optional<std::uint64_t> mWeights;
-  state::EndpointRate mRate; ///< that the endpoint takes, if it is in need
+  state::EndpointNotice mNotice;
 };
 
 /// Spelling of requests and answers.
--- a/packages/coordination/src/relay_answer.cpp
+++ b/packages/coordination/src/relay_answer.cpp
@@ -182,9 +182,10 @@
     mLastProblem = "misdirected";
     return AttemptOutcome::kMisdirected;
   }
-  mCore->mRates.Note(*aAttempt.mPick.mEndpoint,
-                     facts.mRate,
-                     aAttempt.mPlace ? &*aAttempt.mPlace : nullptr);
+  mCore->mNotices.Take(*aAttempt.mPick.mEndpoint,
+                       facts.mNotice,
+                       mCall.mRequestId,
+                       aAttempt.mPlace ? &*aAttempt.mPlace : nullptr);
   if (facts.mIsNotRun) {
     mLastProblem = "endpoint refused: " + std::to_string(head.mStatus);
     return AttemptOutcome::kNotRun;
--- a/packages/coordination/src/relay_attempt.cpp
+++ b/packages/coordination/src/relay_attempt.cpp
@@ -124,6 +124,7 @@
     co_return AttemptOutcome::kWithheld;
   }
   mPartialEvent.clear();
+  mCore->mNotices.CountSend(endpoint);
   LogSent(attempt.mPick);
   attempt.mPick.mSentAt = Now();
   if (endpoint.mRunning++ == 0) {
--- a/packages/coordination/src/relay_core.h
+++ b/packages/coordination/src/relay_core.h
@@ -8,6 +8,7 @@
 
 #include "relay_crashes.h"
 #include "relay_endpoint.h"
+#include "relay_notices.h"
 #include "relay_rates.h"
 #include "shuntjunction/coordination/relay.h"
 #include "shuntjunction/state/descriptor_budget.h"
@@ -114,6 +115,7 @@
   RelayCrashes mCrashes;
   state::ShareDirectory mShares;
   RelayRates mRates;
+  RelayNotices mNotices;
   state::PartLedger mLedger;
   state::ReadingRate mReadingRate;
   state::OverloadGuard mGuard;
--- a/packages/coordination/src/relay_endpoint.cpp
+++ b/packages/coordination/src/relay_endpoint.cpp
@@ -64,6 +64,7 @@
     if (!entry) {
       entry = std::make_shared<RelayEndpoint>();
       entry->mNameHash = state::PlacementHash(info.mId);
+      entry->mAvailability = mAvailabilities.Find(info.mId, info.mLife);
     }
     const auto word = entry->mLife.Take(info.mLife, aNow);
     if (word == LifeWord::kNewer) {
@@ -81,6 +82,7 @@
     } else {
       entry->mInfo = info;
     }
+    entry->mAvailability->SetListing(true, entry->mInfo.mIsLeaving);
     if (entry->mInfo.mIsLeaving) {
       CloseIdle(*entry);
     }
@@ -93,6 +95,7 @@
         changes.mLeaving.push_back(aItem.second);
       }
       CloseIdle(*aItem.second);
+      mAvailabilities.NoteRemoved(aItem.first);
       mParts.Forget(aItem.first);
     }
     return isGone;
@@ -108,6 +111,9 @@
   aEntry->mLife = former->mLife;
   aEntry->mNameHash = former->mNameHash;
   aEntry->mBrokenOff = std::move(former->mBrokenOff);
+  aEntry->mAvailability =
+    mAvailabilities.Begin(former->mInfo.mId, former->mLife.Current());
+  aEntry->mAvailability->SetListing(true, aEntry->mInfo.mIsLeaving);
   former->mIsListed = false;
   former->mHasCrashed = true;
   CutOff(*former);
--- a/packages/coordination/src/relay_endpoint.h
+++ b/packages/coordination/src/relay_endpoint.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "shuntjunction/protocol/messages.h"
+#include "shuntjunction/state/endpoint_availability.h"
 #include "shuntjunction/state/endpoint_limits.h"
 #include "shuntjunction/state/endpoint_silence.h"
 #include "shuntjunction/state/late_queue.h"
@@ -105,6 +106,8 @@
   state::LifeTracker mLife; ///< that all of this is about
   std::uint64_t mNameHash = 0;
   bool mIsListed = true;
+  /// Of this incarnation; it outlasts a lapse of the list's entry.
+  state::AvailabilityBook::Ptr mAvailability;
   std::vector<EndpointConnection> mIdle; ///< the freshest last
   /// Connections on which a request waits for its answer.
   std::set<std::shared_ptr<transport::SocketReader>> mBusy;
@@ -240,6 +243,7 @@
   static void CutOff(RelayEndpoint& aEndpoint);
 
   RelayEndpointSettings mSettings;
+  state::AvailabilityBook mAvailabilities;
   state::PartIndex mParts;
   std::map<std::string, RelayEndpointPtr, std::less<>> mById;
   std::uint64_t mFormerWords = 0;
--- /dev/null
+++ b/packages/state/src/endpoint_availability.cpp
@@ -0,0 +1,187 @@
+#include "shuntjunction/state/endpoint_availability.h"
+
+#include <algorithm>
+
+namespace shuntjunction::state {
+
+namespace {
+
+/// Endpoints that are remembered after their removal, the latest ones.
+constexpr std::size_t kMaxRemoved = 1024;
+
+} // namespace
+
+EndpointAvailability::EndpointAvailability(
+  const AvailabilitySettings& aSettings)
+  : mSettings(aSettings)
+{
+}
+
+void
+EndpointAvailability::SetListing(bool aIsListed, bool aIsDraining)
+{
+  mIsListed = aIsListed;
+  mIsListedDraining = aIsDraining;
+}
+
+NoticeChange
+EndpointAvailability::Take(const EndpointNotice& aNotice,
+                           TimePoint aNow,
+                           std::int64_t aWallMillis)
+{
+  NoticeChange change;
+  change.mIsDraining = aNotice.mIsDraining && !mIsReportedDraining;
+  mIsReportedDraining = mIsReportedDraining || aNotice.mIsDraining;
+  change.mCooldown = aNotice.mRetryAfter.From(aWallMillis);
+  if (change.mCooldown > Millis(0)) {
+    mCooldownUntil = std::max(mCooldownUntil, aNow + change.mCooldown);
+    ++mRecovery;
+    mTrialsAllowed = mSettings.mFirstTrials;
+    mTrialsUnderWay = 0;
+  }
+  return change;
+}
+
+void
+EndpointAvailability::Pause(Millis aPause, TimePoint aNow)
+{
+  mPausedUntil = std::max(mPausedUntil, aNow + aPause);
+}
+
+TimePoint
+EndpointAvailability::CooldownEnd() const
+{
+  return std::max(mPausedUntil, mCooldownUntil);
+}
+
+bool
+EndpointAvailability::IsRecovering(TimePoint aNow) const
+{
+  return mTrialsAllowed != 0 && aNow >= mCooldownUntil;
+}
+
+Obstacle
+EndpointAvailability::ObstacleAt(TimePoint aNow,
+                                 const PermitNeed& aPermit) const
+{
+  if (!mIsListed) {
+    return Obstacle::kRemoved;
+  }
+  if (IsDraining()) {
+    return Obstacle::kDraining;
+  }
+  if (aNow < CooldownEnd()) {
+    return Obstacle::kCooldown;
+  }
+  if (IsRecovering(aNow) && mTrialsUnderWay >= mTrialsAllowed) {
+    return Obstacle::kRecovering;
+  }
+  if (aPermit.mIsNeeded && !aPermit.mIsHeld && aNow < aPermit.mEarliestAt) {
+    return Obstacle::kNoPermit;
+  }
+  return Obstacle::kNone;
+}
+
+tl::expected<SendClearance, Obstacle>
+EndpointAvailability::Clear(TimePoint aNow, const PermitNeed& aPermit)
+{
+  auto obstacle = ObstacleAt(aNow, aPermit);
+  if (obstacle == Obstacle::kNone && aPermit.mIsNeeded && !aPermit.mIsHeld) {
+    obstacle = Obstacle::kNoPermit;
+  }
+  if (obstacle != Obstacle::kNone) {
+    return tl::unexpected(obstacle);
+  }
+  if (!IsRecovering(aNow)) {
+    return SendClearance(0);
+  }
+  ++mTrialsUnderWay;
+  return SendClearance(mRecovery);
+}
+
+void
+EndpointAvailability::Settle(SendClearance aClearance, bool aIsAccepted)
+{
+  // Those that were sent before the latest cooldown say nothing of its end.
+  if (aClearance.mRecovery != mRecovery || mTrialsAllowed == 0) {
+    return;
+  }
+  --mTrialsUnderWay;
+  if (!aIsAccepted) {
+    return;
+  }
+  mTrialsAllowed *= 2;
+  if (mTrialsAllowed >= mSettings.mRecoveredTrials) {
+    mTrialsAllowed = 0;
+  }
+}
+
+AvailabilityBook::AvailabilityBook(const AvailabilitySettings& aSettings)
+  : mSettings(aSettings)
+{
+}
+
+AvailabilityBook::Ptr
+AvailabilityBook::Find(const std::string& aId, EndpointLife aLife)
+{
+  const auto found = mById.find(aId);
+  if (found == mById.end()) {
+    return Begin(aId, aLife);
+  }
+  auto& entry = found->second;
+  // An earlier start is most often that of a list that comes late.
+  if (entry.mLife.IsKnown() && entry.mLife < aLife) {
+    return Begin(aId, aLife);
+  }
+  entry.mLife = std::max(entry.mLife, aLife);
+  if (entry.mRemovedAs != 0) {
+    entry.mRemovedAs = 0;
+    --mRemoved;
+  }
+  return entry.mAvailability;
+}
+
+AvailabilityBook::Ptr
+AvailabilityBook::Begin(const std::string& aId, EndpointLife aLife)
+{
+  auto& entry = mById[aId];
+  if (entry.mAvailability) {
+    entry.mAvailability->SetListing(false, false);
+  }
+  if (entry.mRemovedAs != 0) {
+    --mRemoved;
+  }
+  entry = { std::make_shared<EndpointAvailability>(mSettings), aLife, 0 };
+  return entry.mAvailability;
+}
+
+void
+AvailabilityBook::NoteRemoved(std::string_view aId)
+{
+  const auto found = mById.find(aId);
+  if (found == mById.end() || found->second.mRemovedAs != 0) {
+    return;
+  }
+  found->second.mAvailability->SetListing(false, false);
+  found->second.mRemovedAs = ++mRemovals;
+  if (++mRemoved > kMaxRemoved) {
+    DropOldest();
+  }
+}
+
+void
+AvailabilityBook::DropOldest()
+{
+  auto oldest = mById.end();
+  for (auto at = mById.begin(); at != mById.end(); ++at) {
+    const bool isRemoved = at->second.mRemovedAs != 0;
+    if (isRemoved && (oldest == mById.end() ||
+                      at->second.mRemovedAs < oldest->second.mRemovedAs)) {
+      oldest = at;
+    }
+  }
+  mById.erase(oldest);
+  --mRemoved;
+}
+
+} // namespace shuntjunction::state
