One predicate decides whether an endpoint gets a request, at the choice and at the send

Callers saw requests reach endpoints seconds after an answer had reported that they drain (DRAIN), and endpoints that had asked for a cooldown get 20 requests within it (BUDGET), refused while others had room.

Cause: what an answer reports of its endpoint reached the choice by a way of its own for each field, or by none. A relay learned of drains from the store's list alone and paused an endpoint for 50 ms after a refusal, whatever it asked for.

EndpointAvailability holds all that keeps requests away from one incarnation: removal, drain by the list or by an answer, cooldowns, recovery after them, the permit that a rate needs. Every answer's report is taken before anything else is decided of the answer: also of refusals, of answers to earlier requests on the connection, of those whose caller left. The choice asks it, and so does each send: Send takes a clearance that only it gives out, so that a path that does not ask does not build. A drain lasts for the incarnation, through lapses of the list's entry (AvailabilityBook); of cooldowns the one that ends last holds; after one the endpoint gets one request, then twice as many with each it accepts. When no endpoint of a service can take a request in time the caller is refused at once and told the earliest end, spread.

Callers: with all endpoints in a cooldown 503 with its end at once, without an attempt; before, attempts at two of them in a row.

--- a/packages/coordination/src/relay.cpp
+++ b/packages/coordination/src/relay.cpp
@@ -134,7 +134,7 @@
   , mCrashes(mParts)
   , mShares(state::PlacementHash(mParts.mSettings.mName))
   , mRates(mParts, mShares)
-  , mNotices(mParts, mRates)
+  , mNotices(mParts)
   , mLedger(mLimits.mMaxParts)
   , mReadingRate(mLimits.mFirstToken)
   , mRandom(std::random_device{}())
@@ -265,11 +265,12 @@
     mCore->NoteRestart(*endpoint);
   }
   for (const auto& endpoint : changes.mLeaving) {
-    mCore->mParts.mLog.Write(EventLine(kRelayPart, "endpoint-leaving")
-                               .Add("endpoint", endpoint->mInfo.mId)
-                               .Add("listed", endpoint->mIsListed)
-                               .Add("revision", endpoint->mInfo.mRevision)
-                               .Add("running", endpoint->mRunning));
+    mCore->mParts.mLog.Write(
+      EventLine(kRelayPart, "endpoint-leaving")
+        .Add("endpoint", endpoint->mInfo.mId)
+        .Add("listed", endpoint->mAvailability->IsListed())
+        .Add("revision", endpoint->mInfo.mRevision)
+        .Add("running", endpoint->mRunning));
   }
 }
 
@@ -337,6 +338,12 @@
               static_cast<double>(mCore->mEndpoints.OpenConnections()));
   metrics.Set("shuntjunction_relay_limited_endpoints",
               static_cast<double>(mCore->mEndpoints.Limited().size()));
+  metrics.Set("shuntjunction_relay_draining_endpoints",
+              static_cast<double>(mCore->mEndpoints.CountObstacles(
+                state::Obstacle::kDraining, now)));
+  metrics.Set("shuntjunction_relay_cooldown_endpoints",
+              static_cast<double>(mCore->mEndpoints.CountObstacles(
+                state::Obstacle::kCooldown, now)));
   metrics.Set("shuntjunction_relay_config_version",
               static_cast<double>(mCore->mView->mConfig->Version()));
   metrics.Set("shuntjunction_relay_config_age_ms",
--- a/packages/coordination/src/relay_answer.cpp
+++ b/packages/coordination/src/relay_answer.cpp
@@ -69,6 +69,7 @@
     std::make_unique<RelayAnswerReader>(mRequest->mMethod == "HEAD");
   while (true) {
     if (mInterrupt != RunInterrupt::kNone) {
+      TakeNoticeOfUnread(aAttempt);
       co_return AttemptOutcome::kInterrupted;
     }
     const auto step = ReadBuffered(aAttempt);
@@ -148,6 +149,7 @@
   aAttempt.mFacts = mCore->mParts.mCodec.ReadAnswer(aAttempt.mAnswer->Head());
   const auto& id = aAttempt.mFacts.mRequestId;
   aAttempt.mIsOther = !id.empty() && id != mCall.mRequestId;
+  TakeNotice(aAttempt);
   if (aAttempt.mIsOther) {
     return std::nullopt;
   }
@@ -158,6 +160,45 @@
   return verdict;
 }
 
+void
+RelayRun::TakeNotice(Attempt& aAttempt)
+{
+  const auto& facts = aAttempt.mFacts;
+  auto& endpoint = *aAttempt.mPick.mEndpoint;
+  const bool isOfAnother =
+    !facts.mEndpointId.empty() && facts.mEndpointId != endpoint.mInfo.mId;
+  if (isOfAnother) {
+    return;
+  }
+  const auto status = aAttempt.mAnswer->Head().mStatus;
+  mCore->mNotices.Take(endpoint, facts.mNotice, mCall.mRequestId);
+  // An address that passed on to another endpoint says nothing of this one's
+  // rate; that this one drains is then true of it at least.
+  if (status != kMisdirected) {
+    const bool hasPlace = aAttempt.mPlace && !aAttempt.mIsOther;
+    mCore->mRates.Note(
+      endpoint, facts.mNotice.mRate, hasPlace ? &*aAttempt.mPlace : nullptr);
+  }
+  if (!aAttempt.mIsOther) {
+    SettleClearance(aAttempt, !facts.mIsNotRun && !IsPromise(status));
+  }
+}
+
+void
+RelayRun::TakeNoticeOfUnread(Attempt& aAttempt)
+{
+  auto& reader = *aAttempt.mConnection.mReader;
+  if (aAttempt.mIsHeadJudged || reader.Buffered().empty()) {
+    return;
+  }
+  std::size_t consumed = 0;
+  const auto step = aAttempt.mAnswer->Put(reader.Buffered(), consumed);
+  if (step == ReadStep::kHead || step == ReadStep::kDone) {
+    aAttempt.mFacts = mCore->mParts.mCodec.ReadAnswer(aAttempt.mAnswer->Head());
+    TakeNotice(aAttempt);
+  }
+}
+
 void
 RelayRun::SkipOther(Attempt& aAttempt, bool aIsDone)
 {
@@ -182,10 +223,6 @@
     mLastProblem = "misdirected";
     return AttemptOutcome::kMisdirected;
   }
-  mCore->mNotices.Take(*aAttempt.mPick.mEndpoint,
-                       facts.mNotice,
-                       mCall.mRequestId,
-                       aAttempt.mPlace ? &*aAttempt.mPlace : nullptr);
   if (facts.mIsNotRun) {
     mLastProblem = "endpoint refused: " + std::to_string(head.mStatus);
     return AttemptOutcome::kNotRun;
--- a/packages/coordination/src/relay_attempt.cpp
+++ b/packages/coordination/src/relay_attempt.cpp
@@ -48,6 +48,23 @@
          (!aIsResumed || !transport::IsSameName(aName, "Last-Event-Id"));
 }
 
+AttemptOutcome
+OutcomeOf(state::Obstacle aObstacle)
+{
+  switch (aObstacle) {
+    case state::Obstacle::kCooldown:
+    case state::Obstacle::kRecovering:
+      return AttemptOutcome::kCooldown;
+    case state::Obstacle::kNoPermit:
+      return AttemptOutcome::kNoPlace;
+    case state::Obstacle::kNone:
+    case state::Obstacle::kRemoved:
+    case state::Obstacle::kDraining:
+      break;
+  }
+  return AttemptOutcome::kLeft;
+}
+
 /// The head of a request as an endpoint gets it.
 std::string
 RequestHead(const RelayRequest& aRequest,
@@ -99,32 +116,12 @@
   if (connected != AttemptOutcome::kDone) {
     co_return connected;
   }
-  // The wait for a part and the connection took up to 0.75 s since the choice:
-  // an endpoint that began to leave meanwhile gets nothing any more.
-  if (!endpoint.TakesWork()) {
-    mOpenAttempt = nullptr;
-    attempt.mConnection.mReader->Close(false);
-    mLastProblem = "endpoint left";
-    co_return AttemptOutcome::kLeft;
-  }
-  // It may have named a rate since it was chosen.
-  if (endpoint.mRate && !HasPlaceAt(attempt.mPick.mEndpoint)) {
-    mOpenAttempt = nullptr;
-    mCore->mEndpoints.PutIdle(
-      endpoint, std::move(attempt.mConnection), {}, Now());
-    mLastProblem = "endpoint named a rate";
-    co_return AttemptOutcome::kNoPlace;
-  }
-  if (const auto reason = ReasonToWithhold(); !reason.empty()) {
-    // Nothing was sent yet, and the connection is as good as before.
-    mOpenAttempt = nullptr;
-    mCore->mEndpoints.PutIdle(
-      endpoint, std::move(attempt.mConnection), {}, Now());
-    mLastProblem = reason;
-    co_return AttemptOutcome::kWithheld;
+  auto clearance = ClearToSend(attempt);
+  if (!clearance) {
+    ReleaseUnused(attempt);
+    co_return clearance.error();
   }
   mPartialEvent.clear();
-  mCore->mNotices.CountSend(endpoint);
   LogSent(attempt.mPick);
   attempt.mPick.mSentAt = Now();
   if (endpoint.mRunning++ == 0) {
@@ -138,13 +135,14 @@
   }
   attempt.mPlace = std::exchange(mPlace, std::nullopt);
   mTried.push_back(endpoint.mInfo.mId);
-  Send(attempt);
+  Send(attempt, std::move(*clearance));
   mTimes.mSent = SinceArrival();
   const auto connection = attempt.mConnection.mReader;
   endpoint.mBusy.insert(connection);
   const auto outcome = co_await ReadAnswer(attempt);
   endpoint.mBusy.erase(connection);
   --endpoint.mRunning;
+  SettleClearance(attempt, false);
   if (!attempt.mHasBegun) {
     NoteRead(attempt.mPick);
   }
@@ -160,6 +158,46 @@
   co_return outcome;
 }
 
+tl::expected<state::SendClearance, AttemptOutcome>
+RelayRun::ClearToSend(const Attempt& aAttempt)
+{
+  // The wait for a part, a permit or a connection was long enough for the
+  // endpoint to become unavailable since it was chosen.
+  const auto& endpoint = aAttempt.mPick.mEndpoint;
+  const auto permit =
+    endpoint->PermitNeedOf(IsUrgent(Urgency()), HasPlaceAt(endpoint));
+  const auto obstacle = endpoint->mAvailability->ObstacleAtSend(Now(), permit);
+  if (obstacle != state::Obstacle::kNone) {
+    mLastProblem =
+      "endpoint " + std::string(state::kObstacleNames.Name(obstacle));
+    mCore->mNotices.CountWithheld(*endpoint, obstacle);
+    return tl::unexpected(OutcomeOf(obstacle));
+  }
+  if (const auto reason = ReasonToWithhold(); !reason.empty()) {
+    mLastProblem = reason;
+    return tl::unexpected(AttemptOutcome::kWithheld);
+  }
+  return endpoint->mAvailability->Clear(Now());
+}
+
+void
+RelayRun::ReleaseUnused(Attempt& aAttempt)
+{
+  // Nothing was sent on the connection: it is as good as before.
+  mOpenAttempt = nullptr;
+  mCore->mEndpoints.PutIdle(
+    *aAttempt.mPick.mEndpoint, std::move(aAttempt.mConnection), {}, Now());
+}
+
+void
+RelayRun::SettleClearance(Attempt& aAttempt, bool aIsAccepted)
+{
+  if (aAttempt.mClearance) {
+    aAttempt.mPick.mEndpoint->mAvailability->Settle(
+      *std::exchange(aAttempt.mClearance, std::nullopt), aIsAccepted);
+  }
+}
+
 std::string_view
 RelayRun::ReasonToWithhold()
 {
@@ -207,7 +245,7 @@
     co_await transport::ConnectSocket(*target, settings.mConnectTimeout);
   if (!socket) {
     if (socket.error() == asio::error::connection_refused) {
-      endpoint.mClosedUntil = Now() + settings.mRefusedPause;
+      endpoint.mAvailability->Pause(settings.mRefusedPause, Now());
     }
     mLastProblem = "connect: " + socket.error().message();
     co_return AttemptOutcome::kUnsent;
@@ -227,8 +265,9 @@
 }
 
 void
-RelayRun::Send(Attempt& aAttempt)
+RelayRun::Send(Attempt& aAttempt, state::SendClearance aClearance)
 {
+  aAttempt.mClearance = std::move(aClearance);
   aAttempt.mSending = std::make_shared<Sending>();
   aAttempt.mSending->mRequest = mRequest;
   aAttempt.mSending->mHead =
@@ -303,7 +342,8 @@
 {
   const auto& tell = mCore->mParts.mTellWaiting;
   // Of a former life nothing is told any more.
-  if (tell && aEndpoint.mIsListed && !aEndpoint.mInfo.mModels.empty()) {
+  if (tell && aEndpoint.mAvailability->IsListed() &&
+      !aEndpoint.mInfo.mModels.empty()) {
     tell(aEndpoint.mInfo.mAddress, aEndpoint.mWaiting, aPart);
   }
 }
--- a/packages/coordination/src/relay_attempt.h
+++ b/packages/coordination/src/relay_attempt.h
@@ -26,6 +26,8 @@
   std::unique_ptr<transport::RelayAnswerReader> mAnswer;
   AnswerFacts mFacts;
   std::optional<HeldPlace> mPlace; ///< that it used
+  /// While the endpoint has not answered.
+  std::optional<state::SendClearance> mClearance;
   bool mIsHeadJudged = false;
   bool mIsOther = false;        ///< the answer is to another request
   std::string mHeld;            ///< body that waits until the answer is whole
--- a/packages/coordination/src/relay_choice_view.cpp
+++ b/packages/coordination/src/relay_choice_view.cpp
@@ -8,6 +8,7 @@
 namespace shuntjunction::coordination {
 
 using state::Millis;
+using state::Obstacle;
 using state::RelayCandidate;
 using state::TimePoint;
 
@@ -66,9 +67,9 @@
       std::find(tried.begin(), tried.end(), aEndpoint->mInfo.mId) !=
       tried.end();
     const auto& rate = aEndpoint->mRate;
-    const bool hasNoPlace =
-      rate && mNow < rate->PlaceAt(IsUrgent(mAsk.mUrgency));
-    if (isTried || hasNoPlace || mNow < aEndpoint->mClosedUntil) {
+    const auto obstacle = aEndpoint->mAvailability->ObstacleAt(
+      mNow, aEndpoint->PermitNeedOf(IsUrgent(mAsk.mUrgency), false));
+    if (isTried || obstacle != Obstacle::kNone) {
       return;
     }
     RelayCandidate candidate;
@@ -278,26 +279,37 @@
   return pick;
 }
 
-std::optional<LimitedService>
-ServiceBeyondRates(Relay::Core& aCore,
-                   const std::string& aService,
-                   bool aIsUrgent)
+std::optional<ServiceOutage>
+OutageOf(Relay::Core& aCore, const RelayAsk& aAsk)
 {
-  const auto serving = aCore.mEndpoints.Serving(aService);
-  std::optional<LimitedService> limited;
-  for (const auto& endpoint : serving) {
-    const auto& rate = endpoint->mRate;
-    if (!rate) {
+  const auto& tried = *aAsk.mTried;
+  const auto now = aCore.mParts.mClock.Now();
+  ServiceOutage outage;
+  bool isKnown = false;
+  for (const auto& endpoint : aCore.mEndpoints.Listed(aAsk.mService)) {
+    if (!endpoint->TakesWork()) {
+      isKnown = true;
+      continue;
+    }
+    const auto opening = endpoint->OpeningAt(now, IsUrgent(aAsk.mUrgency));
+    const bool isOpen = opening.mObstacle == Obstacle::kNone;
+    const bool isTried =
+      std::find(tried.begin(), tried.end(), endpoint->mInfo.mId) != tried.end();
+    if (isOpen && !isTried) {
       return std::nullopt;
     }
-    const auto placeAt = rate->PlaceAt(aIsUrgent);
-    if (!limited) {
-      limited = LimitedService{ 0, placeAt };
+    isKnown = isKnown || !isOpen;
+    outage.mPerSecond += endpoint->mRate ? endpoint->mRate->mPerSecond : 0;
+    if (!isTried) {
+      outage.mUntil = std::min(outage.mUntil, opening.mAt);
+    }
+    const auto opensAt = isOpen ? now : opening.mAt;
+    if (opensAt < outage.mReturnAt) {
+      outage.mReturnAt = opensAt;
+      outage.mObstacle = opening.mObstacle;
     }
-    limited->mPerSecond += rate->mPerSecond;
-    limited->mPlaceAt = std::min(limited->mPlaceAt, placeAt);
   }
-  return limited;
+  return isKnown ? std::optional(outage) : std::nullopt;
 }
 
 bool
@@ -310,7 +322,7 @@
       const auto* news = aCore.mEndpoints.FreshNews(*aEndpoint, now);
       const bool isDown =
         news != nullptr && news->mPhase == protocol::EnginePhase::kDown;
-      return isDown || now < aEndpoint->mClosedUntil ||
+      return isDown || now < aEndpoint->mAvailability->CooldownEnd() ||
              now < aEndpoint->mSuspectUntil ||
              aCore.mEndpoints.IsSilent(*aEndpoint, now);
     });
--- a/packages/coordination/src/relay_choice_view.h
+++ b/packages/coordination/src/relay_choice_view.h
@@ -55,12 +55,23 @@
   return aUrgency == 0;
 }
 
-/// A service all of whose endpoints that take work name rates; empty: not all
-/// do.
-std::optional<LimitedService>
-ServiceBeyondRates(Relay::Core& aCore,
-                   const std::string& aService,
-                   bool aIsUrgent);
+/// A time in which no endpoint of a service takes a request, as the list and
+/// the endpoints themselves report.
+struct ServiceOutage
+{
+  /// Until an endpoint takes this request, which each gets once at the most.
+  state::TimePoint mUntil = state::TimePoint::max();
+  /// When an endpoint takes requests again at all; max: none is known to.
+  state::TimePoint mReturnAt = state::TimePoint::max();
+  /// What keeps requests away from that one; kNone: nothing does.
+  state::Obstacle mObstacle = state::Obstacle::kDraining;
+  double mPerSecond = 0; ///< of the endpoints that name rates
+};
+
+/// The outage of a request's service; empty: there is none, or no endpoint is
+/// known.
+std::optional<ServiceOutage>
+OutageOf(Relay::Core& aCore, const RelayAsk& aAsk);
 
 /// Whether no endpoint of a service can be reached, as far as is known.
 bool
--- a/packages/coordination/src/relay_endpoint.cpp
+++ b/packages/coordination/src/relay_endpoint.cpp
@@ -35,19 +35,29 @@
   return std::chrono::seconds(seconds);
 }
 
-/// Closes what rests; a reader that is only let go stays open until its peer
-/// closes.
+} // namespace
+
+Opening
+RelayEndpoint::OpeningAt(TimePoint aNow, bool aIsUrgent) const
+{
+  const auto cooldownEnd = mAvailability->RequestedCooldownEnd();
+  const auto permitAt = mRate ? mRate->PlaceAt(aIsUrgent) : TimePoint::min();
+  if (aNow < cooldownEnd && cooldownEnd >= permitAt) {
+    return { state::Obstacle::kCooldown, cooldownEnd };
+  }
+  return mRate ? Opening{ state::Obstacle::kNoPermit, permitAt } : Opening{};
+}
+
 void
-CloseIdle(RelayEndpoint& aEndpoint)
+RelayEndpoint::CloseIdle()
 {
-  for (const auto& connection : aEndpoint.mIdle) {
+  // A reader that is only let go stays open until its peer closes.
+  for (const auto& connection : mIdle) {
     connection.mReader->Close(false);
   }
-  aEndpoint.mIdle.clear();
+  mIdle.clear();
 }
 
-} // namespace
-
 RelayEndpoints::RelayEndpoints(const RelayEndpointSettings& aSettings)
   : mSettings(aSettings)
 {
@@ -83,18 +93,17 @@
       entry->mInfo = info;
     }
     entry->mAvailability->SetListing(true, entry->mInfo.mIsLeaving);
-    if (entry->mInfo.mIsLeaving) {
-      CloseIdle(*entry);
+    if (!entry->TakesWork()) {
+      entry->CloseIdle();
     }
   }
   std::erase_if(mById, [&](const auto& aItem) {
     const bool isGone = !listed.contains(aItem.first);
     if (isGone) {
-      aItem.second->mIsListed = false;
       if (!aItem.second->mInfo.mIsLeaving) {
         changes.mLeaving.push_back(aItem.second);
       }
-      CloseIdle(*aItem.second);
+      aItem.second->CloseIdle();
       mAvailabilities.NoteRemoved(aItem.first);
       mParts.Forget(aItem.first);
     }
@@ -114,7 +123,6 @@
   aEntry->mAvailability =
     mAvailabilities.Begin(former->mInfo.mId, former->mLife.Current());
   aEntry->mAvailability->SetListing(true, aEntry->mInfo.mIsLeaving);
-  former->mIsListed = false;
   former->mHasCrashed = true;
   CutOff(*former);
   mParts.Forget(former->mInfo.mId);
@@ -133,6 +141,27 @@
   return serving;
 }
 
+std::vector<RelayEndpointPtr>
+RelayEndpoints::Listed(std::string_view aService) const
+{
+  std::vector<RelayEndpointPtr> listed;
+  for (const auto& [id, endpoint] : mById) {
+    if (endpoint->mInfo.mService == aService) {
+      listed.push_back(endpoint);
+    }
+  }
+  return listed;
+}
+
+std::size_t
+RelayEndpoints::CountObstacles(state::Obstacle aObstacle, TimePoint aNow) const
+{
+  return static_cast<std::size_t>(
+    std::count_if(mById.begin(), mById.end(), [&](const auto& aItem) {
+      return aItem.second->mAvailability->ObstacleAt(aNow) == aObstacle;
+    }));
+}
+
 RelayEndpointPtr
 RelayEndpoints::Find(std::string_view aId) const
 {
@@ -280,7 +309,7 @@
 void
 RelayEndpoints::CutOff(RelayEndpoint& aEndpoint)
 {
-  CloseIdle(aEndpoint);
+  aEndpoint.CloseIdle();
   const auto busy = std::exchange(aEndpoint.mBusy, {});
   for (const auto& connection : busy) {
     connection->Close(true);
--- a/packages/coordination/src/relay_endpoint.h
+++ b/packages/coordination/src/relay_endpoint.h
@@ -99,13 +99,19 @@
   }
 };
 
+/// When an endpoint takes requests again.
+struct Opening
+{
+  state::Obstacle mObstacle = state::Obstacle::kNone;
+  state::TimePoint mAt;
+};
+
 /// One endpoint as a relay knows it.
 struct RelayEndpoint
 {
   state::EndpointInfo mInfo;
   state::LifeTracker mLife; ///< that all of this is about
   std::uint64_t mNameHash = 0;
-  bool mIsListed = true;
   /// Of this incarnation; it outlasts a lapse of the list's entry.
   state::AvailabilityBook::Ptr mAvailability;
   std::vector<EndpointConnection> mIdle; ///< the freshest last
@@ -118,7 +124,6 @@
   int mFailures = 0;             ///< in a row
   state::Millis mSuspicion{ 0 };
   state::TimePoint mSuspectUntil;
-  state::TimePoint mClosedUntil; ///< rests after a refusal
   /// Nothing listens at its address, or another life of it does.
   bool mHasCrashed = false;
   bool mIsBeingChecked = false; ///< whether it has; see HasCrashed
@@ -135,8 +140,26 @@
   /// Its last bytes, or the sending of a request when none waited there.
   state::TimePoint mBytesAt;
 
-  /// Whether it may get new work, as far as the list says.
-  bool TakesWork() const { return mIsListed && !mInfo.mIsLeaving; }
+  /// Whether it is neither removed nor draining.
+  bool TakesWork() const
+  {
+    return mAvailability->IsListed() && !mAvailability->IsDraining();
+  }
+
+  /// What the rate that it names asks of a request.
+  state::PermitNeed PermitNeedOf(bool aIsUrgent, bool aIsHeld) const
+  {
+    return mRate ? state::PermitNeed{ true, aIsHeld, mRate->PlaceAt(aIsUrgent) }
+                 : state::PermitNeed{};
+  }
+
+  /// What it said itself that keeps a request away, and until when.
+  ///
+  /// Attempts that failed are no such word: it may be back at any moment.
+  Opening OpeningAt(state::TimePoint aNow, bool aIsUrgent) const;
+
+  /// Closes connections on which no request waits.
+  void CloseIdle();
 };
 
 using RelayEndpointPtr = std::shared_ptr<RelayEndpoint>;
@@ -164,6 +187,13 @@
   /// Endpoints of a service that may get new work.
   std::vector<RelayEndpointPtr> Serving(std::string_view aService) const;
 
+  /// Endpoints of a service that are listed, draining ones among them.
+  std::vector<RelayEndpointPtr> Listed(std::string_view aService) const;
+
+  /// How many listed endpoints meet an obstacle of their own.
+  std::size_t CountObstacles(state::Obstacle aObstacle,
+                             state::TimePoint aNow) const;
+
   /// The endpoint of an id; null when it is not listed.
   RelayEndpointPtr Find(std::string_view aId) const;
 
--- a/packages/coordination/src/relay_limits.cpp
+++ b/packages/coordination/src/relay_limits.cpp
@@ -158,6 +158,7 @@
     case AttemptOutcome::kWithheld:
     case AttemptOutcome::kLeft:
     case AttemptOutcome::kNoPlace:
+    case AttemptOutcome::kCooldown:
     case AttemptOutcome::kNotRun:
     case AttemptOutcome::kMisdirected:
       return;
--- a/packages/coordination/src/relay_notices.cpp
+++ b/packages/coordination/src/relay_notices.cpp
@@ -7,19 +7,16 @@
 using state::Millis;
 using state::Obstacle;
 
-RelayNotices::RelayNotices(const RelayParts& aParts, RelayRates& aRates)
+RelayNotices::RelayNotices(const RelayParts& aParts)
   : mParts(aParts)
-  , mRates(aRates)
 {
 }
 
 void
 RelayNotices::Take(RelayEndpoint& aEndpoint,
                    const state::EndpointNotice& aNotice,
-                   std::string_view aRequestId,
-                   const HeldPlace* aPlace)
+                   std::string_view aRequestId)
 {
-  mRates.Note(aEndpoint, aNotice.mRate, aPlace);
   if (aNotice.mRetryAfter.mForm == state::RetryAfterForm::kUnreadable) {
     mParts.mMetrics.Count("shuntjunction_relay_unreadable_retry_after_total");
   }
@@ -29,6 +26,9 @@
   if (!change.mIsDraining && change.mCooldown == Millis(0)) {
     return;
   }
+  if (change.mIsDraining) {
+    aEndpoint.CloseIdle();
+  }
   const std::string_view what = change.mIsDraining ? "draining" : "cooldown";
   mParts.mMetrics.Count("shuntjunction_relay_notices_total",
                         { { "service", aEndpoint.mInfo.mService },
@@ -43,16 +43,21 @@
 }
 
 void
-RelayNotices::CountSend(const RelayEndpoint& aEndpoint)
+RelayNotices::CountWithheld(const RelayEndpoint& aEndpoint, Obstacle aObstacle)
 {
-  const auto obstacle =
-    aEndpoint.mAvailability->ObstacleAt(mParts.mClock.Now());
-  if (obstacle != Obstacle::kNone) {
-    mParts.mMetrics.Count(
-      "shuntjunction_relay_sends_despite_notice_total",
-      { { "service", aEndpoint.mInfo.mService },
-        { "obstacle", std::string(state::kObstacleNames.Name(obstacle)) } });
-  }
+  mParts.mMetrics.Count(
+    "shuntjunction_relay_sends_withheld_total",
+    { { "service", aEndpoint.mInfo.mService },
+      { "obstacle", std::string(state::kObstacleNames.Name(aObstacle)) } });
+}
+
+void
+RelayNotices::CountRefused(const std::string& aService, Obstacle aObstacle)
+{
+  mParts.mMetrics.Count(
+    "shuntjunction_relay_unavailable_refusals_total",
+    { { "service", aService },
+      { "obstacle", std::string(state::kObstacleNames.Name(aObstacle)) } });
 }
 
 } // namespace shuntjunction::coordination
--- a/packages/coordination/src/relay_notices.h
+++ b/packages/coordination/src/relay_notices.h
@@ -5,7 +5,6 @@
 #include <string_view>
 
 #include "relay_endpoint.h"
-#include "relay_rates.h"
 #include "shuntjunction/coordination/relay.h"
 
 namespace shuntjunction::coordination {
@@ -16,24 +15,24 @@
 class RelayNotices
 {
 public:
-  /// @param aParts, aRates  outlive this
-  RelayNotices(const RelayParts& aParts, RelayRates& aRates);
+  /// @param aParts  outlive this
+  explicit RelayNotices(const RelayParts& aParts);
 
-  /// Takes what an answer advertises.
+  /// Takes that an answer reports a drain, or asks for a cooldown.
   ///
   /// @param aRequestId  of the request that got it, for the log
-  /// @param aPlace  with which the request was sent; null: with none
   void Take(RelayEndpoint& aEndpoint,
             const state::EndpointNotice& aNotice,
-            std::string_view aRequestId,
-            const HeldPlace* aPlace);
+            std::string_view aRequestId);
 
-  /// Counts a request that is sent despite an obstacle.
-  void CountSend(const RelayEndpoint& aEndpoint);
+  /// Counts a request that was not sent after its endpoint had been chosen.
+  void CountWithheld(const RelayEndpoint& aEndpoint, state::Obstacle aObstacle);
+
+  /// Counts a request that is refused since its whole service is unavailable.
+  void CountRefused(const std::string& aService, state::Obstacle aObstacle);
 
 private:
   const RelayParts& mParts;
-  RelayRates& mRates;
 };
 
 } // namespace shuntjunction::coordination
--- a/packages/coordination/src/relay_places.cpp
+++ b/packages/coordination/src/relay_places.cpp
@@ -1,11 +1,20 @@
 #include "relay_run.h"
+#include "shuntjunction/state/spread_pause.h"
 
-// The part of a run that keeps to the rate of its endpoint.
+// The part of a run that keeps to what endpoints advertise.
 
 namespace shuntjunction::coordination {
 
+using state::Millis;
 using transport::Task;
 
+namespace {
+
+/// Callers that an outage turned away come back within this after its end.
+constexpr Millis kReturnSpread{ 500 };
+
+} // namespace
+
 Task<bool>
 RelayRun::HoldPlace(const RelayPick& aPick)
 {
@@ -32,15 +41,34 @@
 }
 
 bool
-RelayRun::IsBeyondRates(state::TimePoint aUntil)
+RelayRun::IsUnavailable(const RelayAsk& aAsk, state::TimePoint aUntil)
 {
-  const auto limited =
-    ServiceBeyondRates(*mCore, mService, IsUrgent(Urgency()));
-  if (!limited || (limited->mPlaceAt < aUntil && Now() < aUntil)) {
+  const auto outage = OutageOf(*mCore, aAsk);
+  if (!outage || (outage->mUntil < aUntil && Now() < aUntil)) {
     return false;
   }
-  mLastProblem = "endpoints-limited";
-  mRetryAfter = mCore->mRates.ReturnAfter(mService, *limited, mCore->Relays());
+  mCore->mNotices.CountRefused(mService, outage->mObstacle);
+  switch (outage->mObstacle) {
+    case state::Obstacle::kNoPermit:
+      mLastProblem = "endpoints-limited";
+      mRetryAfter = mCore->mRates.ReturnAfter(
+        mService, outage->mPerSecond, mCore->Relays());
+      break;
+    case state::Obstacle::kCooldown: {
+      const auto left = std::chrono::ceil<Millis>(outage->mReturnAt - Now());
+      mLastProblem = "endpoints-cooldown";
+      mRetryAfter = left + state::SpreadPause(kReturnSpread, mCore->mRandom);
+      break;
+    }
+    case state::Obstacle::kDraining:
+      mLastProblem = "endpoints-draining";
+      mRetryAfter = state::SpreadPause(kRetryAfterOutage, mCore->mRandom);
+      break;
+    default:
+      // Each endpoint that is open has had this request.
+      mRetryAfter = kRetrySoon;
+      break;
+  }
   return true;
 }
 
--- a/packages/coordination/src/relay_rates.cpp
+++ b/packages/coordination/src/relay_rates.cpp
@@ -129,13 +129,13 @@
 
 Millis
 RelayRates::ReturnAfter(const std::string& aService,
-                        const LimitedService& aLimited,
+                        double aPerSecond,
                         double aRelays)
 {
   mParts.mMetrics.Count("shuntjunction_relay_limited_refusals_total",
                         { { "service", aService } });
   constexpr double kLeastRate = 0.1;
-  return mReturns[aService].Next(std::max(aLimited.mPerSecond, kLeastRate),
+  return mReturns[aService].Next(std::max(aPerSecond, kLeastRate),
                                  std::max(aRelays, 1.0),
                                  mParts.mClock.Now());
 }
--- a/packages/coordination/src/relay_rates.h
+++ b/packages/coordination/src/relay_rates.h
@@ -21,13 +21,6 @@
   std::uint32_t mEdition = 0; ///< see state::RateReport
 };
 
-/// A service all of whose endpoints name rates.
-struct LimitedService
-{
-  double mPerSecond = 0;     ///< of all of them together
-  state::TimePoint mPlaceAt; ///< when one of them may have a place
-};
-
 /// What one relay knows of endpoints' rates, and its way to their keepers.
 ///
 /// Thread safety: none; owned by the traffic thread.
@@ -57,9 +50,10 @@
 
   /// When a caller may come back that found no place at any endpoint.
   ///
+  /// @param aPerSecond  that all endpoints of the service take together
   /// @param aRelays  that refuse alike
   state::Millis ReturnAfter(const std::string& aService,
-                            const LimitedService& aLimited,
+                            double aPerSecond,
                             double aRelays);
 
   /// Writes what became of requests for an endpoint since the last line.
--- a/packages/coordination/src/relay_run.cpp
+++ b/packages/coordination/src/relay_run.cpp
@@ -21,10 +21,8 @@
 constexpr unsigned kUnavailable = 503;
 constexpr unsigned kFirstServerError = 500;
 
-/// How long a refused caller is told to stay away when no endpoint of its
-/// service answers: the time in which one that was restarted is listed again.
-constexpr Millis kRetryAfterOutage{ 1500 };
-/// The same when no configuration was read yet: the store cannot be reached.
+/// How long a caller stays away when no configuration was read yet: the store
+/// cannot be reached.
 constexpr Millis kRetryLater{ 1000 };
 /// The same when keys were not confirmed in time: most often this relay alone
 /// is cut off from the store, and another, which a new connection reaches,
@@ -289,7 +287,7 @@
     if (auto pick = ChooseEndpoint(*mCore, ask)) {
       co_return pick;
     }
-    if (IsBeyondRates(std::min(until, mDeadline))) {
+    if (IsUnavailable(ask, std::min(until, mDeadline))) {
       break;
     }
     if (Now() >= until) {
@@ -401,15 +399,17 @@
       endpoints.NoteFailure(endpoint, Now());
       break;
     case AttemptOutcome::kNotRun:
-      endpoint.mClosedUntil = Now() + endpoints.Settings().mFullPause;
+      endpoint.mAvailability->Pause(endpoints.Settings().mFullPause, Now());
       break;
     case AttemptOutcome::kMisdirected:
-      endpoint.mClosedUntil = Now() + endpoints.Settings().mMisdirectedPause;
+      endpoint.mAvailability->Pause(endpoints.Settings().mMisdirectedPause,
+                                    Now());
       break;
     case AttemptOutcome::kFailed:
     case AttemptOutcome::kWithheld:
     case AttemptOutcome::kLeft:
     case AttemptOutcome::kNoPlace:
+    case AttemptOutcome::kCooldown:
     case AttemptOutcome::kInterrupted:
       break;
   }
--- a/packages/coordination/src/relay_run.h
+++ b/packages/coordination/src/relay_run.h
@@ -14,6 +14,10 @@
 /// How long a refused caller is told to stay away.
 inline constexpr state::Millis kRetrySoon{ 100 };
 
+/// The same when no endpoint of its service answers, or all of them drain: the
+/// time in which one that was started is listed.
+inline constexpr state::Millis kRetryAfterOutage{ 1500 };
+
 /// How often a request that waits looks again.
 inline constexpr state::Millis kWaitStep{ 15 };
 
@@ -34,6 +38,7 @@
   kWithheld,    ///< nothing was sent, and nothing may be any more
   kLeft,        ///< nothing was sent: the endpoint takes no work any more
   kNoPlace,     ///< nothing was sent: the endpoint named a rate meanwhile
+  kCooldown,    ///< nothing was sent: the endpoint wants nothing for a time
   kNotRun,      ///< the endpoint said that it did not run the request
   kMisdirected, ///< the endpoint is another, or has other weights
   kFailed,      ///< the endpoint's own failure, which is kept for the caller
@@ -42,12 +47,13 @@
 };
 
 /// Names of AttemptOutcome.
-inline constexpr state::EnumNames<AttemptOutcome, 10> kAttemptOutcomeNames{
+inline constexpr state::EnumNames<AttemptOutcome, 11> kAttemptOutcomeNames{
   { "done",
     "unsent",
     "withheld",
     "left",
     "no-place",
+    "cooldown",
     "not-run",
     "misdirected",
     "failed",
@@ -131,9 +137,9 @@
   bool HasPlaceAt(const RelayEndpointPtr& aEndpoint) const;
   /// Gives a place back whose request was not sent.
   void ReturnPlace();
-  /// Whether a request for a service all of whose endpoints name rates would
-  /// wait too long for a place; notes what its caller is told then.
-  bool IsBeyondRates(state::TimePoint aUntil);
+  /// Whether no endpoint of the service takes the request until a time; notes
+  /// what its caller is told then.
+  bool IsUnavailable(const RelayAsk& aAsk, state::TimePoint aUntil);
 
   // Attempts.
   transport::Task<void> Serve();
@@ -148,9 +154,17 @@
   transport::Task<AttemptOutcome> Try(RelayPick aPick);
   transport::Task<AttemptOutcome> TryThere(RelayPick aPick);
   transport::Task<AttemptOutcome> Connect(Attempt& aAttempt);
-  /// Why a request must not be sent at this moment; empty: it may be.
+  /// Asks at the last moment whether the endpoint may get the request.
+  tl::expected<state::SendClearance, AttemptOutcome> ClearToSend(
+    const Attempt& aAttempt);
+  /// Why the request must not be sent anywhere at this moment; empty: it may
+  /// be.
   std::string_view ReasonToWithhold();
-  void Send(Attempt& aAttempt);
+  /// Gives a connection back on which nothing was sent.
+  void ReleaseUnused(Attempt& aAttempt);
+  void Send(Attempt& aAttempt, state::SendClearance aClearance);
+  /// Takes that the endpoint answered, or that no answer is waited for.
+  void SettleClearance(Attempt& aAttempt, bool aIsAccepted);
   HandOver HandOverOf(const RelayPick& aPick) const;
   void NotePartIsRead(const RelayPick& aPick);
   /// Counts the tokens that an endpoint has to read, and no more.
@@ -177,6 +191,10 @@
   /// Judges a head when it is whole; an outcome if the answer is not passed on.
   std::optional<AttemptOutcome> JudgeOnce(Attempt& aAttempt,
                                           transport::ReadStep aStep);
+  /// Takes what an answer advertises, whatever becomes of the answer.
+  void TakeNotice(Attempt& aAttempt);
+  /// The same of an answer that came while the run was interrupted.
+  void TakeNoticeOfUnread(Attempt& aAttempt);
   void SkipOther(Attempt& aAttempt, bool aIsDone);
   std::optional<AttemptOutcome> JudgeHead(Attempt& aAttempt);
   transport::Task<bool> PassBody(Attempt& aAttempt, bool aIsDone);
--- a/packages/state/include/shuntjunction/state/endpoint_availability.h
+++ b/packages/state/include/shuntjunction/state/endpoint_availability.h
@@ -7,8 +7,6 @@
 #include <string>
 #include <string_view>
 
-#include <tl/expected.hpp>
-
 #include "shuntjunction/state/endpoint_life.h"
 #include "shuntjunction/state/endpoint_notice.h"
 
@@ -103,12 +101,17 @@
   /// Takes that an attempt failed in a way after which the next would, too.
   void Pause(Millis aPause, TimePoint aNow);
 
-  /// The first obstacle to a request.
+  /// The first obstacle to a request that might be sent there soon: a permit
+  /// may still be acquired.
   Obstacle ObstacleAt(TimePoint aNow, const PermitNeed& aPermit = {}) const;
 
-  /// Leave to send a request at this moment, or the obstacle.
-  tl::expected<SendClearance, Obstacle> Clear(TimePoint aNow,
-                                              const PermitNeed& aPermit = {});
+  /// The first obstacle to a request that would be sent now.
+  Obstacle ObstacleAtSend(TimePoint aNow, const PermitNeed& aPermit) const;
+
+  /// Leave to send a request.
+  ///
+  /// @pre  ObstacleAtSend gave kNone at aNow
+  SendClearance Clear(TimePoint aNow);
 
   /// Takes how a cleared request went: once, with the head of its answer or
   /// without one.
@@ -120,6 +123,8 @@
   bool IsReportedDraining() const { return mIsReportedDraining; }
   /// End of the cooldown; in the past when there is none.
   TimePoint CooldownEnd() const;
+  /// End of the cooldown that the endpoint asked for; in the past as above.
+  TimePoint RequestedCooldownEnd() const { return mCooldownUntil; }
 
 private:
   bool IsRecovering(TimePoint aNow) const;
@@ -149,7 +154,7 @@
   /// That of an endpoint's incarnation, as it was when it was known before.
   Ptr Find(const std::string& aId, EndpointLife aLife);
 
-  /// That of a new incarnation; the former one is over.
+  /// That of an incarnation that took the place of another.
   Ptr Begin(const std::string& aId, EndpointLife aLife);
 
   /// Takes that an endpoint is not listed any more.
--- a/packages/state/src/endpoint_availability.cpp
+++ b/packages/state/src/endpoint_availability.cpp
@@ -82,16 +82,19 @@
   return Obstacle::kNone;
 }
 
-tl::expected<SendClearance, Obstacle>
-EndpointAvailability::Clear(TimePoint aNow, const PermitNeed& aPermit)
+Obstacle
+EndpointAvailability::ObstacleAtSend(TimePoint aNow,
+                                     const PermitNeed& aPermit) const
+{
+  const auto obstacle = ObstacleAt(aNow, aPermit);
+  const bool lacksPermit = aPermit.mIsNeeded && !aPermit.mIsHeld;
+  return obstacle == Obstacle::kNone && lacksPermit ? Obstacle::kNoPermit
+                                                    : obstacle;
+}
+
+SendClearance
+EndpointAvailability::Clear(TimePoint aNow)
 {
-  auto obstacle = ObstacleAt(aNow, aPermit);
-  if (obstacle == Obstacle::kNone && aPermit.mIsNeeded && !aPermit.mIsHeld) {
-    obstacle = Obstacle::kNoPermit;
-  }
-  if (obstacle != Obstacle::kNone) {
-    return tl::unexpected(obstacle);
-  }
   if (!IsRecovering(aNow)) {
     return SendClearance(0);
   }
@@ -145,6 +148,10 @@
 AvailabilityBook::Begin(const std::string& aId, EndpointLife aLife)
 {
   auto& entry = mById[aId];
+  // A list that came late may have hidden the incarnation in between.
+  if (entry.mAvailability && aLife.IsKnown() && entry.mLife == aLife) {
+    return Find(aId, aLife);
+  }
   if (entry.mAvailability) {
     entry.mAvailability->SetListing(false, false);
   }
--- /dev/null
+++ b/packages/state/tests/endpoint_availability_test.cpp
@@ -0,0 +1,272 @@
+#include <gtest/gtest.h>
+
+#include "shuntjunction/state/endpoint_availability.h"
+
+// Whether a relay may send to an endpoint, by the list, by the endpoint's own
+// answers and by attempts that failed.
+
+namespace shuntjunction::state {
+
+namespace {
+
+EndpointNotice
+Drain()
+{
+  EndpointNotice notice;
+  notice.mIsDraining = true;
+  return notice;
+}
+
+EndpointNotice
+Cooldown(Millis aTime)
+{
+  EndpointNotice notice;
+  notice.mRetryAfter = { RetryAfterForm::kDelay, aTime, 0 };
+  return notice;
+}
+
+} // namespace
+
+class GivenAListedEndpoint : public ::testing::Test
+{
+protected:
+  NoticeChange Take(const EndpointNotice& aNotice)
+  {
+    return mEndpoint.Take(aNotice, mClock.Now(), mClock.WallMillis());
+  }
+
+  Obstacle Now() const { return mEndpoint.ObstacleAt(mClock.Now()); }
+
+  ManualClock mClock;
+  EndpointAvailability mEndpoint;
+};
+
+TEST_F(GivenAListedEndpoint, ItIsAvailable)
+{
+  EXPECT_EQ(Now(), Obstacle::kNone);
+}
+
+TEST_F(GivenAListedEndpoint, AnAnswerThatAdvertisesNothingChangesNothing)
+{
+  const auto change = Take({});
+  EXPECT_FALSE(change.mIsDraining);
+  EXPECT_EQ(change.mCooldown, Millis(0));
+  EXPECT_EQ(Now(), Obstacle::kNone);
+}
+
+TEST_F(GivenAListedEndpoint, OnceItIsRemovedNothingElseIsAsked)
+{
+  Take(Drain());
+  mEndpoint.SetListing(false, false);
+  EXPECT_EQ(Now(), Obstacle::kRemoved);
+}
+
+TEST_F(GivenAListedEndpoint, APermitIsAskedForAtTheChoiceAndHeldAtTheSend)
+{
+  PermitNeed need{ true, false, mClock.Now() + Millis(10) };
+  EXPECT_EQ(mEndpoint.ObstacleAt(mClock.Now(), need), Obstacle::kNoPermit);
+  mClock.Advance(Millis(10));
+  EXPECT_EQ(mEndpoint.ObstacleAt(mClock.Now(), need), Obstacle::kNone);
+  EXPECT_EQ(mEndpoint.ObstacleAtSend(mClock.Now(), need), Obstacle::kNoPermit);
+  need.mIsHeld = true;
+  EXPECT_EQ(mEndpoint.ObstacleAtSend(mClock.Now(), need), Obstacle::kNone);
+}
+
+class WhoseAnswerReportedADrain : public GivenAListedEndpoint
+{
+protected:
+  WhoseAnswerReportedADrain() { EXPECT_TRUE(Take(Drain()).mIsDraining); }
+};
+
+TEST_F(WhoseAnswerReportedADrain, ItIsNotAvailable)
+{
+  EXPECT_EQ(Now(), Obstacle::kDraining);
+}
+
+TEST_F(WhoseAnswerReportedADrain, AListThatShowsItAsReadyDoesNotBringItBack)
+{
+  mEndpoint.SetListing(true, true);
+  mEndpoint.SetListing(true, false);
+  EXPECT_EQ(Now(), Obstacle::kDraining);
+}
+
+TEST_F(WhoseAnswerReportedADrain, AnAnswerWithoutTheReportDoesNotBringItBack)
+{
+  EXPECT_FALSE(Take({}).mIsDraining);
+  EXPECT_EQ(Now(), Obstacle::kDraining);
+}
+
+TEST_F(WhoseAnswerReportedADrain, FurtherReportsChangeNothing)
+{
+  EXPECT_FALSE(Take(Drain()).mIsDraining);
+}
+
+class ThatAskedForACooldown : public GivenAListedEndpoint
+{
+protected:
+  static constexpr Millis kTime{ 3000 };
+
+  ThatAskedForACooldown() { EXPECT_EQ(Take(Cooldown(kTime)).mCooldown, kTime); }
+
+  /// Sends a request, which is answered at once.
+  void SendOne(bool aIsAccepted)
+  {
+    ASSERT_EQ(Now(), Obstacle::kNone);
+    mEndpoint.Settle(mEndpoint.Clear(mClock.Now()), aIsAccepted);
+  }
+};
+
+TEST_F(ThatAskedForACooldown, ItIsNotAvailableUntilTheEnd)
+{
+  mClock.Advance(kTime - Millis(1));
+  EXPECT_EQ(Now(), Obstacle::kCooldown);
+  mClock.Advance(Millis(1));
+  EXPECT_EQ(Now(), Obstacle::kNone);
+}
+
+TEST_F(ThatAskedForACooldown, AShorterOneAskedForLaterDoesNotShortenIt)
+{
+  mClock.Advance(Millis(100));
+  Take(Cooldown(Millis(200)));
+  mClock.Advance(Millis(2000));
+  EXPECT_EQ(Now(), Obstacle::kCooldown);
+}
+
+TEST_F(ThatAskedForACooldown, ALongerOneAskedForLaterExtendsIt)
+{
+  Take(Cooldown(2 * kTime));
+  mClock.Advance(kTime);
+  EXPECT_EQ(Now(), Obstacle::kCooldown);
+}
+
+TEST_F(ThatAskedForACooldown, AnAnswerThatCrossedItDoesNotEndIt)
+{
+  Take({});
+  EXPECT_EQ(Now(), Obstacle::kCooldown);
+}
+
+TEST_F(ThatAskedForACooldown, AShortPauseAfterAFailureDoesNotEndIt)
+{
+  mEndpoint.Pause(Millis(50), mClock.Now());
+  mClock.Advance(Millis(50));
+  EXPECT_EQ(Now(), Obstacle::kCooldown);
+}
+
+class WhoseCooldownIsOver : public ThatAskedForACooldown
+{
+protected:
+  WhoseCooldownIsOver() { mClock.Advance(kTime); }
+};
+
+TEST_F(WhoseCooldownIsOver, OneRequestGoesThereFirst)
+{
+  const auto first = mEndpoint.Clear(mClock.Now());
+  EXPECT_EQ(Now(), Obstacle::kRecovering);
+}
+
+TEST_F(WhoseCooldownIsOver, EachAcceptedRequestDoublesThoseUnderWay)
+{
+  SendOne(true);
+  const auto first = mEndpoint.Clear(mClock.Now());
+  EXPECT_EQ(Now(), Obstacle::kNone);
+  const auto second = mEndpoint.Clear(mClock.Now());
+  EXPECT_EQ(Now(), Obstacle::kRecovering);
+}
+
+TEST_F(WhoseCooldownIsOver, ARequestThatFailsDoesNotOpenItFurther)
+{
+  SendOne(false);
+  const auto next = mEndpoint.Clear(mClock.Now());
+  EXPECT_EQ(Now(), Obstacle::kRecovering);
+}
+
+TEST_F(WhoseCooldownIsOver, AfterSomeAcceptedRequestsThereIsNoBound)
+{
+  for (int i = 0; i < 4; ++i) {
+    SendOne(true);
+  }
+  std::vector<SendClearance> sent;
+  for (int i = 0; i < 100; ++i) {
+    ASSERT_EQ(Now(), Obstacle::kNone);
+    sent.push_back(mEndpoint.Clear(mClock.Now()));
+  }
+}
+
+TEST_F(WhoseCooldownIsOver, ANewOneBeginsTheRecoveryAnew)
+{
+  auto former = mEndpoint.Clear(mClock.Now());
+  Take(Cooldown(kTime));
+  mClock.Advance(kTime);
+  const auto next = mEndpoint.Clear(mClock.Now());
+  mEndpoint.Settle(std::move(former), true);
+  EXPECT_EQ(Now(), Obstacle::kRecovering);
+}
+
+class GivenABookOfEndpoints : public ::testing::Test
+{
+protected:
+  AvailabilityBook mBook;
+  const EndpointLife mFirst{ 1000 };
+  const EndpointLife mSecond{ 2000 };
+};
+
+TEST_F(GivenABookOfEndpoints, AnEntryThatLapsedAndCameBackIsStillDraining)
+{
+  mBook.Find("i-1", mFirst)->Take(Drain(), TimePoint(), 0);
+  mBook.NoteRemoved("i-1");
+  EXPECT_EQ(mBook.Removed(), 1U);
+  const auto again = mBook.Find("i-1", mFirst);
+  again->SetListing(true, false);
+  EXPECT_EQ(again->ObstacleAt(TimePoint()), Obstacle::kDraining);
+  EXPECT_EQ(mBook.Removed(), 0U);
+}
+
+TEST_F(GivenABookOfEndpoints, AListThatComesLateIsNoNewIncarnation)
+{
+  mBook.Find("i-1", mSecond)->Take(Drain(), TimePoint(), 0);
+  mBook.NoteRemoved("i-1");
+  for (const auto life : { mFirst, EndpointLife() }) {
+    EXPECT_TRUE(mBook.Find("i-1", life)->IsDraining());
+  }
+}
+
+TEST_F(GivenABookOfEndpoints, AnIncarnationThatALateListHidIsNoNewOne)
+{
+  mBook.Find("i-1", mSecond)->Take(Drain(), TimePoint(), 0);
+  mBook.NoteRemoved("i-1");
+  mBook.Find("i-1", mFirst);
+  EXPECT_TRUE(mBook.Begin("i-1", mSecond)->IsDraining());
+}
+
+TEST_F(GivenABookOfEndpoints, ANewIncarnationIsAvailableWhateverTheFormerSaid)
+{
+  const auto former = mBook.Find("i-1", mFirst);
+  former->Take(Drain(), TimePoint(), 0);
+  mBook.NoteRemoved("i-1");
+  const auto next = mBook.Find("i-1", mSecond);
+  EXPECT_EQ(next->ObstacleAt(TimePoint()), Obstacle::kNone);
+  EXPECT_EQ(former->ObstacleAt(TimePoint()), Obstacle::kRemoved);
+}
+
+TEST_F(GivenABookOfEndpoints, AnAnswerOfAFormerIncarnationSaysNothingOfTheNext)
+{
+  const auto former = mBook.Find("i-1", mFirst);
+  const auto next = mBook.Begin("i-1", mSecond);
+  former->Take(Drain(), TimePoint(), 0);
+  EXPECT_FALSE(next->IsDraining());
+}
+
+TEST_F(GivenABookOfEndpoints, OfThoseRemovedTheLatestAreRemembered)
+{
+  constexpr int kMany = 3000;
+  for (int i = 0; i < kMany; ++i) {
+    const auto id = "i-" + std::to_string(i);
+    mBook.Find(id, mFirst)->Take(Drain(), TimePoint(), 0);
+    mBook.NoteRemoved(id);
+  }
+  EXPECT_LE(mBook.Removed(), 1024U);
+  EXPECT_TRUE(
+    mBook.Find("i-" + std::to_string(kMany - 1), mFirst)->IsDraining());
+}
+
+} // namespace shuntjunction::state
