A companion's control calls keep to the cooldowns that its engine asks for

Callers would see an engine that asked for rest kept busy by its companion: a report that fails is asked for again after 50 ms, an order after a fraction of a second, whatever the refusal asks for.

Cause: the same as in relays, an answer's fields were not read on this path. EngineGate stands before the adapter's calls, also those to part stores, and uses the same EndpointAvailability: a call that comes during a cooldown waits for its end.

--- a/packages/coordination/include/shuntjunction/coordination/engine_control.h
+++ b/packages/coordination/include/shuntjunction/coordination/engine_control.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
+#include "shuntjunction/state/endpoint_notice.h"
 #include "shuntjunction/state/error.h"
 #include "shuntjunction/state/relay_config.h"
 #include "shuntjunction/transport/task.h"
@@ -75,8 +77,13 @@
 class EngineControl
 {
 public:
+  using NoticeTaker = std::function<void(const state::EndpointNotice&)>;
+
   virtual ~EngineControl() = default;
 
+  /// Sets what takes what each answer advertises, before the call returns.
+  virtual void OnNotice(NoticeTaker aTake) = 0;
+
   /// Asks for the engine's report.
   virtual transport::Task<state::Result<EngineReport>> Report() = 0;
 
--- /dev/null
+++ b/packages/coordination/src/engine_gate.cpp
@@ -0,0 +1,73 @@
+#include "shuntjunction/coordination/engine_gate.h"
+
+#include <utility>
+
+namespace shuntjunction::coordination {
+
+using state::Millis;
+using state::Result;
+using transport::Task;
+
+EngineGate::EngineGate(std::unique_ptr<EngineControl> aEngine,
+                       const state::Clock& aClock,
+                       EventLog& aLog)
+  : mEngine(std::move(aEngine))
+  , mClock(aClock)
+  , mLog(aLog)
+{
+  mEngine->OnNotice([this](const auto& aNotice) { Take(aNotice); });
+}
+
+void
+EngineGate::OnNotice(NoticeTaker aTake)
+{
+  mTake = std::move(aTake);
+}
+
+void
+EngineGate::Take(const state::EndpointNotice& aNotice)
+{
+  const auto change =
+    mAvailability.Take(aNotice, mClock.Now(), mClock.WallMillis());
+  if (change.mCooldown > Millis(0)) {
+    mLog.Write(EventLine("engine", "cooldown")
+                 .Add("cooldown_ms", change.mCooldown.count()));
+  }
+  if (mTake) {
+    mTake(aNotice);
+  }
+}
+
+Task<void>
+EngineGate::AwaitCooldownEnd()
+{
+  // Another call may have been refused while this one waited.
+  auto left = mAvailability.RequestedCooldownEnd() - mClock.Now();
+  while (left.count() > 0) {
+    co_await transport::Sleep(std::chrono::ceil<Millis>(left));
+    left = mAvailability.RequestedCooldownEnd() - mClock.Now();
+  }
+}
+
+Task<Result<EngineReport>>
+EngineGate::Report()
+{
+  co_await AwaitCooldownEnd();
+  co_return co_await mEngine->Report();
+}
+
+Task<Result<PartChanges>>
+EngineGate::Changes(std::uint64_t aSince, Millis aWait)
+{
+  co_await AwaitCooldownEnd();
+  co_return co_await mEngine->Changes(aSince, aWait);
+}
+
+Task<Result<OrderOutcome>>
+EngineGate::Order(LoadOrder aOrder)
+{
+  co_await AwaitCooldownEnd();
+  co_return co_await mEngine->Order(std::move(aOrder));
+}
+
+} // namespace shuntjunction::coordination
--- a/packages/coordination/src/fleet_daemon.cpp
+++ b/packages/coordination/src/fleet_daemon.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/signal_set.hpp>
 
 #include "path_server.h"
+#include "shuntjunction/coordination/engine_gate.h"
 #include "shuntjunction/coordination/engine_news.h"
 #include "shuntjunction/coordination/engine_watch.h"
 #include "shuntjunction/coordination/part_follower.h"
@@ -277,7 +278,7 @@
     if (!engine) {
       return tl::unexpected(engine.error());
     }
-    mEngine = mAdapter.mMakeControl(*engine);
+    mEngine = MakeControl(*engine);
     FollowEngine();
     StartStoreTeller();
     StartKeeper();
@@ -309,6 +310,12 @@
     return {};
   }
 
+  std::unique_ptr<EngineControl> MakeControl(const state::Address& aAddress)
+  {
+    return std::make_unique<EngineGate>(
+      mAdapter.mMakeControl(aAddress), mClock, mLog);
+  }
+
   /// Begins to tell the relays of the engine's parts and state.
   void FollowEngine()
   {
@@ -330,14 +337,14 @@
 
   void StartStoreTeller()
   {
-    mStoreTeller = std::make_unique<PartStoreTeller>(
-      PartStoreTellerParts{ mControl,
-                            mSettings,
-                            mZone.Store(),
-                            mAdapter.mStoreCodec,
-                            mAdapter.mMakeControl,
-                            *mNewsServer,
-                            mLog });
+    mStoreTeller = std::make_unique<PartStoreTeller>(PartStoreTellerParts{
+      mControl,
+      mSettings,
+      mZone.Store(),
+      mAdapter.mStoreCodec,
+      [this](const auto& aAddress) { return MakeControl(aAddress); },
+      *mNewsServer,
+      mLog });
     mStoreTeller->Start();
   }
 
