A request goes on elsewhere when its endpoint's machine has stopped

What callers saw: a stream whose engine stands still with its machine has no event until its caller gives up, and a request that may be repeated is answered 504 at its deadline, though other engines have room.

Cause: silence of engine and companion was evidence against new requests only; those that were there already stayed until their callers left. Class: a belief that is asked at the choice is not asked while a request waits.

Such a request is cut off there and goes on at another that is not silent, if it may be repeated, attempts and budget allow it, and something takes it; a stream goes on after the last event that was passed on.

--- a/packages/coordination/src/relay_answer.cpp
+++ b/packages/coordination/src/relay_answer.cpp
@@ -74,6 +74,10 @@
     }
     const auto step = ReadBuffered(aAttempt);
     if (!step) {
+      if (IsBetterElsewhere(aAttempt.mPick)) {
+        mLastProblem = "endpoint silent";
+        co_return AttemptOutcome::kSilent;
+      }
       co_await reader.Wait(mDeadline);
       continue;
     }
--- a/packages/coordination/src/relay_attempt.cpp
+++ b/packages/coordination/src/relay_attempt.cpp
@@ -152,6 +152,7 @@
     attempt.mConnection.mReader->Close(true);
   }
   if (outcome == AttemptOutcome::kBroken ||
+      outcome == AttemptOutcome::kSilent ||
       outcome == AttemptOutcome::kInterrupted) {
     mMayHaveRun = true;
   }
--- a/packages/coordination/src/relay_endpoint.cpp
+++ b/packages/coordination/src/relay_endpoint.cpp
@@ -349,6 +349,19 @@
                          mSettings.mSilence);
 }
 
+void
+RelayEndpoints::WakeAtSilent(TimePoint aNow)
+{
+  for (const auto& [id, endpoint] : mById) {
+    if (endpoint->mBusy.empty() || !IsSilent(*endpoint, aNow)) {
+      continue;
+    }
+    for (const auto& connection : endpoint->mBusy) {
+      connection->Wake();
+    }
+  }
+}
+
 void
 RelayEndpoints::NoteFailure(RelayEndpoint& aEndpoint, TimePoint aNow)
 {
--- a/packages/coordination/src/relay_endpoint.h
+++ b/packages/coordination/src/relay_endpoint.h
@@ -249,6 +249,10 @@
   /// Whether nothing shows that an endpoint's machine still runs.
   bool IsSilent(const RelayEndpoint& aEndpoint, state::TimePoint aNow) const;
 
+  /// Wakes the requests that wait at endpoints of which nothing shows that they
+  /// run: they may go on elsewhere.
+  void WakeAtSilent(state::TimePoint aNow);
+
   /// Notes that a request failed there, or that it went well.
   void NoteFailure(RelayEndpoint& aEndpoint, state::TimePoint aNow);
   void NoteSuccess(RelayEndpoint& aEndpoint);
--- a/packages/coordination/src/relay_limits.cpp
+++ b/packages/coordination/src/relay_limits.cpp
@@ -165,6 +165,7 @@
     case AttemptOutcome::kDone:
     case AttemptOutcome::kFailed:
     case AttemptOutcome::kBroken:
+    case AttemptOutcome::kSilent:
     case AttemptOutcome::kInterrupted:
       mHeldUsage.clear();
       return;
--- a/packages/coordination/src/relay_run.cpp
+++ b/packages/coordination/src/relay_run.cpp
@@ -262,8 +262,8 @@
                           : mRoute->mUrgency;
 }
 
-Task<std::optional<RelayPick>>
-RelayRun::Pick()
+RelayAsk
+RelayRun::AskNow() const
 {
   RelayAsk ask{ mService,
                 &mCall,
@@ -278,12 +278,18 @@
   if (mCore->mCrashes.Crashes(mDigest) > 0) {
     ask.mApartBy = state::PlacementHash(mDigest.Text());
   }
+  return ask;
+}
+
+Task<std::optional<RelayPick>>
+RelayRun::Pick()
+{
   const auto objective = static_cast<double>(mRoute->mObjective.count());
   const auto until =
     mArrival +
     Millis(static_cast<std::int64_t>(objective * mCore->mLimits.mWaitShare));
   while (mInterrupt == RunInterrupt::kNone) {
-    ask.mElapsed = SinceArrival();
+    const auto ask = AskNow();
     if (auto pick = ChooseEndpoint(*mCore, ask)) {
       co_return pick;
     }
@@ -301,6 +307,19 @@
   co_return std::nullopt;
 }
 
+bool
+RelayRun::IsBetterElsewhere(const RelayPick& aPick)
+{
+  const auto& endpoints = mCore->mEndpoints;
+  if (!endpoints.IsSilent(*aPick.mEndpoint, Now()) ||
+      !MayTryAgain(AttemptOutcome::kSilent) ||
+      !mCore->BudgetOf(mService).MayRepeat(Now())) {
+    return false;
+  }
+  const auto other = ChooseEndpoint(*mCore, AskNow());
+  return other && !endpoints.IsSilent(*other->mEndpoint, Now());
+}
+
 bool
 RelayRun::IsInVain(const RelayPick& aPick) const
 {
@@ -349,7 +368,9 @@
   if (mIsHeadPassed && !isResumable) {
     return false;
   }
-  if (aOutcome == AttemptOutcome::kBroken && !mRoute->IsRepeatable()) {
+  const bool mayHaveRun =
+    aOutcome == AttemptOutcome::kBroken || aOutcome == AttemptOutcome::kSilent;
+  if (mayHaveRun && !mRoute->IsRepeatable()) {
     return false;
   }
   if (mCrashes >= kMostCrashesOfRun) {
@@ -396,6 +417,7 @@
       break;
     case AttemptOutcome::kUnsent:
     case AttemptOutcome::kBroken:
+    case AttemptOutcome::kSilent:
       endpoints.NoteFailure(endpoint, Now());
       break;
     case AttemptOutcome::kNotRun:
--- a/packages/coordination/src/relay_run.h
+++ b/packages/coordination/src/relay_run.h
@@ -43,11 +43,12 @@
   kMisdirected, ///< the endpoint is another, or has other weights
   kFailed,      ///< the endpoint's own failure, which is kept for the caller
   kBroken,      ///< it may have run; the answer is missing or unusable
+  kSilent,      ///< the same: nothing shows that the endpoint's machine runs
   kInterrupted, ///< see RunInterrupt
 };
 
 /// Names of AttemptOutcome.
-inline constexpr state::EnumNames<AttemptOutcome, 11> kAttemptOutcomeNames{
+inline constexpr state::EnumNames<AttemptOutcome, 12> kAttemptOutcomeNames{
   { "done",
     "unsent",
     "withheld",
@@ -58,6 +59,7 @@
     "misdirected",
     "failed",
     "broken",
+    "silent",
     "interrupted" }
 };
 
@@ -146,6 +148,11 @@
   /// Of the team, or of the route; the lowest is the most urgent.
   int Urgency() const;
   transport::Task<std::optional<RelayPick>> Pick();
+  /// What the choice of an endpoint needs to know now.
+  RelayAsk AskNow() const;
+  /// Whether the endpoint's machine has stopped, as far as is known, while
+  /// another endpoint could take the request.
+  bool IsBetterElsewhere(const RelayPick& aPick);
   transport::Task<void> WaitForPart(const RelayPick& aPick);
   /// Whether a request that nobody got yet would wait in vain at its endpoint.
   bool IsInVain(const RelayPick& aPick) const;
--- a/packages/state/include/shuntjunction/state/window_budget.h
+++ b/packages/state/include/shuntjunction/state/window_budget.h
@@ -33,6 +33,9 @@
   /// Counts a first request.
   void NoteFirst(TimePoint aNow);
 
+  /// Whether a repeat is allowed.
+  bool MayRepeat(TimePoint aNow) const;
+
   /// Counts a repeat if it is allowed; false when it is not.
   bool TryRepeat(TimePoint aNow);
 
--- a/packages/state/src/window_budget.cpp
+++ b/packages/state/src/window_budget.cpp
@@ -33,7 +33,7 @@
 }
 
 bool
-WindowBudget::TryRepeat(TimePoint aNow)
+WindowBudget::MayRepeat(TimePoint aNow) const
 {
   const std::int64_t now = NumberOf(aNow);
   double firsts = 0.0;
@@ -48,11 +48,17 @@
       firsts += slice.mFirsts;
     }
   }
-  if (repeats + 1.0 > mSettings.mRatio * firsts + mSettings.mSlack) {
-    return false;
+  return repeats + 1.0 <= mSettings.mRatio * firsts + mSettings.mSlack;
+}
+
+bool
+WindowBudget::TryRepeat(TimePoint aNow)
+{
+  const bool isAllowed = MayRepeat(aNow);
+  if (isAllowed) {
+    ++SliceOf(NumberOf(aNow)).mRepeats;
   }
-  ++SliceOf(now).mRepeats;
-  return true;
+  return isAllowed;
 }
 
 } // namespace shuntjunction::state
