--- a/packages/coordination/src/relay_answer.cpp
+++ b/packages/coordination/src/relay_answer.cpp
@@ -176,8 +176,8 @@
   }
   const auto status = aAttempt.mAnswer->Head().mStatus;
   mCore->mNotices.Take(endpoint, facts.mNotice, mCall.mRequestId);
-  // An address that passed on to another endpoint says nothing of this one's
-  // rate; that this one drains is then true of it at least.
+  // The address may belong to another endpoint by now. Its rate does not apply
+  // here; a drain does no harm, since the endpoint that was meant has ended.
   if (status != kMisdirected) {
     const bool hasPlace = aAttempt.mPlace && !aAttempt.mIsOther;
     mCore->mRates.Note(
--- a/packages/coordination/src/relay_endpoint.h
+++ b/packages/coordination/src/relay_endpoint.h
@@ -153,9 +153,9 @@
                  : state::PermitNeed{};
   }
 
-  /// What it said itself that keeps a request away, and until when.
+  /// The obstacle that its own answers advertised, and its end.
   ///
-  /// Attempts that failed are no such word: it may be back at any moment.
+  /// Pauses after failed attempts are left out: it may be back at any moment.
   Opening OpeningAt(state::TimePoint aNow, bool aIsUrgent) const;
 
   /// Closes connections on which no request waits.
--- a/packages/coordination/src/relay_run.h
+++ b/packages/coordination/src/relay_run.h
@@ -139,8 +139,8 @@
   bool HasPlaceAt(const RelayEndpointPtr& aEndpoint) const;
   /// Gives a place back whose request was not sent.
   void ReturnPlace();
-  /// Whether no endpoint of the service takes the request until a time; notes
-  /// what its caller is told then.
+  /// Whether no endpoint of the service takes the request until a time; sets
+  /// the reason and the Retry-After of its refusal.
   bool IsUnavailable(const RelayAsk& aAsk, state::TimePoint aUntil);
 
   // Attempts.
--- a/packages/state/include/shuntjunction/state/endpoint_availability.h
+++ b/packages/state/include/shuntjunction/state/endpoint_availability.h
@@ -86,12 +86,12 @@
 public:
   explicit EndpointAvailability(const AvailabilitySettings& aSettings = {});
 
-  /// Takes what the list says, or that the endpoint is not listed any more.
+  /// Takes the state in the list, or that the endpoint is not listed any more.
   void SetListing(bool aIsListed, bool aIsDraining);
 
   /// Takes what an answer of this incarnation advertises.
   ///
-  /// A drain holds for good, whatever a list says. Of cooldowns the one that
+  /// A drain holds for good, whatever a list shows. Of cooldowns the one that
   /// ends last holds, whichever answer came last.
   /// @param aWallMillis  now, since the Unix epoch
   NoticeChange Take(const EndpointNotice& aNotice,
@@ -119,7 +119,7 @@
 
   bool IsListed() const { return mIsListed; }
   bool IsDraining() const { return mIsListedDraining || mIsReportedDraining; }
-  /// Whether an answer said so, rather than the list.
+  /// Whether an answer reported it, rather than the list.
   bool IsReportedDraining() const { return mIsReportedDraining; }
   /// End of the cooldown; in the past when there is none.
   TimePoint CooldownEnd() const;
--- a/packages/state/src/endpoint_availability.cpp
+++ b/packages/state/src/endpoint_availability.cpp
@@ -105,7 +105,7 @@
 void
 EndpointAvailability::Settle(SendClearance aClearance, bool aIsAccepted)
 {
-  // Those that were sent before the latest cooldown say nothing of its end.
+  // Requests sent before the latest cooldown are no evidence of its end.
   if (aClearance.mRecovery != mRecovery || mTrialsAllowed == 0) {
     return;
   }
--- a/packages/state/tests/endpoint_availability_model_test.cpp
+++ b/packages/state/tests/endpoint_availability_model_test.cpp
@@ -184,7 +184,7 @@
         mBook = AvailabilityBook();
       }
       mBelieved = nullptr;
-      // It lives, so that its next heartbeat lists it again.
+      // The next heartbeat lists it again.
       In(Draw(100, 2000), [this] {
         OnRelay([this] { TakeList({ mEndpoint->mLife, true }); });
       });
@@ -252,7 +252,7 @@
       *belief = *changed;
     }
     belief->Take(aNotice, mClock.Now(), mClock.WallMillis());
-    // A request that was meant for a former incarnation tells of that one.
+    // The answer is attributed to the incarnation that was chosen.
     if (mTracker.Current() != aFrom->mLife || aChosen != mBelieved) {
       return;
     }
