--- a/packages/state/tests/endpoint_availability_test.cpp
+++ b/packages/state/tests/endpoint_availability_test.cpp
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <vector>
+
 #include "shuntjunction/state/endpoint_availability.h"
 
 // Whether a relay may send to an endpoint, by the list, by the endpoint's own
@@ -108,12 +110,17 @@
 
   ThatAskedForACooldown() { EXPECT_EQ(Take(Cooldown(kTime)).mCooldown, kTime); }
 
+  /// Sends a request that is not answered yet.
+  void SendUnanswered() { mSent.push_back(mEndpoint.Clear(mClock.Now())); }
+
   /// Sends a request, which is answered at once.
   void SendOne(bool aIsAccepted)
   {
     ASSERT_EQ(Now(), Obstacle::kNone);
     mEndpoint.Settle(mEndpoint.Clear(mClock.Now()), aIsAccepted);
   }
+
+  std::vector<SendClearance> mSent;
 };
 
 TEST_F(ThatAskedForACooldown, ItIsNotAvailableUntilTheEnd)
@@ -160,23 +167,23 @@
 
 TEST_F(WhoseCooldownIsOver, OneRequestGoesThereFirst)
 {
-  const auto first = mEndpoint.Clear(mClock.Now());
+  SendUnanswered();
   EXPECT_EQ(Now(), Obstacle::kRecovering);
 }
 
 TEST_F(WhoseCooldownIsOver, EachAcceptedRequestDoublesThoseUnderWay)
 {
   SendOne(true);
-  const auto first = mEndpoint.Clear(mClock.Now());
+  SendUnanswered();
   EXPECT_EQ(Now(), Obstacle::kNone);
-  const auto second = mEndpoint.Clear(mClock.Now());
+  SendUnanswered();
   EXPECT_EQ(Now(), Obstacle::kRecovering);
 }
 
 TEST_F(WhoseCooldownIsOver, ARequestThatFailsDoesNotOpenItFurther)
 {
   SendOne(false);
-  const auto next = mEndpoint.Clear(mClock.Now());
+  SendUnanswered();
   EXPECT_EQ(Now(), Obstacle::kRecovering);
 }
 
@@ -185,10 +192,9 @@
   for (int i = 0; i < 4; ++i) {
     SendOne(true);
   }
-  std::vector<SendClearance> sent;
   for (int i = 0; i < 100; ++i) {
     ASSERT_EQ(Now(), Obstacle::kNone);
-    sent.push_back(mEndpoint.Clear(mClock.Now()));
+    SendUnanswered();
   }
 }
 
@@ -197,7 +203,7 @@
   auto former = mEndpoint.Clear(mClock.Now());
   Take(Cooldown(kTime));
   mClock.Advance(kTime);
-  const auto next = mEndpoint.Clear(mClock.Now());
+  SendUnanswered();
   mEndpoint.Settle(std::move(former), true);
   EXPECT_EQ(Now(), Obstacle::kRecovering);
 }
