--- a/packages/coordination/src/relay_attempt.cpp
+++ b/packages/coordination/src/relay_attempt.cpp
@@ -48,6 +48,7 @@
          (!aIsResumed || !transport::IsSameName(aName, "Last-Event-Id"));
 }
 
+/// How an attempt ends that an obstacle stopped before the send.
 AttemptOutcome
 OutcomeOf(state::Obstacle aObstacle)
 {
