Only requests at machines that have stopped go on elsewhere

Cause: an engine under load may leave all its answers without bytes for 0.8 s while its companion's latest message is 0.6 s old, which is enough to prefer others for new requests, but not to read a prompt again.

The own test passes as before.

--- a/packages/coordination/src/relay.cpp
+++ b/packages/coordination/src/relay.cpp
@@ -20,8 +20,8 @@
 
 /// How often connections that rested too long are closed.
 constexpr Millis kStaleInterval{ 500 };
-/// How often requests are looked at that wait at silent endpoints.
-constexpr Millis kSilenceInterval{ 100 };
+/// How often requests are looked at that wait at stopped endpoints.
+constexpr Millis kStoppedInterval{ 100 };
 /// How often the use of endpoints' rates is logged.
 constexpr Millis kRatesInterval{ 1000 };
 /// Connections that are taken in one turn, so that other work goes on.
@@ -119,11 +119,11 @@
 }
 
 Task<void>
-WatchSilentEndpoints(std::shared_ptr<Relay::Core> aCore)
+WatchStoppedEndpoints(std::shared_ptr<Relay::Core> aCore)
 {
   while (true) {
-    co_await transport::Sleep(kSilenceInterval);
-    aCore->mEndpoints.WakeAtSilent(aCore->mParts.mClock.Now());
+    co_await transport::Sleep(kStoppedInterval);
+    aCore->mEndpoints.WakeAtStopped(aCore->mParts.mClock.Now());
   }
 }
 
@@ -257,7 +257,7 @@
   mCore->mAcceptor->non_blocking(true, ignored);
   transport::Spawn(mCore->mParts.mContext, Accept(mCore));
   transport::Spawn(mCore->mParts.mContext, CloseStaleConnections(mCore));
-  transport::Spawn(mCore->mParts.mContext, WatchSilentEndpoints(mCore));
+  transport::Spawn(mCore->mParts.mContext, WatchStoppedEndpoints(mCore));
   transport::Spawn(mCore->mParts.mContext, LogRates(mCore));
   transport::Spawn(mCore->mParts.mContext, WatchForOverload(mCore));
   return transport::LocalAddress(*mCore->mAcceptor);
--- a/packages/coordination/src/relay_endpoint.cpp
+++ b/packages/coordination/src/relay_endpoint.cpp
@@ -335,25 +335,36 @@
   }
 }
 
-bool
-RelayEndpoints::IsSilent(const RelayEndpoint& aEndpoint, TimePoint aNow) const
+state::LifeSigns
+RelayEndpoints::SignsOf(const RelayEndpoint& aEndpoint, TimePoint aNow)
 {
   const auto since = [&](TimePoint aThen) {
     return std::chrono::duration_cast<Millis>(aNow - aThen);
   };
-  return state::IsSilent({ aEndpoint.mNews.has_value(),
-                           since(aEndpoint.mNewsAt),
-                           aEndpoint.mIsNewsEnded,
-                           aEndpoint.mRunning > 0,
-                           since(aEndpoint.mBytesAt) },
-                         mSettings.mSilence);
+  return { aEndpoint.mNews.has_value(),
+           since(aEndpoint.mNewsAt),
+           aEndpoint.mIsNewsEnded,
+           aEndpoint.mRunning > 0,
+           since(aEndpoint.mBytesAt) };
+}
+
+bool
+RelayEndpoints::IsSilent(const RelayEndpoint& aEndpoint, TimePoint aNow) const
+{
+  return state::IsSilent(SignsOf(aEndpoint, aNow), mSettings.mSilence);
+}
+
+bool
+RelayEndpoints::HasStopped(const RelayEndpoint& aEndpoint, TimePoint aNow) const
+{
+  return state::HasStopped(SignsOf(aEndpoint, aNow), mSettings.mSilence);
 }
 
 void
-RelayEndpoints::WakeAtSilent(TimePoint aNow)
+RelayEndpoints::WakeAtStopped(TimePoint aNow)
 {
   for (const auto& [id, endpoint] : mById) {
-    if (endpoint->mBusy.empty() || !IsSilent(*endpoint, aNow)) {
+    if (endpoint->mBusy.empty() || !HasStopped(*endpoint, aNow)) {
       continue;
     }
     for (const auto& connection : endpoint->mBusy) {
--- a/packages/coordination/src/relay_endpoint.h
+++ b/packages/coordination/src/relay_endpoint.h
@@ -249,9 +249,12 @@
   /// Whether nothing shows that an endpoint's machine still runs.
   bool IsSilent(const RelayEndpoint& aEndpoint, state::TimePoint aNow) const;
 
-  /// Wakes the requests that wait at endpoints of which nothing shows that they
-  /// run: they may go on elsewhere.
-  void WakeAtSilent(state::TimePoint aNow);
+  /// Whether it has stopped under the requests that wait there.
+  bool HasStopped(const RelayEndpoint& aEndpoint, state::TimePoint aNow) const;
+
+  /// Wakes the requests that wait at endpoints whose machines have stopped:
+  /// they may go on elsewhere.
+  void WakeAtStopped(state::TimePoint aNow);
 
   /// Notes that a request failed there, or that it went well.
   void NoteFailure(RelayEndpoint& aEndpoint, state::TimePoint aNow);
@@ -270,6 +273,8 @@
   /// what waits for its former life is cut off.
   RelayEndpointPtr BeginLife(RelayEndpointPtr& aEntry);
 
+  static state::LifeSigns SignsOf(const RelayEndpoint& aEndpoint,
+                                  state::TimePoint aNow);
   static void TakeState(RelayEndpoint& aEndpoint,
                         const protocol::EngineNews& aNews,
                         state::TimePoint aNow);
--- a/packages/coordination/src/relay_run.cpp
+++ b/packages/coordination/src/relay_run.cpp
@@ -311,7 +311,7 @@
 RelayRun::IsBetterElsewhere(const RelayPick& aPick)
 {
   const auto& endpoints = mCore->mEndpoints;
-  if (!endpoints.IsSilent(*aPick.mEndpoint, Now()) ||
+  if (!endpoints.HasStopped(*aPick.mEndpoint, Now()) ||
       !MayTryAgain(AttemptOutcome::kSilent) ||
       !mCore->BudgetOf(mService).MayRepeat(Now())) {
     return false;
--- a/packages/state/include/shuntjunction/state/endpoint_silence.h
+++ b/packages/state/include/shuntjunction/state/endpoint_silence.h
@@ -51,4 +51,17 @@
          (isAwaitedInVain && aSigns.mSinceWord >= aSettings.mWordBesideBytes);
 }
 
+/// Whether a machine has stopped under the requests that wait there: both the
+/// endpoint and its companion have been silent for longer than load explains.
+///
+/// Stricter than IsSilent: a request that is moved is read again elsewhere.
+/// Thread safety: pure.
+inline bool
+HasStopped(const LifeSigns& aSigns, const SilenceSettings& aSettings = {})
+{
+  return aSigns.mHasWord && !aSigns.mIsWordEnded && aSigns.mIsAwaited &&
+         aSigns.mSinceBytes >= aSettings.mBytesAwaited &&
+         aSigns.mSinceWord >= aSettings.mWordAlone;
+}
+
 } // namespace shuntjunction::state
