--- a/packages/coordination/include/shuntjunction/coordination/relay.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay.h
@@ -9,6 +9,7 @@
 #include "shuntjunction/coordination/relay_feed.h"
 #include "shuntjunction/coordination/relay_settings.h"
 #include "shuntjunction/protocol/messages.h"
+#include "shuntjunction/state/rollout/rollout_evidence.h"
 
 /// Accepts callers' requests and forwards each to an endpoint of its route.
 namespace shuntjunction::coordination {
@@ -63,6 +64,9 @@
   /// long; if empty, it is not recorded.
   std::function<void(const state::RequestDigest&, state::Millis)>
     mStoreQuarantine = {};
+  /// Reports what this relay observed of a roll-out to the companion that
+  /// decides its steps; if empty, no roll-out proceeds.
+  std::function<void(const state::RolloutReport&)> mReportRollout = {};
 };
 
 /// The relay of one process.
@@ -102,6 +106,9 @@
   /// relays.
   void ApplyRateNews(const state::RateNews& aNews);
 
+  /// Applies a step of a roll-out that the companion which decided it reports.
+  void ApplyRolloutNotice(const state::RolloutNotice& aNotice);
+
   /// Updates the gauges among the metrics.
   void SetGauges();
 
--- a/packages/coordination/include/shuntjunction/coordination/relay_codec.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay_codec.h
@@ -49,6 +49,12 @@
   std::string mPartSource;  ///< address to fetch cached parts from
   std::string mPartStore;   ///< address to save cached parts to
   std::string mResumeAfter; ///< id of the last event that was delivered
+  /// Address of the engine to which the memory of the run is copied; empty: it
+  /// is not copied.
+  std::string mBackupAddress;
+  /// Address of the engine with a copy of the run that is continued; empty: the
+  /// request begins anew.
+  std::string mContinueFrom;
 };
 
 /// Information read from an endpoint's answer.
--- a/packages/coordination/include/shuntjunction/coordination/relay_feed.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay_feed.h
@@ -17,6 +17,7 @@
 #include "shuntjunction/state/object_mirror.h"
 #include "shuntjunction/state/relay_config.h"
 #include "shuntjunction/state/request_digest.h"
+#include "shuntjunction/state/rollout/rollout.h"
 
 /// A process's view of the platform's objects.
 namespace shuntjunction::coordination {
@@ -73,6 +74,9 @@
   std::vector<state::EndpointInfo> mEndpoints;
   std::map<std::string, WeightsHistory, std::less<>> mWeights;
   QuarantinedRequests mQuarantined;
+  /// The newest order of each service; none is listed where roll-outs are not
+  /// enabled.
+  std::map<std::string, state::Rollout, std::less<>> mRollouts;
 };
 
 /// Zones of the companions, one beside each engine, by their hosts.
--- a/packages/coordination/include/shuntjunction/coordination/relay_settings.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay_settings.h
@@ -4,7 +4,9 @@
 
 #include "shuntjunction/state/load_schedule.h"
 #include "shuntjunction/state/relay_choice.h"
+#include "shuntjunction/state/rollout/rollout_exposure.h"
 #include "shuntjunction/state/settings.h"
+#include "shuntjunction/state/topology.h"
 #include "shuntjunction/state/window_budget.h"
 
 /// Settings of a relay and of the companion of an engine behind relays.
@@ -39,6 +41,7 @@
   /// Tolerated usage beyond a team's limit, in the limit's unit.
   double mUsageTolerance = 0;
   state::WindowBudgetSettings mRetries{ 0.2, 56.0, state::Millis(10000) };
+  state::RolloutBounds mRollouts;
 };
 
 /// All settings of a relay or companion.
@@ -46,7 +49,10 @@
 {
   std::string mName; ///< name of the instance
   FleetRole mRole = FleetRole::kRelay;
-  std::string mZone;      ///< availability zone
+  std::string mZone; ///< availability zone
+  state::Topology mTopology;
+  /// Whether operators may order roll-outs; if not, none are looked for.
+  bool mHasRollouts = false;
   std::string mListen;    ///< relay: address for callers
   std::string mReadiness; ///< relay: address for the load balancer's checks
   std::string mReadinessPath;
--- a/packages/coordination/src/relay.cpp
+++ b/packages/coordination/src/relay.cpp
@@ -355,6 +355,11 @@
   }
 }
 
+void
+Relay::ApplyRolloutNotice(const state::RolloutNotice& /*aNotice*/)
+{
+}
+
 void
 Relay::SetGauges()
 {
--- a/packages/state/include/shuntjunction/state/relay_config.h
+++ b/packages/state/include/shuntjunction/state/relay_config.h
@@ -78,6 +78,8 @@
   std::int64_t mSlots = 1;          ///< concurrent requests of one engine
   std::int64_t mCapacityTokens = 0; ///< memory of one engine
   std::vector<std::string> mModels;
+  /// Whether engines copy the memory of a run to another engine as it grows.
+  bool mAllowsBackups = false;
 };
 
 /// A service and the common properties of its endpoints.
@@ -176,6 +178,7 @@
   std::int64_t mSlots = 1;
   bool mIsLeaving = false;
   std::vector<LoadedModel> mModels;
+  std::string mSoftwareVersion; ///< empty: not reported
   EndpointIncarnation mEndpointIncarnation;
   std::uint64_t mRevision = 0; ///< platform revision of its last change
 
