Decisions of a roll-out: evidence, comparison, exposure, steps

Cause: nothing decides how a service's traffic moves to another software version.

Ruled out: comparing only failures, since a bad version may be slow instead; a test at fixed times, since evidence is looked at whenever it arrives.

Change: relays' cumulative reports are summed, bad answers are tested by e-values route by route, a relay exposes at most a share of its own requests, and the next step is a function of order, evidence and endpoints.

--- a/packages/state/include/shuntjunction/state/rollout/rollout.h
+++ b/packages/state/include/shuntjunction/state/rollout/rollout.h
@@ -61,6 +61,7 @@
   std::optional<RolloutStatus> mStatus;
   std::uint64_t mRevision = 0; ///< platform revision of the object
   TimePoint mLearnedAt;        ///< when this process learned of the order
+  TimePoint mStepLearnedAt;    ///< and of its current step
 
   /// Share of requests that goes to the target version.
   double Share() const;
--- a/packages/state/include/shuntjunction/state/rollout/rollout_decision.h
+++ b/packages/state/include/shuntjunction/state/rollout/rollout_decision.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -41,7 +43,7 @@
 
   /// Compares the outcomes so far; may be called as often as evidence arrives.
   virtual RolloutFinding Compare(
-    const std::map<RolloutKey, RolloutOutcomes>& aOutcomes) const = 0;
+    const RolloutOutcomeTable& aOutcomes) const = 0;
 };
 
 /// Endpoints of a service that accept work.
@@ -53,6 +55,25 @@
   std::int64_t mOtherSlots = 0;
 };
 
+/// Times and shares of the steps, as parts of the time that an order allows.
+struct RolloutSchedule
+{
+  /// Share of the canary, as a part of the bound on exposure: the rest covers
+  /// requests that are counted late.
+  double mCanaryPart = 0.8;
+  /// End of the canary; versions that turn bad later are found until then.
+  double mCanaryEnd = 0.45;
+  /// Shares of the steps after the canary.
+  std::array<double, 3> mShares{ 0.25, 0.5, 1.0 };
+  /// Shortest time at one of these steps: several reports of each relay.
+  Millis mStepTime{ 800 };
+  /// Time before the deadline at which an outcome is written.
+  Millis mFinalMargin{ 500 };
+  /// Slots of the target version, as a part of the share of the other versions'
+  /// slots, below which a step waits.
+  double mMinSlots = 0.5;
+};
+
 /// What the decider does next.
 struct RolloutDecision
 {
@@ -72,6 +93,7 @@
 public:
   /// @param aComparison  outlives this
   RolloutDecider(const RolloutBounds& aBounds,
+                 const RolloutSchedule& aSchedule,
                  const RolloutComparison& aComparison);
 
   /// @param aUnixMillis  wall-clock time, compared with the status's start
@@ -82,7 +104,18 @@
                          std::int64_t aUnixMillis) const;
 
 private:
+  struct Situation;
+
+  RolloutDecision Advance(const Situation& aSituation) const;
+  RolloutDecision Finish(const Situation& aSituation) const;
+  /// The next share; empty while the current one has to last.
+  std::optional<double> NextShare(const Situation& aSituation) const;
+  /// Whether a share may be used for one step without exposing too many
+  /// requests, if the version proved bad after it.
+  bool IsWithinBound(const Situation& aSituation, double aShare) const;
+
   RolloutBounds mBounds;
+  RolloutSchedule mSchedule;
   const RolloutComparison& mComparison;
 };
 
--- a/packages/state/include/shuntjunction/state/rollout/rollout_evidence.h
+++ b/packages/state/include/shuntjunction/state/rollout/rollout_evidence.h
@@ -5,7 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
-#include <vector>
+#include <utility>
 
 #include "shuntjunction/state/clock.h"
 
@@ -43,6 +43,9 @@
   auto operator<=>(const RolloutKey&) const = default;
 };
 
+/// Outcomes of requests, by their key.
+using RolloutOutcomeTable = std::map<RolloutKey, RolloutOutcomes>;
+
 /// All that one relay observed since it learned of an order; the totals only
 /// increase, so that a lost report loses nothing.
 struct RolloutReport
@@ -56,7 +59,7 @@
   std::uint64_t mExposed = 0;    ///< of these, to the target version
   /// Requests that run at other versions now.
   std::uint32_t mOldRunning = 0;
-  std::map<RolloutKey, RolloutOutcomes> mOutcomes;
+  RolloutOutcomeTable mOutcomes;
 
   bool operator==(const RolloutReport&) const = default;
 };
@@ -67,20 +70,28 @@
 class RolloutEvidence
 {
 public:
-  /// Replaces the relay's former report. A report of another order starts the
-  /// evidence anew; one of an earlier run of a relay stays part of the totals.
+  /// Runs of relays whose reports are kept; beyond it, those heard of last.
+  static constexpr std::size_t kMaxSources = 4096;
+
+  explicit RolloutEvidence(std::uint64_t aOrderId)
+    : mOrderId(aOrderId)
+  {
+  }
+
+  /// Replaces the relay's former report; ignores reports of other orders. What
+  /// an earlier run of a relay's process reported stays part of the totals.
   void Apply(const RolloutReport& aReport, TimePoint aNow);
 
   std::uint64_t OrderId() const { return mOrderId; }
 
   /// Sum over all relays, including those that were lost.
-  std::map<RolloutKey, RolloutOutcomes> Outcomes() const;
+  RolloutOutcomeTable Outcomes() const;
 
   std::uint64_t Sent() const;
   std::uint64_t Exposed() const;
 
   /// Whether each relay that reported within aMaxAge applies a step and runs
-  /// nothing at other versions than the target.
+  /// nothing at other versions than the target; false if none reported.
   bool HasLeftOldVersions(std::uint32_t aStep,
                           TimePoint aNow,
                           Millis aMaxAge) const;
@@ -92,7 +103,7 @@
     TimePoint mAt;
   };
 
-  std::uint64_t mOrderId = 0;
+  std::uint64_t mOrderId;
   /// By the relay and the start of its process.
   std::map<std::pair<std::string, std::uint64_t>, Source> mSources;
 };
--- /dev/null
+++ b/packages/state/src/rollout/rollout_comparison.cpp
@@ -0,0 +1,241 @@
+#include "shuntjunction/state/rollout/rollout_comparison.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <set>
+#include <vector>
+
+namespace shuntjunction::state {
+
+namespace {
+
+/// Requests and how many of them had a bad answer.
+struct BadCount
+{
+  double mRequests = 0;
+  double mBad = 0;
+
+  BadCount& operator+=(const BadCount& aOther)
+  {
+    mRequests += aOther.mRequests;
+    mBad += aOther.mBad;
+    return *this;
+  }
+  BadCount& operator-=(const BadCount& aOther)
+  {
+    mRequests -= aOther.mRequests;
+    mBad -= aOther.mBad;
+    return *this;
+  }
+  double Share() const { return mRequests > 0 ? mBad / mRequests : 0; }
+};
+
+/// Largest and smallest share that is used, so that logarithms stay finite.
+constexpr double kMinShare = 0.001;
+constexpr double kMaxShare = 0.999;
+
+/// First bucket of the histogram that counts as slow.
+std::size_t
+SlowBucket(const RolloutOutcomes& aReference,
+           const ComparisonSettings& aSettings)
+{
+  double answered = 0;
+  for (const auto count : aReference.mLatency) {
+    answered += count;
+  }
+  double below = 0;
+  std::size_t bucket = 0;
+  while (bucket < kRolloutLatencyBuckets) {
+    below += aReference.mLatency[bucket];
+    ++bucket;
+    if (below >= aSettings.mSlowQuantile * answered) {
+      break;
+    }
+  }
+  return bucket + aSettings.mSlowBuckets - 1;
+}
+
+BadCount
+CountBad(const RolloutOutcomes& aOutcomes, std::size_t aSlowBucket)
+{
+  BadCount count{ static_cast<double>(aOutcomes.mRequests),
+                  static_cast<double>(aOutcomes.mFailed) };
+  for (auto i = aSlowBucket; i < kRolloutLatencyBuckets; ++i) {
+    count.mBad += aOutcomes.mLatency[i];
+  }
+  return count;
+}
+
+/// Upper limit of a share at 3 standard deviations (Wilson).
+double
+UpperLimit(const BadCount& aCount)
+{
+  constexpr double kDeviations = 3.0;
+  const double n = aCount.mRequests;
+  const double z = kDeviations * kDeviations;
+  const double center = aCount.mBad + z / 2;
+  const double spread =
+    kDeviations * std::sqrt(aCount.mBad * (n - aCount.mBad) / n + z / 4);
+  return std::clamp((center + spread) / (n + z), kMinShare, kMaxShare);
+}
+
+/// Logarithm of the likelihood of a count at one share relative to another.
+double
+LogRatio(const BadCount& aCount, double aShare, double aReference)
+{
+  return aCount.mBad * std::log(aShare / aReference) +
+         (aCount.mRequests - aCount.mBad) *
+           std::log((1 - aShare) / (1 - aReference));
+}
+
+/// Logarithm of the e-value against the hypothesis that a share is at most
+/// aLimit, mixed evenly over higher shares.
+double
+LogEvidenceAbove(const BadCount& aCount, double aLimit)
+{
+  constexpr int kAlternatives = 8;
+  double sum = 0;
+  for (int i = 1; i <= kAlternatives; ++i) {
+    const double share =
+      std::min(kMaxShare, aLimit + (1 - aLimit) * i / (kAlternatives + 1));
+    sum += std::exp(LogRatio(aCount, share, aLimit));
+  }
+  return std::log(sum / kAlternatives);
+}
+
+/// The same against the hypothesis that a share is at least aLimit.
+double
+LogEvidenceBelow(const BadCount& aCount, double aLimit)
+{
+  constexpr int kAlternatives = 8;
+  double sum = 0;
+  for (int i = 0; i < kAlternatives; ++i) {
+    const double share = std::max(kMinShare, aLimit * i / kAlternatives);
+    sum += std::exp(LogRatio(aCount, share, aLimit));
+  }
+  return std::log(sum / kAlternatives);
+}
+
+/// The counts of one route.
+struct RouteCounts
+{
+  BadCount mReference;
+  BadCount mTarget;
+  std::map<std::uint64_t, BadCount> mByEndpoint; ///< of the target version
+
+  /// The target's count without the endpoint with the most bad answers, unless
+  /// it is the only one.
+  BadCount WithoutWorst() const
+  {
+    if (mByEndpoint.size() < 2) {
+      return mTarget;
+    }
+    const auto worst =
+      std::max_element(mByEndpoint.begin(),
+                       mByEndpoint.end(),
+                       [](const auto& aOne, const auto& aTwo) {
+                         return aOne.second.mBad < aTwo.second.mBad;
+                       });
+    auto rest = mTarget;
+    rest -= worst->second;
+    return rest;
+  }
+};
+
+std::map<std::uint64_t, RouteCounts>
+CountByRoute(const RolloutOutcomeTable& aOutcomes,
+             const ComparisonSettings& aSettings)
+{
+  std::map<std::uint64_t, RolloutOutcomes> references;
+  for (const auto& [key, outcomes] : aOutcomes) {
+    if (!key.mIsTarget) {
+      references[key.mRoute] += outcomes;
+    }
+  }
+  std::map<std::uint64_t, RouteCounts> routes;
+  for (const auto& [route, reference] : references) {
+    if (reference.mRequests < aSettings.mMinReference) {
+      continue;
+    }
+    const auto slow = SlowBucket(reference, aSettings);
+    auto& counts = routes[route];
+    counts.mReference = CountBad(reference, slow);
+    for (const auto& [key, outcomes] : aOutcomes) {
+      if (key.mRoute == route && key.mIsTarget) {
+        const auto count = CountBad(outcomes, slow);
+        counts.mTarget += count;
+        counts.mByEndpoint[key.mEndpoint] += count;
+      }
+    }
+  }
+  return routes;
+}
+
+std::string
+Describe(std::string_view aWhat,
+         const BadCount& aTarget,
+         const BadCount& aReference,
+         double aLogEvidence)
+{
+  std::array<char, 160> text{};
+  std::snprintf(text.data(),
+                text.size(),
+                "%.*s: %.0f of %.0f bad, others %.0f of %.0f, evidence %.1f",
+                static_cast<int>(aWhat.size()),
+                aWhat.data(),
+                aTarget.mBad,
+                aTarget.mRequests,
+                aReference.mBad,
+                aReference.mRequests,
+                aLogEvidence);
+  return text.data();
+}
+
+} // namespace
+
+SequentialComparison::SequentialComparison(const ComparisonSettings& aSettings)
+  : mSettings(aSettings)
+{
+}
+
+RolloutFinding
+SequentialComparison::Compare(const RolloutOutcomeTable& aOutcomes) const
+{
+  const auto routes = CountByRoute(aOutcomes, mSettings);
+  BadCount target;
+  BadCount reference;
+  double expected = 0;
+  // One test for each route and one for all of them together.
+  const double badLimit =
+    std::log(static_cast<double>(routes.size() + 1) / mSettings.mFalseBad);
+  for (const auto& [route, counts] : routes) {
+    const double limit =
+      std::min(kMaxShare, UpperLimit(counts.mReference) + mSettings.mTolerance);
+    const auto rest = counts.WithoutWorst();
+    const double evidence = LogEvidenceAbove(rest, limit);
+    if (evidence >= badLimit) {
+      return { RolloutVerdict::kBad,
+               Describe("route " + std::to_string(route),
+                        counts.mTarget,
+                        counts.mReference,
+                        evidence) };
+    }
+    target += counts.mTarget;
+    reference += counts.mReference;
+    expected += counts.mReference.Share() * counts.mTarget.mRequests;
+  }
+  if (target.mRequests <= 0) {
+    return { RolloutVerdict::kUndecided, "no requests at the target version" };
+  }
+  // Routes differ in their share of bad answers; the target's mix of routes
+  // decides what is expected of it.
+  const double harmful =
+    std::min(kMaxShare, expected / target.mRequests + mSettings.mMinHarm);
+  const double evidence = LogEvidenceBelow(target, harmful);
+  const bool isGood = evidence >= std::log(1 / mSettings.mFalseGood);
+  return { isGood ? RolloutVerdict::kGood : RolloutVerdict::kUndecided,
+           Describe("all routes", target, reference, evidence) };
+}
+
+} // namespace shuntjunction::state
