Roll-outs from the store to the choice of an endpoint

Cause: operators' orders of roll-outs were not read, and requests were sent to all versions of a service alike.

Ruled out: an object of our own for the steps, which could disagree with the order; notices before the write of a step, which a decider that was suspended could send on outdated evidence. A halt is the exception.

Change: orders and their status are followed where roll-outs are enabled. A relay filters endpoints by version before placement and reports totals five times a second to the companion that owns the service. That companion writes each step on the revision it decided upon and informs the relays. Both messages need protocol version 2 and are not sent to peers of version 1.

--- a/packages/coordination/include/shuntjunction/coordination/engine_news.h
+++ b/packages/coordination/include/shuntjunction/coordination/engine_news.h
@@ -64,6 +64,13 @@
   /// @param aLimits  rate limits of endpoints; outlives the server
   void SetLimits(state::LimitShares& aShares, state::EndpointLimits& aLimits);
 
+  /// Sets the handler of relays' reports on roll-outs.
+  void OnRolloutReport(
+    std::function<void(const state::RolloutReport&)> aHandler);
+
+  /// Sends a step of a roll-out to all connected relays that understand it.
+  void PublishRollout(const state::RolloutNotice& aNotice);
+
   /// Starts accepting relays; returns the address with the port that the kernel
   /// assigned.
   state::Result<state::Address> Start(const state::Address& aAddress);
@@ -125,6 +132,7 @@
     std::function<void(const protocol::CrashReports&)>;
   using RateNewsHandler = std::function<void(const state::RateNews&)>;
   using ConnectionEndHandler = std::function<void(const std::string&)>;
+  using RolloutNoticeHandler = std::function<void(const state::RolloutNotice&)>;
 
   /// @param aOnNews  called with each status update
   /// @param aOnPartReading  called with other relays' reports of parts
@@ -135,6 +143,7 @@
   /// @param aOnUnfollowed  called with the host of a companion that is no
   /// longer
   ///              followed: what it reported is not kept up to date any more
+  /// @param aOnRolloutNotice  called with companions' steps of roll-outs
   EngineNewsClient(transport::asio::io_context& aContext,
                    transport::ChannelIdentity aIdentity,
                    const EngineNewsClientSettings& aSettings,
@@ -144,7 +153,8 @@
                    CrashReportsHandler aOnCrashReports,
                    RateNewsHandler aOnRateNews,
                    ConnectionEndHandler aOnConnectionEnd,
-                   ConnectionEndHandler aOnUnfollowed);
+                   ConnectionEndHandler aOnUnfollowed,
+                   RolloutNoticeHandler aOnRolloutNotice = {});
   ~EngineNewsClient();
   EngineNewsClient(const EngineNewsClient&) = delete;
   EngineNewsClient& operator=(const EngineNewsClient&) = delete;
@@ -192,6 +202,11 @@
   /// Reports the rate that an endpoint's answer advertised; dropped likewise.
   void ReportRate(const std::string& aHost, const state::RateReport& aReport);
 
+  /// Reports on a roll-out to the companion of a host; dropped while it is
+  /// unreachable or of a release without roll-outs.
+  void ReportRollout(const std::string& aHost,
+                     const state::RolloutReport& aReport);
+
   /// Sets the tokens that this relay has queued at an engine; its companion is
   /// informed when the number changed enough.
   ///
--- a/packages/coordination/include/shuntjunction/coordination/mirrored_platform.h
+++ b/packages/coordination/include/shuntjunction/coordination/mirrored_platform.h
@@ -129,6 +129,10 @@
     std::string aKey,
     std::string aValue,
     std::uint64_t aIfRevision) override;
+  transport::Task<state::Result<std::uint64_t>> WriteStatus(
+    std::string aKey,
+    std::string aStatus,
+    std::uint64_t aIfRevision) override;
   transport::Task<state::Result<void>> Delete(
     std::string aKey,
     std::uint64_t aIfRevision) override;
--- a/packages/coordination/include/shuntjunction/coordination/platform.h
+++ b/packages/coordination/include/shuntjunction/coordination/platform.h
@@ -96,6 +96,13 @@
   virtual transport::Task<state::Result<std::uint64_t>>
   Write(std::string aKey, std::string aValue, std::uint64_t aIfRevision) = 0;
 
+  /// Writes the status of an object if its revision is aIfRevision.
+  ///
+  /// @return the object's new revision; kInvalidArgument where objects have no
+  ///         status
+  virtual transport::Task<state::Result<std::uint64_t>>
+  WriteStatus(std::string aKey, std::string aStatus, std::uint64_t aIfRevision);
+
   /// Deletes an object if its revision is aIfRevision.
   virtual transport::Task<state::Result<void>> Delete(
     std::string aKey,
--- a/packages/coordination/include/shuntjunction/coordination/relay.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay.h
@@ -64,9 +64,12 @@
   /// long; if empty, it is not recorded.
   std::function<void(const state::RequestDigest&, state::Millis)>
     mStoreQuarantine = {};
-  /// Reports what this relay observed of a roll-out to the companion that
-  /// decides its steps; if empty, no roll-out proceeds.
-  std::function<void(const state::RolloutReport&)> mReportRollout = {};
+  /// Reports what this relay observed of a roll-out to the companion of a host,
+  /// which decides its steps; if empty, no roll-out proceeds.
+  std::function<void(const std::string&, const state::RolloutReport&)>
+    mReportRollout = {};
+  /// How current the orders of roll-outs are; null: not known.
+  const state::ListFreshness* mRolloutList = nullptr;
 };
 
 /// The relay of one process.
--- a/packages/coordination/include/shuntjunction/coordination/relay_codec.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay_codec.h
@@ -10,6 +10,7 @@
 #include "shuntjunction/state/relay_choice.h"
 #include "shuntjunction/state/relay_config.h"
 #include "shuntjunction/state/request_digest.h"
+#include "shuntjunction/state/rollout/rollout.h"
 #include "shuntjunction/transport/relay_message.h"
 
 /// Encoding of a platform's requests, answers and objects.
@@ -145,6 +146,19 @@
     std::string_view aKey,
     std::string_view aText) const = 0;
 
+  /// Prefix of the operators' orders of roll-outs, each named by its service.
+  virtual std::string RolloutPrefix() const = 0;
+
+  /// Reads an order and its status; the last segment of its key is the service.
+  /// The times at which this process learned of it are not set.
+  virtual state::Result<state::Rollout> ReadRollout(
+    std::string_view aKey,
+    std::string_view aText) const = 0;
+
+  /// Encodes the status of an order.
+  virtual std::string WriteRolloutStatus(
+    const state::RolloutStatus& aStatus) const = 0;
+
   /// Encodes the object that states until when a request is quarantined, in
   /// Unix milliseconds.
   virtual std::string WriteQuarantine(std::int64_t aUntilMillis) const = 0;
--- a/packages/coordination/include/shuntjunction/coordination/relay_feed.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay_feed.h
@@ -100,6 +100,8 @@
   bool mWatchesConfig = true;
   /// Whether quarantined requests are followed, as relays do.
   bool mFollowsQuarantine = false;
+  /// Whether operators' orders of roll-outs are followed.
+  bool mFollowsRollouts = false;
   /// Longest wait of the watch on the configuration, and pause between two
   /// watches of the list, while this process passes both on to others. The age
   /// of what it passes on reaches twice the wait, which must stay below
@@ -153,6 +155,9 @@
   /// How current the list of endpoints is; may be called from any thread.
   const state::ListFreshness& EndpointList() const;
 
+  /// How current the orders of roll-outs are; may be called from any thread.
+  const state::ListFreshness& RolloutList() const;
+
   /// Number of objects that could not be read, counted once per revision; may
   /// be called from any thread.
   std::uint64_t RefusedObjects() const { return mRefusedObjects.load(); }
@@ -161,7 +166,7 @@
   struct Topic;
 
   void DescribeTopics();
-  std::array<Topic*, 4> Topics() const;
+  std::array<Topic*, 5> Topics() const;
   transport::Task<void> Follow(Topic& aTopic);
   transport::Task<void> ReadConfigOnce();
   /// Follows a topic, unless it is followed already.
@@ -218,6 +223,9 @@
   bool ApplyWeights(const state::RawObject& aObject);
   /// Applies the start or end of a quarantine; returns whether it is new.
   bool ApplyQuarantined(const state::RawObject& aObject);
+  /// Applies an order of a roll-out, its status, or its removal; returns
+  /// whether it is new.
+  bool ApplyRollout(const state::RawObject& aObject);
   /// @return whether it brought anything new
   bool ApplyEndpointList(const std::vector<state::RawObject>& aObjects);
   void Publish();
@@ -234,6 +242,7 @@
   std::unique_ptr<Topic> mEndpointTopic;
   std::unique_ptr<Topic> mWeightsTopic;
   std::unique_ptr<Topic> mQuarantineTopic;
+  std::unique_ptr<Topic> mRolloutTopic;
   state::EndpointDirectory mDirectory;
   state::Freshness mConfirmed;
   RelayView mView;
--- a/packages/coordination/src/engine_news_client.cpp
+++ b/packages/coordination/src/engine_news_client.cpp
@@ -81,7 +81,8 @@
          CrashReportsHandler aOnCrashReports,
          RateNewsHandler aOnRateNews,
          ConnectionEndHandler aOnConnectionEnd,
-         ConnectionEndHandler aOnUnfollowed)
+         ConnectionEndHandler aOnUnfollowed,
+         RolloutNoticeHandler aOnRolloutNotice)
     : mContext(aContext)
     , mIdentity(std::move(aIdentity))
     , mSettings(aSettings)
@@ -93,6 +94,7 @@
     , mOnRateNews(std::move(aOnRateNews))
     , mOnConnectionEnd(std::move(aOnConnectionEnd))
     , mOnUnfollowed(std::move(aOnUnfollowed))
+    , mOnRolloutNotice(std::move(aOnRolloutNotice))
   {
   }
 
@@ -269,6 +271,11 @@
       } else if (const auto* permit =
                    std::get_if<protocol::PlaceGrant>(&*message)) {
         CompleteRequest(permit->mId, *message);
+      } else if (const auto* step =
+                   std::get_if<protocol::RolloutNotice>(&*message)) {
+        if (mOnRolloutNotice) {
+          mOnRolloutNotice(step->mNotice);
+        }
       }
     }
     aChannel->Close();
@@ -383,6 +390,7 @@
   RateNewsHandler mOnRateNews;
   ConnectionEndHandler mOnConnectionEnd;
   ConnectionEndHandler mOnUnfollowed;
+  RolloutNoticeHandler mOnRolloutNotice;
   transport::ChannelCounters mCounters;
   state::RandomSource mRandom{ std::random_device{}() };
   std::map<std::string, std::shared_ptr<CompanionLink>> mLinks; ///< by host
@@ -401,7 +409,8 @@
                                    CrashReportsHandler aOnCrashReports,
                                    RateNewsHandler aOnRateNews,
                                    ConnectionEndHandler aOnConnectionEnd,
-                                   ConnectionEndHandler aOnUnfollowed)
+                                   ConnectionEndHandler aOnUnfollowed,
+                                   RolloutNoticeHandler aOnRolloutNotice)
   : mShared(std::make_shared<Shared>(aContext,
                                      std::move(aIdentity),
                                      aSettings,
@@ -411,7 +420,8 @@
                                      std::move(aOnCrashReports),
                                      std::move(aOnRateNews),
                                      std::move(aOnConnectionEnd),
-                                     std::move(aOnUnfollowed)))
+                                     std::move(aOnUnfollowed),
+                                     std::move(aOnRolloutNotice)))
 {
   transport::Spawn(aContext, Shared::WatchForAbsence(mShared));
 }
@@ -542,6 +552,17 @@
   }
 }
 
+void
+EngineNewsClient::ReportRollout(const std::string& aHost,
+                                const state::RolloutReport& aReport)
+{
+  const auto link = mShared->Use(aHost);
+  if (link && link->mChannel &&
+      link->mChannel->ProtocolVersion() >= protocol::kRolloutProtocolVersion) {
+    link->mChannel->Send(protocol::RolloutReport{ aReport });
+  }
+}
+
 void
 EngineNewsClient::SetWaiting(const std::string& aEndpointAddress,
                              const state::WaitingTokens& aWaiting,
--- a/packages/coordination/src/engine_news_server.cpp
+++ b/packages/coordination/src/engine_news_server.cpp
@@ -133,6 +133,11 @@
       } else if (const auto* back =
                    std::get_if<protocol::LimitReturn>(&*message)) {
         ReturnToShare(*back);
+      } else if (const auto* report =
+                   std::get_if<protocol::RolloutReport>(&*message)) {
+        if (mOnRolloutReport) {
+          mOnRolloutReport(report->mReport);
+        }
       } else if (!HandleRateMessage(*message, *aChannel)) {
         co_return;
       }
@@ -435,6 +440,7 @@
   const state::Clock& mClock;
   state::LimitShares* mShares = nullptr;
   state::EndpointLimits* mLimits = nullptr;
+  std::function<void(const state::RolloutReport&)> mOnRolloutReport;
   transport::ChannelCounters mCounters;
   EngineState mState;
   std::uint32_t mSentQueued = 0;
@@ -471,6 +477,23 @@
   mShared->mLimits = &aLimits;
 }
 
+void
+EngineNewsServer::OnRolloutReport(
+  std::function<void(const state::RolloutReport&)> aHandler)
+{
+  mShared->mOnRolloutReport = std::move(aHandler);
+}
+
+void
+EngineNewsServer::PublishRollout(const state::RolloutNotice& aNotice)
+{
+  for (const auto& [channel, waiting] : mShared->mChannels) {
+    if (channel->ProtocolVersion() >= protocol::kRolloutProtocolVersion) {
+      channel->Send(protocol::RolloutNotice{ aNotice });
+    }
+  }
+}
+
 Result<state::Address>
 EngineNewsServer::Start(const state::Address& aAddress)
 {
--- a/packages/coordination/src/fleet_daemon.cpp
+++ b/packages/coordination/src/fleet_daemon.cpp
@@ -16,6 +16,7 @@
 #include "shuntjunction/coordination/part_store_reporter.h"
 #include "shuntjunction/coordination/quarantine_writer.h"
 #include "shuntjunction/coordination/relay.h"
+#include "shuntjunction/coordination/rollout_controller.h"
 #include "shuntjunction/coordination/weights_controller.h"
 #include "shuntjunction/coordination/zone_mirror.h"
 
@@ -176,6 +177,7 @@
       aSettings.mBounds.mDrainDeadline / 2);
     feed.mWatchesConfig = aSettings.mRole == FleetRole::kRelay;
     feed.mFollowsQuarantine = feed.mWatchesConfig;
+    feed.mFollowsRollouts = aSettings.mHasRollouts;
     feed.mListPause = aSettings.mRole == FleetRole::kRelay
                         ? kRelayListInterval
                         : kCompanionListInterval;
@@ -238,7 +240,11 @@
         asio::post(mControl, [this, request = aRequest, aFor] {
           mQuarantineWriter->StoreQuarantine(request, aFor);
         });
-      } });
+      },
+      [this](const auto& aHost, const auto& aReport) {
+        mNewsClient->ReportRollout(aHost, aReport);
+      },
+      &mFeed.RolloutList() });
     const auto address = mRelay->Start();
     if (!address) {
       return tl::unexpected(address.error());
@@ -263,7 +269,10 @@
       [this](const std::string& aHost) {
         mRelay->HandleNewsConnectionEnd(aHost);
       },
-      [this](const std::string& aHost) { mRelay->ForgetNews(aHost); });
+      [this](const std::string& aHost) { mRelay->ForgetNews(aHost); },
+      [this](const state::RolloutNotice& aNotice) {
+        mRelay->ApplyRolloutNotice(aNotice);
+      });
     return Serve(
       mReadiness, mSettings.mReadiness, mSettings.mReadinessPath, [this] {
         return mRelay->IsReady() ? PlainAnswer(200, "ready\n")
@@ -294,9 +303,33 @@
     FollowEngine();
     StartStoreReporter();
     StartWeightsController();
+    StartRolloutController();
     return {};
   }
 
+  void StartRolloutController()
+  {
+    if (!mSettings.mHasRollouts) {
+      return;
+    }
+    mRolloutController = std::make_unique<RolloutController>(
+      RolloutControllerDependencies{ mControl,
+                                     mSettings,
+                                     mZoneMirror.Store(),
+                                     mAdapter.mStoreCodec,
+                                     mClock,
+                                     mLog,
+                                     mShares->Ownership(),
+                                     mFeed.RolloutList(),
+                                     [this](const auto& aNotice) {
+                                       mNewsServer->PublishRollout(aNotice);
+                                     } });
+    mNewsServer->OnRolloutReport([this](const auto& aReport) {
+      mRolloutController->ApplyReport(aReport);
+    });
+    mRolloutController->Start();
+  }
+
   Result<void> StartNewsServer()
   {
     const auto peers = state::ParseAddress(mSettings.mPeerListen);
@@ -404,6 +437,9 @@
     if (mWeightsController) {
       UpdateCompanions(aView->mEndpoints);
       mStoreReporter->ApplyView(aView);
+      if (mRolloutController) {
+        mRolloutController->ApplyView(aView);
+      }
       mWeightsController->ApplyView(std::move(aView));
       return;
     }
@@ -520,6 +556,7 @@
   std::unique_ptr<EngineMonitor> mEngineMonitor;
   std::unique_ptr<PartStoreReporter> mStoreReporter;
   std::unique_ptr<WeightsController> mWeightsController;
+  std::unique_ptr<RolloutController> mRolloutController;
   std::unique_ptr<PathServer> mReadiness;
   std::unique_ptr<PathServer> mMetricsServer;
   bool mIsStopping = false;
--- a/packages/coordination/src/mirrored_platform.cpp
+++ b/packages/coordination/src/mirrored_platform.cpp
@@ -311,6 +311,15 @@
   return mStore.Write(std::move(aKey), std::move(aValue), aIfRevision);
 }
 
+Task<Result<std::uint64_t>>
+MirroredPlatform::WriteStatus(std::string aKey,
+                              std::string aStatus,
+                              std::uint64_t aIfRevision)
+{
+  Count(StoreCall::kWrite);
+  return mStore.WriteStatus(std::move(aKey), std::move(aStatus), aIfRevision);
+}
+
 Task<Result<void>>
 MirroredPlatform::Delete(std::string aKey, std::uint64_t aIfRevision)
 {
--- a/packages/coordination/src/platform.cpp
+++ b/packages/coordination/src/platform.cpp
@@ -63,4 +63,15 @@
   return instances;
 }
 
+transport::Task<state::Result<std::uint64_t>>
+Platform::WriteStatus(std::string aKey,
+                      std::string /*aStatus*/,
+                      std::uint64_t /*aIfRevision*/)
+{
+  co_return state::Fail(state::ErrorCode::kInvalidArgument,
+                        "platform.write_status",
+                        aKey,
+                        "objects of this platform have no status");
+}
+
 } // namespace shuntjunction::coordination
--- a/packages/coordination/src/relay.cpp
+++ b/packages/coordination/src/relay.cpp
@@ -25,6 +25,8 @@
 constexpr Millis kStoppedInterval{ 100 };
 /// Interval at which the use of endpoints' rates is logged.
 constexpr Millis kRatesInterval{ 1000 };
+/// Interval between two reports on a roll-out.
+constexpr Millis kRolloutReportInterval{ 200 };
 /// Connections accepted in one turn, so that other work goes on.
 constexpr int kMaxAcceptsPerTurn = 64;
 /// Descriptors reserved for files, the store, listening sockets, checks of the
@@ -131,6 +133,15 @@
   }
 }
 
+Task<void>
+ReportRollouts(std::shared_ptr<Relay::Core> aCore)
+{
+  while (true) {
+    co_await transport::Sleep(kRolloutReportInterval);
+    aCore->mRollouts.SendReports();
+  }
+}
+
 Task<void>
 CloseStaleConnections(std::shared_ptr<Relay::Core> aCore)
 {
@@ -150,6 +161,7 @@
   , mShares(mDependencies)
   , mRates(mDependencies, mShares.Directory())
   , mNotices(mDependencies)
+  , mRollouts(mDependencies, mShares.Directory(), mEndpoints)
   , mPartRecords(mLimits.mMaxParts)
   , mPrefillRate(mLimits.mFirstToken)
   , mRandom(std::random_device{}())
@@ -269,6 +281,9 @@
   transport::Spawn(mCore->mDependencies.mContext, CloseStaleConnections(mCore));
   transport::Spawn(mCore->mDependencies.mContext, WatchStoppedEndpoints(mCore));
   transport::Spawn(mCore->mDependencies.mContext, LogRates(mCore));
+  if (mCore->mDependencies.mSettings.mHasRollouts) {
+    transport::Spawn(mCore->mDependencies.mContext, ReportRollouts(mCore));
+  }
   transport::Spawn(mCore->mDependencies.mContext, WatchForOverload(mCore));
   return transport::LocalAddress(*mCore->mAcceptor);
 }
@@ -291,6 +306,7 @@
   mCore->mShares.Directory().SetHosts(companions);
   const auto changes = mCore->mEndpoints.Update(
     mCore->mView->mEndpoints, mCore->mDependencies.mClock.Now());
+  mCore->mRollouts.ApplyView(*mCore->mView, mCore->Relays());
   for (const auto& endpoint : changes.mRestarted) {
     mCore->NoteRestart(*endpoint);
   }
@@ -356,8 +372,9 @@
 }
 
 void
-Relay::ApplyRolloutNotice(const state::RolloutNotice& /*aNotice*/)
+Relay::ApplyRolloutNotice(const state::RolloutNotice& aNotice)
 {
+  mCore->mRollouts.ApplyNotice(aNotice);
 }
 
 void
--- a/packages/coordination/src/relay_attempt.cpp
+++ b/packages/coordination/src/relay_attempt.cpp
@@ -137,6 +137,7 @@
   }
   attempt.mPermit = std::exchange(mPermit, std::nullopt);
   mTriedEndpoints.push_back(endpoint.mInfo.mId);
+  mCore->mRollouts.NoteSent(endpoint.mInfo);
   Send(attempt, std::move(*clearance));
   mTimes.mSent = SinceArrival();
   const auto connection = attempt.mConnection.mReader;
--- a/packages/coordination/src/relay_core.h
+++ b/packages/coordination/src/relay_core.h
@@ -12,6 +12,7 @@
 #include "relay_notices.h"
 #include "relay_rates.h"
 #include "relay_shares.h"
+#include "rollout/relay_rollouts.h"
 #include "shuntjunction/coordination/relay.h"
 #include "shuntjunction/state/descriptor_budget.h"
 #include "shuntjunction/state/first_token.h"
@@ -123,6 +124,7 @@
   RelayShares mShares;
   RelayRates mRates;
   RelayNotices mNotices;
+  RelayRollouts mRollouts;
   state::PartRecordTable mPartRecords;
   state::PrefillRate mPrefillRate;
   state::OverloadGuard mGuard;
--- a/packages/coordination/src/relay_endpoint_choice.cpp
+++ b/packages/coordination/src/relay_endpoint_choice.cpp
@@ -62,6 +62,10 @@
 private:
   void Add(const RelayEndpointPtr& aEndpoint)
   {
+    if (mQuery.mVersions != nullptr &&
+        !mQuery.mVersions->Allows(aEndpoint->mInfo)) {
+      return;
+    }
     const auto& tried = *mQuery.mTriedEndpoints;
     const bool isTried =
       std::find(tried.begin(), tried.end(), aEndpoint->mInfo.mId) !=
--- a/packages/coordination/src/relay_endpoint_choice.h
+++ b/packages/coordination/src/relay_endpoint_choice.h
@@ -19,6 +19,7 @@
   /// Hash of a request under which an endpoint crashed: it is placed apart from
   /// the requests that ran beside it.
   std::optional<std::uint64_t> mCrashSuspectHash;
+  const VersionFilter* mVersions = nullptr; ///< null: all versions
 };
 
 /// A chosen endpoint, and how the request is forwarded to it.
--- a/packages/coordination/src/relay_feed.cpp
+++ b/packages/coordination/src/relay_feed.cpp
@@ -26,6 +26,24 @@
 /// once.
 constexpr Millis kProbeWait{ 1 };
 
+/// Keeps the times at which this process learned of an order and its step, if
+/// both are known already.
+void
+KeepLearningTimes(
+  const std::map<std::string, state::Rollout, std::less<>>& aBefore,
+  state::Rollout& aRollout)
+{
+  const auto found = aBefore.find(aRollout.mOrder.mService);
+  if (found == aBefore.end() ||
+      found->second.mOrder.mId != aRollout.mOrder.mId) {
+    return;
+  }
+  aRollout.mLearnedAt = found->second.mLearnedAt;
+  if (found->second.mStatus == aRollout.mStatus) {
+    aRollout.mStepLearnedAt = found->second.mStepLearnedAt;
+  }
+}
+
 /// Failure times of another process that differ by less count as the same.
 constexpr Millis kMinFailureGap{ 100 };
 
@@ -51,6 +69,7 @@
   , mEndpointTopic(std::make_unique<Topic>())
   , mWeightsTopic(std::make_unique<Topic>())
   , mQuarantineTopic(std::make_unique<Topic>())
+  , mRolloutTopic(std::make_unique<Topic>())
   , mRandom(std::random_device{}())
 {
   DescribeTopics();
@@ -101,6 +120,24 @@
     ApplyQuarantined(aObject);
   };
 
+  mRolloutTopic->mPrefix = mCodec.RolloutPrefix();
+  mRolloutTopic->mWait = mSettings.mListWait;
+  mRolloutTopic->mDetectsDeadWatch = true;
+  mRolloutTopic->mApplyList = [this](const auto& aObjects) {
+    const auto before = std::exchange(mView.mRollouts, {});
+    bool isNews = false;
+    for (const auto& object : aObjects) {
+      isNews = ApplyRollout(object) || isNews;
+    }
+    for (auto& [service, rollout] : mView.mRollouts) {
+      KeepLearningTimes(before, rollout);
+    }
+    return isNews || !before.empty();
+  };
+  mRolloutTopic->mApplyChange = [this](const RawObject& aObject) {
+    ApplyRollout(aObject);
+  };
+
   mEndpointTopic->mPrefix = mCodec.EndpointPrefix();
   mEndpointTopic->mWait = mSettings.mListWait;
   mEndpointTopic->mPauseAfterChange = mSettings.mListPause;
@@ -113,6 +150,12 @@
   };
 }
 
+const state::ListFreshness&
+RelayFeed::RolloutList() const
+{
+  return mRolloutTopic->mFreshness;
+}
+
 const state::ListFreshness&
 RelayFeed::EndpointList() const
 {
@@ -130,6 +173,9 @@
   if (mSettings.mFollowsQuarantine) {
     BeginFollowing(*mQuarantineTopic);
   }
+  if (mSettings.mFollowsRollouts) {
+    BeginFollowing(*mRolloutTopic);
+  }
   transport::Spawn(mContext, ExpireEndpoints());
   if (!mSettings.mWatchesConfig) {
     transport::Spawn(mContext, CheckStoreLiveness());
--- a/packages/coordination/src/relay_feed_liveness.cpp
+++ b/packages/coordination/src/relay_feed_liveness.cpp
@@ -153,13 +153,14 @@
   mPlatform.AbortPendingCalls();
 }
 
-std::array<RelayFeed::Topic*, 4>
+std::array<RelayFeed::Topic*, 5>
 RelayFeed::Topics() const
 {
   return { mConfigTopic.get(),
            mEndpointTopic.get(),
            mWeightsTopic.get(),
-           mQuarantineTopic.get() };
+           mQuarantineTopic.get(),
+           mRolloutTopic.get() };
 }
 
 Task<void>
--- a/packages/coordination/src/relay_feed_objects.cpp
+++ b/packages/coordination/src/relay_feed_objects.cpp
@@ -215,6 +215,61 @@
   return true;
 }
 
+bool
+RelayFeed::ApplyRollout(const RawObject& aObject)
+{
+  if (aObject.mValue.empty()) {
+    const auto service = IdOf(aObject);
+    mLog.Write(
+      EventLine(kFeedComponent, "rollout-removed").Add("service", service));
+    return mView.mRollouts.erase(service) != 0;
+  }
+  auto rollout = mCodec.ReadRollout(aObject.mKey, aObject.mValue);
+  if (!rollout) {
+    RefuseObject("rollout-refused", aObject, rollout.error());
+    // An order that was overwritten by an invalid one is not continued.
+    return mView.mRollouts.erase(IdOf(aObject)) != 0;
+  }
+  const auto& config = *mView.mConfig;
+  const auto& service = rollout->mOrder.mService;
+  if (config.Version() != 0 && config.ServiceOf(service) == nullptr) {
+    RefuseObject("rollout-refused",
+                 aObject,
+                 { state::ErrorCode::kInvalidArgument,
+                   "rollout.read",
+                   aObject.mKey,
+                   "the configuration has no such service" });
+    return mView.mRollouts.erase(service) != 0;
+  }
+  rollout->mRevision = aObject.mRevision;
+  rollout->mLearnedAt = mClock.Now() - aObject.mAge;
+  rollout->mStepLearnedAt = rollout->mLearnedAt;
+  auto& known = mView.mRollouts[service];
+  if (known.mRevision >= rollout->mRevision) {
+    return false;
+  }
+  const bool isSameOrder = known.mOrder.mId == rollout->mOrder.mId;
+  if (isSameOrder) {
+    rollout->mLearnedAt = known.mLearnedAt;
+  }
+  if (isSameOrder && known.mStatus == rollout->mStatus) {
+    rollout->mStepLearnedAt = known.mStepLearnedAt;
+  }
+  known = std::move(*rollout);
+  mLog.Write(EventLine(kFeedComponent, "rollout")
+               .Add("service", service)
+               .Add("target", known.mOrder.mTargetVersion)
+               .Add("within_ms", known.mOrder.mWithin.count())
+               .Add("state",
+                    known.mStatus
+                      ? state::kRolloutStateNames.Name(known.mStatus->mState)
+                      : "ordered")
+               .Add("step", known.mStatus ? known.mStatus->mStep : 0)
+               .Add("share", known.Share())
+               .Add("revision", known.mRevision));
+  return true;
+}
+
 bool
 RelayFeed::HasNewerWeights(const ObjectList& aList) const
 {
--- a/packages/coordination/src/relay_run.cpp
+++ b/packages/coordination/src/relay_run.cpp
@@ -280,6 +280,7 @@
                        SinceArrival(),
                        mRoute->mObjective,
                        {} };
+  query.mVersions = &mVersions;
   if (mCore->mCrashes.Crashes(mDigest) > 0) {
     query.mCrashSuspectHash = state::PlacementHash(mDigest.Text());
   }
@@ -290,6 +291,8 @@
 RelayRun::SelectEndpoint()
 {
   const auto objective = static_cast<double>(mRoute->mObjective.count());
+  mVersions =
+    mCore->mRollouts.Choose(mService, !mTriedEndpoints.empty(), mCore->mRandom);
   const auto until =
     mArrival +
     Millis(static_cast<std::int64_t>(objective * mCore->mLimits.mWaitShare));
@@ -298,6 +301,10 @@
     if (auto choice = ChooseEndpoint(*mCore, query)) {
       co_return choice;
     }
+    if (auto other = mCore->mRollouts.Alternative(mService, mVersions)) {
+      mVersions = std::move(*other);
+      continue;
+    }
     if (IsUnavailable(query, std::min(until, mDeadline))) {
       break;
     }
@@ -439,7 +446,29 @@
     case AttemptOutcome::kInterrupted:
       break;
   }
+  NoteRolloutOutcome(endpoint, aOutcome);
   LogAttempt(aChoice, aOutcome);
 }
 
+void
+RelayRun::NoteRolloutOutcome(const RelayEndpoint& aEndpoint,
+                             AttemptOutcome aOutcome)
+{
+  const bool isFailed =
+    aOutcome == AttemptOutcome::kFailed ||
+    aOutcome == AttemptOutcome::kBroken ||
+    aOutcome == AttemptOutcome::kSilent ||
+    (aOutcome == AttemptOutcome::kDone && mAnswerStatus >= kFirstServerError);
+  const bool isTimeout = aOutcome == AttemptOutcome::kInterrupted &&
+                         mInterrupt == RunInterrupt::kDeadline;
+  if (!mTimes.mSent ||
+      (!isFailed && !isTimeout && aOutcome != AttemptOutcome::kDone)) {
+    return;
+  }
+  const auto first = mTimes.mFirst.value_or(SinceArrival()) - *mTimes.mSent;
+  mCore->mRollouts.NoteOutcome(aEndpoint.mInfo,
+                               mRoute->mName,
+                               isFailed ? std::nullopt : std::optional(first));
+}
+
 } // namespace shuntjunction::coordination
--- a/packages/coordination/src/relay_run.h
+++ b/packages/coordination/src/relay_run.h
@@ -180,6 +180,9 @@
   /// Tells the other relays that a part is being prefilled, or was.
   void AnnouncePartReading(const EndpointChoice& aChoice, bool aIsDone);
   void NoteOutcome(const EndpointChoice& aChoice, AttemptOutcome aOutcome);
+  /// Reports an attempt as evidence of a roll-out.
+  void NoteRolloutOutcome(const RelayEndpoint& aEndpoint,
+                          AttemptOutcome aOutcome);
   /// Checks whether an endpoint crashed under the request.
   transport::Task<void> CheckForCrash(const EndpointChoice& aChoice);
   /// Records that an endpoint ran the request without a crash.
@@ -263,6 +266,7 @@
   std::vector<ReservedUsage> mReservedUsage; ///< of the team's limit
   std::vector<ReservedUsage> mReservedRetry; ///< of the service's retry pool
   std::optional<HeldPermit> mPermit; ///< if the endpoint advertises a rate
+  VersionFilter mVersions;           ///< of the current attempt
   bool mIsOverLimit = false;         ///< the team has used up its limit
 };
 
--- a/packages/protocol/include/shuntjunction/protocol/messages.h
+++ b/packages/protocol/include/shuntjunction/protocol/messages.h
@@ -14,12 +14,17 @@
 #include "shuntjunction/state/limit_shares.h"
 #include "shuntjunction/state/prefix_chain.h"
 #include "shuntjunction/state/request_types.h"
+#include "shuntjunction/state/rollout/rollout.h"
+#include "shuntjunction/state/rollout/rollout_evidence.h"
 
 /// Messages between shuntjunction's own processes.
 namespace shuntjunction::protocol {
 
 /// Protocol version that this build speaks.
-inline constexpr std::uint16_t kProtocolVersion = 1;
+inline constexpr std::uint16_t kProtocolVersion = 2;
+
+/// Protocol version from which a peer understands messages about roll-outs.
+inline constexpr std::uint16_t kRolloutProtocolVersion = 2;
 
 /// Oldest protocol version that it accepts from a peer.
 inline constexpr std::uint16_t kMinProtocolVersion = 1;
@@ -329,6 +334,18 @@
   state::LimitHash mEndpoint = 0;
 };
 
+/// Report of a relay on a roll-out, to the companion that decides its steps.
+struct RolloutReport
+{
+  state::RolloutReport mReport;
+};
+
+/// Step of a roll-out, sent to all relays by the companion that decided it.
+struct RolloutNotice
+{
+  state::RolloutNotice mNotice;
+};
+
 /// Any message.
 using Message = std::variant<Challenge,
                              Hello,
@@ -357,6 +374,8 @@
                              RateNews,
                              PlaceAsk,
                              PlaceGrant,
-                             PlaceReturn>;
+                             PlaceReturn,
+                             RolloutReport,
+                             RolloutNotice>;
 
 } // namespace shuntjunction::protocol
--- a/packages/protocol/src/codec_pack.cpp
+++ b/packages/protocol/src/codec_pack.cpp
@@ -410,6 +410,52 @@
   return wire::CreatePlaceReturn(aBuilder, aMessage.mEndpoint).Union();
 }
 
+Offset<void>
+Pack(FlatBufferBuilder& aBuilder, const RolloutReport& aMessage)
+{
+  const auto& report = aMessage.mReport;
+  std::vector<Offset<wire::RolloutOutcomes>> rows;
+  rows.reserve(report.mOutcomes.size());
+  for (const auto& [key, outcomes] : report.mOutcomes) {
+    const auto latency =
+      aBuilder.CreateVector(outcomes.mLatency.data(), outcomes.mLatency.size());
+    rows.push_back(wire::CreateRolloutOutcomes(aBuilder,
+                                               key.mRoute,
+                                               key.mIsTarget,
+                                               key.mEndpoint,
+                                               outcomes.mRequests,
+                                               outcomes.mFailed,
+                                               latency));
+  }
+  const auto service = aBuilder.CreateString(report.mService);
+  const auto relay = aBuilder.CreateString(report.mRelay);
+  return wire::CreateRolloutReport(aBuilder,
+                                   service,
+                                   report.mOrderId,
+                                   relay,
+                                   report.mRelayStart,
+                                   report.mStep,
+                                   report.mSent,
+                                   report.mExposed,
+                                   report.mOldRunning,
+                                   aBuilder.CreateVector(rows))
+    .Union();
+}
+
+Offset<void>
+Pack(FlatBufferBuilder& aBuilder, const RolloutNotice& aMessage)
+{
+  const auto& notice = aMessage.mNotice;
+  const auto service = aBuilder.CreateString(notice.mService);
+  return wire::CreateRolloutNotice(aBuilder,
+                                   service,
+                                   notice.mOrderId,
+                                   static_cast<std::uint8_t>(notice.mState),
+                                   notice.mStep,
+                                   notice.mShare)
+    .Union();
+}
+
 } // namespace
 
 Offset<void>
--- a/packages/protocol/src/codec_unpack.cpp
+++ b/packages/protocol/src/codec_unpack.cpp
@@ -370,6 +370,58 @@
   return { aWire.endpoint() };
 }
 
+RolloutReport
+Unpack(const wire::RolloutReport& aWire)
+{
+  state::RolloutReport report;
+  report.mService = TextOf(aWire.service());
+  report.mOrderId = aWire.order();
+  report.mRelay = TextOf(aWire.relay());
+  report.mRelayStart = aWire.relay_start();
+  report.mStep = aWire.step();
+  report.mSent = aWire.sent();
+  report.mExposed = aWire.exposed();
+  report.mOldRunning = aWire.old_running();
+  if (aWire.outcomes() != nullptr) {
+    for (const auto* row : *aWire.outcomes()) {
+      auto& outcomes =
+        report.mOutcomes[{ row->route(), row->is_target(), row->endpoint() }];
+      outcomes.mRequests = row->requests();
+      outcomes.mFailed = row->failed();
+      const auto* latency = row->latency();
+      const std::size_t buckets =
+        latency == nullptr
+          ? 0
+          : std::min<std::size_t>(latency->size(), outcomes.mLatency.size());
+      for (std::size_t i = 0; i < buckets; ++i) {
+        outcomes.mLatency[i] = latency->Get(static_cast<unsigned>(i));
+      }
+    }
+  }
+  return { std::move(report) };
+}
+
+/// Reads a state; an unknown one is the safest, kRolledBack.
+state::RolloutState
+ReadRolloutState(std::uint8_t aNumber)
+{
+  return aNumber < state::kRolloutStateNames.Size()
+           ? static_cast<state::RolloutState>(aNumber)
+           : state::RolloutState::kRolledBack;
+}
+
+RolloutNotice
+Unpack(const wire::RolloutNotice& aWire)
+{
+  const double share =
+    std::isfinite(aWire.share()) ? std::clamp(aWire.share(), 0.0, 1.0) : 0.0;
+  return { { TextOf(aWire.service()),
+             aWire.order(),
+             ReadRolloutState(aWire.state()),
+             aWire.step(),
+             share } };
+}
+
 } // namespace
 
 std::optional<Message>
@@ -432,6 +484,10 @@
       return Unpack(*aFrame.body_as_PlaceGrant());
     case wire::Body::PlaceReturn:
       return Unpack(*aFrame.body_as_PlaceReturn());
+    case wire::Body::RolloutReport:
+      return Unpack(*aFrame.body_as_RolloutReport());
+    case wire::Body::RolloutNotice:
+      return Unpack(*aFrame.body_as_RolloutNotice());
     case wire::Body::NONE:
       break;
   }
--- a/packages/state/include/shuntjunction/state/rollout/rollout.h
+++ b/packages/state/include/shuntjunction/state/rollout/rollout.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "shuntjunction/state/clock.h"
 #include "shuntjunction/state/enum_names.h"
@@ -73,6 +74,10 @@
   }
 };
 
+/// Hash by which the companion that decides a service's roll-outs is chosen.
+std::uint64_t
+HashOfRollout(std::string_view aService);
+
 /// A step, sent to relays by the companion that decided it.
 struct RolloutNotice
 {
--- a/packages/state/src/rollout/rollout.cpp
+++ b/packages/state/src/rollout/rollout.cpp
@@ -1,5 +1,7 @@
 #include "shuntjunction/state/rollout/rollout.h"
 
+#include "shuntjunction/state/prefix_chain.h"
+
 namespace shuntjunction::state {
 
 double
@@ -19,4 +21,10 @@
   return mStatus->mShare;
 }
 
+std::uint64_t
+HashOfRollout(std::string_view aService)
+{
+  return PlacementHash("rollout/" + std::string(aService));
+}
+
 } // namespace shuntjunction::state
--- a/packages/transport/include/shuntjunction/transport/frame_channel.h
+++ b/packages/transport/include/shuntjunction/transport/frame_channel.h
@@ -82,6 +82,9 @@
   /// Configuration version of the other side at the handshake.
   std::uint64_t PeerConfigVersion() const { return mPeerConfigVersion; }
 
+  /// Protocol version that both sides speak, as agreed in the handshake.
+  std::uint16_t ProtocolVersion() const { return mProtocolVersion; }
+
   /// Version to put into a message: zero when it is the last one announced to
   /// the peer.
   std::uint64_t UnannouncedVersion(std::uint64_t aVersion);
@@ -104,6 +107,7 @@
   std::string mPeerNode;
   std::uint64_t mPeerConfigVersion = 0;
   std::uint64_t mAnnouncedVersion = 0;
+  std::uint16_t mProtocolVersion = 0;
   ChannelCounters& mCounters;
   bool mIsClosedByPeer = false;
   std::deque<std::vector<std::uint8_t>> mQueue;
--- a/packages/transport/src/frame_channel.cpp
+++ b/packages/transport/src/frame_channel.cpp
@@ -216,6 +216,7 @@
     co_return Fail(
       ErrorCode::kUnauthorized, kStep, mPeer, "the peer's proof is wrong");
   }
+  mProtocolVersion = hello.mVersion;
   mPeerNode = welcome->mNode;
   mPeerConfigVersion = welcome->mConfigVersion;
   co_return Result<void>{};
@@ -253,6 +254,7 @@
   welcome.mProof =
     protocol::AcceptorProof(aIdentity.mSecret, challenge, *hello);
   Send(welcome);
+  mProtocolVersion = std::min(protocol::kProtocolVersion, hello->mVersion);
   mPeerNode = hello->mNode;
   mPeerConfigVersion = hello->mConfigVersion;
   co_return Result<void>{};
