Streams continue from a copy of the run at a second engine

Cause: a stream on a route that is not resumable ends when its engine does, though the platform copies the memory of a run to a second engine on request and counts the same request there as the same run.

Ruled out: copies of long prompts, which run for less than a second and would hold a quarter of the fleet's memory; continuing a request under which two engines crashed, since the third crash would quarantine it.

Change: the relay chooses an engine for the copy when it sends a streamed request, and after the loss of the first engine sends the request there with the id of its last complete event. If there is no copy, the route decides as before.

Not measured yet.

--- a/packages/coordination/include/shuntjunction/coordination/relay_codec.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay_codec.h
@@ -39,6 +39,7 @@
 /// Fields that the relay adds when it forwards a request to an endpoint.
 struct ForwardingInfo
 {
+  std::string mRequestId;
   state::Millis mTimeLeft{ 0 };
   std::string mEndpointId; ///< any other endpoint must refuse the request
   std::string mTeam;       ///< empty: none
--- a/packages/coordination/include/shuntjunction/coordination/relay_settings.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay_settings.h
@@ -6,6 +6,7 @@
 #include "shuntjunction/state/relay_choice.h"
 #include "shuntjunction/state/rollout/rollout_exposure.h"
 #include "shuntjunction/state/settings.h"
+#include "shuntjunction/state/stream_backup.h"
 #include "shuntjunction/state/topology.h"
 #include "shuntjunction/state/window_budget.h"
 
@@ -72,6 +73,7 @@
   FleetBounds mBounds;
   state::LoadScheduleSettings mLoadSchedule;
   state::RelayChoiceSettings mChoice;
+  state::StreamBackupSettings mStreamBackup;
 };
 
 } // namespace shuntjunction::coordination
--- a/packages/coordination/src/relay_answer.cpp
+++ b/packages/coordination/src/relay_answer.cpp
@@ -279,7 +279,7 @@
                           : state::Priority::kOrdinary,
     static_cast<double>(SinceArrival().count()) / kMillisPerSecond);
   RemoveWaiting(choice);
-  if (choice.mWeights != 0) {
+  if (choice.mWeights != 0 && choice.mContinueFrom.empty()) {
     mCore->mPrefillRate.Note(choice.mWaitingTokens + choice.mPrefillTokens,
                              SinceArrival() - *mTimes.mSent);
   }
--- a/packages/coordination/src/relay_attempt.cpp
+++ b/packages/coordination/src/relay_attempt.cpp
@@ -124,6 +124,7 @@
     co_return clearance.error();
   }
   mPartialEvent.clear();
+  PlaceCopy(attempt);
   LogSent(attempt.mEndpointChoice);
   attempt.mEndpointChoice.mSentAt = Now();
   if (endpoint.mRunning++ == 0) {
@@ -290,6 +291,7 @@
 RelayRun::MakeForwardingInfo(const EndpointChoice& aChoice) const
 {
   ForwardingInfo handOver;
+  handOver.mRequestId = mCall.mRequestId;
   handOver.mTimeLeft = std::chrono::duration_cast<Millis>(mDeadline - Now());
   handOver.mEndpointId = aChoice.mEndpoint->mInfo.mId;
   handOver.mResumeAfter = mLastEventId;
@@ -302,6 +304,8 @@
     handOver.mSalt = aChoice.mSalt;
     handOver.mPartSource = aChoice.mPartSource;
     handOver.mPartStore = aChoice.mPartStore;
+    handOver.mBackupAddress = aChoice.mCopyAddress;
+    handOver.mContinueFrom = aChoice.mContinueFrom;
   }
   return handOver;
 }
--- a/packages/coordination/src/relay_endpoint.h
+++ b/packages/coordination/src/relay_endpoint.h
@@ -124,7 +124,9 @@
   std::set<std::shared_ptr<transport::SocketReader>> mBusy;
   std::int64_t mRunning = 0;         ///< requests of this relay there
   std::int64_t mSuspectRequests = 0; ///< of these, see state::ChooseForSuspect
-  state::WaitingTokens mWaiting;     ///< of this relay's, by urgency there
+  /// Tokens of copies of runs that this relay had placed there.
+  std::int64_t mBackupTokens = 0;
+  state::WaitingTokens mWaiting; ///< of this relay's, by urgency there
   /// Requests of this relay that are queued behind all others there.
   state::LateRequests mLate;
   int mFailures = 0; ///< consecutive
--- a/packages/coordination/src/relay_endpoint_choice.cpp
+++ b/packages/coordination/src/relay_endpoint_choice.cpp
@@ -12,14 +12,8 @@
 using state::RelayCandidate;
 using state::TimePoint;
 
-namespace {
-
-/// An endpoint whose rate was not queried for this long is no longer passed
-/// over for others.
-constexpr Millis kRateQueryTimeout{ 1000 };
-
 std::string
-CacheSalt(const EndpointQuery& aQuery, std::uint64_t aWeights)
+SaltOf(const EndpointQuery& aQuery, std::uint64_t aWeights)
 {
   std::string salt = aQuery.mCall->mModel + "." + std::to_string(aWeights);
   if (!aQuery.mIsolatedTeam.empty()) {
@@ -29,6 +23,12 @@
   return salt;
 }
 
+namespace {
+
+/// An endpoint whose rate was not queried for this long is no longer passed
+/// over for others.
+constexpr Millis kRateQueryTimeout{ 1000 };
+
 /// The engines of a service as candidates, without those that may not be
 /// chosen.
 class CandidateList
@@ -54,6 +54,15 @@
   {
     return mEndpoints[aIndex];
   }
+  /// Memory of one engine of the service; 0: not known.
+  std::int64_t CapacityTokens() const
+  {
+    const auto* service =
+      mCore.mView->mConfig->ServiceOf(std::string(mQuery.mService));
+    return service != nullptr && service->mEngine
+             ? service->mEngine->mCapacityTokens
+             : 0;
+  }
   std::uint64_t Newest() const
   {
     return mHistory == nullptr ? 0 : mHistory->Newest();
@@ -119,7 +128,7 @@
     const auto [found, isNew] = mHolders.try_emplace(aVersion);
     if (isNew) {
       found->second = mCore.mEndpoints.Parts().Holders(
-        state::PartName(CacheSalt(mQuery, aVersion), part));
+        state::PartName(SaltOf(mQuery, aVersion), part));
     }
     const auto& holders = found->second;
     return std::binary_search(
@@ -269,7 +278,7 @@
       std::chrono::duration_cast<Millis>(now - choice.mEndpoint->mNewsAt);
   }
   if (choice.mWeights != 0) {
-    choice.mSalt = CacheSalt(aQuery, choice.mWeights);
+    choice.mSalt = SaltOf(aQuery, choice.mWeights);
   }
   if (isPlacedByPart) {
     choice.mPart = part;
@@ -286,6 +295,37 @@
   return choice;
 }
 
+BackupCandidateList
+BackupCandidates(Relay::Core& aCore,
+                 const EndpointQuery& aQuery,
+                 const EndpointChoice& aChoice)
+{
+  const CandidateList list(aCore, aQuery);
+  const auto& zone = aChoice.mEndpoint->mInfo.mZone;
+  const auto& topology = aCore.mDependencies.mSettings.mTopology;
+  BackupCandidateList backups;
+  for (std::size_t index = 0; index < list.Candidates().size(); ++index) {
+    const auto& endpoint = list.At(index);
+    if (endpoint == aChoice.mEndpoint) {
+      continue;
+    }
+    const auto& candidate = list.Candidates()[index];
+    backups.mCandidates.push_back(
+      { candidate.mNameHash,
+        topology.Between(zone, endpoint->mInfo.mZone),
+        candidate.mVersion,
+        candidate.mRunning,
+        candidate.mSlots,
+        list.CapacityTokens(),
+        candidate.mQueuedTokens,
+        endpoint->mBackupTokens,
+        candidate.mIsSuspect,
+        endpoint->mRate.has_value() });
+    backups.mEndpoints.push_back(endpoint);
+  }
+  return backups;
+}
+
 std::optional<ServiceOutage>
 OutageOf(Relay::Core& aCore, const EndpointQuery& aQuery)
 {
--- a/packages/coordination/src/relay_endpoint_choice.h
+++ b/packages/coordination/src/relay_endpoint_choice.h
@@ -3,6 +3,7 @@
 // Private to coordination: the choice of an endpoint for a relayed request.
 
 #include "relay_core.h"
+#include "shuntjunction/state/stream_backup.h"
 
 namespace shuntjunction::coordination {
 
@@ -40,6 +41,11 @@
   bool mIsCrashSuspect = false;
   /// Expected late: queued behind requests that can be in time.
   bool mIsDeprioritized = false;
+  /// Address of the engine that gets a copy of the run; empty: none does.
+  std::string mCopyAddress;
+  /// Address of the engine whose copy of the run is continued; empty: it begins
+  /// anew.
+  std::string mContinueFrom;
   state::TimePoint mSentAt; ///< set when it is sent
   // State at the time of the choice, for the log.
   std::size_t mCandidates = 0; ///< endpoints that were considered
@@ -54,6 +60,23 @@
 std::optional<EndpointChoice>
 ChooseEndpoint(Relay::Core& aCore, const EndpointQuery& aQuery);
 
+/// Text that separates the cached parts of models, weights and isolated teams.
+std::string
+SaltOf(const EndpointQuery& aQuery, std::uint64_t aWeights);
+
+/// Engines that may hold a copy of a run.
+struct BackupCandidateList
+{
+  std::vector<state::BackupCandidate> mCandidates;
+  std::vector<RelayEndpointPtr> mEndpoints; ///< in the same order
+};
+
+/// The engines that may hold a copy of a run at the chosen engine.
+BackupCandidateList
+BackupCandidates(Relay::Core& aCore,
+                 const EndpointQuery& aQuery,
+                 const EndpointChoice& aChoice);
+
 /// Whether a request takes precedence where permits are scarce.
 inline bool
 IsUrgent(int aUrgency)
--- a/packages/coordination/src/relay_run.cpp
+++ b/packages/coordination/src/relay_run.cpp
@@ -243,13 +243,14 @@
     if (!mayBeSent) {
       continue;
     }
-    const auto outcome = co_await TryEndpoint(*choice);
+    auto outcome = co_await TryEndpoint(*choice);
     ReturnPermit();
     CommitUsage(outcome);
     NoteOutcome(*choice, outcome);
     if (outcome == AttemptOutcome::kBroken) {
       co_await CheckForCrash(*choice);
     }
+    outcome = co_await ContinueFromCopy(*choice, outcome);
     if (outcome == AttemptOutcome::kDone) {
       co_return;
     }
@@ -316,8 +317,13 @@
 RelayRun::ShouldMoveElsewhere(const EndpointChoice& aChoice)
 {
   const auto& endpoints = mCore->mEndpoints;
-  if (!endpoints.HasStopped(*aChoice.mEndpoint, Now()) ||
-      !MayRetry(AttemptOutcome::kSilent)) {
+  if (!endpoints.HasStopped(*aChoice.mEndpoint, Now())) {
+    return false;
+  }
+  if (MayContinueFromCopy(aChoice, AttemptOutcome::kSilent)) {
+    return true;
+  }
+  if (!MayRetry(AttemptOutcome::kSilent)) {
     return false;
   }
   const auto other = ChooseEndpoint(*mCore, MakeEndpointQuery());
--- a/packages/coordination/src/relay_run.h
+++ b/packages/coordination/src/relay_run.h
@@ -2,6 +2,7 @@
 
 // Private to coordination: the course of one request through a relay.
 
+#include "continuation/stream_copy.h"
 #include "relay_endpoint_choice.h"
 #include "relay_core.h"
 #include "shuntjunction/state/request_digest.h"
@@ -189,6 +190,19 @@
   bool MayRetry(AttemptOutcome aOutcome);
   void Finish(Attempt& aAttempt);
 
+  // Continuation from a copy.
+  /// Chooses the engine that gets a copy of the run that is about to be sent.
+  void PlaceCopy(Attempt& aAttempt);
+  /// Whether a stream that was lost at an engine may continue from its copy.
+  bool MayContinueFromCopy(const EndpointChoice& aChoice,
+                           AttemptOutcome aOutcome) const;
+  /// Continues a lost stream from its copy, as long as there is one; returns
+  /// the outcome of the last run.
+  transport::Task<AttemptOutcome> ContinueFromCopy(EndpointChoice aChoice,
+                                                   AttemptOutcome aOutcome);
+  EndpointChoice ChoiceOfCopy(const StreamCopy& aCopy) const;
+  void CountContinued(AttemptOutcome aOutcome);
+
   // An endpoint's answer.
   transport::Task<AttemptOutcome> ReadAnswer(Attempt& aAttempt);
   /// Parses the received bytes; empty when more are needed first.
@@ -263,7 +277,9 @@
   std::vector<ReservedUsage> mReservedUsage; ///< of the team's limit
   std::vector<ReservedUsage> mReservedRetry; ///< of the service's retry pool
   std::optional<HeldPermit> mPermit; ///< if the endpoint advertises a rate
-  bool mIsOverLimit = false;         ///< the team has used up its limit
+  /// Copy of the current run; null if there is none.
+  std::unique_ptr<StreamCopy> mCopy;
+  bool mIsOverLimit = false; ///< the team has used up its limit
 };
 
 } // namespace shuntjunction::coordination
--- a/packages/coordination/src/relay_run_log.cpp
+++ b/packages/coordination/src/relay_run_log.cpp
@@ -24,7 +24,9 @@
     line.Add("waiting_tokens", aChoice.mWaitingTokens)
       .Add("expected_ms", aChoice.mExpected.count())
       .Add("urgency", aChoice.mUrgency)
-      .Add("news_age_ms", aChoice.mNewsAge.count());
+      .Add("news_age_ms", aChoice.mNewsAge.count())
+      .Add("copy", aChoice.mCopyAddress)
+      .Add("continued_from", aChoice.mContinueFrom);
   }
   mCore->mDependencies.mLog.Write(std::move(line));
 }
