--- a/packages/coordination/src/relay_attempt.cpp
+++ b/packages/coordination/src/relay_attempt.cpp
@@ -124,6 +124,7 @@
     co_return clearance.error();
   }
   mPartialEvent.clear();
+  PlaceCopy(attempt);
   LogSent(attempt.mEndpointChoice);
   attempt.mEndpointChoice.mSentAt = Now();
   if (endpoint.mRunning++ == 0) {
@@ -177,6 +178,10 @@
     mCore->mNotices.CountWithheld(*endpoint, obstacle);
     return tl::unexpected(OutcomeOf(obstacle));
   }
+  if (!mCore->mRollouts.MayUse(endpoint->mInfo)) {
+    mLastProblem = "endpoint of another version";
+    return tl::unexpected(AttemptOutcome::kLeaving);
+  }
   if (const auto reason = ReasonToWithhold(); !reason.empty()) {
     mLastProblem = reason;
     return tl::unexpected(AttemptOutcome::kWithheld);
@@ -291,6 +296,7 @@
 RelayRun::MakeForwardingInfo(const EndpointChoice& aChoice) const
 {
   ForwardingInfo handOver;
+  handOver.mRequestId = mCall.mRequestId;
   handOver.mTimeLeft = std::chrono::duration_cast<Millis>(mDeadline - Now());
   handOver.mEndpointId = aChoice.mEndpoint->mInfo.mId;
   handOver.mResumeAfter = mLastEventId;
@@ -303,6 +309,8 @@
     handOver.mSalt = aChoice.mSalt;
     handOver.mPartSource = aChoice.mPartSource;
     handOver.mPartStore = aChoice.mPartStore;
+    handOver.mBackupAddress = aChoice.mCopyAddress;
+    handOver.mContinueFrom = aChoice.mContinueFrom;
   }
   return handOver;
 }
--- a/packages/coordination/src/rollout/relay_rollouts.cpp
+++ b/packages/coordination/src/rollout/relay_rollouts.cpp
@@ -232,6 +232,28 @@
   return std::nullopt;
 }
 
+bool
+RelayRollouts::MayUse(const state::EndpointInfo& aEndpoint) const
+{
+  const auto* order = Find(aEndpoint.mService);
+  if (order == nullptr || !order->IsInEffect(mDependencies.mClock.Now())) {
+    return true;
+  }
+  const auto& rollout = order->mRollout;
+  const auto& target = rollout.mOrder.mTargetVersion;
+  const bool isTarget = aEndpoint.mSoftwareVersion == target;
+  if (rollout.IsRunning()) {
+    const bool isExposed =
+      rollout.Share() > 0 &&
+      ConfirmedAge(*order) <= state::RolloutExposure::kLease;
+    return !isTarget || isExposed ||
+           !HasListed(aEndpoint.mService, target, false);
+  }
+  const bool isCompleted = rollout.Share() > 0;
+  return isTarget == isCompleted ||
+         !HasListed(aEndpoint.mService, target, isCompleted);
+}
+
 void
 RelayRollouts::NoteSent(const state::EndpointInfo& aEndpoint)
 {
--- a/packages/coordination/src/rollout/relay_rollouts.h
+++ b/packages/coordination/src/rollout/relay_rollouts.h
@@ -58,6 +58,10 @@
   std::optional<VersionFilter> Alternative(const std::string& aService,
                                            const VersionFilter& aFilter) const;
 
+  /// Whether an endpoint may get a request now, whichever version was chosen
+  /// for it: checked again before a request is sent.
+  bool MayUse(const state::EndpointInfo& aEndpoint) const;
+
   /// Counts a request that is being sent.
   void NoteSent(const state::EndpointInfo& aEndpoint);
 
