Distance decides placement, stores, sources and followed companions

Cause: a relay knew only whether an endpoint is in its own zone. Two of three long prompts left their region, parts were saved to and fetched from stores of other regions, where a move takes ten times as long, and each relay followed the companions of all regions.

Ruled out: one home of a part for the whole fleet is kept as a setting.

Change: candidates have a distance; a part has its first engine in each region and leaves the region only for a free slot or a much shorter queue; the store of a part and its source are the nearest; a relay follows the companions of its own region and eight others; two companions of each region report a store that the region uses. With one region nothing changes.

Not measured yet.

--- a/packages/coordination/include/shuntjunction/coordination/engine_news.h
+++ b/packages/coordination/include/shuntjunction/coordination/engine_news.h
@@ -12,6 +12,7 @@
 #include "shuntjunction/protocol/messages.h"
 #include "shuntjunction/state/followed_companions.h"
 #include "shuntjunction/state/relay_config.h"
+#include "shuntjunction/state/topology.h"
 #include "shuntjunction/transport/frame_channel.h"
 
 /// Status updates of engines, sent by the companion beside each to the relays.
@@ -107,6 +108,9 @@
   std::uint16_t mPort = 0; ///< of the companions, the same on all machines
   std::string mZone;       ///< availability zone of this relay
   state::FollowSettings mFollow;
+  /// In a fleet of several regions the companions of the own region are
+  /// followed, and few of the others.
+  state::Topology mTopology;
 };
 
 /// Receives the status of engines from their companions, in a large fleet only
--- a/packages/coordination/include/shuntjunction/coordination/part_store_reporter.h
+++ b/packages/coordination/include/shuntjunction/coordination/part_store_reporter.h
@@ -4,6 +4,8 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "shuntjunction/coordination/engine_news.h"
 #include "shuntjunction/coordination/part_follower.h"
@@ -30,8 +32,9 @@
 /// Follows the changes of a part store if this companion is selected to.
 ///
 /// A part store serves only few concurrent change queries, so only two
-/// companions per store follow it. All companions derive the same selection
-/// from the endpoint list.
+/// companions per store follow it, in a fleet of several regions two of each
+/// region that uses the store. All companions of a region derive the same
+/// selection from the endpoint list.
 /// Thread safety: none; used on the thread of its context.
 class PartStoreReporter
 {
@@ -50,8 +53,14 @@
   /// Address of the store that the companion of a rank follows; an empty string
   /// if it follows none, nullopt if no configuration could be read.
   transport::Task<std::optional<std::string>> FindStore(std::size_t aRank);
-  /// Rank of this companion's engine in the selection order; nullopt if the
-  /// engine is not listed.
+  /// Whether a zone may belong to the region of this companion.
+  bool IsInRegion(std::string_view aZone) const;
+  /// The stores that companions of this region report: those of the region, or
+  /// all if it has none.
+  std::vector<state::KvStoreRule> ReportedStores(
+    const std::vector<state::KvStoreRule>& aStores) const;
+  /// Rank of this companion's engine in the selection order of its region;
+  /// nullopt if the engine is not listed.
   std::optional<std::size_t> Rank() const;
 
   PartStoreReporterDependencies mDependencies;
--- a/packages/coordination/src/engine_news_client.cpp
+++ b/packages/coordination/src/engine_news_client.cpp
@@ -430,28 +430,34 @@
 void
 EngineNewsClient::Follow(const std::vector<state::EndpointInfo>& aEndpoints)
 {
+  const auto& settings = mShared->mSettings;
+  const auto& topology = settings.mTopology;
   std::set<std::string> listed;
   std::set<std::string> zones;
+  std::vector<std::string> pinned;
   for (const auto& endpoint : aEndpoints) {
     const auto address = state::ParseAddress(endpoint.mAddress);
     if (!endpoint.mModels.empty() && address) {
       listed.insert(address->mHost);
       zones.insert(endpoint.mZone);
+      const auto distance = topology.Between(settings.mZone, endpoint.mZone);
+      if (topology.HasSeveralRegions() &&
+          distance <= state::Distance::kSameRegion) {
+        pinned.push_back(address->mHost);
+      }
     }
   }
-  std::vector<std::string> ownWatchers;
   mShared->mWatchers.clear();
   for (const auto& zone : zones) {
     for (const auto& engine : state::SelectZoneWatchers(aEndpoints, zone, {})) {
       const auto host = state::ParseAddress(engine)->mHost;
       mShared->mWatchers.push_back(host);
-      if (zone == mShared->mSettings.mZone) {
-        ownWatchers.push_back(host);
+      if (zone == settings.mZone) {
+        pinned.push_back(host);
       }
     }
   }
-  const auto dropped =
-    mShared->mFollowed.SetListed(std::move(listed), ownWatchers);
+  const auto dropped = mShared->mFollowed.SetListed(std::move(listed), pinned);
   for (const auto& host : dropped) {
     mShared->Drop(host);
   }
--- a/packages/coordination/src/fleet_daemon.cpp
+++ b/packages/coordination/src/fleet_daemon.cpp
@@ -250,7 +250,7 @@
     mNewsClient = std::make_unique<EngineNewsClient>(
       mTraffic,
       Identity(),
-      EngineNewsClientSettings{ peers->mPort, mSettings.mZone, {} },
+      NewsClientSettings(peers->mPort),
       mLog,
       [this](const protocol::EngineNews& aNews) { mRelay->ApplyNews(aNews); },
       [this](const protocol::PartReading& aReading) {
@@ -271,6 +271,17 @@
       });
   }
 
+  EngineNewsClientSettings NewsClientSettings(std::uint16_t aPort) const
+  {
+    EngineNewsClientSettings settings{
+      aPort, mSettings.mZone, {}, mSettings.mTopology
+    };
+    if (mSettings.mTopology.HasSeveralRegions()) {
+      settings.mFollow.mMaxUnpinned = state::kMaxFollowedElsewhere;
+    }
+    return settings;
+  }
+
   transport::ChannelIdentity Identity() const
   {
     return { mSettings.mName, mSettings.mSecret, 0 };
--- a/packages/coordination/src/part_store_reporter.cpp
+++ b/packages/coordination/src/part_store_reporter.cpp
@@ -1,6 +1,7 @@
 #include "shuntjunction/coordination/part_store_reporter.h"
 
 #include <algorithm>
+#include <iterator>
 
 #include "shuntjunction/state/prefix_chain.h"
 
@@ -52,7 +53,8 @@
   bool isListed = false;
   std::size_t ahead = 0;
   for (const auto& endpoint : mView->mEndpoints) {
-    if (endpoint.mModels.empty() || endpoint.mIsLeaving) {
+    if (endpoint.mModels.empty() || endpoint.mIsLeaving ||
+        !IsInRegion(endpoint.mZone)) {
       continue;
     }
     isListed = isListed || endpoint.mAddress == own;
@@ -61,6 +63,26 @@
   return isListed ? std::optional(ahead) : std::nullopt;
 }
 
+bool
+PartStoreReporter::IsInRegion(std::string_view aZone) const
+{
+  const auto& settings = mDependencies.mSettings;
+  return settings.mTopology.Between(settings.mZone, aZone) !=
+         state::Distance::kOtherRegion;
+}
+
+std::vector<state::KvStoreRule>
+PartStoreReporter::ReportedStores(
+  const std::vector<state::KvStoreRule>& aStores) const
+{
+  std::vector<state::KvStoreRule> local;
+  std::copy_if(aStores.begin(),
+               aStores.end(),
+               std::back_inserter(local),
+               [&](const auto& aStore) { return IsInRegion(aStore.mZone); });
+  return local.empty() ? aStores : local;
+}
+
 Task<void>
 PartStoreReporter::Run()
 {
@@ -110,7 +132,7 @@
     }
     const auto rules = mDependencies.mCodec.ReadRules(object.mValue);
     if (rules) {
-      const auto& stores = rules->mKvStores;
+      const auto stores = ReportedStores(rules->mKvStores);
       const std::size_t reporters =
         kReportersPerStore * std::min(stores.size(), kMaxStores);
       std::string address;
--- a/packages/coordination/src/relay.cpp
+++ b/packages/coordination/src/relay.cpp
@@ -229,6 +229,35 @@
       .Add("revision", aEndpoint.mInfo.mRevision));
 }
 
+void
+Relay::Core::NoteCompanions(
+  const std::map<std::string, std::string>& aZoneByHost)
+{
+  const auto& settings = mDependencies.mSettings;
+  const auto& topology = settings.mTopology;
+  std::set<std::string_view> zones;
+  std::set<std::string_view> regions;
+  std::size_t near = 0;
+  for (const auto& [host, zone] : aZoneByHost) {
+    zones.insert(zone);
+    regions.insert(topology.RegionOf(zone));
+    const auto distance = topology.Between(settings.mZone, zone);
+    near += distance <= state::Distance::kSameRegion ? 1 : 0;
+  }
+  const auto all = aZoneByHost.size();
+  auto followed = std::min(all, state::FollowSettings{}.mMax);
+  if (topology.HasSeveralRegions()) {
+    followed = std::min(followed, near + state::kMaxFollowedElsewhere);
+  }
+  mDescriptors.SetPeers(static_cast<std::int64_t>(followed));
+  mRelayCountFactor = 1.0;
+  if (all > state::FollowSettings{}.mMax) {
+    mRelayCountFactor = static_cast<double>(zones.size());
+  } else if (followed < all) {
+    mRelayCountFactor = static_cast<double>(regions.size());
+  }
+}
+
 state::WindowBudget&
 Relay::Core::BudgetOf(const std::string& aService)
 {
@@ -279,15 +308,7 @@
   mCore->mView = std::move(aView);
   mCore->mCrashes.ApplyQuarantined(mCore->mView->mQuarantined);
   const auto companions = CompanionZones(mCore->mView->mEndpoints);
-  const auto followed =
-    std::min(companions.size(), state::FollowSettings{}.mMax);
-  mCore->mDescriptors.SetPeers(static_cast<std::int64_t>(followed));
-  std::set<std::string_view> zones;
-  for (const auto& [host, zone] : companions) {
-    zones.insert(zone);
-  }
-  mCore->mRelayCountFactor =
-    followed < companions.size() ? static_cast<double>(zones.size()) : 1.0;
+  mCore->NoteCompanions(companions);
   mCore->mShares.Directory().SetHosts(companions);
   const auto changes = mCore->mEndpoints.Update(
     mCore->mView->mEndpoints, mCore->mDependencies.mClock.Now());
--- a/packages/coordination/src/relay_core.h
+++ b/packages/coordination/src/relay_core.h
@@ -104,6 +104,12 @@
   /// the one that was idle the longest; returns whether there is room.
   bool MakeRoomForEndpoint();
 
+  /// Adapts to the number of companions that are followed, and to how many
+  /// relays follow each.
+  ///
+  /// @param aZoneByHost  of all companions
+  void NoteCompanions(const std::map<std::string, std::string>& aZoneByHost);
+
   /// Number of relays as far as companions reported it; at least one.
   double Relays() const
   {
@@ -129,7 +135,8 @@
   std::map<std::string, state::WindowBudget> mBudgets; ///< by service
   std::uint32_t mMaxRelays = 0; ///< most that a companion reported; 0: none did
   /// In a large fleet a companion is followed by the relays of its zone at
-  /// most, as those that watch the store for it are.
+  /// most, as those that watch the store for it are; in a fleet of several
+  /// regions by those of its region.
   double mRelayCountFactor = 1;
   std::shared_ptr<const RelayView> mView = std::make_shared<RelayView>();
   state::RandomSource mRandom;
--- a/packages/coordination/src/relay_endpoint_choice.cpp
+++ b/packages/coordination/src/relay_endpoint_choice.cpp
@@ -88,8 +88,9 @@
       candidate.mHoldsPart = HoldsPart(*aEndpoint, candidate.mVersion);
     }
     candidate.mNameHash = aEndpoint->mNameHash;
-    candidate.mIsSameZone =
-      aEndpoint->mInfo.mZone == mCore.mDependencies.mSettings.mZone;
+    const auto& settings = mCore.mDependencies.mSettings;
+    candidate.mDistance =
+      settings.mTopology.Between(settings.mZone, aEndpoint->mInfo.mZone);
     candidate.mIsSuspect = mNow < aEndpoint->mSuspectUntil ||
                            mCore.mEndpoints.IsSilent(*aEndpoint, mNow);
     // It is tried like any other from time to time: its answer may show that
@@ -182,21 +183,49 @@
   return parts.back().mTokens + (isCached ? 0 : aQuery.mCall->SharedTokens());
 }
 
-/// The store that holds a part, preferably one in the zone; empty if none is
-/// known to hold it.
-std::string
+/// The nearest store that holds a part; null if none is known to hold it.
+const state::KvStoreRule*
 StoreHoldingPart(Relay::Core& aCore,
                  const std::string& aPartName,
                  std::string_view aZone)
 {
-  std::string address;
+  const auto& topology = aCore.mDependencies.mSettings.mTopology;
+  const state::KvStoreRule* nearest = nullptr;
   for (const auto& store : aCore.mView->mConfig->Rules().mKvStores) {
-    const bool isNearer = address.empty() || store.mZone == aZone;
+    const bool isNearer =
+      nearest == nullptr || topology.Between(store.mZone, aZone) <
+                              topology.Between(nearest->mZone, aZone);
     if (isNearer && aCore.mEndpoints.Parts().Holds(store.mAddress, aPartName)) {
-      address = store.mAddress;
+      nearest = &store;
+    }
+  }
+  return nearest;
+}
+
+/// The engine from which a part is fetched; null if no other engine holds it.
+///
+/// In a fleet of several regions it is the nearest one: a move between regions
+/// takes ten times as long as one within a zone.
+RelayEndpointPtr
+EngineHoldingPart(Relay::Core& aCore, const EndpointChoice& aChoice)
+{
+  const auto& topology = aCore.mDependencies.mSettings.mTopology;
+  const auto& zone = aChoice.mEndpoint->mInfo.mZone;
+  const auto distanceOf = [&](const RelayEndpointPtr& aEndpoint) {
+    return topology.HasSeveralRegions()
+             ? topology.Between(aEndpoint->mInfo.mZone, zone)
+             : state::Distance::kSameZone;
+  };
+  RelayEndpointPtr nearest;
+  for (const auto& holder :
+       aCore.mEndpoints.Parts().Holders(aChoice.mPartName)) {
+    const auto endpoint = aCore.mEndpoints.Find(holder);
+    if (endpoint && endpoint != aChoice.mEndpoint &&
+        (!nearest || distanceOf(endpoint) < distanceOf(nearest))) {
+      nearest = endpoint;
     }
   }
-  return address;
+  return nearest;
 }
 
 /// Sets where the shared part may be fetched from and saved to.
@@ -208,25 +237,27 @@
 SetPartLocations(Relay::Core& aCore, EndpointChoice& aChoice)
 {
   const auto now = aCore.mDependencies.mClock.Now();
+  const auto& topology = aCore.mDependencies.mSettings.mTopology;
   const auto& name = aChoice.mPartName;
   const auto& zone = aChoice.mEndpoint->mInfo.mZone;
-  const auto* own =
-    state::KvStoreOfPart(aCore.mView->mConfig->Rules().mKvStores, name, zone);
+  const auto* own = state::KvStoreOfPart(
+    aCore.mView->mConfig->Rules().mKvStores, name, zone, topology);
   const std::string ownStore = own == nullptr ? "" : own->mAddress;
-  const std::string holdingStore = StoreHoldingPart(aCore, name, zone);
+  const auto* holding = StoreHoldingPart(aCore, name, zone);
   const auto& record = aCore.mPartRecords.At(name);
   const bool isSavedLately = now - record.mSavedAt < aCore.mLimits.mNewsDelay;
-  if (!isSavedLately && holdingStore.empty()) {
+  if (!isSavedLately && holding == nullptr) {
     aChoice.mPartStore = ownStore;
   }
   // A source without the part costs a millisecond, so one is always named.
-  aChoice.mPartSource = holdingStore.empty() ? ownStore : holdingStore;
-  for (const auto& holder : aCore.mEndpoints.Parts().Holders(name)) {
-    const auto endpoint = aCore.mEndpoints.Find(holder);
-    if (endpoint && endpoint != aChoice.mEndpoint) {
-      aChoice.mPartSource = endpoint->mInfo.mAddress;
-      break;
-    }
+  aChoice.mPartSource = holding == nullptr ? ownStore : holding->mAddress;
+  const auto engine = EngineHoldingPart(aCore, aChoice);
+  const bool isStoreNearer = engine && holding != nullptr &&
+                             topology.HasSeveralRegions() &&
+                             topology.Between(holding->mZone, zone) <
+                               topology.Between(engine->mInfo.mZone, zone);
+  if (engine && !isStoreNearer) {
+    aChoice.mPartSource = engine->mInfo.mAddress;
   }
 }
 
--- a/packages/state/include/shuntjunction/state/followed_companions.h
+++ b/packages/state/include/shuntjunction/state/followed_companions.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <limits>
 #include <list>
 #include <optional>
 #include <set>
@@ -17,16 +18,21 @@
   /// 2.5 requests per second these are the companions of the last 25 s, longer
   /// than a stream takes.
   std::size_t mMax = 64;
+  /// Companions that are followed at once besides the pinned ones.
+  std::size_t mMaxUnpinned = std::numeric_limits<std::size_t>::max();
 };
 
+/// Companions of other regions that a relay follows at once: as many as watch
+/// the store for four availability zones, through which it reports crashes.
+inline constexpr std::size_t kMaxFollowedElsewhere = 8;
+
 /// Selects the companions that a relay follows.
 ///
-/// In a fleet of up to mMax companions that is all of them. In a larger one
-/// those that are pinned, and those that were used last: of engines to which
-/// requests were sent, or owners of shares. If each relay followed each
-/// companion, the connections and messages of a fleet would grow with its
-/// square.
-/// Thread safety: none.
+/// In a fleet of up to mMax companions, of which at most mMaxUnpinned are not
+/// pinned, that is all of them. In a larger one those that are pinned, and
+/// those that were used last: of engines to which requests were sent, or owners
+/// of shares. If each relay followed each companion, the connections and
+/// messages of a fleet would grow with its square. Thread safety: none.
 class FollowedCompanions
 {
 public:
@@ -54,12 +60,23 @@
   }
 
   /// Whether all listed companions are followed.
-  bool FollowsAll() const { return mListed.size() <= mSettings.mMax; }
+  bool FollowsAll() const
+  {
+    return mListed.size() <= mSettings.mMax &&
+           mListed.size() - mPinned.size() <= mSettings.mMaxUnpinned;
+  }
 
   /// All that are followed.
   std::set<std::string> Followed() const;
 
 private:
+  /// Whether more are followed than the settings allow.
+  bool HasTooMany() const
+  {
+    return mRecent.size() + mPinned.size() > mSettings.mMax ||
+           mRecent.size() > mSettings.mMaxUnpinned;
+  }
+
   FollowSettings mSettings;
   std::set<std::string> mListed;
   std::set<std::string> mPinned;
--- a/packages/state/include/shuntjunction/state/relay_choice.h
+++ b/packages/state/include/shuntjunction/state/relay_choice.h
@@ -7,7 +7,9 @@
 #include <vector>
 
 #include "shuntjunction/state/clock.h"
+#include "shuntjunction/state/enum_names.h"
 #include "shuntjunction/state/relay_config.h"
+#include "shuntjunction/state/topology.h"
 
 /// Selection of the endpoint that a relayed request is sent to.
 namespace shuntjunction::state {
@@ -22,8 +24,8 @@
 /// Properties of an endpoint that the choice depends on.
 struct RelayCandidate
 {
-  std::uint64_t mNameHash = 0; ///< PlacementHash of its id
-  bool mIsSameZone = false;
+  std::uint64_t mNameHash = 0;                ///< PlacementHash of its id
+  Distance mDistance = Distance::kSameRegion; ///< from the relay
   /// Failed recently or is silent: taken as a last resort.
   bool mIsSuspect = false;
   bool mIsLimited = false;    ///< has a rate limit: taken if no other has room
@@ -36,6 +38,18 @@
   std::int64_t mSuspectRequests = 0;
 };
 
+/// Where a prompt's shared part has its first engine, in a fleet of several
+/// regions.
+enum class PartScope : std::uint8_t
+{
+  kFleet,  ///< one for all regions
+  kRegion, ///< one in each region
+};
+
+/// Names of PartScope.
+inline constexpr EnumNames<PartScope, 2> kPartScopeNames{ { "fleet",
+                                                            "region" } };
+
 /// Settings of the choice.
 struct RelayChoiceSettings
 {
@@ -56,6 +70,16 @@
   std::int64_t mMaxSmallPartLead = 4;
   /// Requests by which an endpoint in the local zone may exceed one elsewhere.
   std::int64_t mMaxZoneLead = 2;
+  /// The same for an endpoint in the local region and one in another: a request
+  /// to another region costs a round trip of some ten milliseconds and bytes
+  /// that are priced four times as high.
+  std::int64_t mMaxRegionLead = 12;
+  PartScope mPartScope = PartScope::kRegion;
+  /// Queued tokens by which the endpoint chosen in the local region may exceed
+  /// the first one of another region before the latter is taken: about 100 ms
+  /// of prefill, since a part that is not cached there is fetched over the link
+  /// between regions.
+  std::int64_t mMaxRegionLeadTokens = 6000;
   /// Queued tokens up to which an endpoint without a rate limit has room, so
   /// that it is chosen before those with a limit.
   std::int64_t mRoomTokens = 16000;
@@ -73,6 +97,11 @@
 /// prefills without a break, each token of a stream waits for a chunk of
 /// prefill.
 ///
+/// In a fleet of several regions the order is that of the local region's
+/// endpoints; another region gets the prompt if no endpoint of this one is
+/// healthy or has a free slot, or if the queue here is longer by more than
+/// mMaxRegionLeadTokens.
+///
 /// Engines with older weights are not passed over: while a new version is being
 /// loaded, the few that have it cannot take the whole load.
 ///
@@ -122,19 +151,21 @@
 
 /// The KV store to which an engine saves a part.
 ///
-/// Prefers stores in the engine's zone: a transfer between zones occupies the
-/// store's link for twice as long. Among these it is the first in the part's
+/// Prefers the nearest stores: a transfer between zones occupies the store's
+/// link for twice as long, one between regions for ten times as long. Among
+/// these it is the first in the part's
 /// rendezvous order, so that all relays choose the same, each store gets an
 /// equal share, and removing a store moves only the parts that it kept. A
 /// single store for all parts would evict most of them before their next use.
 ///
 /// @param aPartName  see PartName
-/// @param aZone  of the engine; if it has no store, all stores are considered
+/// @param aZone  of the engine
 /// @return null if there is no store
 /// Thread safety: pure.
 const KvStoreRule*
 KvStoreOfPart(std::span<const KvStoreRule> aStores,
               std::string_view aPartName,
-              std::string_view aZone);
+              std::string_view aZone,
+              const Topology& aTopology = {});
 
 } // namespace shuntjunction::state
--- a/packages/state/src/followed_companions.cpp
+++ b/packages/state/src/followed_companions.cpp
@@ -20,7 +20,7 @@
   std::erase_if(mRecent, [&](const auto& aHost) {
     return !IsListed(aHost) || mPinned.contains(aHost);
   });
-  while (!mRecent.empty() && mRecent.size() + mPinned.size() > mSettings.mMax) {
+  while (!mRecent.empty() && HasTooMany()) {
     mRecent.pop_back();
   }
   const auto now = Followed();
@@ -42,7 +42,7 @@
   // Also while all are followed: the list may outgrow the limit.
   mRecent.remove(aHost);
   mRecent.push_front(aHost);
-  if (mRecent.size() + mPinned.size() <= mSettings.mMax) {
+  if (!HasTooMany()) {
     return std::nullopt;
   }
   auto dropped = std::move(mRecent.back());
--- a/packages/state/src/relay_choice.cpp
+++ b/packages/state/src/relay_choice.cpp
@@ -53,6 +53,35 @@
   return PlacementHash(bytes, aKey);
 }
 
+/// Requests by which a nearer endpoint may exceed one at a distance.
+std::int64_t
+LeadOver(Distance aDistance, const RelayChoiceSettings& aSettings)
+{
+  switch (aDistance) {
+    case Distance::kSameZone:
+      return 0;
+    case Distance::kSameRegion:
+      return aSettings.mMaxZoneLead;
+    case Distance::kUnknown:
+    case Distance::kOtherRegion:
+      break;
+  }
+  return aSettings.mMaxRegionLead;
+}
+
+/// Orders by distance; higher is nearer.
+int
+Nearness(Distance aDistance)
+{
+  return -static_cast<int>(aDistance);
+}
+
+bool
+IsInRegion(const RelayCandidate& aCandidate)
+{
+  return aCandidate.mDistance <= Distance::kSameRegion;
+}
+
 /// Load that a small request finds at an endpoint, in requests, with a penalty
 /// for other zones.
 std::int64_t
@@ -60,7 +89,7 @@
 {
   return aCandidate.mRunning +
          aCandidate.mQueuedTokens / aSettings.mTokensPerRequest +
-         (aCandidate.mIsSameZone ? 0 : aSettings.mMaxZoneLead);
+         LeadOver(aCandidate.mDistance, aSettings);
 }
 
 /// Whether an endpoint has a free slot and the other has none, or, if they are
@@ -82,7 +111,8 @@
 {
   const auto rankOf = [&](std::size_t aIndex) {
     const auto& candidate = aCandidates[aIndex];
-    return std::pair(candidate.mIsSameZone, Rank(candidate.mNameHash, aKey));
+    return std::pair(Nearness(candidate.mDistance),
+                     Rank(candidate.mNameHash, aKey));
   };
   return *std::max_element(
     aAllowed.begin(), aAllowed.end(), [&](auto aOne, auto aTwo) {
@@ -90,20 +120,18 @@
     });
 }
 
-} // namespace
-
-std::optional<std::size_t>
-ChooseByPart(std::span<const RelayCandidate> aCandidates,
-             std::uint64_t aKey,
-             const RelayChoiceSettings& aSettings)
+/// Chooses among some candidates by a key's rendezvous order.
+///
+/// @pre aAllowed is not empty
+std::size_t
+ChooseOfOrder(std::span<const RelayCandidate> aCandidates,
+              const std::vector<std::size_t>& aAllowed,
+              std::uint64_t aKey,
+              const RelayChoiceSettings& aSettings)
 {
-  const auto allowed = Allowed(aCandidates, aSettings);
-  if (allowed.empty()) {
-    return std::nullopt;
-  }
   std::vector<std::pair<std::uint64_t, std::size_t>> ranked;
-  ranked.reserve(allowed.size());
-  for (const auto index : allowed) {
+  ranked.reserve(aAllowed.size());
+  for (const auto index : aAllowed) {
     ranked.emplace_back(Rank(aCandidates[index].mNameHash, aKey), index);
   }
   std::sort(ranked.rbegin(), ranked.rend());
@@ -137,6 +165,43 @@
   return isFull || hasLongerQueue ? *alternative : preferred;
 }
 
+} // namespace
+
+std::optional<std::size_t>
+ChooseByPart(std::span<const RelayCandidate> aCandidates,
+             std::uint64_t aKey,
+             const RelayChoiceSettings& aSettings)
+{
+  auto local = Allowed(aCandidates, aSettings);
+  if (local.empty()) {
+    return std::nullopt;
+  }
+  if (aSettings.mPartScope == PartScope::kFleet) {
+    return ChooseOfOrder(aCandidates, local, aKey, aSettings);
+  }
+  const auto border =
+    std::stable_partition(local.begin(), local.end(), [&](std::size_t aIndex) {
+      return IsInRegion(aCandidates[aIndex]);
+    });
+  const std::vector<std::size_t> remote(border, local.end());
+  local.erase(border, local.end());
+  if (remote.empty()) {
+    return ChooseOfOrder(aCandidates, local, aKey, aSettings);
+  }
+  const auto elsewhere = ChooseOfOrder(aCandidates, remote, aKey, aSettings);
+  if (local.empty()) {
+    return elsewhere;
+  }
+  const auto here = ChooseOfOrder(aCandidates, local, aKey, aSettings);
+  const auto& load = aCandidates[here];
+  const auto& otherLoad = aCandidates[elsewhere];
+  const bool isFull = IsFull(load) && !IsFull(otherLoad);
+  const bool hasLongerQueue =
+    load.mQueuedTokens >
+    otherLoad.mQueuedTokens + aSettings.mMaxRegionLeadTokens;
+  return isFull || hasLongerQueue ? elsewhere : here;
+}
+
 std::optional<std::size_t>
 ChooseByLoad(std::span<const RelayCandidate> aCandidates,
              std::optional<std::uint64_t> aKey,
@@ -185,11 +250,12 @@
 const KvStoreRule*
 KvStoreOfPart(std::span<const KvStoreRule> aStores,
               std::string_view aPartName,
-              std::string_view aZone)
+              std::string_view aZone,
+              const Topology& aTopology)
 {
   const std::uint64_t key = PlacementHash(aPartName);
   const auto rankOf = [&](const KvStoreRule& aStore) {
-    return std::pair(aStore.mZone == aZone,
+    return std::pair(Nearness(aTopology.Between(aStore.mZone, aZone)),
                      Rank(PlacementHash(aStore.mAddress), key));
   };
   const auto best = std::max_element(
--- a/packages/state/tests/placement_load_test.cpp
+++ b/packages/state/tests/placement_load_test.cpp
@@ -69,7 +69,7 @@
   {
     for (std::size_t i = 0; i < mCandidates.size(); ++i) {
       mCandidates[i].mNameHash = i + 1;
-      mCandidates[i].mIsSameZone = true;
+      mCandidates[i].mDistance = Distance::kSameZone;
       mCandidates[i].mVersion = 1;
       mCandidates[i].mSlots = 64;
       mEngines[i].mSlowness = i % kSlowEvery == 0 ? kSlowFactor : 1;
--- a/packages/state/tests/relay_state_test.cpp
+++ b/packages/state/tests/relay_state_test.cpp
@@ -261,7 +261,7 @@
 {
   RandomSource random(1);
   for (auto& candidate : mCandidates) {
-    candidate.mIsSameZone = true;
+    candidate.mDistance = Distance::kSameZone;
     candidate.mQueuedTokens = 3 * mSettings.mTokensPerRequest;
   }
   mCandidates[2].mQueuedTokens = 0;
@@ -321,7 +321,8 @@
   {
     for (std::size_t i = 0; i < kEngines; ++i) {
       mCandidates[i].mNameHash = PlacementHash("engine " + std::to_string(i));
-      mCandidates[i].mIsSameZone = i < kEngines / 2;
+      mCandidates[i].mDistance =
+        i < kEngines / 2 ? Distance::kSameZone : Distance::kSameRegion;
     }
   }
 
