--- a/packages/coordination/src/relay_endpoint_choice.cpp
+++ b/packages/coordination/src/relay_endpoint_choice.cpp
@@ -234,6 +234,7 @@
        aCore.mEndpoints.Parts().Holders(aChoice.mPartName)) {
     const auto endpoint = aCore.mEndpoints.Find(holder);
     if (endpoint && endpoint != aChoice.mEndpoint &&
+        aCore.mRollouts.MayUse(endpoint->mInfo) &&
         (!nearest || distanceOf(endpoint) < distanceOf(nearest))) {
       nearest = endpoint;
     }
