--- a/packages/coordination/src/engine_news_client.cpp
+++ b/packages/coordination/src/engine_news_client.cpp
@@ -445,6 +445,8 @@
   std::set<std::string> listed;
   std::set<std::string> zones;
   std::vector<std::string> pinned;
+  std::vector<std::pair<std::uint64_t, std::string>> elsewhere;
+  const auto seed = state::PlacementHash(mShared->mIdentity.mNode);
   for (const auto& endpoint : aEndpoints) {
     const auto address = state::ParseAddress(endpoint.mAddress);
     if (!endpoint.mModels.empty() && address) {
@@ -454,9 +456,18 @@
       if (topology.HasSeveralRegions() &&
           distance <= state::Distance::kSameRegion) {
         pinned.push_back(address->mHost);
+      } else if (topology.HasSeveralRegions()) {
+        elsewhere.emplace_back(state::PlacementHash(address->mHost, seed),
+                               address->mHost);
       }
     }
   }
+  // Each relay has a sample of its own, so that together they use all engines.
+  std::sort(elsewhere.begin(), elsewhere.end());
+  elsewhere.resize(std::min(elsewhere.size(), state::kPinnedElsewhere));
+  for (const auto& [rank, host] : elsewhere) {
+    pinned.push_back(host);
+  }
   mShared->mWatchers.clear();
   for (const auto& zone : zones) {
     for (const auto& engine : state::SelectZoneWatchers(aEndpoints, zone, {})) {
--- a/packages/coordination/src/fleet_daemon.cpp
+++ b/packages/coordination/src/fleet_daemon.cpp
@@ -286,7 +286,7 @@
       aPort, mSettings.mZone, {}, mSettings.mTopology
     };
     if (mSettings.mTopology.HasSeveralRegions()) {
-      settings.mFollow.mMaxUnpinned = state::kMaxFollowedElsewhere;
+      settings.mFollow.mMaxUnpinned = state::kUsedElsewhere;
     }
     return settings;
   }
--- a/packages/coordination/src/relay.cpp
+++ b/packages/coordination/src/relay.cpp
@@ -259,7 +259,8 @@
   const auto all = aZoneByHost.size();
   auto followed = std::min(all, state::FollowSettings{}.mMax);
   if (topology.HasSeveralRegions()) {
-    followed = std::min(followed, near + state::kMaxFollowedElsewhere);
+    followed = std::min(followed,
+                        near + state::kPinnedElsewhere + state::kUsedElsewhere);
   }
   mDescriptors.SetPeers(static_cast<std::int64_t>(followed));
   mRelayCountFactor = 1.0;
--- a/packages/coordination/src/relay_endpoint_choice.cpp
+++ b/packages/coordination/src/relay_endpoint_choice.cpp
@@ -104,7 +104,11 @@
     const auto& settings = mCore.mDependencies.mSettings;
     candidate.mDistance =
       settings.mTopology.Between(settings.mZone, aEndpoint->mInfo.mZone);
-    candidate.mIsSuspect = mNow < aEndpoint->mSuspectUntil ||
+    // Of another region only few engines are followed; of the others it is not
+    // known whether they run.
+    const bool isUnknown = candidate.mVersion != 0 && news == nullptr &&
+                           candidate.mDistance == state::Distance::kOtherRegion;
+    candidate.mIsSuspect = mNow < aEndpoint->mSuspectUntil || isUnknown ||
                            mCore.mEndpoints.IsSilent(*aEndpoint, mNow);
     // It is tried like any other from time to time: its answer may show that
     // the rate is over.
--- a/packages/state/include/shuntjunction/state/followed_companions.h
+++ b/packages/state/include/shuntjunction/state/followed_companions.h
@@ -22,9 +22,13 @@
   std::size_t mMaxUnpinned = std::numeric_limits<std::size_t>::max();
 };
 
-/// Companions of other regions that a relay follows at once: as many as watch
-/// the store for four availability zones, through which it reports crashes.
-inline constexpr std::size_t kMaxFollowedElsewhere = 8;
+/// Companions of other regions that a relay follows in any case, so that it
+/// knows engines that may take requests which its own region can't.
+inline constexpr std::size_t kPinnedElsewhere = 6;
+
+/// Others that it follows at once while it uses them: as many as watch the
+/// store for four availability zones, through which it reports crashes.
+inline constexpr std::size_t kUsedElsewhere = 8;
 
 /// Selects the companions that a relay follows.
 ///
