An engine whose memory is used gets no copies; a selection alternates between versions once

And with no endpoint of either version the selection switched between both without waiting.

Change: engines whose running requests use over .3 of the memory, as estimated from their companions' counts, get no copies. The selection switches once.

--- a/packages/coordination/src/relay_attempt.cpp
+++ b/packages/coordination/src/relay_attempt.cpp
@@ -143,7 +143,12 @@
   mTimes.mSent = SinceArrival();
   const auto connection = attempt.mConnection.mReader;
   endpoint.mBusy.insert(connection);
+  const std::int64_t runs = attempt.mEndpointChoice.mWeights != 0 ? 1 : 0;
+  mCore->mEngineRuns += runs;
+  mCore->mEngineRunTokens += runs * mCall.mPromptTokens;
   const auto outcome = co_await ReadAnswer(attempt);
+  mCore->mEngineRuns -= runs;
+  mCore->mEngineRunTokens -= runs * mCall.mPromptTokens;
   endpoint.mBusy.erase(connection);
   --endpoint.mRunning;
   SettleClearance(attempt, false);
--- a/packages/coordination/src/relay_core.h
+++ b/packages/coordination/src/relay_core.h
@@ -144,10 +144,12 @@
   state::RandomSource mRandom;
   std::shared_ptr<transport::asio::ip::tcp::acceptor> mAcceptor;
   std::set<RelaySession*> mSessions;
-  std::size_t mActive = 0;    ///< requests that are being served
-  std::size_t mBodyBytes = 0; ///< size of the bodies of these requests
-  bool mIsStopping = false;   ///< unready, still serving
-  bool mIsRefusing = false;   ///< new requests are refused
+  std::size_t mActive = 0;           ///< requests that are being served
+  std::int64_t mEngineRuns = 0;      ///< requests of this relay at engines
+  std::int64_t mEngineRunTokens = 0; ///< prompt tokens of these
+  std::size_t mBodyBytes = 0;        ///< size of the bodies of these requests
+  bool mIsStopping = false;          ///< unready, still serving
+  bool mIsRefusing = false;          ///< new requests are refused
 };
 
 } // namespace shuntjunction::coordination
--- a/packages/coordination/src/relay_endpoint_choice.cpp
+++ b/packages/coordination/src/relay_endpoint_choice.cpp
@@ -335,6 +335,24 @@
   return choice;
 }
 
+namespace {
+
+/// Estimate of the memory that running requests use at an engine: as many as
+/// its companion reports, each with the mean of this relay's own.
+std::int64_t
+UsedTokens(Relay::Core& aCore, const RelayEndpoint& aEndpoint)
+{
+  const auto* news =
+    aCore.mEndpoints.FreshNews(aEndpoint, aCore.mDependencies.mClock.Now());
+  if (news == nullptr || aCore.mEngineRuns == 0) {
+    return 0;
+  }
+  return static_cast<std::int64_t>(news->mRunning) * aCore.mEngineRunTokens /
+         aCore.mEngineRuns;
+}
+
+} // namespace
+
 BackupCandidateList
 BackupCandidates(Relay::Core& aCore,
                  const EndpointQuery& aQuery,
@@ -357,7 +375,7 @@
         candidate.mRunning,
         candidate.mSlots,
         list.CapacityTokens(),
-        candidate.mQueuedTokens,
+        UsedTokens(aCore, *endpoint),
         endpoint->mBackupTokens,
         candidate.mIsSuspect,
         endpoint->mRate.has_value() });
--- a/packages/coordination/src/relay_run.cpp
+++ b/packages/coordination/src/relay_run.cpp
@@ -297,12 +297,15 @@
   const auto until =
     mArrival +
     Millis(static_cast<std::int64_t>(objective * mCore->mLimits.mWaitShare));
+  // Set when no endpoint of the versions chosen first accepts the request.
+  bool hasOtherVersions = false;
   while (mInterrupt == RunInterrupt::kNone) {
     const auto query = MakeEndpointQuery();
     if (auto choice = ChooseEndpoint(*mCore, query)) {
       co_return choice;
     }
-    if (auto other = mCore->mRollouts.Alternative(mService, mVersions)) {
+    auto other = mCore->mRollouts.Alternative(mService, mVersions);
+    if (other && !std::exchange(hasOtherVersions, true)) {
       mVersions = std::move(*other);
       continue;
     }
--- a/packages/state/include/shuntjunction/state/stream_backup.h
+++ b/packages/state/include/shuntjunction/state/stream_backup.h
@@ -30,7 +30,8 @@
   std::int64_t mRunning = 0;
   std::int64_t mSlots = 1;
   std::int64_t mCapacityTokens = 0; ///< memory; 0: unknown
-  std::int64_t mQueuedTokens = 0;
+  /// Estimate of the memory that its running requests use, in tokens.
+  std::int64_t mUsedTokens = 0;
   /// Copies that this relay already placed there, in tokens.
   std::int64_t mBackupTokens = 0;
   bool mIsSuspect = false; ///< failed recently or is silent
@@ -47,6 +48,10 @@
   std::int64_t mMinNewTokens = 16;
   /// Share of an engine's memory that all copies of this relay may take.
   double mMaxMemoryShare = 0.05;
+  /// Share of an engine's memory that running requests may use before it gets
+  /// no more copies: they would evict the parts that the next prompts share,
+  /// and then preempt requests.
+  double mMaxUsedShare = 0.3;
 };
 
 /// Chooses the engine that holds the copy of a run.
--- a/packages/state/src/stream_backup.cpp
+++ b/packages/state/src/stream_backup.cpp
@@ -13,11 +13,14 @@
         std::int64_t aTokens,
         const StreamBackupSettings& aSettings)
 {
-  const auto limit =
-    static_cast<double>(aCandidate.mCapacityTokens) * aSettings.mMaxMemoryShare;
-  return aCandidate.mRunning < aCandidate.mSlots &&
-         (aCandidate.mCapacityTokens == 0 ||
-          static_cast<double>(aCandidate.mBackupTokens + aTokens) <= limit);
+  if (aCandidate.mRunning >= aCandidate.mSlots) {
+    return false;
+  }
+  const auto capacity = static_cast<double>(aCandidate.mCapacityTokens);
+  const auto copies = static_cast<double>(aCandidate.mBackupTokens + aTokens);
+  const auto used = static_cast<double>(aCandidate.mUsedTokens);
+  return capacity == 0 || (copies <= capacity * aSettings.mMaxMemoryShare &&
+                           used <= capacity * aSettings.mMaxUsedShare);
 }
 
 std::uint64_t
