Streams that may be resumed are not copied

Cause: their prompts are prefilled elsewhere in some 20 ms, so that a copy saves little and costs memory.

Change: only streams that end with their engine are copied.

--- a/packages/coordination/src/rollout/rollout_controller.cpp
+++ b/packages/coordination/src/rollout/rollout_controller.cpp
@@ -85,6 +85,7 @@
   Task<void> DecideAll()
   {
     std::vector<std::string> services;
+    services.reserve(mOrders.size());
     for (const auto& [service, order] : mOrders) {
       services.push_back(service);
     }
--- a/packages/state/src/stream_backup.cpp
+++ b/packages/state/src/stream_backup.cpp
@@ -40,7 +40,10 @@
              std::uint64_t aKey,
              const StreamBackupSettings& aSettings)
 {
-  if (aRequest.mPromptTokens > aSettings.mMaxPromptTokens ||
+  // A stream that may be resumed needs no copy: the prefill of a prompt of this
+  // length takes some twenty milliseconds.
+  if (aRequest.mIsResumable ||
+      aRequest.mPromptTokens > aSettings.mMaxPromptTokens ||
       aRequest.mMaxNewTokens < aSettings.mMinNewTokens) {
     return std::nullopt;
   }
--- a/packages/state/tests/rollout/rollout_decision_test.cpp
+++ b/packages/state/tests/rollout/rollout_decision_test.cpp
@@ -40,7 +40,7 @@
     mNow = TimePoint() + aElapsed;
     const RolloutDecider decider(
       RolloutBounds{ 0.1, 50, Millis(5000) }, RolloutSchedule{}, mComparison);
-    const auto decision = decider.Decide(
+    auto decision = decider.Decide(
       mRollout, mEvidence, mEndpoints, mNow, kStartMillis + aElapsed.count());
     if (decision.mStatus) {
       mRollout.mStatus = decision.mStatus;
--- a/packages/state/tests/stream_backup_test.cpp
+++ b/packages/state/tests/stream_backup_test.cpp
@@ -82,6 +82,12 @@
   EXPECT_FALSE(Choose());
 }
 
+TEST_F(GivenARunAndFourEngines, AStreamThatMayBeResumedIsNotCopied)
+{
+  mRequest.mIsResumable = true;
+  EXPECT_FALSE(Choose());
+}
+
 TEST_F(GivenARunAndFourEngines, AShortAnswerIsNotWorthACopy)
 {
   mRequest.mMaxNewTokens = 10;
