A decider reads the order again when its watch is silent

Cause: a step is confirmed to relays only while the list of orders is fresh, and a companion's watch of it returns only when something changes. Without changes no step would have been confirmed, and relays would have used old versions again.

Ruled out: confirming without a check, which the model shows to break the bound.

Found by reading; the test fails without the read.

--- a/packages/coordination/src/rollout/rollout_controller.cpp
+++ b/packages/coordination/src/rollout/rollout_controller.cpp
@@ -4,7 +4,6 @@
 
 namespace shuntjunction::coordination {
 
-using state::ErrorCode;
 using state::Millis;
 using state::Rollout;
 using state::RolloutState;
@@ -60,6 +59,7 @@
     Rollout mRollout;
     state::RolloutEvidence mEvidence;
     state::TimePoint mNoticeAt;
+    state::TimePoint mReadAt; ///< when it was last read from the store
   };
 
   explicit Shared(const RolloutControllerDependencies& aDependencies)
@@ -115,7 +115,7 @@
                                           now,
                                           mDependencies.mClock.WallMillis());
     if (!decision.mStatus) {
-      ConfirmStep(*aOrder, now);
+      co_await ConfirmStep(aOrder);
       co_return;
     }
     const auto status = *decision.mStatus;
@@ -125,23 +125,38 @@
     co_await WriteStep(aOrder, status);
   }
 
-  /// Sends the current step again, unless it may be outdated.
-  void ConfirmStep(Order& aOrder, state::TimePoint aNow)
+  /// Sends the current step again, once it is known to be the newest.
+  Task<void> ConfirmStep(std::shared_ptr<Order> aOrder)
   {
-    const auto& status = aOrder.mRollout.mStatus;
     const auto& bounds = mDependencies.mSettings.mBounds.mRollouts;
-    const auto interval = aOrder.mRollout.Share() > bounds.mExposureShare
-                            ? kRampNoticeInterval
-                            : kNoticeInterval;
-    const bool isDue = aNow - aOrder.mNoticeAt >= interval;
-    if (status && status->mState == RolloutState::kRunning && isDue &&
-        mDependencies.mRolloutList.Age(aNow) < kMaxListAge) {
-      aOrder.mNoticeAt = aNow;
+    const auto share = aOrder->mRollout.Share();
+    const auto interval =
+      share > bounds.mExposureShare ? kRampNoticeInterval : kNoticeInterval;
+    const auto now = mDependencies.mClock.Now();
+    const auto& running = aOrder->mRollout;
+    if (!running.IsRunning() || share <= 0 ||
+        now - aOrder->mNoticeAt < interval) {
+      co_return;
+    }
+    // A watch returns when something changes, which may take long.
+    if (!IsFresh(*aOrder, now)) {
+      co_await ReadAgain(aOrder);
+    }
+    const auto& status = aOrder->mRollout.mStatus;
+    if (status && status->mState == RolloutState::kRunning &&
+        IsFresh(*aOrder, mDependencies.mClock.Now())) {
+      aOrder->mNoticeAt = mDependencies.mClock.Now();
       mDependencies.mPublish(
-        NoticeOf(aOrder.mRollout.mOrder.mService, *status));
+        NoticeOf(aOrder->mRollout.mOrder.mService, *status));
     }
   }
 
+  bool IsFresh(const Order& aOrder, state::TimePoint aNow) const
+  {
+    return mDependencies.mRolloutList.Age(aNow) < kMaxListAge ||
+           aNow - aOrder.mReadAt < kMaxListAge;
+  }
+
   Task<void> WriteStep(std::shared_ptr<Order> aOrder,
                        state::RolloutStatus aStatus)
   {
@@ -153,7 +168,7 @@
     LogStep(*aOrder, aStatus, written);
     if (!written) {
       // It may have taken effect, or another process decided first.
-      co_await ReadAgain(aOrder, key);
+      co_await ReadAgain(aOrder);
       co_return;
     }
     auto& rollout = aOrder->mRollout;
@@ -166,15 +181,18 @@
     mDependencies.mPublish(NoticeOf(service, aStatus));
   }
 
-  Task<void> ReadAgain(std::shared_ptr<Order> aOrder, std::string aKey)
+  Task<void> ReadAgain(std::shared_ptr<Order> aOrder)
   {
-    const auto object = co_await mDependencies.mPlatform.Read(aKey);
+    const auto requestedAt = mDependencies.mClock.Now();
+    const auto object = co_await mDependencies.mPlatform.Read(
+      mDependencies.mCodec.RolloutPrefix() + aOrder->mRollout.mOrder.mService);
     if (!object || !*object) {
       co_return;
     }
     auto rollout =
       mDependencies.mCodec.ReadRollout((*object)->mKey, (*object)->mValue);
     if (rollout) {
+      aOrder->mReadAt = requestedAt;
       rollout->mRevision = (*object)->mRevision;
       Update(*aOrder, *rollout, mDependencies.mClock.Now());
     }
@@ -251,7 +269,7 @@
       Shared::Update(*order, rollout, now);
     } else {
       order = std::make_shared<Shared::Order>(Shared::Order{
-        rollout, state::RolloutEvidence(rollout.mOrder.mId), {} });
+        rollout, state::RolloutEvidence(rollout.mOrder.mId), {}, {} });
     }
   }
   mShared->mView = std::move(aView);
--- a/packages/state/src/rollout/rollout_decision.cpp
+++ b/packages/state/src/rollout/rollout_decision.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-/// Age of a relay's report after which the relay no longer delays completion.
-/// It is longer than the lease after which a relay uses old versions again.
+/// Age of a relay's report after which the relay no longer delays completion:
+/// several reports were lost, or it has stopped.
 constexpr Millis kReportAge{ 1500 };
 
 double
