An order for the version that all endpoints have changes nothing

Cause: until the first step only other versions were used, and if there is none callers were refused.

--- a/packages/coordination/src/rollout/relay_rollouts.cpp
+++ b/packages/coordination/src/rollout/relay_rollouts.cpp
@@ -197,10 +197,8 @@
   if (filter.mChoice == VersionChoice::kTarget) {
     filter.mEndpoints = order->mCanary;
   }
-  // A service whose endpoints all have the target version has nothing to roll
-  // back to.
-  const bool isEnded = !rollout.IsRunning();
-  if (isEnded && filter.mChoice == VersionChoice::kOld &&
+  // Without another version there is nothing else to serve callers with.
+  if (filter.mChoice == VersionChoice::kOld &&
       !HasListed(aService, filter.mTarget, false)) {
     return {};
   }
