Known red: a slow version that gets requests after the bound in time

Cause: the model's 40 schedules of each kind of badness kept all bounds; 200 show 5 in which a version that is four times slower gets requests later than 5 s after its 50th bad answer. A verdict takes up to 100 answers, at some 11 a second.

Ruled out: deciding at the 50th bad answer by a point estimate: 4 of 200, and one of 120 runs among faults broke, which kept the bound before.

--- a/packages/state/tests/rollout/rollout_model_test.cpp
+++ b/packages/state/tests/rollout/rollout_model_test.cpp
@@ -584,6 +584,21 @@
   }
 }
 
+class GivenASlowVersion : public ::testing::Test
+{};
+
+// All its answers count as bad from the first on, at most a dozen a second, so
+// that the 50th comes early and a verdict is due after some hundred.
+TEST_F(GivenASlowVersion, NothingReachesItAfterTheBound)
+{
+  int broken = 0;
+  for (unsigned seed = 0; seed < 200; ++seed) {
+    const auto verdicts = World({ seed, Badness::kSlow, 23, false, {} }).Run();
+    broken += verdicts.mLateSends > 0 ? 1 : 0;
+  }
+  EXPECT_EQ(broken, 0);
+}
+
 INSTANTIATE_TEST_SUITE_P(Fleets,
                          GivenRelaysOfAnyNumber,
                          ::testing::Values(3, 23, 300));
