--- a/packages/coordination/src/rollout/relay_rollouts.cpp
+++ b/packages/coordination/src/rollout/relay_rollouts.cpp
@@ -18,7 +18,7 @@
 constexpr std::string_view kComponent = "rollout";
 
 /// Fewest endpoints of the target version that get requests, so that one
-/// defective endpoint is told from a bad version.
+/// defective endpoint can be distinguished from a bad version.
 constexpr std::size_t kMinCanaryEndpoints = 3;
 
 /// Time after completion in which the former versions get nothing: longer than
