Relays accept callers on a thread of their own and reserve memory first

Cause: callers were accepted on the traffic thread, 64 per turn of its event loop. A turn took seconds, and what was not accepted waited in the kernel with its requests, which counts as memory of the process: 29 MB in 4.6 s at one relay. The limit on callers gave them the whole memory and did not know of it. Besides, each idle connection kept some 22 KB of buffer.

Evidence: a log line with resident memory, heap and callers: 105 MB resident, 50 MB of heap; it rose in the seconds in which all batches of accepted connections were full. Ruled out by it: large sessions, work of closed sessions, fragmentation, the log's queue.

Change: CallerAcceptor accepts, or closes unread, on its own thread; memory is reserved before it is used, with the measured use as a second guard; requests in a turn that takes over 170 ms are refused at once.

--- a/packages/coordination/include/shuntjunction/coordination/relay.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay.h
@@ -4,6 +4,7 @@
 #include <memory>
 
 #include "shuntjunction/coordination/event_log.h"
+#include "shuntjunction/coordination/memory_probe.h"
 #include "shuntjunction/coordination/metrics.h"
 #include "shuntjunction/coordination/relay_codec.h"
 #include "shuntjunction/coordination/relay_feed.h"
@@ -70,6 +71,8 @@
     mReportRollout = {};
   /// How current the orders of roll-outs are; null: not known.
   const state::ListFreshness* mRolloutList = nullptr;
+  /// Measures this process's memory; null: only reservations bound it.
+  MemoryProbe* mMemoryProbe = nullptr;
 };
 
 /// The relay of one process.
--- /dev/null
+++ b/packages/coordination/src/caller_acceptor.h
@@ -0,0 +1,130 @@
+#pragma once
+
+// Private to coordination: accepts callers' connections on a thread of its own.
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <thread>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include "shuntjunction/coordination/memory_probe.h"
+#include "shuntjunction/state/clock.h"
+#include "shuntjunction/state/error.h"
+#include "shuntjunction/state/memory_budget.h"
+#include "shuntjunction/state/settings.h"
+#include "shuntjunction/transport/task.h"
+
+namespace shuntjunction::coordination {
+
+/// A caller's connection and the memory reserved for it.
+struct AcceptedCaller
+{
+  transport::asio::ip::tcp::socket mSocket;
+  state::MemoryReservation mMemory;
+};
+
+/// Settings of a CallerAcceptor.
+struct CallerAcceptorSettings
+{
+  /// Memory reserved for each connection.
+  std::int64_t mBytesPerCaller = 64L * 1024;
+  /// Interval at which the process's memory is measured.
+  state::Millis mMeasureInterval{ 100 };
+  /// Age of the traffic thread's last sign from which on it is taken to be
+  /// overloaded. Must exceed the pauses of CPU quotas, which may last for the
+  /// rest of a 100 ms period.
+  state::Millis mMaxSignAge{ 170 };
+  /// Connections handed over that the traffic thread has not begun to serve.
+  /// More wait in the kernel, unless that thread is overloaded.
+  std::int64_t mMaxPending = 64;
+  /// Connections that may wait in the kernel. What their callers sent is part
+  /// of the process's own share of the memory.
+  int mBacklog = 512;
+};
+
+/// Accepts connections, or closes them unread while there is no room.
+///
+/// Runs on its own thread: a connection that is not accepted waits in the
+/// kernel with all that its caller sent, which counts as this process's memory,
+/// and its caller hears nothing. A busy traffic thread must not delay this.
+/// Thread safety: all methods but Start and Stop may be called from any thread.
+class CallerAcceptor
+{
+public:
+  using Handler = std::function<void(AcceptedCaller)>;
+
+  /// @param aTraffic   context of the accepted sockets; outlives this
+  /// @param aClock     outlives this
+  /// @param aMemory    outlives this and all accepted callers
+  /// @param aProbe     null: memory is not measured; else outlives this
+  /// @param aOnCaller  called on the acceptor's thread
+  CallerAcceptor(transport::asio::io_context& aTraffic,
+                 const CallerAcceptorSettings& aSettings,
+                 const state::Clock& aClock,
+                 state::MemoryBudget& aMemory,
+                 MemoryProbe* aProbe,
+                 Handler aOnCaller);
+  ~CallerAcceptor();
+  CallerAcceptor(const CallerAcceptor&) = delete;
+  CallerAcceptor& operator=(const CallerAcceptor&) = delete;
+
+  /// Starts accepting; returns the address with the port that was assigned.
+  state::Result<state::Address> Start(const state::Address& aAddress);
+
+  /// Stops accepting and waits for the thread to end.
+  void Stop();
+
+  /// Sets whether the process has more work than it can answer.
+  void SetOverloaded(bool aIsOverloaded) { mIsOverloaded = aIsOverloaded; }
+
+  /// Notes that the traffic thread runs: work that becomes ready now waits no
+  /// longer than until the next sign.
+  void NoteTrafficSign() { mSignAt = mClock.Now(); }
+
+  /// Sets the maximum number of callers that descriptors allow.
+  void SetMaxCallers(std::int64_t aCallers) { mMaxCallers = aCallers; }
+
+  /// Notes that the traffic thread begins to serve a caller.
+  void NoteBegun() { --mPending; }
+
+  /// Notes that a caller's connection was closed.
+  void NoteClosed() { --mCallers; }
+
+  /// Whether no more callers can be accepted now.
+  bool IsFull() const;
+
+  /// Number of connections closed unread since the start.
+  std::uint64_t Refused() const { return mRefused; }
+
+private:
+  transport::Task<void> Accept();
+  transport::Task<void> MeasureMemory();
+  /// Whether a new connection would be served too late.
+  transport::Task<bool> IsTrafficLate();
+  /// Closes connections that are waiting in the kernel, unread.
+  void RejectWaiting();
+  /// Accepts one that is waiting, if any; returns false if that failed.
+  bool AcceptOne();
+
+  transport::asio::io_context& mTraffic;
+  CallerAcceptorSettings mSettings;
+  const state::Clock& mClock;
+  state::MemoryBudget& mMemory;
+  MemoryProbe* mProbe;
+  Handler mOnCaller;
+  transport::asio::io_context mContext{ 1 };
+  std::shared_ptr<transport::asio::ip::tcp::acceptor> mAcceptor;
+  std::atomic<bool> mIsOverloaded{ false };
+  std::atomic<state::TimePoint> mSignAt{ state::TimePoint() };
+  std::atomic<std::int64_t> mMaxCallers{ 0 };
+  state::TimePoint mLateSign; ///< last sign of an overloaded traffic thread
+  std::atomic<std::int64_t> mPending{ 0 };
+  std::atomic<std::int64_t> mCallers{ 0 };
+  std::atomic<std::uint64_t> mRefused{ 0 };
+  std::thread mThread;
+};
+
+} // namespace shuntjunction::coordination
--- a/packages/coordination/src/fleet_daemon.cpp
+++ b/packages/coordination/src/fleet_daemon.cpp
@@ -244,7 +244,8 @@
       [this](const auto& aHost, const auto& aReport) {
         mNewsClient->ReportRollout(aHost, aReport);
       },
-      &mFeed.RolloutList() });
+      &mFeed.RolloutList(),
+      &mMemoryProbe });
     const auto address = mRelay->Start();
     if (!address) {
       return tl::unexpected(address.error());
@@ -550,6 +551,7 @@
   state::SystemClock mClock;
   EventLog mLog;
   Metrics mMetrics;
+  ProcessMemoryProbe mMemoryProbe;
   asio::io_context mControl{ 1 };
   asio::io_context mTraffic{ 1 };
   WorkGuard mControlGuard;
--- a/packages/coordination/src/relay.cpp
+++ b/packages/coordination/src/relay.cpp
@@ -5,6 +5,8 @@
 #include <random>
 #include <set>
 
+#include <boost/asio/post.hpp>
+
 #include "relay_core.h"
 #include "relay_session.h"
 #include "shuntjunction/state/followed_companions.h"
@@ -27,65 +29,25 @@
 constexpr Millis kRatesInterval{ 1000 };
 /// Interval between two reports on a roll-out.
 constexpr Millis kRolloutReportInterval{ 200 };
-/// Connections accepted in one turn, so that other work goes on.
-constexpr int kMaxAcceptsPerTurn = 64;
+/// Interval at which the use of memory is logged while much is reserved.
+constexpr Millis kMemoryInterval{ 1000 };
+/// Share of the memory that may be reserved from which on its use is logged.
+constexpr double kLoggedMemoryShare = 0.5;
 /// Descriptors reserved for files, the store, listening sockets, checks of the
 /// load balancer, and processes that query this one.
 constexpr std::int64_t kReservedDescriptors = 300;
-/// Pause after a connection could not be accepted.
-constexpr Millis kAcceptPause{ 50 };
 
-/// Serves a connection, or closes it unread while there is no room: its caller
-/// then tries another relay at once instead of waiting for one without room.
 void
-BeginSession(const std::shared_ptr<Relay::Core>& aCore,
-             asio::ip::tcp::socket aSocket)
-{
-  if (aCore->IsFull()) {
-    aCore->mDependencies.mMetrics.Count(
-      "shuntjunction_relay_connections_refused_total");
-    boost::system::error_code ignored; // Nothing was read from it.
-    aSocket.close(ignored);
-    return;
-  }
-  transport::SetDeadPeerTimeouts(aSocket, transport::DeadPeerTimeouts{});
+BeginSession(const std::shared_ptr<Relay::Core>& aCore, AcceptedCaller aCaller)
+{
+  aCore->mAcceptor->NoteBegun();
+  transport::SetDeadPeerTimeouts(aCaller.mSocket,
+                                 transport::DeadPeerTimeouts{});
   const auto session =
-    std::make_shared<RelaySession>(aCore, std::move(aSocket));
+    std::make_shared<RelaySession>(aCore, std::move(aCaller));
   transport::Spawn(aCore->mDependencies.mContext, session->Run());
 }
 
-/// Accepts the connections that are already pending. Accepting only one per
-/// turn of the event loop would leave callers waiting in a burst, a delay that
-/// nothing else measures.
-void
-AcceptWaiting(const std::shared_ptr<Relay::Core>& aCore)
-{
-  for (int i = 0; i < kMaxAcceptsPerTurn; ++i) {
-    boost::system::error_code error;
-    auto socket =
-      aCore->mAcceptor->accept(aCore->mDependencies.mContext, error);
-    if (error) {
-      return;
-    }
-    BeginSession(aCore, std::move(socket));
-  }
-}
-
-Task<void>
-Accept(std::shared_ptr<Relay::Core> aCore)
-{
-  const auto acceptor = aCore->mAcceptor;
-  while (acceptor->is_open()) {
-    auto [error, socket] = co_await acceptor->async_accept(transport::kAsTuple);
-    if (error) {
-      co_await transport::Sleep(kAcceptPause);
-      continue;
-    }
-    BeginSession(aCore, std::move(socket));
-    AcceptWaiting(aCore);
-  }
-}
-
 /// Continuously measures how late this process runs.
 Task<void>
 WatchForOverload(std::shared_ptr<Relay::Core> aCore)
@@ -96,9 +58,12 @@
     const auto due = clock.Now() + guard.Settings().mCheckInterval;
     co_await transport::Sleep(guard.Settings().mCheckInterval);
     const bool wasOverloaded = guard.IsOverloaded();
-    const auto late = std::chrono::duration_cast<Millis>(clock.Now() - due);
-    guard.NoteTimerDelay(late);
+    const auto now = clock.Now();
+    const auto late = std::chrono::duration_cast<Millis>(now - due);
+    guard.NoteCheck(late, now);
+    aCore->mAcceptor->NoteTrafficSign();
     if (guard.IsOverloaded() != wasOverloaded) {
+      aCore->mAcceptor->SetOverloaded(guard.IsOverloaded());
       aCore->mDependencies.mLog.Write(
         EventLine(kRelayComponent, "overload")
           .Add("is", guard.IsOverloaded())
@@ -124,6 +89,34 @@
   }
 }
 
+/// Logs what this process's memory is used for.
+Task<void>
+LogMemory(std::shared_ptr<Relay::Core> aCore)
+{
+  constexpr std::int64_t kKilobyte = 1024;
+  const auto loggedFrom = static_cast<std::int64_t>(
+    static_cast<double>(aCore->mMemory.Limit()) * kLoggedMemoryShare);
+  while (true) {
+    co_await transport::Sleep(kMemoryInterval);
+    const auto reserved = aCore->mMemory.Reserved();
+    if (reserved < loggedFrom) {
+      continue;
+    }
+    const auto usage = aCore->mDependencies.mMemoryProbe->Measure();
+    aCore->mDependencies.mLog.Write(
+      EventLine(kRelayComponent, "memory")
+        .Add("limit_kb", aCore->mMemory.Limit() / kKilobyte)
+        .Add("reserved_kb", reserved / kKilobyte)
+        .Add("resident_kb", usage.mResident / kKilobyte)
+        .Add("heap_kb", usage.mUsedHeap / kKilobyte)
+        .Add("free_heap_kb", usage.mFreeHeap / kKilobyte)
+        .Add("connections", aCore->mSessions.size())
+        .Add("active", aCore->mActive)
+        .Add("bodies_kb", aCore->mBodyBytes / kKilobyte)
+        .Add("endpoint_connections", aCore->mEndpoints.OpenConnections()));
+  }
+}
+
 Task<void>
 WatchStoppedEndpoints(std::shared_ptr<Relay::Core> aCore)
 {
@@ -165,7 +158,26 @@
   , mPartRecords(mLimits.mMaxParts)
   , mPrefillRate(mLimits.mFirstToken)
   , mRandom(std::random_device{}())
+  , mMemory({ mDependencies.mSettings.mMemoryBytes })
+  , mAcceptor(std::make_unique<CallerAcceptor>(
+      mDependencies.mContext,
+      CallerAcceptorSettings{ mLimits.mBytesPerSession },
+      mDependencies.mClock,
+      mMemory,
+      mDependencies.mMemoryProbe,
+      [this](AcceptedCaller aCaller) { PostCaller(std::move(aCaller)); }))
+{
+  mAcceptor->SetMaxCallers(mDescriptors.MaxCallers());
+}
+
+void
+Relay::Core::PostCaller(AcceptedCaller aCaller)
 {
+  asio::post(
+    mDependencies.mContext,
+    [core = shared_from_this(), caller = std::move(aCaller)]() mutable {
+      BeginSession(core, std::move(caller));
+    });
 }
 
 bool
@@ -192,16 +204,6 @@
   mMaxRelays = std::max(mMaxRelays, aRelays);
 }
 
-bool
-Relay::Core::IsFull() const
-{
-  const auto limit = static_cast<std::size_t>(
-    mDependencies.mSettings.mMemoryBytes / mLimits.mBytesPerSession);
-  const auto callers = static_cast<std::int64_t>(mSessions.size());
-  return mGuard.IsOverloaded() || mSessions.size() >= limit ||
-         callers >= mDescriptors.MaxCallers();
-}
-
 bool
 Relay::Core::MakeRoomForEndpoint()
 {
@@ -263,6 +265,7 @@
                         near + state::kPinnedElsewhere + state::kUsedElsewhere);
   }
   mDescriptors.SetPeers(static_cast<std::int64_t>(followed));
+  mAcceptor->SetMaxCallers(mDescriptors.MaxCallers());
   mRelayCountFactor = 1.0;
   if (all > state::FollowSettings{}.mMax) {
     mRelayCountFactor = static_cast<double>(zones.size());
@@ -289,7 +292,10 @@
 {
 }
 
-Relay::~Relay() = default;
+Relay::~Relay()
+{
+  mCore->mAcceptor->Stop();
+}
 
 state::Result<state::Address>
 Relay::Start()
@@ -299,15 +305,6 @@
   if (!address) {
     return tl::unexpected(address.error());
   }
-  auto acceptor = transport::Listen(mCore->mDependencies.mContext, *address);
-  if (!acceptor) {
-    return tl::unexpected(acceptor.error());
-  }
-  mCore->mAcceptor = *acceptor;
-  // AcceptWaiting needs this, so that accept() returns when none is pending.
-  boost::system::error_code ignored;
-  mCore->mAcceptor->non_blocking(true, ignored);
-  transport::Spawn(mCore->mDependencies.mContext, Accept(mCore));
   transport::Spawn(mCore->mDependencies.mContext, CloseStaleConnections(mCore));
   transport::Spawn(mCore->mDependencies.mContext, WatchStoppedEndpoints(mCore));
   transport::Spawn(mCore->mDependencies.mContext, LogRates(mCore));
@@ -315,7 +312,10 @@
     transport::Spawn(mCore->mDependencies.mContext, ReportRollouts(mCore));
   }
   transport::Spawn(mCore->mDependencies.mContext, WatchForOverload(mCore));
-  return transport::LocalAddress(*mCore->mAcceptor);
+  if (mCore->mDependencies.mMemoryProbe != nullptr) {
+    transport::Spawn(mCore->mDependencies.mContext, LogMemory(mCore));
+  }
+  return mCore->mAcceptor->Start(*address);
 }
 
 void
@@ -412,6 +412,19 @@
   metrics.Set("shuntjunction_relay_active", static_cast<double>(Active()));
   metrics.Set("shuntjunction_relay_connections",
               static_cast<double>(Connections()));
+  metrics.Set("shuntjunction_relay_connections_refused_total",
+              static_cast<double>(mCore->mAcceptor->Refused()));
+  metrics.Set("shuntjunction_relay_memory_reserved_bytes",
+              static_cast<double>(mCore->mMemory.Reserved()));
+  metrics.Set("shuntjunction_relay_memory_reservable_bytes",
+              static_cast<double>(mCore->mMemory.Limit()));
+  if (const auto* probe = mCore->mDependencies.mMemoryProbe) {
+    const auto usage = probe->Measure();
+    metrics.Set("shuntjunction_memory_resident_bytes",
+                static_cast<double>(usage.mResident));
+    metrics.Set("shuntjunction_memory_free_heap_bytes",
+                static_cast<double>(usage.mFreeHeap));
+  }
   metrics.Set("shuntjunction_relay_connections_most",
               static_cast<double>(mCore->mDescriptors.MaxCallers()));
   metrics.Set("shuntjunction_relay_endpoint_connections",
@@ -445,7 +458,7 @@
 Relay::IsReady() const
 {
   return !mCore->mIsStopping && mCore->mView->mConfig->Version() != 0 &&
-         mCore->AreKeysFresh() && !mCore->IsFull();
+         mCore->AreKeysFresh() && !mCore->mAcceptor->IsFull();
 }
 
 void
--- a/packages/coordination/src/relay_core.h
+++ b/packages/coordination/src/relay_core.h
@@ -5,8 +5,7 @@
 
 #include <set>
 
-#include <boost/asio/ip/tcp.hpp>
-
+#include "caller_acceptor.h"
 #include "relay_crashes.h"
 #include "relay_endpoint.h"
 #include "relay_notices.h"
@@ -46,11 +45,11 @@
   std::size_t mMaxBufferedAnswer = 64UL * 1024;
   /// Bytes read ahead on a connection.
   std::size_t mReadAhead = 64UL * 1024;
-  /// Share of the process's memory for request bodies.
-  double mBodyShare = 0.3;
-  /// Memory that an open connection of a caller may need, including its current
-  /// request and the connection to its endpoint.
+  /// Memory that an open connection of a caller may need, including a request
+  /// of common size and the connection to its endpoint.
   std::int64_t mBytesPerSession = 64L * 1024;
+  /// The same without the request's body.
+  std::int64_t mSessionBytes = 32L * 1024;
   /// Maximum number of prompt parts that are remembered.
   std::size_t mMaxParts = 4096;
   /// Longest time after which companions report a part that was prefilled.
@@ -72,7 +71,7 @@
 };
 
 /// A relay's state.
-struct Relay::Core
+struct Relay::Core : public std::enable_shared_from_this<Relay::Core>
 {
   /// Number of relays up to which a fleet without companions, which has no
   /// owner of the slack of retries, keeps to it: each has a fixed part.
@@ -83,6 +82,10 @@
   /// Whether keys may still be accepted as valid.
   bool AreKeysFresh() const;
 
+  /// Hands a caller's connection to the traffic thread; may be called from any
+  /// thread.
+  void PostCaller(AcceptedCaller aCaller);
+
   /// Closes connections on which no request has begun.
   void CloseIdleSessions();
 
@@ -98,9 +101,6 @@
   /// it broke recently.
   void NoteCrashOfBrokenRequests(RelayEndpoint& aEndpoint);
 
-  /// Whether no more connections of callers can be accepted now.
-  bool IsFull() const;
-
   /// Makes room for one more connection to an endpoint, if need be by closing
   /// the one that was idle the longest; returns whether there is room.
   bool MakeRoomForEndpoint();
@@ -142,7 +142,8 @@
   double mRelayCountFactor = 1;
   std::shared_ptr<const RelayView> mView = std::make_shared<RelayView>();
   state::RandomSource mRandom;
-  std::shared_ptr<transport::asio::ip::tcp::acceptor> mAcceptor;
+  state::MemoryBudget mMemory;
+  std::unique_ptr<CallerAcceptor> mAcceptor;
   std::set<RelaySession*> mSessions;
   std::size_t mActive = 0;           ///< requests that are being served
   std::int64_t mEngineRuns = 0;      ///< requests of this relay at engines
--- a/packages/coordination/src/relay_run.cpp
+++ b/packages/coordination/src/relay_run.cpp
@@ -65,7 +65,7 @@
     co_await Refuse(kUnavailable, "no-configuration", kRetryLater);
   } else if (!FindRoute()) {
     co_await Refuse(kNoRoute, "no-route");
-  } else if (mCore->mGuard.MustRefuse(mRoute->mUrgency)) {
+  } else if (mCore->mGuard.MustRefuse(mRoute->mUrgency, Now())) {
     co_await Refuse(kUnavailable, "relay-overloaded", SpreadRetryAfter());
   } else if (AreKeysStale()) {
     co_await Refuse(kUnavailable, "stale-keys", kRetryElsewhere);
--- a/packages/coordination/src/relay_session.cpp
+++ b/packages/coordination/src/relay_session.cpp
@@ -1,5 +1,7 @@
 #include "relay_session.h"
 
+#include <algorithm>
+
 #include <boost/asio/write.hpp>
 
 #include "relay_run.h"
@@ -20,11 +22,12 @@
 } // namespace
 
 RelaySession::RelaySession(std::shared_ptr<Relay::Core> aCore,
-                           transport::asio::ip::tcp::socket aSocket)
+                           AcceptedCaller aCaller)
   : mCore(std::move(aCore))
   , mReader(
-      std::make_shared<transport::SocketReader>(std::move(aSocket),
+      std::make_shared<transport::SocketReader>(std::move(aCaller.mSocket),
                                                 mCore->mLimits.mReadAhead))
+  , mMemory(std::move(aCaller.mMemory))
 {
   mCore->mSessions.insert(this);
 }
@@ -33,6 +36,7 @@
 {
   mCore->mSessions.erase(this);
   mReader->Close(false);
+  mCore->mAcceptor->NoteClosed();
 }
 
 Task<void>
@@ -68,6 +72,7 @@
   mCore->mBodyBytes -= bytes;
   --mCore->mActive;
   mIsIdle = true;
+  mMemory.Resize(mCore->mLimits.mBytesPerSession);
   co_return keepsConnection;
 }
 
@@ -80,10 +85,6 @@
   if (!isComplete) {
     co_return nullptr;
   }
-  if (!HasRoomForBody()) {
-    co_await RefuseUnread(kUnavailable, "too many bodies in memory");
-    co_return nullptr;
-  }
   co_return std::make_shared<RelayRequest>(reader.Take());
 }
 
@@ -103,13 +104,17 @@
       std::size_t consumed = 0;
       const auto step = aRequest.Put(bytes, consumed);
       mReader->Consume(consumed);
-      if (step == ParseStatus::kDone) {
-        co_return true;
-      }
       if (step == ParseStatus::kMalformed) {
         co_await RefuseUnread(aRequest.RefusalStatus(), aRequest.Problem());
         co_return false;
       }
+      if (!ReserveForBody(aRequest.BodyBytes())) {
+        co_await RefuseUnread(kUnavailable, "no memory for the body");
+        co_return false;
+      }
+      if (step == ParseStatus::kDone) {
+        co_return true;
+      }
       if (aRequest.ExpectsContinue() && !std::exchange(isContinued, true)) {
         co_await Write("HTTP/1.1 100 Continue\r\n\r\n");
         // Bytes that arrived meanwhile are buffered, and woke no reader.
@@ -130,12 +135,14 @@
 }
 
 bool
-RelaySession::HasRoomForBody() const
+RelaySession::ReserveForBody(std::size_t aBodyBytes)
 {
-  const double share =
-    mCore->mLimits.mBodyShare *
-    static_cast<double>(mCore->mDependencies.mSettings.mMemoryBytes);
-  return static_cast<double>(mCore->mBodyBytes) <= share;
+  // Twice: while it arrives a part of it is also in the read-ahead buffer, and
+  // a body of unknown length is moved as it grows.
+  const auto& limits = mCore->mLimits;
+  const auto needed =
+    limits.mSessionBytes + 2 * static_cast<std::int64_t>(aBodyBytes);
+  return mMemory.Resize(std::max(limits.mBytesPerSession, needed));
 }
 
 Task<void>
--- a/packages/coordination/src/relay_session.h
+++ b/packages/coordination/src/relay_session.h
@@ -12,8 +12,7 @@
 class RelaySession : public std::enable_shared_from_this<RelaySession>
 {
 public:
-  RelaySession(std::shared_ptr<Relay::Core> aCore,
-               transport::asio::ip::tcp::socket aSocket);
+  RelaySession(std::shared_ptr<Relay::Core> aCore, AcceptedCaller aCaller);
   ~RelaySession();
   RelaySession(const RelaySession&) = delete;
   RelaySession& operator=(const RelaySession&) = delete;
@@ -36,8 +35,9 @@
   transport::Task<bool> ReadFullRequest(transport::RelayRequestReader& aRequest,
                                         const state::CallerLimits& aLimits);
 
-  /// Whether the request bodies in memory leave room for one more.
-  bool HasRoomForBody() const;
+  /// Reserves the memory that a request with a body of this size needs;
+  /// returns whether there was room.
+  bool ReserveForBody(std::size_t aBodyBytes);
 
   transport::Task<void> RefuseUnread(unsigned aStatus,
                                      std::string_view aProblem);
@@ -45,6 +45,7 @@
 
   std::shared_ptr<Relay::Core> mCore;
   std::shared_ptr<transport::SocketReader> mReader;
+  state::MemoryReservation mMemory;
   bool mIsIdle = true;
 };
 
--- a/packages/state/include/shuntjunction/state/overload_guard.h
+++ b/packages/state/include/shuntjunction/state/overload_guard.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <optional>
+
 #include "shuntjunction/state/clock.h"
 
 /// Detection of overload of this process.
@@ -19,12 +21,19 @@
   int mLateChecks = 3;
   /// The same for the most urgent requests, which are refused last.
   int mLateChecksUrgent = 8;
+  /// Time since the last check from which on requests are refused: the work
+  /// that was ready with them already takes too long. Exceeds a check's
+  /// interval and mLateDelay.
+  Millis mLateTurn{ 170 };
+  Millis mLateTurnUrgent{ 450 }; ///< the same for the most urgent requests
 };
 
 /// Detects overload of the process by the delay of a periodic timer.
 ///
 /// All ready work waits in one queue of the process, so the timer's delay is
-/// the time that an arriving request waits before it is handled.
+/// the time that an arriving request waits before it is handled. One turn of
+/// the queue may take seconds when a burst arrives on many connections; the
+/// time since the last check shows this before the turn ends.
 /// Thread safety: none; owned by the traffic thread.
 class OverloadGuard
 {
@@ -36,8 +45,11 @@
 
   /// Records the delay of a check. A delay between mOnTimeDelay and mLateDelay
   /// changes nothing.
-  void NoteTimerDelay(Millis aDelay)
+  ///
+  /// @param aNow  time of the check
+  void NoteCheck(Millis aDelay, TimePoint aNow)
   {
+    mCheckedAt = aNow;
     if (aDelay >= mSettings.mLateDelay) {
       ++mLateChecks;
     } else if (aDelay < mSettings.mOnTimeDelay) {
@@ -46,11 +58,15 @@
   }
 
   /// Whether new requests of an urgency must be refused; 0 is the most urgent.
-  bool MustRefuse(int aUrgency) const
+  bool MustRefuse(int aUrgency, TimePoint aNow) const
   {
+    const bool isUrgent = aUrgency == 0;
     const int limit =
-      aUrgency == 0 ? mSettings.mLateChecksUrgent : mSettings.mLateChecks;
-    return mLateChecks >= limit;
+      isUrgent ? mSettings.mLateChecksUrgent : mSettings.mLateChecks;
+    const auto lateTurn =
+      isUrgent ? mSettings.mLateTurnUrgent : mSettings.mLateTurn;
+    const bool isTurnLate = mCheckedAt && aNow - *mCheckedAt >= lateTurn;
+    return mLateChecks >= limit || isTurnLate;
   }
 
   /// Whether all requests but the most urgent must be refused.
@@ -60,6 +76,7 @@
 
 private:
   OverloadSettings mSettings;
+  std::optional<TimePoint> mCheckedAt;
   int mLateChecks = 0; ///< since the last check that was on time
 };
 
--- a/packages/state/tests/overload_guard_test.cpp
+++ b/packages/state/tests/overload_guard_test.cpp
@@ -12,11 +12,18 @@
   void Check(Millis aDelay, int aTimes = 1)
   {
     for (int i = 0; i < aTimes; ++i) {
-      mGuard.NoteTimerDelay(aDelay);
+      mClock.Advance(mSettings.mCheckInterval + aDelay);
+      mGuard.NoteCheck(aDelay, mClock.Now());
     }
   }
 
+  bool MustRefuse(int aUrgency) const
+  {
+    return mGuard.MustRefuse(aUrgency, mClock.Now());
+  }
+
   const OverloadSettings mSettings;
+  ManualClock mClock;
   OverloadGuard mGuard;
 };
 
@@ -25,13 +32,39 @@
   Check(Millis(4000));
   Check(Millis(0));
   Check(Millis(4000));
-  EXPECT_FALSE(mGuard.MustRefuse(5));
+  EXPECT_FALSE(MustRefuse(5));
 }
 
 TEST_F(GivenAGuard, NorIsAProcessThatIsOftenALittleLate)
 {
   Check(Millis(95), 100);
-  EXPECT_FALSE(mGuard.MustRefuse(5));
+  EXPECT_FALSE(MustRefuse(5));
+}
+
+// A burst on many connections was served in turns of seconds: a guard that
+// counts late checks heard of it after the third.
+class InATurnThatTakesLong : public GivenAGuard
+{
+protected:
+  InATurnThatTakesLong()
+  {
+    Check(Millis(0));
+    mClock.Advance(mSettings.mLateTurn);
+  }
+};
+
+TEST_F(InATurnThatTakesLong, ItsLaterRequestsAreRefusedTheMostUrgentLast)
+{
+  EXPECT_TRUE(MustRefuse(1));
+  EXPECT_FALSE(MustRefuse(0));
+  mClock.Advance(mSettings.mLateTurnUrgent - mSettings.mLateTurn);
+  EXPECT_TRUE(MustRefuse(0));
+}
+
+TEST_F(InATurnThatTakesLong, RequestsOfTheNextTurnAreAccepted)
+{
+  Check(Millis(0));
+  EXPECT_FALSE(MustRefuse(1));
 }
 
 class ThatIsLateAgainAndAgain : public GivenAGuard
@@ -45,10 +78,10 @@
 
 TEST_F(ThatIsLateAgainAndAgain, TheMostUrgentRequestsAreRefusedLast)
 {
-  EXPECT_TRUE(mGuard.MustRefuse(1));
-  EXPECT_FALSE(mGuard.MustRefuse(0));
+  EXPECT_TRUE(MustRefuse(1));
+  EXPECT_FALSE(MustRefuse(0));
   Check(mSettings.mLateDelay, mSettings.mLateChecksUrgent);
-  EXPECT_TRUE(mGuard.MustRefuse(0));
+  EXPECT_TRUE(MustRefuse(0));
 }
 
 TEST_F(ThatIsLateAgainAndAgain, AllRequestsAreAcceptedAgainOnceItIsOnTime)
--- a/packages/transport/include/shuntjunction/transport/frame_channel.h
+++ b/packages/transport/include/shuntjunction/transport/frame_channel.h
@@ -123,8 +123,12 @@
                ChannelCounters& aCounters);
 
 /// Opens a listening socket.
+///
+/// @param aBacklog  connections that may wait to be accepted
 state::Result<std::shared_ptr<asio::ip::tcp::acceptor>>
-Listen(asio::io_context& aContext, const state::Address& aAddress);
+Listen(asio::io_context& aContext,
+       const state::Address& aAddress,
+       int aBacklog = asio::socket_base::max_listen_connections);
 
 /// Accepts connections until the acceptor is closed and passes each to
 /// aHandler. Pauses after a failure, which would otherwise repeat at once.
--- a/packages/transport/include/shuntjunction/transport/relay_message.h
+++ b/packages/transport/include/shuntjunction/transport/relay_message.h
@@ -88,6 +88,9 @@
   /// Whether the caller waits for 100 Continue before it sends the body.
   bool ExpectsContinue() const;
 
+  /// Size of the body: as announced, or of what has arrived if it was not.
+  std::size_t BodyBytes() const;
+
   /// Status of the response to a kMalformed message.
   unsigned RefusalStatus() const { return mRefusalStatus; }
 
--- a/packages/transport/src/frame_channel.cpp
+++ b/packages/transport/src/frame_channel.cpp
@@ -289,7 +289,7 @@
 }
 
 Result<std::shared_ptr<tcp::acceptor>>
-Listen(asio::io_context& aContext, const state::Address& aAddress)
+Listen(asio::io_context& aContext, const state::Address& aAddress, int aBacklog)
 {
   const auto endpoint = ToTcpEndpoint(aAddress, "listen");
   if (!endpoint) {
@@ -305,7 +305,7 @@
     acceptor->bind(*endpoint, error);
   }
   if (!error) {
-    acceptor->listen(asio::socket_base::max_listen_connections, error);
+    acceptor->listen(aBacklog, error);
   }
   if (error) {
     return Fail(
--- a/packages/transport/src/relay_message.cpp
+++ b/packages/transport/src/relay_message.cpp
@@ -193,6 +193,18 @@
          IsSameName(parser.get()[http::field::expect], "100-continue");
 }
 
+std::size_t
+RelayRequestReader::BodyBytes() const
+{
+  const auto& parser = mParser->mParser;
+  if (!parser.is_header_done()) {
+    return 0;
+  }
+  const auto announced = parser.content_length();
+  return announced ? static_cast<std::size_t>(*announced)
+                   : parser.get().body().size();
+}
+
 RelayRequest
 RelayRequestReader::Take()
 {
--- a/packages/transport/src/socket_reader.cpp
+++ b/packages/transport/src/socket_reader.cpp
@@ -1,5 +1,6 @@
 #include "shuntjunction/transport/socket_reader.h"
 
+#include <algorithm>
 #include <array>
 
 namespace shuntjunction::transport {
@@ -9,6 +10,9 @@
 namespace {
 
 constexpr std::size_t kReadBytes = 32UL * 1024;
+/// Largest empty buffer that a connection keeps; there may be thousands of
+/// connections that are idle.
+constexpr std::size_t kKeptBytes = 1024;
 
 } // namespace
 
@@ -47,7 +51,7 @@
   if (mConsumed == mBuffer.size()) {
     mConsumed = 0;
     mBuffer.clear();
-    if (mBuffer.capacity() > kReadBytes) {
+    if (mBuffer.capacity() > kKeptBytes) {
       mBuffer.shrink_to_fit();
     }
   }
@@ -99,7 +103,10 @@
   // One buffer per thread, so that an idle connection holds no memory.
   thread_local std::array<char, kReadBytes> sBytes;
   boost::system::error_code error;
-  const std::size_t bytes = mSocket.read_some(asio::buffer(sBytes), error);
+  const std::size_t wanted =
+    std::min(sBytes.size(), mMaxBuffered - Buffered().size());
+  const std::size_t bytes =
+    mSocket.read_some(asio::buffer(sBytes, wanted), error);
   if (error == asio::error::would_block) {
     Arm();
     return;
