A roll-out pauses a suspect version before the bound on rolling back

Cause: the proof that a version is bad takes up to 100 answers; with a dozen a second that is past the bound, though reports and decisions are in time. Ruled out: slow reports (200 ms) and decisions (200 ms).

Change: exposure ends by a decision of its own. While the evidence for bad outweighs that for good, the canary is paused 1 s before the bound, counted from the first 50 requests at the target version; it goes on when the suspicion goes.

Tried: a pause of whatever is not proved good, which rolled back good versions.

--- a/packages/state/include/shuntjunction/state/rollout/rollout_comparison.h
+++ b/packages/state/include/shuntjunction/state/rollout/rollout_comparison.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <optional>
 #include <string_view>
 
 #include "shuntjunction/state/rollout/rollout_decision.h"
@@ -53,10 +52,9 @@
   struct RouteCounts; ///< the same
 
 private:
-  /// The verdict that a count shows to be bad; empty if it does not.
-  std::optional<RolloutFinding> FindBad(std::string_view aWhat,
-                                        const RouteCounts& aCounts,
-                                        double aLimit) const;
+  /// Logarithm of the e-value against the hypothesis that the target's share
+  /// of bad answers is as low as tolerated.
+  double EvidenceOfHarm(const RouteCounts& aCounts) const;
 
   ComparisonSettings mSettings;
 };
--- a/packages/state/include/shuntjunction/state/rollout/rollout_decision.h
+++ b/packages/state/include/shuntjunction/state/rollout/rollout_decision.h
@@ -30,6 +30,8 @@
 {
   RolloutVerdict mVerdict = RolloutVerdict::kUndecided;
   std::string mReason;
+  /// Undecided, but the evidence that it is bad outweighs that it is good.
+  bool mIsSuspect = false;
 };
 
 /// Compares failures and latency of the target version with those of the
@@ -75,6 +77,9 @@
   Millis mReactionTime{ 600 };
   /// Time before the deadline at which an outcome is written.
   Millis mFinalMargin{ 500 };
+  /// Time before the bound on rolling back at which the canary of a suspect
+  /// version is paused: covers reports, the decision and its way to the relays.
+  Millis mPauseMargin{ 1000 };
   /// Slots of the target version, as a part of the share of the other versions'
   /// slots, below which a step waits.
   double mMinSlots = 0.5;
@@ -112,6 +117,10 @@
 private:
   struct Situation;
 
+  /// Whether the canary must stop, though nothing is proved: the version is
+  /// suspect, and if all its answers were bad the bound on rolling back would
+  /// be near.
+  bool MustPause(const Situation& aSituation) const;
   RolloutDecision Advance(const Situation& aSituation) const;
   RolloutDecision Finish(const Situation& aSituation) const;
   /// The next share; empty while the current one has to last.
--- a/packages/state/include/shuntjunction/state/rollout/rollout_evidence.h
+++ b/packages/state/include/shuntjunction/state/rollout/rollout_evidence.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -72,6 +73,8 @@
 public:
   /// Runs of relays whose reports are kept; beyond it, those heard of last.
   static constexpr std::size_t kMaxSources = 4096;
+  /// Bad answers from which on the bound on rolling back counts.
+  static constexpr std::uint64_t kCountedAnswers = 50;
 
   explicit RolloutEvidence(std::uint64_t aOrderId)
     : mOrderId(aOrderId)
@@ -90,6 +93,11 @@
   std::uint64_t Sent() const;
   std::uint64_t Exposed() const;
 
+  /// When the reports first showed kCountedAnswers requests at the target
+  /// version: if all of them get bad answers, the bound on rolling back counts
+  /// from about then. Empty until then.
+  std::optional<TimePoint> CountedSince() const { return mCountedSince; }
+
   /// Whether each relay that reported within aMaxAge applies a step and runs
   /// nothing at other versions than the target; false if none reported.
   bool HasLeftOldVersions(std::uint32_t aStep,
@@ -106,6 +114,7 @@
   std::uint64_t mOrderId;
   /// By the relay and the start of its process.
   std::map<std::pair<std::string, std::uint64_t>, Source> mSources;
+  std::optional<TimePoint> mCountedSince;
 };
 
 } // namespace shuntjunction::state
--- a/packages/state/src/rollout/rollout_comparison.cpp
+++ b/packages/state/src/rollout/rollout_comparison.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdio>
+#include <limits>
 #include <set>
 #include <vector>
 
@@ -195,6 +196,17 @@
   return text.data();
 }
 
+RolloutFinding
+BadFinding(std::string_view aWhat,
+           const RouteCounts& aCounts,
+           double aLogEvidence)
+{
+  return {
+    RolloutVerdict::kBad,
+    Describe(aWhat, aCounts.mTarget, aCounts.mReference, aLogEvidence),
+  };
+}
+
 } // namespace
 
 SequentialComparison::SequentialComparison(const ComparisonSettings& aSettings)
@@ -211,11 +223,13 @@
     std::log(static_cast<double>(routes.size() + 1) / mSettings.mFalseBad);
   RouteCounts all;
   double expected = 0;
+  double badEvidence = std::numeric_limits<double>::lowest();
   for (const auto& [route, counts] : routes) {
-    if (const auto bad =
-          FindBad("route " + std::to_string(route), counts, badLimit)) {
-      return *bad;
+    const double evidence = EvidenceOfHarm(counts);
+    if (evidence >= badLimit) {
+      return BadFinding("route " + std::to_string(route), counts, evidence);
     }
+    badEvidence = std::max(badEvidence, evidence);
     all.mTarget += counts.mTarget;
     all.mReference += counts.mReference;
     for (const auto& [endpoint, count] : counts.mByEndpoint) {
@@ -229,35 +243,29 @@
   // The target's mix of routes decides what is expected of it.
   const double expectedShare = expected / all.mTarget.mRequests;
   all.mReference.mBad = expectedShare * all.mReference.mRequests;
-  if (const auto bad = FindBad("all routes", all, badLimit)) {
-    return *bad;
+  const double evidenceOfAll = EvidenceOfHarm(all);
+  if (evidenceOfAll >= badLimit) {
+    return BadFinding("all routes", all, evidenceOfAll);
   }
+  badEvidence = std::max(badEvidence, evidenceOfAll);
   const double harmful =
     std::min(kMaxShare, expectedShare + mSettings.mMinHarm);
   const double evidence = LogEvidenceBelow(all.mTarget, harmful);
   const bool isGood = evidence >= std::log(1 / mSettings.mFalseGood);
   return { isGood ? RolloutVerdict::kGood : RolloutVerdict::kUndecided,
-           Describe("all routes", all.mTarget, all.mReference, evidence) };
+           Describe("all routes", all.mTarget, all.mReference, evidence),
+           !isGood && badEvidence > evidence };
 }
 
-std::optional<RolloutFinding>
-SequentialComparison::FindBad(std::string_view aWhat,
-                              const RouteCounts& aCounts,
-                              double aLimit) const
+double
+SequentialComparison::EvidenceOfHarm(const RouteCounts& aCounts) const
 {
   if (aCounts.mTarget.mRequests <= 0) {
-    return std::nullopt;
+    return std::numeric_limits<double>::lowest();
   }
   const double limit =
     std::min(kMaxShare, UpperLimit(aCounts.mReference) + mSettings.mTolerance);
-  const double evidence = LogEvidenceAbove(aCounts.WithoutWorst(), limit);
-  if (evidence < aLimit) {
-    return std::nullopt;
-  }
-  return RolloutFinding{
-    RolloutVerdict::kBad,
-    Describe(aWhat, aCounts.mTarget, aCounts.mReference, evidence)
-  };
+  return LogEvidenceAbove(aCounts.WithoutWorst(), limit);
 }
 
 } // namespace shuntjunction::state
--- a/packages/state/src/rollout/rollout_decision.cpp
+++ b/packages/state/src/rollout/rollout_decision.cpp
@@ -10,6 +10,9 @@
 /// several reports were lost, or it has stopped.
 constexpr Millis kReportAge{ 1500 };
 
+/// Step of an order that has exposed nothing yet.
+constexpr std::uint32_t kFirstStep = 1;
+
 double
 Seconds(Millis aTime)
 {
@@ -69,7 +72,7 @@
     RolloutStatus status;
     status.mOrderId = aRollout.mOrder.mId;
     status.mTargetVersion = aRollout.mOrder.mTargetVersion;
-    status.mStep = 1;
+    status.mStep = kFirstStep;
     status.mStartedAtMillis = aUnixMillis - known.count();
     status.mReason = "ordered";
     return { status, false };
@@ -92,9 +95,28 @@
   if (situation.Left() <= mSchedule.mFinalMargin) {
     return Finish(situation);
   }
+  if (MustPause(situation)) {
+    return { situation.Next(RolloutState::kRunning,
+                            0,
+                            "paused; " + situation.mFinding.mReason),
+             true };
+  }
   return Advance(situation);
 }
 
+bool
+RolloutDecider::MustPause(const Situation& aSituation) const
+{
+  const double share = aSituation.mRollout.mStatus->mShare;
+  const auto since = aSituation.mEvidence.CountedSince();
+  if (share <= 0 || share > mBounds.mExposureShare || !since ||
+      !aSituation.mFinding.mIsSuspect) {
+    return false;
+  }
+  return aSituation.mNow - *since >=
+         mBounds.mRollbackDeadline - mSchedule.mPauseMargin;
+}
+
 RolloutDecision
 RolloutDecider::Advance(const Situation& aSituation) const
 {
@@ -125,6 +147,11 @@
   const double current = aSituation.mRollout.mStatus->mShare;
   const auto& endpoints = aSituation.mEndpoints;
   double next = CanaryShare(aSituation);
+  const bool isPaused =
+    current <= 0 && aSituation.mRollout.mStatus->mStep > kFirstStep;
+  if (isPaused && aSituation.mFinding.mIsSuspect) {
+    return std::nullopt;
+  }
   if (current > 0) {
     const auto within = Seconds(aSituation.mRollout.mOrder.mWithin);
     const bool isCanaryOver =
--- a/packages/state/src/rollout/rollout_evidence.cpp
+++ b/packages/state/src/rollout/rollout_evidence.cpp
@@ -43,6 +43,9 @@
       }));
   }
   mSources[key] = { aReport, aNow };
+  if (!mCountedSince && Exposed() >= kCountedAnswers) {
+    mCountedSince = aNow;
+  }
 }
 
 RolloutOutcomeTable
--- a/packages/state/tests/rollout/rollout_decision_test.cpp
+++ b/packages/state/tests/rollout/rollout_decision_test.cpp
@@ -14,10 +14,11 @@
   RolloutFinding Compare(
     const RolloutOutcomeTable& /*aOutcomes*/) const override
   {
-    return { mVerdict, "scripted" };
+    return { mVerdict, "scripted", mIsSuspect };
   }
 
   RolloutVerdict mVerdict = RolloutVerdict::kUndecided;
+  bool mIsSuspect = false;
 };
 
 constexpr std::int64_t kStartMillis = 1'000'000;
@@ -117,6 +118,49 @@
   }
 };
 
+/// A version that is four times slower got requests 5 s after its 50th bad
+/// answer, since its proof takes up to a hundred.
+class WithASuspectVersion : public AtTheCanaryOfAnOrder
+{
+protected:
+  WithASuspectVersion()
+  {
+    mComparison.mIsSuspect = true;
+    Report(1000, RolloutEvidence::kCountedAnswers, 2, 0);
+    mCountedAt = std::chrono::duration_cast<Millis>(mNow.time_since_epoch());
+  }
+
+  /// Bound on rolling back, less the margin.
+  static constexpr Millis kPauseAfter{ 4000 };
+  Millis mCountedAt{ 0 };
+};
+
+TEST_F(WithASuspectVersion, ItsCanaryIsPausedBeforeTheBound)
+{
+  EXPECT_FALSE(At(mCountedAt + kPauseAfter - Millis(1)).mStatus);
+  const auto decision = At(mCountedAt + kPauseAfter);
+  ASSERT_TRUE(decision.mStatus);
+  EXPECT_TRUE(decision.mIsHalt);
+  EXPECT_EQ(Share(), 0.0);
+  EXPECT_EQ(State(), RolloutState::kRunning);
+}
+
+TEST_F(WithASuspectVersion, ItGoesOnOnceTheSuspicionIsGone)
+{
+  At(mCountedAt + kPauseAfter);
+  EXPECT_FALSE(At(mCountedAt + kPauseAfter + Millis(200)).mStatus);
+  mComparison.mIsSuspect = false;
+  EXPECT_TRUE(At(mCountedAt + kPauseAfter + Millis(400)).mStatus);
+  EXPECT_GT(Share(), 0.0);
+}
+
+TEST_F(WithASuspectVersion, ItIsRolledBackIfNothingIsProvedInTime)
+{
+  At(mCountedAt + kPauseAfter);
+  At(Millis(11500));
+  EXPECT_EQ(State(), RolloutState::kRolledBack);
+}
+
 // The steps after it, .6 s at .25 and .5 and .6 s at 1 before a halt, take up
 // most of the tenth of 12 s that may be exposed.
 TEST_F(AtTheCanaryOfAnOrder, ItsShareLeavesRoomForTheStepsAfterIt)
