Requests for engines whose weights nobody replaces are refused at once

What callers saw, where no companion runs: after newer weights were announced and the old ones had become too old to use, each request waited for an engine for a fifth of its objective and was told to return within .1 s.

Cause: relays withhold such requests, but took the engines for busy.

--- a/packages/coordination/src/relay_endpoint_choice.cpp
+++ b/packages/coordination/src/relay_endpoint_choice.cpp
@@ -29,6 +29,20 @@
 /// over for others.
 constexpr Millis kRateQueryTimeout{ 1000 };
 
+/// Whether weights were superseded so long ago that no request may begin on
+/// them any more.
+bool
+AreTooOld(const Relay::Core& aCore,
+          const WeightsHistory& aHistory,
+          std::uint64_t aVersion,
+          TimePoint aNow)
+{
+  const auto superseded = aHistory.SupersededAt(aVersion);
+  const auto limit = aCore.mDependencies.mSettings.mBounds.mOldWeightsDeadline -
+                     aCore.mLimits.mWeightsMargin;
+  return superseded && aNow - *superseded >= limit;
+}
+
 /// The engines of a service as candidates, without those that may not be
 /// chosen.
 class CandidateList
@@ -156,11 +170,7 @@
     if (aCandidate.mVersion >= Newest()) {
       return false;
     }
-    const auto& settings = mCore.mDependencies.mSettings;
-    const auto superseded = mHistory->SupersededAt(aCandidate.mVersion);
-    const auto limit =
-      settings.mBounds.mOldWeightsDeadline - mCore.mLimits.mWeightsMargin;
-    if (superseded && mNow - *superseded >= limit) {
+    if (AreTooOld(mCore, *mHistory, aCandidate.mVersion, mNow)) {
       return true;
     }
     if (aNews != nullptr) {
@@ -168,6 +178,7 @@
     }
     // Without a status from its companion, the load order decides, which all
     // processes compute alike.
+    const auto& settings = mCore.mDependencies.mSettings;
     const auto turn = state::LoadStartOf(
       mHistory->mLoadOrder, aEndpoint.mInfo.mId, settings.mLoadSchedule);
     const auto age = mNow - mHistory->NewestLearnedAt();
@@ -418,6 +429,26 @@
   return isKnown ? std::optional(outage) : std::nullopt;
 }
 
+bool
+AreWeightsOutdated(Relay::Core& aCore, const EndpointQuery& aQuery)
+{
+  const auto& model = aQuery.mCall->mModel;
+  const auto history = aCore.mView->mWeights.find(model);
+  if (model.empty() || history == aCore.mView->mWeights.end()) {
+    return false;
+  }
+  const auto now = aCore.mDependencies.mClock.Now();
+  const auto serving = aCore.mEndpoints.Serving(aQuery.mService);
+  const auto isOutdated = [&](const RelayEndpointPtr& aEndpoint) {
+    // A companion that reports has its engine load newer weights.
+    return aCore.mEndpoints.FreshNews(*aEndpoint, now) == nullptr &&
+           AreTooOld(
+             aCore, history->second, aEndpoint->mInfo.VersionOf(model), now);
+  };
+  return !serving.empty() &&
+         std::all_of(serving.begin(), serving.end(), isOutdated);
+}
+
 bool
 IsServiceDown(Relay::Core& aCore, const std::string& aService)
 {
--- a/packages/coordination/src/relay_endpoint_choice.h
+++ b/packages/coordination/src/relay_endpoint_choice.h
@@ -103,6 +103,11 @@
 std::optional<ServiceOutage>
 OutageOf(Relay::Core& aCore, const EndpointQuery& aQuery);
 
+/// Whether all engines of a request's service are on weights that are too old
+/// to be used, and no companion reports that newer ones are to be loaded.
+bool
+AreWeightsOutdated(Relay::Core& aCore, const EndpointQuery& aQuery);
+
 /// Whether no endpoint of a service can be reached, as far as is known.
 bool
 IsServiceDown(Relay::Core& aCore, const std::string& aService);
--- a/packages/coordination/src/relay_permits.cpp
+++ b/packages/coordination/src/relay_permits.cpp
@@ -46,6 +46,14 @@
 bool
 RelayRun::IsUnavailable(const EndpointQuery& aQuery, state::TimePoint aUntil)
 {
+  if (AreWeightsOutdated(*mCore, aQuery)) {
+    mCore->mDependencies.mMetrics.Count(
+      "shuntjunction_relay_outdated_refusals_total",
+      { { "service", mService } });
+    mLastProblem = "weights-outdated";
+    mRetryAfter = state::JitteredPause(kRetryAfterOutage, mCore->mRandom);
+    return true;
+  }
   const auto outage = OutageOf(*mCore, aQuery);
   if (!outage || (outage->mUntil < aUntil && Now() < aUntil)) {
     return false;
