Reports without exposed requests no longer sum the evidence; comments reworded

Cause: until 50 requests were exposed, each relay's report summed the reports of all relays, a cost that grows with their square. Change: only a report that itself exposes requests sums them; the result is the same, since no other can raise the sum. Comments: usual terms.

--- a/packages/coordination/src/caller_acceptor.h
+++ b/packages/coordination/src/caller_acceptor.h
@@ -49,7 +49,7 @@
 ///
 /// Runs on its own thread: a connection that is not accepted waits in the
 /// kernel with all that its caller sent, which counts as this process's memory,
-/// and its caller hears nothing. A busy traffic thread must not delay this.
+/// and its caller gets no response. A busy traffic thread must not delay this.
 /// Thread safety: all methods but Start and Stop may be called from any thread.
 class CallerAcceptor
 {
@@ -59,7 +59,7 @@
   /// @param aTraffic   context of the accepted sockets; outlives this
   /// @param aClock     outlives this
   /// @param aMemory    outlives this and all accepted callers
-  /// @param aProbe     null: memory is not measured; else outlives this
+  /// @param aProbe     null: only reservations bound memory
   /// @param aOnCaller  called on the acceptor's thread
   CallerAcceptor(transport::asio::io_context& aTraffic,
                  const CallerAcceptorSettings& aSettings,
--- a/packages/state/src/rollout/rollout_evidence.cpp
+++ b/packages/state/src/rollout/rollout_evidence.cpp
@@ -43,7 +43,8 @@
       }));
   }
   mSources[key] = { aReport, aNow };
-  if (!mCountedSince && Exposed() >= kCountedAnswers) {
+  // Only a report with exposed requests can change the sum over all relays.
+  if (!mCountedSince && aReport.mExposed > 0 && Exposed() >= kCountedAnswers) {
     mCountedSince = aNow;
   }
 }
--- a/packages/state/tests/overload_guard_test.cpp
+++ b/packages/state/tests/overload_guard_test.cpp
@@ -42,7 +42,7 @@
 }
 
 // A burst on many connections was served in turns of seconds: a guard that
-// counts late checks heard of it after the third.
+// counts late checks detected the overload only at the third.
 class InATurnThatTakesLong : public GivenAGuard
 {
 protected:
