Log how each answer was framed and how it ended

Callers saw answers that had been broken off as complete ones, and the relays' logs named such an attempt done. Neither logs nor metrics held what would tell the hypotheses of the incident apart: the framing of the answer, whether its connection was closed or reset, whether that was inside an event, and the bytes received.

Change: the line attempt holds framing, end, inside_event and body_bytes; shuntjunction_relay_answer_ends_total counts them. Nothing is decided by them.

--- a/packages/coordination/src/relay_answer.cpp
+++ b/packages/coordination/src/relay_answer.cpp
@@ -102,7 +102,7 @@
       continue;
     }
     if (isDone && !aAttempt.mIsStreamed && ShouldRetryFailure(aAttempt)) {
-      aAttempt.mBufferedBody += aAttempt.mAnswer->TakeBody();
+      aAttempt.mBufferedBody += TakeBody(aAttempt);
       SaveFailure(aAttempt);
       Finish(aAttempt);
       co_return AttemptOutcome::kFailed;
@@ -134,6 +134,8 @@
     if (!reader.IsClosed()) {
       return std::nullopt;
     }
+    mAnswerTrace.mEnd =
+      reader.HasReachedEof() ? AnswerEnd::kClosed : AnswerEnd::kReset;
     if (!reader.HasReachedEof() || !aAttempt.mAnswer->FinishAtEof()) {
       mLastProblem =
         aAttempt.mAnswer->HasBegun() ? "answer cut off" : "closed unanswered";
@@ -143,10 +145,20 @@
   }
   if (step == ParseStatus::kMalformed) {
     mLastProblem = "malformed answer";
+  } else if (step == ParseStatus::kDone) {
+    mAnswerTrace.mEnd = AnswerEnd::kFramed;
   }
   return step;
 }
 
+std::string
+RelayRun::TakeBody(Attempt& aAttempt)
+{
+  auto body = aAttempt.mAnswer->TakeBody();
+  mAnswerTrace.mBodyBytes += body.size();
+  return body;
+}
+
 Task<bool>
 RelayRun::MayMoveElsewhere(Attempt& aAttempt)
 {
@@ -169,6 +181,7 @@
     return std::nullopt;
   }
   aAttempt.mIsHeadEvaluated = true;
+  mAnswerTrace.mFraming = aAttempt.mAnswer->Head().mFraming;
   aAttempt.mAnswerInfo =
     mCore->mDependencies.mCodec.ReadAnswer(aAttempt.mAnswer->Head());
   const auto& id = aAttempt.mAnswerInfo.mRequestId;
@@ -323,7 +336,7 @@
   if (aAttempt.mIsStreamed) {
     co_return co_await ForwardStreamChunk(aAttempt, aIsDone);
   }
-  aAttempt.mBufferedBody += aAttempt.mAnswer->TakeBody();
+  aAttempt.mBufferedBody += TakeBody(aAttempt);
   if (!aIsDone &&
       aAttempt.mBufferedBody.size() > mCore->mLimits.mMaxBufferedAnswer) {
     // Too long to buffer: from here on, if the end is missing, the caller's
@@ -386,7 +399,7 @@
 RelayRun::ForwardStreamChunk(Attempt& aAttempt, bool aIsDone)
 {
   std::string body =
-    std::exchange(aAttempt.mBufferedBody, {}) + aAttempt.mAnswer->TakeBody();
+    std::exchange(aAttempt.mBufferedBody, {}) + TakeBody(aAttempt);
   if (mRoute->mKind == RouteKind::kStream) {
     body = ExtractCompleteEvents(std::move(body), aIsDone);
   }
@@ -423,9 +436,10 @@
   constexpr std::string_view kIdField = "id:";
   mPartialEvent += aBytes;
   const auto end = mPartialEvent.rfind(kEventEnd);
-  const std::size_t size =
-    aIsDone ? mPartialEvent.size()
-            : (end == std::string::npos ? 0 : end + kEventEnd.size());
+  const std::size_t complete =
+    end == std::string::npos ? 0 : end + kEventEnd.size();
+  mAnswerTrace.mIsInsideEvent = complete < mPartialEvent.size();
+  const std::size_t size = aIsDone ? mPartialEvent.size() : complete;
   std::string events = mPartialEvent.substr(0, size);
   mPartialEvent.erase(0, size);
   const auto idLine = events.rfind(kIdField);
--- a/packages/coordination/src/relay_attempt.cpp
+++ b/packages/coordination/src/relay_attempt.cpp
@@ -110,6 +110,7 @@
   Attempt attempt;
   attempt.mEndpointChoice = std::move(aChoice);
   mTimes = {};
+  mAnswerTrace = {};
   auto& endpoint = *attempt.mEndpointChoice.mEndpoint;
   const auto connected = co_await Connect(attempt);
   if (connected == AttemptOutcome::kUnsent) {
--- a/packages/coordination/src/relay_run.h
+++ b/packages/coordination/src/relay_run.h
@@ -2,6 +2,7 @@
 
 // Private to coordination: the course of one request through a relay.
 
+#include "answer_trace.h"
 #include "continuation/stream_copy.h"
 #include "relay_endpoint_choice.h"
 #include "relay_core.h"
@@ -190,6 +191,8 @@
   void NoteCompleted(unsigned aStatus);
   void LogSent(const EndpointChoice& aChoice);
   void LogAttempt(const EndpointChoice& aChoice, AttemptOutcome aOutcome);
+  /// Counts how the answer of the last attempt ended.
+  void CountAnswerEnd();
   bool MayRetry(AttemptOutcome aOutcome);
   void Finish(Attempt& aAttempt);
 
@@ -210,6 +213,8 @@
   transport::Task<AttemptOutcome> ReadAnswer(Attempt& aAttempt);
   /// Parses the received bytes; empty when more are needed first.
   std::optional<transport::ParseStatus> ReadBuffered(Attempt& aAttempt);
+  /// Moves out the body bytes that were parsed since the last call.
+  std::string TakeBody(Attempt& aAttempt);
   /// Evaluates a complete head once; an outcome if the answer is not forwarded.
   std::optional<AttemptOutcome> EvaluateHeadOnce(Attempt& aAttempt,
                                                  transport::ParseStatus aStep);
@@ -265,6 +270,7 @@
   std::shared_ptr<transport::SocketReader> mOpenConnection; ///< to interrupt
   std::vector<std::string> mTriedEndpoints; ///< endpoints that got the request
   AttemptTimes mTimes;                      ///< of the last attempt
+  AnswerTrace mAnswerTrace;                 ///< of the last attempt
   int mUnsentTries = 0; ///< endpoints that could not be reached
   int mCrashes = 0;     ///< endpoints that crashed under this run
   bool mMayHaveRun = false;
--- a/packages/coordination/src/relay_run_log.cpp
+++ b/packages/coordination/src/relay_run_log.cpp
@@ -46,7 +46,12 @@
   }
   if (mTimes.mFirst) {
     line.Add("first_ms", mTimes.mFirst->count())
-      .Add("pause_ms", mTimes.mLongestPause.count());
+      .Add("pause_ms", mTimes.mLongestPause.count())
+      .Add("framing", transport::kBodyFramingNames.Name(mAnswerTrace.mFraming))
+      .Add("end", kAnswerEndNames.Name(mAnswerTrace.mEnd))
+      .Add("inside_event", mAnswerTrace.mIsInsideEvent)
+      .Add("body_bytes", mAnswerTrace.mBodyBytes);
+    CountAnswerEnd();
   }
   if (aChoice.mWeights != 0) {
     line.Add("weights", aChoice.mWeights)
@@ -66,6 +71,19 @@
   mCore->mDependencies.mLog.Write(std::move(line));
 }
 
+void
+RelayRun::CountAnswerEnd()
+{
+  const auto& trace = mAnswerTrace;
+  mCore->mDependencies.mMetrics.Count(
+    "shuntjunction_relay_answer_ends_total",
+    { { "service", mService },
+      { "framing",
+        std::string(transport::kBodyFramingNames.Name(trace.mFraming)) },
+      { "end", std::string(kAnswerEndNames.Name(trace.mEnd)) },
+      { "inside_event", trace.mIsInsideEvent ? "yes" : "no" } });
+}
+
 void
 RelayRun::LogOutcome(std::string_view aOutcome, std::string_view aReason)
 {
--- a/packages/transport/include/shuntjunction/transport/relay_message.h
+++ b/packages/transport/include/shuntjunction/transport/relay_message.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "shuntjunction/state/enum_names.h"
 #include "shuntjunction/state/error.h"
 #include "shuntjunction/transport/http_types.h"
 
@@ -32,6 +33,20 @@
   std::string_view Path() const;
 };
 
+/// How the end of a response's body is marked (RFC 9112, 6.3).
+enum class BodyFraming : std::uint8_t
+{
+  kNone,       ///< there is no body
+  kLength,     ///< by its Content-Length
+  kChunked,    ///< by its last chunk
+  kConnection, ///< only by the end of the connection
+};
+
+/// Names of BodyFraming.
+inline constexpr state::EnumNames<BodyFraming, 4> kBodyFramingNames{
+  { "none", "length", "chunked", "connection" }
+};
+
 /// Status line and header fields of a response.
 struct RelayResponse
 {
@@ -42,6 +57,7 @@
     mLength; ///< of the body; empty: chunked or until the connection ends
   bool mIsChunked = false;
   bool mKeepsAlive = true;
+  BodyFraming mFraming = BodyFraming::kNone;
 
   /// Value of a field; empty when absent.
   std::string_view Field(std::string_view aName) const;
--- a/packages/transport/src/relay_message.cpp
+++ b/packages/transport/src/relay_message.cpp
@@ -61,6 +61,19 @@
   }
 }
 
+template<typename Parser>
+BodyFraming
+FramingOf(const Parser& aParser)
+{
+  if (aParser.chunked()) {
+    return BodyFraming::kChunked;
+  }
+  if (aParser.content_length()) {
+    return BodyFraming::kLength;
+  }
+  return aParser.need_eof() ? BodyFraming::kConnection : BodyFraming::kNone;
+}
+
 } // namespace
 
 bool
@@ -304,6 +317,7 @@
   mHead.mFields = FieldsOf(message);
   mHead.mIsChunked = parser.chunked();
   mHead.mKeepsAlive = parser.keep_alive() && !parser.need_eof();
+  mHead.mFraming = FramingOf(parser);
   if (const auto length = parser.content_length()) {
     mHead.mLength = *length;
   }
