An orderly close no longer ends an answer that is not whole

Cause: an answer with neither a length nor chunks ends with its connection, and the relay took any orderly close for the end that the endpoint meant. It then forwarded what it held of the last event, and the last chunk. A resumable stream was not continued elsewhere, a cut 500 was saved as a whole failure, and events whose lines end with CR LF were held until the stream ended. Ruled out: an endpoint that frames a short answer as whole (its other answers were seen as cut), and a tail lost in the relay.

Change: events are split as their format says (LF, CR LF, CR), whole ones are forwarded as they arrive. A stream that ends inside an event is broken off, whatever its framing. Where only the connection marks the end, a JSON text must be complete, and something must still listen at the endpoint's address; the connection that checks it serves the next request. What is whole is forwarded, and the attempt counts as broken: it is continued or retried where that is allowed, or the caller sees that it is cut.

An untyped body on a stream's route that is framed and holds no event of the format is not taken for events, as OtherRequestsAreServedMeanwhile has it.

--- a/packages/coordination/src/relay_answer.cpp
+++ b/packages/coordination/src/relay_answer.cpp
@@ -101,8 +101,17 @@
     if (!aAttempt.mIsHeadEvaluated) {
       continue;
     }
+    ReceiveBody(aAttempt);
+    if (isDone) {
+      const bool isCutOff = co_await IsCutOff(aAttempt);
+      if (isCutOff && mInterrupt == RunInterrupt::kNone) {
+        co_return AttemptOutcome::kBroken;
+      }
+    }
+    if (mInterrupt != RunInterrupt::kNone) {
+      co_return AttemptOutcome::kInterrupted;
+    }
     if (isDone && !aAttempt.mIsStreamed && ShouldRetryFailure(aAttempt)) {
-      aAttempt.mBufferedBody += TakeBody(aAttempt);
       SaveFailure(aAttempt);
       Finish(aAttempt);
       co_return AttemptOutcome::kFailed;
@@ -151,14 +160,6 @@
   return step;
 }
 
-std::string
-RelayRun::TakeBody(Attempt& aAttempt)
-{
-  auto body = aAttempt.mAnswer->TakeBody();
-  mAnswerTrace.mBodyBytes += body.size();
-  return body;
-}
-
 Task<bool>
 RelayRun::MayMoveElsewhere(Attempt& aAttempt)
 {
@@ -277,6 +278,7 @@
   }
   aAttempt.mIsStreamed =
     mRoute->mKind == RouteKind::kStream && IsSuccess(head.mStatus);
+  BeginBody(aAttempt);
   return std::nullopt;
 }
 
@@ -336,7 +338,6 @@
   if (aAttempt.mIsStreamed) {
     co_return co_await ForwardStreamChunk(aAttempt, aIsDone);
   }
-  aAttempt.mBufferedBody += TakeBody(aAttempt);
   if (!aIsDone &&
       aAttempt.mBufferedBody.size() > mCore->mLimits.mMaxBufferedAnswer) {
     // Too long to buffer: from here on, if the end is missing, the caller's
@@ -398,10 +399,10 @@
 Task<bool>
 RelayRun::ForwardStreamChunk(Attempt& aAttempt, bool aIsDone)
 {
-  std::string body =
-    std::exchange(aAttempt.mBufferedBody, {}) + TakeBody(aAttempt);
-  if (mRoute->mKind == RouteKind::kStream) {
-    body = ExtractCompleteEvents(std::move(body), aIsDone);
+  std::string body = std::exchange(aAttempt.mBufferedBody, {});
+  if (aAttempt.mEvents) {
+    mLastEventId = aAttempt.mEvents->LastEventId();
+    body += aIsDone ? aAttempt.mEvents->TakeRest() : std::string();
   }
   std::string text;
   const bool isChunked = !mRequest->mIsHttp10;
@@ -429,33 +430,6 @@
   co_return co_await WriteToCaller(std::move(text));
 }
 
-std::string
-RelayRun::ExtractCompleteEvents(std::string aBytes, bool aIsDone)
-{
-  constexpr std::string_view kEventEnd = "\n\n";
-  constexpr std::string_view kIdField = "id:";
-  mPartialEvent += aBytes;
-  const auto end = mPartialEvent.rfind(kEventEnd);
-  const std::size_t complete =
-    end == std::string::npos ? 0 : end + kEventEnd.size();
-  mAnswerTrace.mIsInsideEvent = complete < mPartialEvent.size();
-  const std::size_t size = aIsDone ? mPartialEvent.size() : complete;
-  std::string events = mPartialEvent.substr(0, size);
-  mPartialEvent.erase(0, size);
-  const auto idLine = events.rfind(kIdField);
-  const bool isLineStart =
-    idLine != std::string::npos && (idLine == 0 || events[idLine - 1] == '\n');
-  if (isLineStart) {
-    auto value = std::string_view(events).substr(idLine + kIdField.size());
-    value = value.substr(0, value.find_first_of("\r\n"));
-    while (!value.empty() && value.front() == ' ') {
-      value.remove_prefix(1);
-    }
-    mLastEventId = value;
-  }
-  return events;
-}
-
 std::string
 RelayRun::HeadText(const RelayResponse& aAnswer,
                    std::optional<std::size_t> aLength) const
--- /dev/null
+++ b/packages/coordination/src/relay_answer_end.cpp
@@ -0,0 +1,103 @@
+#include "relay_attempt.h"
+
+// The part of a run that judges whether an answer that ended is whole.
+//
+// Where only the connection marks the end of an answer, an endpoint that breaks
+// it off closes the connection in the same way as one that has finished.
+
+namespace shuntjunction::coordination {
+
+using transport::BodyFraming;
+using transport::Task;
+
+namespace {
+
+/// Type of a Content-Type field without its parameters.
+std::string_view
+MediaType(std::string_view aField)
+{
+  auto type = aField.substr(0, aField.find(';'));
+  while (type.ends_with(' ') || type.ends_with('\t')) {
+    type.remove_suffix(1);
+  }
+  return type;
+}
+
+bool
+IsJson(std::string_view aType)
+{
+  constexpr std::string_view kSuffix = "+json";
+  const auto size = std::min(aType.size(), kSuffix.size());
+  return transport::IsSameName(aType, "application/json") ||
+         transport::IsSameName(aType.substr(aType.size() - size), kSuffix);
+}
+
+} // namespace
+
+void
+RelayRun::BeginBody(Attempt& aAttempt)
+{
+  const auto& head = aAttempt.mAnswer->Head();
+  const auto type = MediaType(head.Field("Content-Type"));
+  const bool isOfEvents =
+    type.empty() || transport::IsSameName(type, "text/event-stream");
+  if (aAttempt.mIsStreamed && isOfEvents) {
+    aAttempt.mEvents.emplace();
+  }
+  if (head.mFraming == BodyFraming::kConnection && IsJson(type)) {
+    aAttempt.mJson = std::make_unique<state::JsonTextChecker>();
+  }
+}
+
+void
+RelayRun::ReceiveBody(Attempt& aAttempt)
+{
+  const auto body = aAttempt.mAnswer->TakeBody();
+  mAnswerTrace.mBodyBytes += body.size();
+  if (aAttempt.mJson) {
+    aAttempt.mJson->Put(body);
+  }
+  if (!aAttempt.mEvents) {
+    aAttempt.mBufferedBody += body;
+    return;
+  }
+  aAttempt.mBufferedBody += aAttempt.mEvents->Put(body);
+  mAnswerTrace.mIsInsideEvent = aAttempt.mEvents->IsInsideEvent();
+}
+
+bool
+RelayRun::IsOfEvents(const Attempt& aAttempt)
+{
+  const auto& head = aAttempt.mAnswer->Head();
+  return aAttempt.mEvents->HasEvents() ||
+         head.mFraming == BodyFraming::kConnection ||
+         !head.Field("Content-Type").empty();
+}
+
+Task<bool>
+RelayRun::IsCutOff(Attempt& aAttempt)
+{
+  if (mAnswerTrace.mIsInsideEvent && IsOfEvents(aAttempt)) {
+    mLastProblem = "stream cut off inside an event";
+    co_await ForwardBody(aAttempt, false);
+    co_return true;
+  }
+  if (mAnswerTrace.mFraming != BodyFraming::kConnection) {
+    co_return false;
+  }
+  if (aAttempt.mJson && aAttempt.mJson->IsTruncated()) {
+    mLastProblem = "JSON cut off";
+    co_return true;
+  }
+  if (aAttempt.mIsStreamed) {
+    co_await ForwardBody(aAttempt, false);
+  }
+  const bool hasEnded =
+    co_await HasEnded(mCore, aAttempt.mEndpointChoice.mEndpoint);
+  if (hasEnded) {
+    mLastProblem = "endpoint ended with its answer";
+  }
+  co_return hasEnded;
+}
+
+} // namespace shuntjunction::coordination
--- a/packages/coordination/src/relay_attempt.cpp
+++ b/packages/coordination/src/relay_attempt.cpp
@@ -124,7 +124,6 @@
     ReleaseUnused(attempt);
     co_return clearance.error();
   }
-  mPartialEvent.clear();
   PlaceCopy(attempt);
   LogSent(attempt.mEndpointChoice);
   attempt.mEndpointChoice.mSentAt = Now();
--- a/packages/coordination/src/relay_attempt.h
+++ b/packages/coordination/src/relay_attempt.h
@@ -6,6 +6,8 @@
 #include <string>
 
 #include "relay_run.h"
+#include "shuntjunction/state/event_splitter.h"
+#include "shuntjunction/state/json_text_checker.h"
 
 namespace shuntjunction::coordination {
 
@@ -30,8 +32,11 @@
   std::optional<state::SendClearance> mClearance;
   bool mIsHeadEvaluated = false;
   bool mIsForeign = false; ///< the answer belongs to another request
-  /// Body that is buffered until the answer is complete.
+  /// Body that was received and not yet forwarded; of a stream, whole events.
   std::string mBufferedBody;
+  std::optional<state::EventSplitter> mEvents; ///< set for a stream of events
+  /// Set for a JSON body whose end only its connection marks.
+  std::unique_ptr<state::JsonTextChecker> mJson;
   bool mIsForeignSkipped = false; ///< an answer to another request came first
   bool mIsStreamed = false;       ///< forwarded as it arrives
   bool mHasBegun = false;
--- a/packages/coordination/src/relay_crashes.cpp
+++ b/packages/coordination/src/relay_crashes.cpp
@@ -186,7 +186,7 @@
 namespace {
 
 /// Checks whether anything listens at an endpoint's address; returns the
-/// connection if so, and notes a crash if not.
+/// connection if so. An endpoint that refuses has crashed, unless it drains.
 Task<std::shared_ptr<transport::SocketReader>>
 ProbeEndpoint(std::shared_ptr<Relay::Core> aCore, RelayEndpointPtr aEndpoint)
 {
@@ -197,14 +197,17 @@
     co_return nullptr;
   }
   aEndpoint->mIsBeingProbed = true;
+  aEndpoint->mProbeStartedAt = aCore->mDependencies.mClock.Now();
   auto socket = co_await transport::ConnectSocket(*target, kCheckTimeout);
   aEndpoint->mIsBeingProbed = false;
   aEndpoint->mProbedAt = aCore->mDependencies.mClock.Now();
   if (!socket) {
-    aEndpoint->mHasCrashed =
+    aEndpoint->mIsRefusing =
       socket.error() == transport::asio::error::connection_refused;
+    aEndpoint->mHasCrashed = aEndpoint->mIsRefusing && aEndpoint->AcceptsWork();
     co_return nullptr;
   }
+  aEndpoint->mIsRefusing = false;
   const auto reader = std::make_shared<transport::SocketReader>(
     std::move(*socket), aCore->mLimits.mReadAhead);
   reader->Start();
@@ -231,6 +234,24 @@
   }
 }
 
+/// Probes an endpoint. The open connection is kept for the next request, which
+/// saves opening another.
+Task<void>
+ProbeAndKeepConnection(std::shared_ptr<Relay::Core> aCore,
+                       RelayEndpointPtr aEndpoint)
+{
+  const auto connection = co_await ProbeEndpoint(aCore, aEndpoint);
+  if (!connection) {
+    co_return;
+  }
+  EndpointConnection idle;
+  idle.mReader = connection;
+  aCore->mEndpoints.PutIdle(
+    *aEndpoint, std::move(idle), {}, aCore->mDependencies.mClock.Now());
+  transport::Spawn(aCore->mDependencies.mContext,
+                   Recheck(aCore, aEndpoint, connection));
+}
+
 } // namespace
 
 Task<bool>
@@ -248,17 +269,21 @@
       now - aEndpoint->mProbedAt < kCheckValidity) {
     co_return false;
   }
-  const auto connection = co_await ProbeEndpoint(aCore, aEndpoint);
-  if (connection) {
-    // The open connection is kept for the next request, which saves opening
-    // another.
-    EndpointConnection idle;
-    idle.mReader = connection;
-    aCore->mEndpoints.PutIdle(*aEndpoint, std::move(idle), {}, now);
-    transport::Spawn(aCore->mDependencies.mContext,
-                     Recheck(aCore, aEndpoint, connection));
-  }
+  co_await ProbeAndKeepConnection(aCore, aEndpoint);
   co_return aEndpoint->mHasCrashed;
 }
 
+Task<bool>
+HasEnded(std::shared_ptr<Relay::Core> aCore, RelayEndpointPtr aEndpoint)
+{
+  const auto askedAt = aCore->mDependencies.mClock.Now();
+  while (aEndpoint->mIsBeingProbed) {
+    co_await transport::Sleep(kCheckPollInterval);
+  }
+  if (!aEndpoint->mHasCrashed && aEndpoint->mProbeStartedAt < askedAt) {
+    co_await ProbeAndKeepConnection(aCore, aEndpoint);
+  }
+  co_return aEndpoint->mHasCrashed || aEndpoint->mIsRefusing;
+}
+
 } // namespace shuntjunction::coordination
--- a/packages/coordination/src/relay_crashes.h
+++ b/packages/coordination/src/relay_crashes.h
@@ -86,4 +86,11 @@
 transport::Task<bool>
 HasCrashed(std::shared_ptr<Relay::Core> aCore, RelayEndpointPtr aEndpoint);
 
+/// Whether nothing listens at an endpoint's address any more; checked at this
+/// moment, also for one that drains.
+///
+/// @return false when the check had no result in time
+transport::Task<bool>
+HasEnded(std::shared_ptr<Relay::Core> aCore, RelayEndpointPtr aEndpoint);
+
 } // namespace shuntjunction::coordination
--- a/packages/coordination/src/relay_endpoint.h
+++ b/packages/coordination/src/relay_endpoint.h
@@ -134,7 +134,9 @@
   state::TimePoint mSuspectUntil;
   /// Nothing listens at its address, or another incarnation of it does.
   bool mHasCrashed = false;
+  bool mIsRefusing = false;    ///< it refused the latest probe's connection
   bool mIsBeingProbed = false; ///< for a crash; see HasCrashed
+  state::TimePoint mProbeStartedAt;
   state::TimePoint mProbedAt;
   /// Requests whose connections broke though it listens: it may have crashed
   /// and be back already.
--- a/packages/coordination/src/relay_run.h
+++ b/packages/coordination/src/relay_run.h
@@ -213,8 +213,17 @@
   transport::Task<AttemptOutcome> ReadAnswer(Attempt& aAttempt);
   /// Parses the received bytes; empty when more are needed first.
   std::optional<transport::ParseStatus> ReadBuffered(Attempt& aAttempt);
-  /// Moves out the body bytes that were parsed since the last call.
-  std::string TakeBody(Attempt& aAttempt);
+  /// Prepares for a body, as its head describes it.
+  void BeginBody(Attempt& aAttempt);
+  /// Adds the body bytes that were parsed since the last call to those that may
+  /// be forwarded.
+  void ReceiveBody(Attempt& aAttempt);
+  /// Whether a stream consists of events, as far as its type or what came of it
+  /// shows; one that is not named otherwise and ends with its connection does.
+  static bool IsOfEvents(const Attempt& aAttempt);
+  /// Whether an answer that is complete by its framing, or by the end of its
+  /// connection, was cut off by its endpoint; forwards what is whole of it.
+  transport::Task<bool> IsCutOff(Attempt& aAttempt);
   /// Evaluates a complete head once; an outcome if the answer is not forwarded.
   std::optional<AttemptOutcome> EvaluateHeadOnce(Attempt& aAttempt,
                                                  transport::ParseStatus aStep);
@@ -233,7 +242,6 @@
   void SaveFailure(const Attempt& aAttempt);
   std::string BufferedAnswerText(const Attempt& aAttempt) const;
   transport::Task<bool> ForwardStreamChunk(Attempt& aAttempt, bool aIsDone);
-  std::string ExtractCompleteEvents(std::string aBytes, bool aIsDone);
   void HandleAnswerBegun(const Attempt& aAttempt);
   void NoteChunkTime(const RelayEndpoint& aEndpoint);
 
@@ -278,8 +286,7 @@
   bool mKeepsConnection = true;
   std::string mSavedFailure; ///< ready to send to the caller
   unsigned mSavedFailureStatus = 0;
-  std::string mPartialEvent; ///< bytes of an incomplete event
-  std::string mLastEventId;  ///< of the last event forwarded
+  std::string mLastEventId; ///< of the last event forwarded
   unsigned mAnswerStatus = 0;
   std::string mLastProblem;
   state::Millis mRetryAfter = kRetrySoon;    ///< if it is refused unserved
--- /dev/null
+++ b/packages/state/include/shuntjunction/state/event_splitter.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+/// Server-sent events in a stream of bytes.
+namespace shuntjunction::state {
+
+/// Splits a stream at the ends of its events, and reads their ids.
+///
+/// Source: HTML Living Standard, 9.2.6. A line ends with LF, CR LF or CR; an
+/// event ends with an empty line.
+///
+/// Thread safety: none.
+class EventSplitter
+{
+public:
+  /// Adds bytes of the stream.
+  ///
+  /// @return the bytes up to the last end of an event or of a comment between
+  ///         events, without those that were returned before
+  std::string Put(std::string_view aBytes);
+
+  /// Moves out the bytes that were not returned.
+  std::string TakeRest()
+  {
+    mLineStart = 0;
+    return std::exchange(mPending, {});
+  }
+
+  /// Whether a line or an event has begun and not ended.
+  bool IsInsideEvent() const
+  {
+    return mHasFields || mLineStart < mPending.size();
+  }
+
+  /// Whether a whole event had a field that the format defines, which text of
+  /// another kind hardly has.
+  bool HasEvents() const { return mHasEvents; }
+
+  /// Id of the last whole event that has one; empty if there is none.
+  const std::string& LastEventId() const { return mLastEventId; }
+
+private:
+  void EndLine(std::string_view aLine);
+
+  std::string mPending;        ///< not returned yet
+  std::size_t mLineStart = 0;  ///< of the current line in mPending
+  bool mHasFields = false;     ///< the current event has a line
+  bool mHasKnownField = false; ///< one of these is defined by the format
+  bool mHasEvents = false;
+  bool mIsAfterCr = false;        ///< the last byte was a CR
+  std::optional<std::string> mId; ///< of the current event
+  std::string mLastEventId;
+};
+
+} // namespace shuntjunction::state
--- /dev/null
+++ b/packages/state/src/event_splitter.cpp
@@ -0,0 +1,85 @@
+#include "shuntjunction/state/event_splitter.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace shuntjunction::state {
+
+namespace {
+
+constexpr char kLf = '\n';
+constexpr char kCr = '\r';
+constexpr std::string_view kLineEnds = "\r\n";
+constexpr std::string_view kIdName = "id";
+constexpr std::array<std::string_view, 4> kFieldNames{ kIdName,
+                                                       "data",
+                                                       "event",
+                                                       "retry" };
+
+} // namespace
+
+std::string
+EventSplitter::Put(std::string_view aBytes)
+{
+  std::size_t next = mPending.size();
+  std::size_t complete = 0;
+  mPending += aBytes;
+  while (next < mPending.size()) {
+    const bool isSecondOfCrLf =
+      std::exchange(mIsAfterCr, false) && mPending[next] == kLf;
+    const auto end =
+      isSecondOfCrLf ? next : mPending.find_first_of(kLineEnds, next);
+    if (end == std::string::npos) {
+      break;
+    }
+    if (!isSecondOfCrLf) {
+      EndLine(std::string_view(mPending).substr(mLineStart, end - mLineStart));
+    }
+    mIsAfterCr = mPending[end] == kCr;
+    next = end + 1;
+    mLineStart = next;
+    if (!mHasFields) {
+      complete = next;
+    }
+  }
+  std::string events = mPending.substr(0, complete);
+  mPending.erase(0, complete);
+  mLineStart -= complete;
+  return events;
+}
+
+void
+EventSplitter::EndLine(std::string_view aLine)
+{
+  if (aLine.empty()) {
+    mHasFields = false;
+    mHasEvents = mHasEvents || std::exchange(mHasKnownField, false);
+    if (mId) {
+      mLastEventId = *std::exchange(mId, std::nullopt);
+    }
+    return;
+  }
+  const auto colon = aLine.find(':');
+  if (colon == 0) {
+    return; // a comment
+  }
+  mHasFields = true;
+  const auto name = aLine.substr(0, colon);
+  mHasKnownField =
+    mHasKnownField || std::find(kFieldNames.begin(), kFieldNames.end(), name) !=
+                        kFieldNames.end();
+  if (name != kIdName) {
+    return;
+  }
+  auto value = colon == std::string_view::npos ? std::string_view()
+                                               : aLine.substr(colon + 1);
+  if (value.starts_with(' ')) {
+    value.remove_prefix(1);
+  }
+  if (value.find('\0') == std::string_view::npos) {
+    mId = value;
+  }
+}
+
+} // namespace shuntjunction::state
