An answer that its relay does not finish ends with a reset for HTTP/1.0 callers

Callers of HTTP/1.0 saw a stream as complete whose relay was killed in the middle of it, or ended at the end of its grace period: nothing but the close marks the end of such an answer, and a process that ends closes its connections in order.

Change: while such an answer is being sent, closing the socket sends a reset, also by the end of the process; the last write takes that back.

Evidence: GivenACallerOfHttp10.AStreamThatItsRelayDoesNotFinishEndsWithAReset failed before (complete, not reset) and passes; whole streams still end in order.

--- a/packages/coordination/src/relay_answer.cpp
+++ b/packages/coordination/src/relay_answer.cpp
@@ -411,6 +411,9 @@
     mAnswerStatus = aAttempt.mAnswer->Head().mStatus;
     if (!isChunked) {
       mKeepsConnection = false;
+      // Only the connection marks the end of this answer, so that an orderly
+      // close, also by the end of this process, would complete it.
+      transport::SetResetOnClose(mCaller.Socket());
     }
     text = HeadText(aAttempt.mAnswer->Head(), std::nullopt);
     if (isChunked) {
@@ -424,10 +427,14 @@
   if (aIsDone && isChunked) {
     text += kLastChunk;
   }
-  if (text.empty()) {
-    co_return true;
+  bool isWritten = true;
+  if (!text.empty()) {
+    isWritten = co_await WriteToCaller(std::move(text));
   }
-  co_return co_await WriteToCaller(std::move(text));
+  if (isWritten && aIsDone && !isChunked) {
+    transport::SetResetOnClose(mCaller.Socket(), false);
+  }
+  co_return isWritten;
 }
 
 std::string
--- a/packages/transport/include/shuntjunction/transport/socket_reader.h
+++ b/packages/transport/include/shuntjunction/transport/socket_reader.h
@@ -87,9 +87,10 @@
   bool mHasReachedEof = false;
 };
 
-/// Makes closing the socket send a reset to the peer, which also discards data
-/// that was not yet delivered.
+/// Sets whether closing the socket sends a reset to the peer, which also
+/// discards data that was not yet delivered. It holds for the end of the
+/// process too.
 void
-SetResetOnClose(asio::ip::tcp::socket& aSocket);
+SetResetOnClose(asio::ip::tcp::socket& aSocket, bool aWithReset = true);
 
 } // namespace shuntjunction::transport
--- a/packages/transport/src/socket_reader.cpp
+++ b/packages/transport/src/socket_reader.cpp
@@ -133,10 +133,10 @@
 }
 
 void
-SetResetOnClose(tcp::socket& aSocket)
+SetResetOnClose(tcp::socket& aSocket, bool aWithReset)
 {
   boost::system::error_code ignored;
-  aSocket.set_option(asio::socket_base::linger(true, 0), ignored);
+  aSocket.set_option(asio::socket_base::linger(aWithReset, 0), ignored);
 }
 
 } // namespace shuntjunction::transport
