Streams of the router end with their connection for callers of HTTP/1.0

Callers of HTTP/1.0 got chunks, which that version does not have, and read their sizes as text; an end that was missing could not be seen.

Change: such a stream is sent without chunks and ends with its connection; one that is not finished ends with a reset, also by the end of the process. A handler may ask for the same.

--- a/packages/coordination/src/relay_answer_end.cpp
+++ b/packages/coordination/src/relay_answer_end.cpp
@@ -10,41 +10,18 @@
 using transport::BodyFraming;
 using transport::Task;
 
-namespace {
-
-/// Type of a Content-Type field without its parameters.
-std::string_view
-MediaType(std::string_view aField)
-{
-  auto type = aField.substr(0, aField.find(';'));
-  while (type.ends_with(' ') || type.ends_with('\t')) {
-    type.remove_suffix(1);
-  }
-  return type;
-}
-
-bool
-IsJson(std::string_view aType)
-{
-  constexpr std::string_view kSuffix = "+json";
-  const auto size = std::min(aType.size(), kSuffix.size());
-  return transport::IsSameName(aType, "application/json") ||
-         transport::IsSameName(aType.substr(aType.size() - size), kSuffix);
-}
-
-} // namespace
-
 void
 RelayRun::BeginBody(Attempt& aAttempt)
 {
   const auto& head = aAttempt.mAnswer->Head();
-  const auto type = MediaType(head.Field("Content-Type"));
+  const auto type = transport::MediaType(head.Field("Content-Type"));
   const bool isOfEvents =
     type.empty() || transport::IsSameName(type, "text/event-stream");
   if (aAttempt.mIsStreamed && isOfEvents) {
     aAttempt.mEvents.emplace();
   }
-  if (head.mFraming == BodyFraming::kConnection && IsJson(type)) {
+  if (head.mFraming == BodyFraming::kConnection &&
+      transport::IsJsonType(type)) {
     aAttempt.mJson = std::make_unique<state::JsonTextChecker>();
   }
 }
--- a/packages/transport/include/shuntjunction/transport/http_types.h
+++ b/packages/transport/include/shuntjunction/transport/http_types.h
@@ -41,6 +41,16 @@
   std::string mContentType = "application/json";
   std::vector<HttpField> mFields;
   std::string mBody;
+  /// Only the end of the connection marks the end of the body.
+  bool mEndsWithConnection = false;
 };
 
+/// Type that a Content-Type field names, without its parameters.
+std::string_view
+MediaType(std::string_view aContentType);
+
+/// Whether a media type is JSON, or JSON of a certain structure.
+bool
+IsJsonType(std::string_view aMediaType);
+
 } // namespace shuntjunction::transport
--- a/packages/transport/src/http_server.cpp
+++ b/packages/transport/src/http_server.cpp
@@ -4,6 +4,7 @@
 #include <boost/beast/http.hpp>
 
 #include "shuntjunction/transport/frame_channel.h"
+#include "shuntjunction/transport/socket_reader.h"
 
 namespace shuntjunction::transport {
 
@@ -112,8 +113,11 @@
     http::response<http::string_body> message;
     message.body() = std::move(aResponse.mBody);
     FillHeader(message, aResponse);
+    mKeepsAlive = mKeepsAlive && !aResponse.mEndsWithConnection;
     message.keep_alive(mKeepsAlive);
-    message.prepare_payload();
+    if (!aResponse.mEndsWithConnection) {
+      message.prepare_payload();
+    }
     mStream.expires_after(mShared->mLimits.mWriteTimeout);
     const auto [error, bytes] =
       co_await http::async_write(mStream, message, kAsTuple);
@@ -125,8 +129,14 @@
   {
     http::response<http::empty_body> message;
     FillHeader(message, aHeader);
+    mIsUnframed = aHeader.mEndsWithConnection || mIsHttp10;
+    if (mIsUnframed) {
+      // An orderly close, also by the end of this process, would complete it.
+      SetResetOnClose(mStream.socket());
+      mKeepsAlive = false;
+    }
     message.keep_alive(mKeepsAlive);
-    message.chunked(true);
+    message.chunked(!mIsUnframed);
     http::response_serializer<http::empty_body> serializer(message);
     mStream.expires_after(mShared->mLimits.mWriteTimeout);
     const auto [error, bytes] =
@@ -137,6 +147,11 @@
   Task<Result<void>> Write(std::string aChunk) override
   {
     mStream.expires_after(mShared->mLimits.mWriteTimeout);
+    if (mIsUnframed) {
+      const auto [error, bytes] =
+        co_await asio::async_write(mStream, asio::buffer(aChunk), kAsTuple);
+      co_return ToResult(error, "http.write");
+    }
     const auto [error, bytes] = co_await asio::async_write(
       mStream, http::make_chunk(asio::buffer(aChunk)), kAsTuple);
     co_return ToResult(error, "http.write");
@@ -144,6 +159,11 @@
 
   Task<Result<void>> EndStream() override
   {
+    if (mIsUnframed) {
+      SetResetOnClose(mStream.socket(), false);
+      mIsAnswered = true;
+      co_return Result<void>{};
+    }
     mStream.expires_after(mShared->mLimits.mWriteTimeout);
     const auto [error, bytes] =
       co_await asio::async_write(mStream, http::make_chunk_last(), kAsTuple);
@@ -154,8 +174,10 @@
   void Abort() override
   {
     mKeepsAlive = false;
-    beast::error_code ignored;
-    mStream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+    if (!mIsUnframed || mIsAnswered) {
+      beast::error_code ignored;
+      mStream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+    }
     mStream.close();
   }
 
@@ -202,6 +224,8 @@
       co_return false;
     }
     mKeepsAlive = parser.keep_alive();
+    mIsHttp10 = parser.get().version() < kHttp11;
+    mIsUnframed = false;
     mRequest = FromBeast(parser.release());
     mIsAnswered = false;
     ++mRequestNumber;
@@ -272,6 +296,7 @@
   }
 
   static constexpr std::size_t kFirstReadBytes = 4096;
+  static constexpr unsigned kHttp11 = 11;
 
   std::shared_ptr<Shared> mShared;
   beast::tcp_stream mStream;
@@ -283,6 +308,8 @@
   bool mIsBusy = false;
   bool mIsAnswered = false;
   bool mIsTimedOut = false;
+  bool mIsHttp10 = false;   ///< the caller does not support chunks
+  bool mIsUnframed = false; ///< only the close ends the current stream
 };
 
 HttpServer::HttpServer(asio::io_context& aContext,
--- a/packages/transport/src/http_types.cpp
+++ b/packages/transport/src/http_types.cpp
@@ -1,5 +1,7 @@
 #include "shuntjunction/transport/http_types.h"
 
+#include <algorithm>
+
 #include <boost/beast/core/string.hpp>
 
 namespace shuntjunction::transport {
@@ -42,4 +44,24 @@
   return {};
 }
 
+std::string_view
+MediaType(std::string_view aContentType)
+{
+  auto type = aContentType.substr(0, aContentType.find(';'));
+  while (type.ends_with(' ') || type.ends_with('\t')) {
+    type.remove_suffix(1);
+  }
+  return type;
+}
+
+bool
+IsJsonType(std::string_view aMediaType)
+{
+  constexpr std::string_view kSuffix = "+json";
+  const auto size = std::min(aMediaType.size(), kSuffix.size());
+  return boost::beast::iequals(aMediaType, "application/json") ||
+         boost::beast::iequals(aMediaType.substr(aMediaType.size() - size),
+                               kSuffix);
+}
+
 } // namespace shuntjunction::transport
--- a/packages/transport/tests/http_server_test.cpp
+++ b/packages/transport/tests/http_server_test.cpp
@@ -106,7 +106,8 @@
   std::string Exchange(std::string aBytes)
   {
     const auto exchange = [](state::Address aAddress,
-                             std::string aOut) -> Task<std::string> {
+                             std::string aOut,
+                             bool* aIsReset) -> Task<std::string> {
       tcp::socket socket(co_await asio::this_coro::executor);
       co_await socket.async_connect(
         { asio::ip::make_address(aAddress.mHost), aAddress.mPort }, kAsTuple);
@@ -115,9 +116,10 @@
       const auto [error, bytes] =
         co_await asio::async_read(socket, asio::buffer(in), kAsTuple);
       in.resize(bytes);
+      *aIsReset = error != asio::error::eof;
       co_return in;
     };
-    return Run(exchange(mAddress, std::move(aBytes)));
+    return Run(exchange(mAddress, std::move(aBytes), &mIsReset));
   }
 
   static bool HasStatus(const std::string& aAnswer, int aStatus)
@@ -130,6 +132,7 @@
   TestHandler mHandler{ mContext };
   std::unique_ptr<HttpServer> mServer;
   state::Address mAddress;
+  bool mIsReset = false; ///< how the latest exchange ended
 };
 
 TEST_F(GivenAServer, AClientReusesItsConnection)
@@ -151,6 +154,21 @@
   EXPECT_EQ(mHandler.mHandled, 2);
 }
 
+TEST_F(GivenAServer, ACallerOfHttp10GetsAStreamThatEndsWithItsConnection)
+{
+  const auto answer = Exchange("GET /stream HTTP/1.0\r\n\r\n");
+  EXPECT_TRUE(answer.ends_with("\r\n\r\nfirst,second")) << answer;
+  EXPECT_EQ(answer.find("Transfer-Encoding"), std::string::npos);
+  EXPECT_FALSE(mIsReset);
+}
+
+// Guards against a cut stream that looks complete.
+TEST_F(GivenAServer, ACallerOfHttp10SeesThatItsStreamIsCut)
+{
+  Exchange("GET /cut HTTP/1.0\r\n\r\n");
+  EXPECT_TRUE(mIsReset);
+}
+
 TEST_F(GivenAServer, InputThatIsNotHttpIsABadRequest)
 {
   EXPECT_TRUE(HasStatus(Exchange("hello there\r\n\r\n"), 400));
