A service's answer without length is interrupted if it is not whole

Callers of the router saw a service's answer as complete that had been cut off, if it had neither a length nor chunks: its end is that of its connection, and any orderly close was taken for it.

Change: the companion checks such an answer: a JSON text must be complete, and something must still listen at the service's address. Otherwise the answer is interrupted, which the caller is told.

Not affected: engines' streams have an end mark of their own (EngineResponse), and what is read of the store, of engines and by shuntctl is a JSON object, of which no beginning is a whole text (GivenAJsonText.EachBeginningOfAnObjectIsTruncated). Frames between processes carry their length.

Evidence: two of the three tests of GivenAServiceWithoutLengths fail without the change.

--- a/packages/coordination/src/backend_service.cpp
+++ b/packages/coordination/src/backend_service.cpp
@@ -1,6 +1,7 @@
 // Backend for a plain HTTP service: requests are forwarded unchanged.
 
 #include "shuntjunction/coordination/backend.h"
+#include "shuntjunction/state/json_text_checker.h"
 #include "shuntjunction/state/settings.h"
 #include "shuntjunction/transport/http_client.h"
 
@@ -18,15 +19,29 @@
 
 constexpr std::string_view kHealthTarget = "/healthz";
 
+/// Whether a body that ended with its connection shows that it was truncated.
+bool
+IsTruncated(const BackendEnd& aEnd)
+{
+  if (!transport::IsJsonType(transport::MediaType(aEnd.mContentType))) {
+    return false;
+  }
+  state::JsonTextChecker text;
+  text.Put(aEnd.mBody);
+  return text.IsTruncated();
+}
+
 /// Reads a service's complete response.
 class ServiceResponse final : public BackendResponse
 {
 public:
+  /// @param aClient  of the service, outlives the response
   ServiceResponse(std::unique_ptr<HttpStream> aStream,
-                  std::string aPeer,
+                  transport::HttpClient& aClient,
                   std::size_t aMaxBytes)
     : mStream(std::move(aStream))
-    , mPeer(std::move(aPeer))
+    , mClient(aClient)
+    , mPeer(aClient.Peer().Text())
     , mMaxBytes(aMaxBytes)
   {
   }
@@ -46,6 +61,11 @@
         co_return tl::unexpected(piece.error());
       }
       if (piece->empty()) {
+        const bool isWhole = co_await IsWhole(end, aTimeout);
+        if (!isWhole) {
+          co_return Fail(
+            ErrorCode::kUnavailable, "service.answer", mPeer, "cut off");
+        }
         co_return BackendEvent(std::move(end));
       }
       end.mBody += *piece;
@@ -57,7 +77,21 @@
   }
 
 private:
+  /// Whether nothing shows that a body which has ended was truncated. A service
+  /// that crashes closes its connections in order too.
+  Task<bool> IsWhole(const BackendEnd& aEnd, Millis aTimeout)
+  {
+    if (!mStream->EndsWithConnection()) {
+      co_return true;
+    }
+    if (IsTruncated(aEnd)) {
+      co_return false;
+    }
+    co_return co_await mClient.IsListening(aTimeout);
+  }
+
   std::unique_ptr<HttpStream> mStream;
+  transport::HttpClient& mClient;
   std::string mPeer;
   std::size_t mMaxBytes;
 };
@@ -100,7 +134,7 @@
     }
     std::unique_ptr<BackendResponse> response =
       std::make_unique<ServiceResponse>(
-        std::move(*stream), mClient.Peer().Text(), mMaxResponseBytes);
+        std::move(*stream), mClient, mMaxResponseBytes);
     co_return response;
   }
 
--- a/packages/transport/include/shuntjunction/transport/http_client.h
+++ b/packages/transport/include/shuntjunction/transport/http_client.h
@@ -62,9 +62,14 @@
   /// Value of a header field; empty when absent.
   virtual std::string Field(std::string_view aName) const = 0;
 
+  /// Whether only the end of the connection marks the end of the body, so that
+  /// a truncated one may look complete.
+  virtual bool EndsWithConnection() const = 0;
+
   /// Next chunk of the body; empty at the end of a complete response.
   ///
-  /// A truncated response gives an error, never an empty chunk.
+  /// A truncated response gives an error, never an empty chunk, unless
+  /// EndsWithConnection.
   virtual Task<state::Result<std::string>> Read(state::Millis aTimeout) = 0;
 };
 
@@ -98,6 +103,9 @@
     state::Millis aTimeout,
     std::shared_ptr<CancelHandle> aCancel);
 
+  /// Whether something listens at the address.
+  Task<bool> IsListening(state::Millis aTimeout);
+
   /// Aborts all calls of Send that wait for a response: they return kTimeout.
   void AbortPendingCalls();
 
--- a/packages/transport/src/http_client.cpp
+++ b/packages/transport/src/http_client.cpp
@@ -108,6 +108,8 @@
     return { value.data(), value.size() };
   }
 
+  bool EndsWithConnection() const override { return mParser.need_eof(); }
+
   Task<Result<std::string>> Read(Millis aTimeout) override
   {
     while (!mParser.is_done()) {
@@ -162,6 +164,13 @@
   co_return std::make_unique<Connection>(std::move(*socket));
 }
 
+Task<bool>
+HttpClient::IsListening(Millis aTimeout)
+{
+  const auto connection = co_await Connect(aTimeout);
+  co_return connection.has_value();
+}
+
 void
 HttpClient::AbortPendingCalls()
 {
