Log the software versions of a stream and what its caller takes up

Callers got streams with events of two software versions. Nothing in logs or metrics told whether the relay continued them so within one answer, or callers took them up elsewhere.

Change: the line request holds the software versions of a stream's first and last event, and, if the caller takes a stream up, which request began it and after which event; the line sent holds the software of the endpoint. shuntjunction_relay_stream_version_changes_total counts changes within one answer. Nothing is decided by them.

--- a/packages/coordination/src/relay_answer.cpp
+++ b/packages/coordination/src/relay_answer.cpp
@@ -402,6 +402,9 @@
   std::string body = std::exchange(aAttempt.mBufferedBody, {});
   if (aAttempt.mEvents) {
     mLastEventId = aAttempt.mEvents->LastEventId();
+    if (!body.empty()) {
+      NoteStreamVersion(*aAttempt.mEndpointChoice.mEndpoint);
+    }
     body += aIsDone ? aAttempt.mEvents->TakeRest() : std::string();
   }
   std::string text;
--- a/packages/coordination/src/relay_run.h
+++ b/packages/coordination/src/relay_run.h
@@ -74,6 +74,12 @@
   state::Millis mLastChunk{ 0 };
 };
 
+/// Where the events of a stream began.
+struct StreamOrigin
+{
+  std::string mSoftwareVersion; ///< of the endpoint that made its first event
+};
+
 /// Serves one request: finds its route and team, chooses endpoints, forwards
 /// the answer.
 ///
@@ -193,6 +199,8 @@
   void LogAttempt(const EndpointChoice& aChoice, AttemptOutcome aOutcome);
   /// Counts how the answer of the last attempt ended.
   void CountAnswerEnd();
+  /// Records which software version made events that are forwarded.
+  void NoteStreamVersion(const RelayEndpoint& aEndpoint);
   bool MayRetry(AttemptOutcome aOutcome);
   void Finish(Attempt& aAttempt);
 
@@ -286,7 +294,10 @@
   bool mKeepsConnection = true;
   std::string mSavedFailure; ///< ready to send to the caller
   unsigned mSavedFailureStatus = 0;
-  std::string mLastEventId; ///< of the last event forwarded
+  std::string mLastEventId;                  ///< of the last event forwarded
+  std::optional<StreamOrigin> mStreamOrigin; ///< set by the first event
+  /// Of the endpoint that made the last event.
+  std::string mLastSoftwareVersion;
   unsigned mAnswerStatus = 0;
   std::string mLastProblem;
   state::Millis mRetryAfter = kRetrySoon;    ///< if it is refused unserved
--- a/packages/coordination/src/relay_run_log.cpp
+++ b/packages/coordination/src/relay_run_log.cpp
@@ -15,6 +15,7 @@
     .Add("endpoint", aChoice.mEndpoint->mInfo.mId)
     .Add("started_at",
          aChoice.mEndpoint->mEndpointIncarnation.Current().StartedAt())
+    .Add("software", aChoice.mEndpoint->mInfo.mSoftwareVersion)
     .Add("running", aChoice.mEndpoint->mRunning)
     .Add("candidates", aChoice.mCandidates)
     .Add("listed", aChoice.mEndpoint->mInfo.mRevision)
@@ -71,6 +72,20 @@
   mCore->mDependencies.mLog.Write(std::move(line));
 }
 
+void
+RelayRun::NoteStreamVersion(const RelayEndpoint& aEndpoint)
+{
+  const auto& version = aEndpoint.mInfo.mSoftwareVersion;
+  if (!mStreamOrigin) {
+    mStreamOrigin = StreamOrigin{ version };
+  } else if (version != mLastSoftwareVersion) {
+    mCore->mDependencies.mMetrics.Count(
+      "shuntjunction_relay_stream_version_changes_total",
+      { { "service", mService } });
+  }
+  mLastSoftwareVersion = version;
+}
+
 void
 RelayRun::CountAnswerEnd()
 {
@@ -103,6 +118,14 @@
     .Add("config", mView->mConfig->Version())
     .Add("config_age_ms", age.count())
     .Add("ms", SinceArrival().count());
+  if (mStreamOrigin) {
+    line.Add("first_software", mStreamOrigin->mSoftwareVersion)
+      .Add("last_software", mLastSoftwareVersion);
+  }
+  if (!mCall.mResumeAfter.empty()) {
+    line.Add("resumes", mCall.mResumedRequestId)
+      .Add("resume_after", mCall.mResumeAfter);
+  }
   dependencies.mLog.Write(std::move(line));
   dependencies.mMetrics.Count(
     "shuntjunction_relay_requests_total",
