--- a/packages/coordination/src/streams/relay_streams.cpp
+++ b/packages/coordination/src/streams/relay_streams.cpp
@@ -215,12 +215,17 @@
   if (own != shared->mOwn.end() && own->second.mUntil > shared->Now()) {
     co_return StreamLookup{ StreamKnowledge::kKnown, own->second.mVersion };
   }
+  const auto hosts = shared->mHolders.ForReading(aStream.mStream);
   const auto only = shared->OnlyVersion(aStream);
-  if (only && dependencies.mEndpointList.Age(shared->Now()) < kMaxListAge) {
+  // A relay that just started has not seen which versions were listed before.
+  const bool isHistoryKnown =
+    hosts.empty() ||
+    shared->mVersions.HasFollowedFor(aStream.mLifetime, shared->Now());
+  if (only && isHistoryKnown &&
+      dependencies.mEndpointList.Age(shared->Now()) < kMaxListAge) {
     co_return StreamLookup{ StreamKnowledge::kKnown, *only };
   }
   state::OriginEvidence evidence;
-  const auto hosts = shared->mHolders.ForReading(aStream.mStream);
   if (dependencies.mFindStream && !hosts.empty()) {
     const auto pending = std::make_shared<Shared::PendingReplies>(
       dependencies.mContext, kFindTimeout);
--- a/packages/state/include/shuntjunction/state/streams/listed_versions.h
+++ b/packages/state/include/shuntjunction/state/streams/listed_versions.h
@@ -30,6 +30,14 @@
                                          Millis aTime,
                                          TimePoint aNow) const;
 
+  /// Whether lists were applied for a time.
+  ///
+  /// @param aTime  until now
+  bool HasFollowedFor(Millis aTime, TimePoint aNow) const
+  {
+    return mFollowedSince && aNow - *mFollowedSince >= aTime;
+  }
+
 private:
   struct Versions
   {
@@ -38,6 +46,7 @@
   };
 
   std::map<std::string, Versions, std::less<>> mServices;
+  std::optional<TimePoint> mFollowedSince;
 };
 
 } // namespace shuntjunction::state
--- a/packages/state/src/streams/listed_versions.cpp
+++ b/packages/state/src/streams/listed_versions.cpp
@@ -15,6 +15,7 @@
 ListedVersions::Update(const std::vector<EndpointInfo>& aEndpoints,
                        TimePoint aNow)
 {
+  mFollowedSince = mFollowedSince.value_or(aNow);
   std::map<std::string, std::set<std::string>, std::less<>> listed;
   for (const auto& endpoint : aEndpoints) {
     listed[endpoint.mService].insert(endpoint.mSoftwareVersion);
