An outdated list is not trusted for the version of a stream

Callers that take a stream up at a relay which is cut off from the store could get it at another version: relay and companions of the same part of the network may have the same outdated list, and their agreement was taken for knowledge. Found by reading; the model excused these states as ones in which nobody can know, and does so no more.

--- a/packages/coordination/src/relay_run.cpp
+++ b/packages/coordination/src/relay_run.cpp
@@ -311,7 +311,7 @@
     if (auto choice = ChooseEndpoint(*mCore, query)) {
       co_return choice;
     }
-    if (!HasEndpointOfOrigin() && mStreamOrigin) {
+    if (mStreamOrigin && !HasEndpointOfOrigin()) {
       mLastProblem = "stream-version-gone";
       mRetryAfter = std::nullopt;
       break;
--- a/packages/coordination/src/streams/relay_streams.cpp
+++ b/packages/coordination/src/streams/relay_streams.cpp
@@ -80,11 +80,21 @@
 
   TimePoint Now() const { return mDependencies.mClock.Now(); }
 
+  /// The one version of the stream's service for as long as the stream may
+  /// last, as this relay has seen it listed; empty: there were several.
   std::optional<std::string> OnlyVersion(const StreamId& aStream) const
   {
     return mVersions.OnlyVersion(aStream.mService, aStream.mLifetime, Now());
   }
 
+  /// The same, if the list is current: an outdated one may not show a version
+  /// that serves already.
+  std::optional<std::string> CurrentOnlyVersion(const StreamId& aStream) const
+  {
+    const auto age = mDependencies.mEndpointList.Age(Now());
+    return age < kMaxListAge ? OnlyVersion(aStream) : std::nullopt;
+  }
+
   /// Remembers a record of this relay. Beyond the limit any other is forgotten.
   OwnRecord& Remember(const StreamId& aStream, const std::string& aVersion)
   {
@@ -208,7 +218,7 @@
 {
   const auto shared = mShared;
   auto& own = shared->Remember(aStream, aVersion);
-  if (shared->OnlyVersion(aStream)) {
+  if (shared->CurrentOnlyVersion(aStream)) {
     co_return;
   }
   const auto pending = shared->Write(own);
@@ -227,13 +237,12 @@
     co_return StreamLookup{ StreamKnowledge::kKnown, own->second.mVersion };
   }
   const auto hosts = shared->mHolders.ForReading(aStream.mStream);
-  const auto only = shared->OnlyVersion(aStream);
+  const auto only = shared->CurrentOnlyVersion(aStream);
   // A relay that just started has not seen which versions were listed before.
   const bool isHistoryKnown =
     hosts.empty() ||
     shared->mVersions.HasFollowedFor(aStream.mLifetime, shared->Now());
-  if (only && isHistoryKnown &&
-      dependencies.mEndpointList.Age(shared->Now()) < kMaxListAge) {
+  if (only && isHistoryKnown) {
     co_return StreamLookup{ StreamKnowledge::kKnown, *only };
   }
   state::OriginEvidence evidence;
@@ -248,7 +257,7 @@
     co_await pending->Wait();
     evidence.mReplies = pending->mReplies;
   }
-  evidence.mOnlyVersion = shared->OnlyVersion(aStream);
+  evidence.mOnlyVersion = shared->CurrentOnlyVersion(aStream);
   co_return state::JudgeOrigin(evidence);
 }
 
--- a/packages/state/include/shuntjunction/state/json_text_checker.h
+++ b/packages/state/include/shuntjunction/state/json_text_checker.h
@@ -5,7 +5,7 @@
 
 namespace shuntjunction::state {
 
-/// Tells whether a JSON text that arrives in pieces has arrived to its end.
+/// Checks whether a JSON text, received in pieces, is complete.
 ///
 /// Keeps no values: its memory grows with the depth of the text only.
 ///
--- a/packages/state/src/streams/stream_holders.cpp
+++ b/packages/state/src/streams/stream_holders.cpp
@@ -25,11 +25,7 @@
     }
   }
   for (auto& [zone, holders] : mZones) {
-    std::sort(holders.begin(),
-              holders.end(),
-              [](const auto& aLeft, const auto& aRight) {
-                return PlacementHash(aLeft.mHost) < PlacementHash(aRight.mHost);
-              });
+    holders = Ranked(holders, 0);
     holders.resize(std::min(holders.size(), mSettings.mPerZone));
   }
 }
@@ -38,12 +34,17 @@
 StreamHolders::Ranked(const std::vector<Holder>& aZone,
                       StreamHash aStream) const
 {
-  auto ranked = aZone;
-  std::sort(
-    ranked.begin(), ranked.end(), [&](const auto& aLeft, const auto& aRight) {
-      return PlacementHash(aLeft.mHost, aStream) <
-             PlacementHash(aRight.mHost, aStream);
-    });
+  std::vector<std::pair<std::uint64_t, const Holder*>> order;
+  order.reserve(aZone.size());
+  for (const auto& holder : aZone) {
+    order.emplace_back(PlacementHash(holder.mHost, aStream), &holder);
+  }
+  std::sort(order.begin(), order.end());
+  std::vector<Holder> ranked;
+  ranked.reserve(order.size());
+  for (const auto& [rank, holder] : order) {
+    ranked.push_back(*holder);
+  }
   return ranked;
 }
 
--- a/packages/state/tests/streams/stream_records_model_test.cpp
+++ b/packages/state/tests/streams/stream_records_model_test.cpp
@@ -80,6 +80,7 @@
 {
   bool mGuesses = false;       ///< an unknown origin is any listed version
   bool mTrustsOwnList = false; ///< however short it was followed
+  bool mTrustsOutdatedList = false;
 };
 
 class Model
@@ -193,10 +194,12 @@
   /// What the second relay learns if it reaches some of the companions.
   StreamLookup Find(const World& aWorld, unsigned aReached, bool aIsFresh) const
   {
-    const auto only = aWorld.mSecond.OnlyVersion();
+    const auto only = aIsFresh || mMutation.mTrustsOutdatedList
+                        ? aWorld.mSecond.OnlyVersion()
+                        : std::nullopt;
     const bool isHistoryKnown =
       !aWorld.mSecond.mHasRestarted || mMutation.mTrustsOwnList;
-    if (only && aIsFresh && isHistoryKnown) {
+    if (only && isHistoryKnown) {
       return { StreamKnowledge::kKnown, *only };
     }
     OriginEvidence evidence{ only, {} };
@@ -220,21 +223,17 @@
     return found;
   }
 
-  /// Where nobody who replies has seen the versions that served while the
-  /// stream began, nobody can know: every process was restarted, or none has
-  /// received the list since.
-  static bool HasWitness(const World& aWorld, unsigned aReached)
+  /// Whether the relay and all companions that reply were restarted within the
+  /// life of the stream: none of them knows which versions were listed before.
+  static bool IsHistoryLost(const World& aWorld, unsigned aReached)
   {
-    const auto isWitness = [&](const Sight& aSight) {
-      return !aSight.mHasRestarted && aSight.mNow == aWorld.mListing;
-    };
-    bool hasWitness = isWitness(aWorld.mSecond);
+    bool isLost = aWorld.mSecond.mHasRestarted;
     for (unsigned i = 0; i < 2; ++i) {
       const bool isReached = (aReached & (1U << i)) != 0;
-      hasWitness =
-        hasWitness || (isReached && isWitness(aWorld.mCompanions[i].mSight));
+      isLost =
+        isLost && (!isReached || aWorld.mCompanions[i].mSight.mHasRestarted);
     }
-    return hasWitness;
+    return isLost;
   }
 
   void Check(const World& aWorld)
@@ -244,7 +243,7 @@
     }
     const bool isFresh = aWorld.mSecond.mNow == aWorld.mListing;
     for (unsigned reached = 0; reached < 4; ++reached) {
-      if (!HasWitness(aWorld, reached)) {
+      if (IsHistoryLost(aWorld, reached)) {
         continue;
       }
       const auto found = Find(aWorld, reached, isFresh);
@@ -292,5 +291,10 @@
   EXPECT_GT(Model({ .mTrustsOwnList = true }).Explore(), 0);
 }
 
+TEST(TheModelOfStreamRecords, TheCheckerFindsAnOutdatedListThatIsTrusted)
+{
+  EXPECT_GT(Model({ .mTrustsOutdatedList = true }).Explore(), 0);
+}
+
 } // namespace
 } // namespace shuntjunction::state
