One name for one thing: streams are resumed, StreamKey identifies one

No change of behaviour. "Taken up" and "resumed" named the same; the field's term is the latter. StreamId was also the number of a request on a connection between our processes. Three comments are shorter.

Measured: tests of platform, protocol, coordination, transport and state pass.

--- a/packages/coordination/include/shuntjunction/coordination/relay_codec.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay_codec.h
@@ -29,7 +29,7 @@
   std::vector<state::PromptPart> mParts;
   std::int64_t mPromptTokens = 0;
   std::int64_t mMaxNewTokens = 0;
-  /// Id of the last event that the caller has of a stream which it takes up;
+  /// Id of the last event that the caller has of a stream which it resumes;
   /// empty: it takes none up.
   std::string mResumeAfter;
   /// Id of the request that brought the stream's first event; empty: not named.
--- a/packages/coordination/src/relay_run.h
+++ b/packages/coordination/src/relay_run.h
@@ -217,13 +217,13 @@
 
   // The software version of a stream.
   /// The stream, whichever request began it.
-  StreamId IdOfStream() const;
-  /// Finds where a stream began that the caller takes up; false if that is not
+  StreamKey KeyOfStream() const;
+  /// Finds where a stream began that the caller resumes; false if that is not
   /// known.
   transport::Task<bool> FindStreamOrigin();
   /// Whether an endpoint may add events to the stream.
   bool IsOfOrigin(const RelayEndpoint& aEndpoint) const;
-  /// Whether any may that accepts work and did not get the request.
+  /// Whether such an endpoint accepts work and did not get the request.
   bool HasEndpointOfOrigin() const;
   /// Records where a stream began, before its events are forwarded.
   transport::Task<void> RecordStreamOrigin(Attempt& aAttempt);
@@ -237,8 +237,8 @@
   /// Adds the body bytes that were parsed since the last call to those that may
   /// be forwarded.
   void ReceiveBody(Attempt& aAttempt);
-  /// Whether a stream consists of events, as far as its type or what came of it
-  /// shows; one that is not named otherwise and ends with its connection does.
+  /// Whether a body is known to consist of events: it has their type, or a
+  /// whole event came, or it has no type and ends with its connection.
   static bool IsOfEvents(const Attempt& aAttempt);
   /// Whether an answer that is complete by its framing, or by the end of its
   /// connection, was cut off by its endpoint; forwards what is whole of it.
--- a/packages/coordination/src/rollout/relay_rollouts.h
+++ b/packages/coordination/src/rollout/relay_rollouts.h
@@ -63,8 +63,8 @@
   /// Counts a request that is being sent.
   void NoteSent(const state::EndpointInfo& aEndpoint);
 
-  /// Counts the outcome of a request: at its first byte, so that streams count
-  /// long before they end.
+  /// Counts the outcome of a request at the first byte of its answer: a stream
+  /// may end much later.
   ///
   /// @param aRoute  name of the route
   /// @param aFirst  time from the send to the first byte; empty: it failed
--- a/packages/coordination/src/streams/relay_stream_origin.cpp
+++ b/packages/coordination/src/streams/relay_stream_origin.cpp
@@ -14,33 +14,33 @@
 
 namespace {
 
-/// From the end of a request until its caller has taken its stream up.
-constexpr Millis kTakeUpTime{ 10000 };
+/// From the end of a request until its caller has resumed its stream.
+constexpr Millis kResumeTime{ 10000 };
 
 } // namespace
 
-StreamId
-RelayRun::IdOfStream() const
+StreamKey
+RelayRun::KeyOfStream() const
 {
   const auto& began = mCall.mResumedRequestId.empty() ? mCall.mRequestId
                                                       : mCall.mResumedRequestId;
   return { mService,
            state::PlacementHash(began),
-           mRoute->mTimeout + kTakeUpTime };
+           mRoute->mTimeout + kResumeTime };
 }
 
 Task<bool>
 RelayRun::FindStreamOrigin()
 {
-  const bool isTakenUp =
+  const bool isResumed =
     mRoute->mKind == RouteKind::kStream && mRoute->mIsResumable &&
     (!mCall.mResumeAfter.empty() || !mCall.mResumedRequestId.empty());
-  if (!isTakenUp) {
+  if (!isResumed) {
     co_return true;
   }
-  const auto found = co_await mCore->mStreams.Find(IdOfStream());
+  const auto found = co_await mCore->mStreams.Find(KeyOfStream());
   mCore->mDependencies.mMetrics.Count(
-    "shuntjunction_relay_streams_taken_up_total",
+    "shuntjunction_relay_streams_resumed_total",
     { { "service", mService },
       { "origin",
         std::string(state::kStreamKnowledgeNames.Name(found.mKnowledge)) } });
@@ -88,7 +88,7 @@
   }
   mLastSoftwareVersion = version;
   if (isFirst && mRoute->mIsResumable) {
-    co_await mCore->mStreams.Record(IdOfStream(),
+    co_await mCore->mStreams.Record(KeyOfStream(),
                                     mStreamOrigin->mSoftwareVersion);
   }
 }
--- a/packages/coordination/src/streams/relay_streams.cpp
+++ b/packages/coordination/src/streams/relay_streams.cpp
@@ -35,7 +35,7 @@
   /// A record that this relay made.
   struct OwnRecord
   {
-    StreamId mId;
+    StreamKey mKey;
     std::string mVersion;
     TimePoint mUntil;
     std::vector<std::string> mHolders; ///< hosts that got it; empty: none
@@ -82,21 +82,21 @@
 
   /// The one version of the stream's service for as long as the stream may
   /// last, as this relay has seen it listed; empty: there were several.
-  std::optional<std::string> OnlyVersion(const StreamId& aStream) const
+  std::optional<std::string> OnlyVersion(const StreamKey& aStream) const
   {
     return mVersions.OnlyVersion(aStream.mService, aStream.mLifetime, Now());
   }
 
   /// The same, if the list is current: an outdated one may not show a version
   /// that serves already.
-  std::optional<std::string> CurrentOnlyVersion(const StreamId& aStream) const
+  std::optional<std::string> CurrentOnlyVersion(const StreamKey& aStream) const
   {
     const auto age = mDependencies.mEndpointList.Age(Now());
     return age < kMaxListAge ? OnlyVersion(aStream) : std::nullopt;
   }
 
   /// Remembers a record of this relay. Beyond the limit any other is forgotten.
-  OwnRecord& Remember(const StreamId& aStream, const std::string& aVersion)
+  OwnRecord& Remember(const StreamKey& aStream, const std::string& aVersion)
   {
     const auto now = Now();
     std::erase_if(mOwn, [&](const auto& aItem) {
@@ -118,16 +118,16 @@
       return nullptr;
     }
     aOwn.mHolders =
-      mHolders.ForWriting(aOwn.mId.mStream, mDependencies.mSettings.mZone);
+      mHolders.ForWriting(aOwn.mKey.mStream, mDependencies.mSettings.mZone);
     if (aOwn.mHolders.empty()) {
       return nullptr;
     }
     auto pending =
       std::make_shared<PendingReplies>(mDependencies.mContext, kRecordTimeout);
     pending->mExpected = aOwn.mHolders.size();
-    const state::StreamRecord record{ aOwn.mId.mStream,
+    const state::StreamRecord record{ aOwn.mKey.mStream,
                                       aOwn.mVersion,
-                                      aOwn.mId.mLifetime };
+                                      aOwn.mKey.mLifetime };
     for (const auto& host : aOwn.mHolders) {
       transport::Spawn(mDependencies.mContext, WriteTo(host, record, pending));
     }
@@ -147,7 +147,7 @@
   }
 
   Task<void> Ask(std::string aHost,
-                 StreamId aStream,
+                 StreamKey aStream,
                  std::shared_ptr<PendingReplies> aPending)
   {
     const auto self = shared_from_this();
@@ -200,7 +200,7 @@
   mShared->mHolders.Update(aView.mEndpoints);
   for (auto& [stream, own] : mShared->mOwn) {
     const bool isNeeded = own.mHolders.empty() && own.mUntil > mShared->Now() &&
-                          !mShared->OnlyVersion(own.mId);
+                          !mShared->OnlyVersion(own.mKey);
     if (isNeeded) {
       mShared->Write(own);
     }
@@ -214,7 +214,7 @@
 }
 
 Task<void>
-RelayStreams::Record(StreamId aStream, std::string aVersion)
+RelayStreams::Record(StreamKey aStream, std::string aVersion)
 {
   const auto shared = mShared;
   auto& own = shared->Remember(aStream, aVersion);
@@ -228,7 +228,7 @@
 }
 
 Task<StreamLookup>
-RelayStreams::Find(StreamId aStream)
+RelayStreams::Find(StreamKey aStream)
 {
   const auto shared = mShared;
   const auto& dependencies = shared->mDependencies;
--- a/packages/coordination/src/streams/relay_streams.h
+++ b/packages/coordination/src/streams/relay_streams.h
@@ -16,12 +16,12 @@
 
 namespace shuntjunction::coordination {
 
-/// A stream that may be taken up, maybe at another relay.
-struct StreamId
+/// Identifies a stream for all relays at which it may be resumed.
+struct StreamKey
 {
   std::string mService;
   state::StreamHash mStream = 0;
-  state::Millis mLifetime{ 0 }; ///< for which it may be taken up
+  state::Millis mLifetime{ 0 }; ///< for which it may be resumed
 };
 
 /// Records at which software version streams began, here and at companions, and
@@ -49,11 +49,11 @@
 
   /// Records the version of a stream whose first event is about to be
   /// forwarded; waits for a companion to hold it, if need be, and not for long.
-  transport::Task<void> Record(StreamId aStream, std::string aVersion);
+  transport::Task<void> Record(StreamKey aStream, std::string aVersion);
 
   /// Finds the version at which a stream began; waits for companions only where
   /// this relay alone cannot know it.
-  transport::Task<state::StreamLookup> Find(StreamId aStream);
+  transport::Task<state::StreamLookup> Find(StreamKey aStream);
 
 private:
   struct Shared;
--- a/packages/protocol/include/shuntjunction/protocol/messages.h
+++ b/packages/protocol/include/shuntjunction/protocol/messages.h
@@ -363,7 +363,7 @@
   std::uint32_t mId = 0; ///< repeated in the StreamReply
   state::StreamHash mStream = 0;
   std::string mService;
-  state::Millis mLifetime{ 0 }; ///< for which such a stream may be taken up
+  state::Millis mLifetime{ 0 }; ///< for which such a stream may be resumed
 };
 
 /// Reply to a StreamRecord or a StreamQuery.
--- a/packages/state/include/shuntjunction/state/streams/stream_origin.h
+++ b/packages/state/include/shuntjunction/state/streams/stream_origin.h
@@ -6,7 +6,7 @@
 
 #include "shuntjunction/state/streams/stream_records.h"
 
-/// Decides at which software version a stream may be taken up.
+/// Decides at which software version a stream may be resumed.
 namespace shuntjunction::state {
 
 /// Reply of a companion that may hold the record of a stream.
--- a/packages/state/include/shuntjunction/state/streams/stream_records.h
+++ b/packages/state/include/shuntjunction/state/streams/stream_records.h
@@ -20,7 +20,7 @@
 {
   StreamHash mStream = 0;
   std::string mVersion;
-  Millis mLifetime{ 0 }; ///< for which the stream may be taken up
+  Millis mLifetime{ 0 }; ///< for which the stream may be resumed
 };
 
 /// What is known of the version of a stream.
--- a/packages/state/include/shuntjunction/state/streams/stream_registry.h
+++ b/packages/state/include/shuntjunction/state/streams/stream_registry.h
@@ -31,7 +31,7 @@
 
   /// What is known of a stream.
   ///
-  /// @param aLifetime  for which such a stream may be taken up
+  /// @param aLifetime  for which such a stream may be resumed
   OriginReply Find(StreamHash aStream,
                    std::string_view aService,
                    Millis aLifetime,
--- a/packages/state/src/streams/listed_versions.cpp
+++ b/packages/state/src/streams/listed_versions.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-/// Longer than any stream may be taken up.
+/// Longer than any stream may be resumed.
 constexpr Millis kForgetAfter{ 3600000 };
 
 } // namespace
--- a/packages/state/tests/streams/stream_records_model_test.cpp
+++ b/packages/state/tests/streams/stream_records_model_test.cpp
@@ -8,7 +8,7 @@
 #include "shuntjunction/state/streams/stream_origin.h"
 
 // Explores all states of one stream, its record at two companions, and a relay
-// at which its caller takes it up, while processes restart, messages are lost
+// at which its caller resumes it, while processes restart, messages are lost
 // and a version replaces another.
 
 namespace shuntjunction::state {
@@ -67,7 +67,7 @@
 {
   Listing mListing = Listing::kOld;
   Sight mFirst;  ///< the relay at which the stream begins
-  Sight mSecond; ///< the relay at which it is taken up
+  Sight mSecond; ///< the relay at which it is resumed
   std::array<Companion, 2> mCompanions;
   int mOrigin = -1; ///< index of its version; -1: it has not begun
   bool mIsFirstAlive = true;
@@ -112,7 +112,7 @@
   }
 
   std::size_t States() const { return mStates; }
-  /// Times that the stream could be taken up, and those at which its origin was
+  /// Times that the stream could be resumed, and those at which its origin was
   /// known, while one companion had lost its record and the other had not.
   int Asked() const { return mAsked; }
   int Known() const { return mKnown; }
