Events of an engine's stream are read whatever their line ends

Callers of the router got no tokens, and in the end an interrupted stream, from an engine whose lines end with CR LF or CR; of an event behind a comment line they lost the text. The router looked for LF LF only, and for data only at the begin of an event. The same fault as in the relay, in another role.

Change: the splitter that relays use, data lines as the format has them.

--- a/packages/coordination/src/backend_engine.cpp
+++ b/packages/coordination/src/backend_engine.cpp
@@ -7,6 +7,7 @@
 #include <boost/json/serialize.hpp>
 
 #include "shuntjunction/coordination/backend.h"
+#include "shuntjunction/state/event_splitter.h"
 #include "shuntjunction/state/json_reader.h"
 #include "shuntjunction/state/settings.h"
 #include "shuntjunction/transport/http_client.h"
@@ -27,7 +28,6 @@
 
 constexpr unsigned kOk = 200;
 constexpr unsigned kConflict = 409;
-constexpr std::string_view kData = "data: ";
 constexpr std::string_view kEventEnd = "\n\n";
 constexpr std::string_view kDone = "[DONE]";
 
@@ -127,16 +127,16 @@
         if (piece->empty()) {
           co_return Interrupted("the stream ended without its end mark");
         }
-        mText += *piece;
+        mText += state::UnifyLineEnds(mEvents.Put(*piece));
         continue;
       }
       const std::string_view event =
         std::string_view(mText).substr(mReadOffset, end - mReadOffset);
       mReadOffset = end + kEventEnd.size();
-      if (!event.starts_with(kData)) {
+      const auto data = state::EventData(event);
+      if (data.empty()) {
         continue;
       }
-      const std::string_view data = event.substr(kData.size());
       if (data == kDone) {
         if (mEnd.mFinishReason.empty()) {
           co_return Interrupted("the stream ended without a finish reason");
@@ -228,7 +228,8 @@
   std::uint32_t mWeights = 0;
   std::uint32_t mCachedBlocks = 0;
   std::uint32_t mNextOffset;
-  std::string mText;
+  state::EventSplitter mEvents;
+  std::string mText; ///< whole events that were not read, with LF line ends
   std::size_t mReadOffset = 0;
   BackendEnd mEnd;
 };
--- a/packages/state/include/shuntjunction/state/event_splitter.h
+++ b/packages/state/include/shuntjunction/state/event_splitter.h
@@ -57,4 +57,17 @@
   std::string mLastEventId;
 };
 
+/// A text with LF as the only line end, in place of CR LF and CR.
+///
+/// A text that is cut between CR and LF gets an empty line there.
+/// Thread safety: pure.
+std::string
+UnifyLineEnds(std::string_view aText);
+
+/// Data of an event whose lines end with LF; empty if it has none.
+///
+/// Thread safety: pure.
+std::string
+EventData(std::string_view aEvent);
+
 } // namespace shuntjunction::state
--- a/packages/state/src/event_splitter.cpp
+++ b/packages/state/src/event_splitter.cpp
@@ -82,4 +82,39 @@
   }
 }
 
+std::string
+UnifyLineEnds(std::string_view aText)
+{
+  std::string text;
+  text.reserve(aText.size());
+  for (std::size_t i = 0; i < aText.size(); ++i) {
+    const bool isCrLf =
+      aText[i] == kCr && i + 1 < aText.size() && aText[i + 1] == kLf;
+    if (!isCrLf) {
+      text += aText[i] == kCr ? kLf : aText[i];
+    }
+  }
+  return text;
+}
+
+std::string
+EventData(std::string_view aEvent)
+{
+  constexpr std::string_view kName = "data:";
+  std::string data;
+  bool isFirst = true;
+  while (!aEvent.empty()) {
+    auto line = aEvent.substr(0, aEvent.find(kLf));
+    aEvent.remove_prefix(std::min(line.size() + 1, aEvent.size()));
+    if (!line.starts_with(kName)) {
+      continue;
+    }
+    line.remove_prefix(kName.size());
+    line.remove_prefix(line.starts_with(' ') ? 1 : 0);
+    data += std::exchange(isFirst, false) ? "" : "\n";
+    data += line;
+  }
+  return data;
+}
+
 } // namespace shuntjunction::state
--- a/packages/state/tests/event_splitter_test.cpp
+++ b/packages/state/tests/event_splitter_test.cpp
@@ -79,6 +79,17 @@
   EXPECT_TRUE(mSplitter.HasEvents());
 }
 
+TEST_F(GivenAStreamOfEvents, TheDataOfAnEventIsThatOfAllItsDataLines)
+{
+  EXPECT_EQ(EventData(": note\nid: 1\ndata: a\ndata:b\nevent: x"), "a\nb");
+  EXPECT_EQ(EventData(": note\nid: 1"), "");
+}
+
+TEST_F(GivenAStreamOfEvents, LineEndsAreUnified)
+{
+  EXPECT_EQ(UnifyLineEnds("a\r\nb\rc\nd\r"), "a\nb\nc\nd\n");
+}
+
 /// Any text over the bytes that the format treats specially.
 rc::Gen<std::string>
 Streams()
