Linter: findings in the tests of an engine's stream

Callers saw nothing.

The loop is over the range, and events are built by a named function. What the tests send and expect is unchanged; GivenAnEngine.* pass (3 of 3).

--- a/packages/coordination/tests/backend_engine_test.cpp
+++ b/packages/coordination/tests/backend_engine_test.cpp
@@ -24,9 +24,9 @@
   {
     const HttpResponse head;
     co_await aExchange.BeginStream(head);
-    for (std::size_t i = 0; i < mPieces.size(); ++i) {
-      std::string piece = mPieces[i];
-      co_await aExchange.Write(std::move(piece));
+    for (const auto& piece : mPieces) {
+      std::string copy = piece;
+      co_await aExchange.Write(std::move(copy));
       co_await transport::Sleep(Millis(5));
     }
     co_await aExchange.EndStream();
@@ -76,10 +76,22 @@
     return transport::RunTask(mContext, ask(mBackend.get()));
   }
 
-  static std::string Chunk(const std::string& aText, const std::string& aEnd)
+  /// An event; `aEnd` ends each of its lines.
+  static std::string Event(std::string aLine, const std::string& aEnd)
   {
-    return R"(data: {"choices":[{"text":")" + aText +
-           R"(","finish_reason":"stop"}]})" + aEnd + aEnd;
+    return aLine.append(aEnd).append(aEnd);
+  }
+
+  static std::string Chunk(std::string_view aText, const std::string& aEnd)
+  {
+    std::string line = R"(data: {"choices":[{"text":")";
+    line.append(aText).append(R"(","finish_reason":"stop"}]})");
+    return Event(std::move(line), aEnd);
+  }
+
+  static std::string Comment(const std::string& aEnd)
+  {
+    return std::string(": still here").append(aEnd);
   }
 
   transport::asio::io_context mContext{ 1 };
@@ -95,8 +107,8 @@
   for (const auto& end : ends) {
     SCOPED_TRACE(end.size());
     mHandler.mPieces = { Chunk("a", end),
-                         ": still here" + end + Chunk("b", end),
-                         "data: [DONE]" + end + end };
+                         Comment(end).append(Chunk("b", end)),
+                         Event("data: [DONE]", end) };
     EXPECT_EQ(Ask(), "ab");
   }
 }
@@ -106,7 +118,7 @@
   const auto chunk = Chunk("a", "\r\n");
   mHandler.mPieces = { chunk.substr(0, chunk.size() - 1),
                        "\n" + Chunk("b", "\r\n"),
-                       "data: [DONE]\r\n\r\n" };
+                       Event("data: [DONE]", "\r\n") };
   EXPECT_EQ(Ask(), "ab");
 }
 
