--- a/packages/coordination/src/rollout/relay_rollouts.h
+++ b/packages/coordination/src/rollout/relay_rollouts.h
@@ -56,8 +56,8 @@
   std::optional<VersionFilter> Alternative(const std::string& aService,
                                            const VersionFilter& aFilter) const;
 
-  /// Whether an endpoint may get a request now, whichever version was chosen
-  /// for it: checked again before a request is sent.
+  /// Whether an endpoint may get any request now. An order may have changed
+  /// since the filter of a request was made.
   bool MayUse(const state::EndpointInfo& aEndpoint) const;
 
   /// Counts a request that is being sent.
--- a/packages/coordination/tests/backend_engine_test.cpp
+++ b/packages/coordination/tests/backend_engine_test.cpp
@@ -55,25 +55,32 @@
       MakeEngineBackend(*address, state::CompanionSettings{}, kMaxBytes);
   }
 
-  /// Text of the stream; empty if it is interrupted.
-  std::string Ask()
+  /// What was read of a stream.
+  struct Reading
   {
-    const auto ask = [](Backend* aBackend) -> Task<std::string> {
+    std::string mText;
+    bool mHasEnded = false; ///< false: it was interrupted
+  };
+
+  Reading Read()
+  {
+    const auto read = [](Backend* aBackend) -> Task<Reading> {
       BackendCall call;
       auto response = co_await aBackend->Open(std::move(call));
-      std::string text;
+      Reading reading;
       while (response) {
         const auto event = co_await (*response)->Next(Millis(2000));
         const auto* tokens =
           event ? std::get_if<BackendTokens>(&*event) : nullptr;
         if (tokens == nullptr) {
-          co_return event ? text : "";
+          reading.mHasEnded = event.has_value();
+          break;
         }
-        text += tokens->mText;
+        reading.mText += tokens->mText;
       }
-      co_return "";
+      co_return reading;
     };
-    return transport::RunTask(mContext, ask(mBackend.get()));
+    return transport::RunTask(mContext, read(mBackend.get()));
   }
 
   /// An event; `aEnd` ends each of its lines.
@@ -109,7 +116,9 @@
     mHandler.mPieces = { Chunk("a", end),
                          Comment(end).append(Chunk("b", end)),
                          Event("data: [DONE]", end) };
-    EXPECT_EQ(Ask(), "ab");
+    const auto reading = Read();
+    EXPECT_EQ(reading.mText, "ab");
+    EXPECT_TRUE(reading.mHasEnded);
   }
 }
 
@@ -119,13 +128,17 @@
   mHandler.mPieces = { chunk.substr(0, chunk.size() - 1),
                        "\n" + Chunk("b", "\r\n"),
                        Event("data: [DONE]", "\r\n") };
-  EXPECT_EQ(Ask(), "ab");
+  const auto reading = Read();
+  EXPECT_EQ(reading.mText, "ab");
+  EXPECT_TRUE(reading.mHasEnded);
 }
 
 TEST_F(GivenAnEngine, AStreamWithoutItsEndMarkIsInterrupted)
 {
   mHandler.mPieces = { Chunk("a", "\n"), "data: [DO" };
-  EXPECT_EQ(Ask(), "");
+  const auto reading = Read();
+  EXPECT_EQ(reading.mText, "a");
+  EXPECT_FALSE(reading.mHasEnded);
 }
 
 } // namespace
