Log how old each sign of life was, and what the engine itself replied

Streams that may run once went on at a second engine while the first still ran them. The logs did not show how long the stream, the engine and its companion had been silent when the relay decided, nor whether the engine answered on a new connection, so that a machine that stands still, silent connections and two independent silences look alike.

When a stream with a copy is about to be moved, the relay queries the engine for its runs on a connection of its own (runs-queried, shuntjunction_relay_runs_queries_total) and logs every age with the latest reply (run-silent). No decision depends on it yet.

--- a/packages/coordination/include/shuntjunction/coordination/relay_codec.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay_codec.h
@@ -11,6 +11,7 @@
 #include "shuntjunction/state/relay_config.h"
 #include "shuntjunction/state/request_digest.h"
 #include "shuntjunction/state/rollout/rollout.h"
+#include "shuntjunction/state/streams/run_end.h"
 #include "shuntjunction/transport/relay_message.h"
 
 /// Encoding of a platform's requests, answers and objects.
@@ -104,6 +105,14 @@
   /// Reads an endpoint's answer.
   virtual AnswerInfo ReadAnswer(
     const transport::RelayResponse& aAnswer) const = 0;
+
+  /// Text of the request that queries an endpoint for its runs.
+  virtual std::string RunsQuery(const state::EndpointInfo& aEndpoint) const = 0;
+
+  /// Reads the reply to it; kNone if it does not list the runs.
+  virtual state::RunsReply ReadRunsReply(
+    const transport::RelayResponse& aAnswer,
+    std::string_view aBody) const = 0;
 };
 
 /// Quarantine of a request, as the store holds it.
--- a/packages/coordination/src/relay_answer.cpp
+++ b/packages/coordination/src/relay_answer.cpp
@@ -1,6 +1,7 @@
 #include <array>
 #include <cstdio>
 
+#include "continuation/runs_query.h"
 #include "relay_attempt.h"
 
 // The part of a run that reads an endpoint's answer and forwards it.
@@ -77,6 +78,7 @@
       const auto received = reader.Buffered().size();
       if (co_await MayMoveElsewhere(aAttempt)) {
         mLastProblem = "endpoint silent";
+        LogSilence(aAttempt);
         co_return AttemptOutcome::kSilent;
       }
       if (mInterrupt != RunInterrupt::kNone ||
@@ -166,6 +168,9 @@
   if (!ShouldMoveElsewhere(aAttempt.mEndpointChoice)) {
     co_return false;
   }
+  if (mCopy) {
+    StartRunsQuery(mCore, aAttempt.mEndpointChoice.mEndpoint);
+  }
   const auto& reader = *aAttempt.mConnection.mReader;
   const auto received = reader.Buffered().size();
   const bool isAllowed = co_await ReserveRetry();
--- a/packages/coordination/src/relay_endpoint.cpp
+++ b/packages/coordination/src/relay_endpoint.cpp
@@ -364,7 +364,7 @@
 }
 
 state::LivenessSignals
-RelayEndpoints::SignsOf(const RelayEndpoint& aEndpoint, TimePoint aNow)
+RelayEndpoints::SignalsOf(const RelayEndpoint& aEndpoint, TimePoint aNow)
 {
   const auto since = [&](TimePoint aThen) {
     return std::chrono::duration_cast<Millis>(aNow - aThen);
@@ -379,13 +379,13 @@
 bool
 RelayEndpoints::IsSilent(const RelayEndpoint& aEndpoint, TimePoint aNow) const
 {
-  return state::IsSilent(SignsOf(aEndpoint, aNow), mSettings.mSilence);
+  return state::IsSilent(SignalsOf(aEndpoint, aNow), mSettings.mSilence);
 }
 
 bool
 RelayEndpoints::HasStopped(const RelayEndpoint& aEndpoint, TimePoint aNow) const
 {
-  return state::HasStopped(SignsOf(aEndpoint, aNow), mSettings.mSilence);
+  return state::HasStopped(SignalsOf(aEndpoint, aNow), mSettings.mSilence);
 }
 
 void
--- a/packages/coordination/src/relay_endpoint.h
+++ b/packages/coordination/src/relay_endpoint.h
@@ -16,6 +16,7 @@
 #include "shuntjunction/state/part_index.h"
 #include "shuntjunction/state/relay_config.h"
 #include "shuntjunction/state/request_digest.h"
+#include "shuntjunction/state/streams/run_end.h"
 #include "shuntjunction/transport/relay_message.h"
 #include "shuntjunction/transport/socket_reader.h"
 
@@ -110,6 +111,16 @@
   state::TimePoint mAt;
 };
 
+/// The queries for an endpoint's runs.
+struct RunsQueries
+{
+  bool mIsPending = false;
+  state::TimePoint mSentAt; ///< of the latest
+  /// The latest reply, and when its query was sent.
+  state::RunsReply mReply;
+  state::TimePoint mAskedAt;
+};
+
 /// One endpoint as a relay knows it.
 struct RelayEndpoint
 {
@@ -138,6 +149,7 @@
   bool mIsBeingProbed = false; ///< for a crash; see HasCrashed
   state::TimePoint mProbeStartedAt;
   state::TimePoint mProbedAt;
+  RunsQueries mRunsQueries;
   /// Requests whose connections broke though it listens: it may have crashed
   /// and be back already.
   std::vector<BrokenRequest> mBrokenRequests;
@@ -269,6 +281,10 @@
   /// Whether the machine stopped while requests wait there.
   bool HasStopped(const RelayEndpoint& aEndpoint, state::TimePoint aNow) const;
 
+  /// When an endpoint and its companion were last heard from.
+  static state::LivenessSignals SignalsOf(const RelayEndpoint& aEndpoint,
+                                          state::TimePoint aNow);
+
   /// Wakes the requests that wait at endpoints whose machines have stopped, so
   /// that they can go on elsewhere.
   void WakeRequestsAtStopped(state::TimePoint aNow);
@@ -292,8 +308,6 @@
 
   /// The endpoints on a host.
   std::vector<RelayEndpointPtr> OnHost(std::string_view aHost) const;
-  static state::LivenessSignals SignsOf(const RelayEndpoint& aEndpoint,
-                                        state::TimePoint aNow);
   static void ApplyState(RelayEndpoint& aEndpoint,
                          const protocol::EngineNews& aNews,
                          state::TimePoint aNow);
--- a/packages/coordination/src/relay_run.h
+++ b/packages/coordination/src/relay_run.h
@@ -197,6 +197,9 @@
   void NoteCompleted(unsigned aStatus);
   void LogSent(const EndpointChoice& aChoice);
   void LogAttempt(const EndpointChoice& aChoice, AttemptOutcome aOutcome);
+  /// Logs that an endpoint was silent for too long, and how long each sign of
+  /// life is ago.
+  void LogSilence(const Attempt& aAttempt);
   /// Counts how the answer of the last attempt ended.
   void CountAnswerEnd();
   bool MayRetry(AttemptOutcome aOutcome);
--- a/packages/coordination/src/relay_run_log.cpp
+++ b/packages/coordination/src/relay_run_log.cpp
@@ -1,4 +1,6 @@
-#include "relay_run.h"
+#include "relay_attempt.h"
+
+#include <algorithm>
 
 // The log lines of a run: what was sent where and on which information, the
 // outcome of each attempt, and how the request ended.
@@ -72,6 +74,32 @@
   mCore->mDependencies.mLog.Write(std::move(line));
 }
 
+void
+RelayRun::LogSilence(const Attempt& aAttempt)
+{
+  const auto& endpoint = *aAttempt.mEndpointChoice.mEndpoint;
+  const auto signals = RelayEndpoints::SignalsOf(endpoint, Now());
+  const auto& queries = endpoint.mRunsQueries;
+  const auto& ids = queries.mReply.mRequestIds;
+  const auto replyAge =
+    std::chrono::duration_cast<state::Millis>(Now() - queries.mAskedAt);
+  const auto silent =
+    SinceArrival() - (mTimes.mFirst ? mTimes.mLastChunk : *mTimes.mSent);
+  mCore->mDependencies.mLog.Write(
+    EventLine(kRelayComponent, "run-silent", mCall.mRequestId)
+      .Add("endpoint", endpoint.mInfo.mId)
+      .Add("begun", mTimes.mFirst.has_value())
+      .Add("silent_ms", silent.count())
+      .Add("bytes_age_ms", signals.mSinceEndpointBytes.count())
+      .Add("companion_age_ms", signals.mSinceCompanionMessage.count())
+      .Add("companion_closed", signals.mIsCompanionClosed)
+      .Add("reply", state::kRunsReplyKindNames.Name(queries.mReply.mKind))
+      .Add("reply_age_ms", replyAge.count())
+      .Add("listed",
+           std::find(ids.begin(), ids.end(), mCall.mRequestId) != ids.end())
+      .Add("ms", SinceArrival().count()));
+}
+
 void
 RelayRun::CountAnswerEnd()
 {
