A stream continues from its copy only once its former run has ended

Callers' streams that may run once were run by two engines: a machine stood still for 5.5 s, the relay took the silence of the engine (0.8 s) and its companion (1.3 s) for the end of the run, and had the engine of the copy continue it; the former run went on when the machine resumed.

Cause: an absence taken as an end. Silence, a broken connection, a companion's report and a lapsed entry show nothing about a run.

Now the end has to be shown by the engine's address itself: it refuses a connection and does not drain, another endpoint or incarnation replies there, or the engine lists its runs without this one, once bytes of it had come and with nothing queued (state::EndOfRun). A run never begins again, so nothing has to be checked once more at the send. Until then the stream's connection stays open and is read: a machine that resumes brings the rest itself.

The 20 tests of copies and crashes pass unchanged.

--- a/packages/coordination/src/continuation/relay_continuation.cpp
+++ b/packages/coordination/src/continuation/relay_continuation.cpp
@@ -1,4 +1,4 @@
-#include "relay_run.h"
+#include "continuation/runs_query.h"
 
 // The part of a run that continues a stream from the copy of its memory after
 // its engine was lost.
@@ -8,7 +8,9 @@
 
 namespace shuntjunction::coordination {
 
+using state::Millis;
 using state::RouteKind;
+using state::RunEnd;
 using transport::Task;
 
 namespace {
@@ -17,6 +19,16 @@
 /// third crash would quarantine it.
 constexpr int kMaxCrashesOfContinued = 1;
 
+/// Longest wait for what shows that a run has ended whose connection broke:
+/// callers give up a stream that pauses for longer.
+constexpr Millis kMaxEndWait{ 2000 };
+
+/// Interval at which a silent stream is checked.
+constexpr Millis kSilenceCheckInterval{ 100 };
+
+/// Time in which the last events of a run that has ended still arrive.
+constexpr Millis kAnswerTransit{ 500 };
+
 /// Whether an attempt ended without anything having run.
 bool
 IsCertainlyNotRun(AttemptOutcome aOutcome)
@@ -34,6 +46,7 @@
     case AttemptOutcome::kFailed:
     case AttemptOutcome::kBroken:
     case AttemptOutcome::kSilent:
+    case AttemptOutcome::kEnded:
     case AttemptOutcome::kInterrupted:
       break;
   }
@@ -61,24 +74,109 @@
 }
 
 bool
-RelayRun::MayContinueFromCopy(const EndpointChoice& aChoice,
-                              AttemptOutcome aOutcome) const
+RelayRun::MayContinueFromCopy(AttemptOutcome aOutcome) const
 {
   const bool isLost =
-    aOutcome == AttemptOutcome::kBroken || aOutcome == AttemptOutcome::kSilent;
+    aOutcome == AttemptOutcome::kBroken || aOutcome == AttemptOutcome::kEnded;
   if (!isLost || !mCopy || mInterrupt != RunInterrupt::kNone) {
     return false;
   }
   if (mCore->mCrashes.Crashes(mDigest) > kMaxCrashesOfContinued) {
     return false;
   }
-  // An engine that has ended does not count as an attempt.
-  const bool hasEnded =
-    aOutcome == AttemptOutcome::kSilent || aChoice.mEndpoint->mHasCrashed;
-  const bool hasAttempt =
-    static_cast<int>(mTriedEndpoints.size()) < mRoute->mMaxAttempts;
-  return (hasEnded || hasAttempt) && IsOfOrigin(*mCopy->Endpoint()) &&
-         mCopy->IsUsable(*mCore, Now());
+  return IsOfOrigin(*mCopy->Endpoint()) && mCopy->IsUsable(*mCore, Now());
+}
+
+bool
+RelayRun::HasAttemptAfter(RunEnd aEnd) const
+{
+  switch (aEnd) {
+    case RunEnd::kUnknown:
+      return false;
+    case RunEnd::kRefused:
+    case RunEnd::kReplaced:
+      // An engine that has ended does not count as an attempt.
+      return true;
+    case RunEnd::kNotRunning:
+      break;
+  }
+  return static_cast<int>(mTriedEndpoints.size()) < mRoute->mMaxAttempts;
+}
+
+RunEnd
+RelayRun::EndOfLatestRun(const RelayEndpoint& aEndpoint) const
+{
+  const auto& queries = aEndpoint.mRunsQueries;
+  return mLatestRun
+           ? state::EndOfRun(*mLatestRun, queries.mReply, queries.mAskedAt)
+           : RunEnd::kUnknown;
+}
+
+bool
+RelayRun::IsSilentTooLong(const Attempt& aAttempt) const
+{
+  if (!mCopy) {
+    return false;
+  }
+  const auto& endpoints = mCore->mEndpoints;
+  if (!mTimes.mFirst) {
+    return endpoints.HasStopped(*aAttempt.mEndpointChoice.mEndpoint, Now());
+  }
+  return SinceArrival() - mTimes.mLastChunk >=
+         endpoints.Settings().mSilence.mBytesTimeout;
+}
+
+bool
+RelayRun::HasEndedUnanswered(const Attempt& aAttempt)
+{
+  const auto& endpoint = aAttempt.mEndpointChoice.mEndpoint;
+  if (!IsSilentTooLong(aAttempt)) {
+    mAbsentSince.reset();
+    return false;
+  }
+  StartRunsQuery(mCore, endpoint);
+  const auto end = EndOfLatestRun(*endpoint);
+  if (end != RunEnd::kNotRunning) {
+    mAbsentSince.reset();
+    return end != RunEnd::kUnknown;
+  }
+  if (!mAbsentSince) {
+    mAbsentSince = Now();
+  }
+  return Now() - *mAbsentSince >= kAnswerTransit;
+}
+
+state::TimePoint
+RelayRun::NextSilenceCheck(const Attempt& aAttempt) const
+{
+  // Before its first bytes it is woken when its engine's machine has stopped.
+  if (!mCopy || !mTimes.mFirst) {
+    return mDeadline;
+  }
+  const auto silentAt = mArrival + mTimes.mLastChunk +
+                        mCore->mEndpoints.Settings().mSilence.mBytesTimeout;
+  const auto next =
+    IsSilentTooLong(aAttempt) ? Now() + kSilenceCheckInterval : silentAt;
+  return std::min(mDeadline, next);
+}
+
+Task<RunEnd>
+RelayRun::AwaitRunEnd(EndpointChoice aChoice)
+{
+  const auto endpoint = aChoice.mEndpoint;
+  const auto until = std::min(mDeadline, Now() + kMaxEndWait);
+  // An engine that still listens counts as an attempt.
+  const bool mayGoOn =
+    endpoint->mHasCrashed || HasAttemptAfter(RunEnd::kNotRunning);
+  while (mInterrupt == RunInterrupt::kNone && Now() < until) {
+    const auto end = EndOfLatestRun(*endpoint);
+    if (end != RunEnd::kUnknown || !mayGoOn) {
+      co_return end;
+    }
+    StartRunsQuery(mCore, endpoint);
+    co_await transport::Sleep(kPollInterval);
+  }
+  co_return RunEnd::kUnknown;
 }
 
 Task<AttemptOutcome>
@@ -86,12 +184,18 @@
 {
   auto choice = std::move(aChoice);
   auto outcome = aOutcome;
-  while (MayContinueFromCopy(choice, outcome)) {
+  while (MayContinueFromCopy(outcome)) {
+    const auto end = co_await AwaitRunEnd(choice);
+    LogRunEnd(choice, end);
+    if (!HasAttemptAfter(end)) {
+      break;
+    }
     if (!co_await ReserveRetry()) {
       mLastProblem = "retry-budget";
       break;
     }
-    if (!MayContinueFromCopy(choice, outcome)) {
+    // Its run has ended for good; the copy may have gone meanwhile.
+    if (!MayContinueFromCopy(outcome)) {
       break;
     }
     const std::shared_ptr<StreamCopy> copy = std::move(mCopy);
@@ -110,7 +214,8 @@
     }
     outcome = continued;
     choice = std::move(next);
-    if (outcome == AttemptOutcome::kBroken) {
+    if (outcome == AttemptOutcome::kBroken ||
+        outcome == AttemptOutcome::kEnded) {
       co_await CheckForCrash(choice);
     }
   }
--- a/packages/coordination/src/relay_answer.cpp
+++ b/packages/coordination/src/relay_answer.cpp
@@ -1,7 +1,6 @@
 #include <array>
 #include <cstdio>
 
-#include "continuation/runs_query.h"
 #include "relay_attempt.h"
 
 // The part of a run that reads an endpoint's answer and forwards it.
@@ -85,7 +84,12 @@
           reader.Buffered().size() != received) {
         continue;
       }
-      co_await reader.Wait(mDeadline);
+      if (HasEndedUnanswered(aAttempt)) {
+        mLastProblem = "run ended unanswered";
+        LogSilence(aAttempt);
+        co_return AttemptOutcome::kEnded;
+      }
+      co_await reader.Wait(NextSilenceCheck(aAttempt));
       continue;
     }
     if (*step == ParseStatus::kMalformed) {
@@ -168,9 +172,6 @@
   if (!ShouldMoveElsewhere(aAttempt.mEndpointChoice)) {
     co_return false;
   }
-  if (mCopy) {
-    StartRunsQuery(mCore, aAttempt.mEndpointChoice.mEndpoint);
-  }
   const auto& reader = *aAttempt.mConnection.mReader;
   const auto received = reader.Buffered().size();
   const bool isAllowed = co_await ReserveRetry();
@@ -323,6 +324,9 @@
   const auto now = SinceArrival();
   if (!mTimes.mFirst) {
     mTimes.mFirst = now;
+    if (mLatestRun) {
+      mLatestRun->mBegunAt = Now();
+    }
     mCore->mRollouts.NoteOutcome(
       aEndpoint.mInfo, mRoute->mName, now - mTimes.mSent.value_or(now));
   } else {
--- a/packages/coordination/src/relay_attempt.cpp
+++ b/packages/coordination/src/relay_attempt.cpp
@@ -128,6 +128,11 @@
   PlaceCopy(attempt);
   LogSent(attempt.mEndpointChoice);
   attempt.mEndpointChoice.mSentAt = Now();
+  mAbsentSince.reset();
+  mLatestRun = { mCall.mRequestId,
+                 endpoint.mEndpointIncarnation.Current(),
+                 attempt.mEndpointChoice.mSentAt,
+                 {} };
   if (endpoint.mRunning++ == 0) {
     endpoint.mLastBytesAt = Now();
   }
@@ -162,7 +167,7 @@
     attempt.mConnection.mReader->Close(true);
   }
   if (outcome == AttemptOutcome::kBroken ||
-      outcome == AttemptOutcome::kSilent ||
+      outcome == AttemptOutcome::kSilent || outcome == AttemptOutcome::kEnded ||
       outcome == AttemptOutcome::kInterrupted) {
     mMayHaveRun = true;
   }
--- a/packages/coordination/src/relay_crashes.cpp
+++ b/packages/coordination/src/relay_crashes.cpp
@@ -205,6 +205,9 @@
     aEndpoint->mIsRefusing =
       socket.error() == transport::asio::error::connection_refused;
     aEndpoint->mHasCrashed = aEndpoint->mIsRefusing && aEndpoint->AcceptsWork();
+    if (aEndpoint->mHasCrashed) {
+      aEndpoint->mRunsQueries.NoteRefusal(aEndpoint->mProbeStartedAt);
+    }
     co_return nullptr;
   }
   aEndpoint->mIsRefusing = false;
--- a/packages/coordination/src/relay_endpoint.h
+++ b/packages/coordination/src/relay_endpoint.h
@@ -119,6 +119,14 @@
   /// The latest reply, and when its query was sent.
   state::RunsReply mReply;
   state::TimePoint mAskedAt;
+
+  /// Records that the endpoint refused a connection that was opened at aAt.
+  void NoteRefusal(state::TimePoint aAt)
+  {
+    mReply = {};
+    mReply.mKind = state::RunsReplyKind::kRefused;
+    mAskedAt = aAt;
+  }
 };
 
 /// One endpoint as a relay knows it.
--- a/packages/coordination/src/relay_limits.cpp
+++ b/packages/coordination/src/relay_limits.cpp
@@ -108,6 +108,7 @@
     case AttemptOutcome::kFailed:
     case AttemptOutcome::kBroken:
     case AttemptOutcome::kSilent:
+    case AttemptOutcome::kEnded:
     case AttemptOutcome::kInterrupted:
       mReservedUsage.clear();
       return;
--- a/packages/coordination/src/relay_run.cpp
+++ b/packages/coordination/src/relay_run.cpp
@@ -248,7 +248,8 @@
     ReturnPermit();
     CommitUsage(outcome);
     NoteOutcome(*choice, outcome);
-    if (outcome == AttemptOutcome::kBroken) {
+    if (outcome == AttemptOutcome::kBroken ||
+        outcome == AttemptOutcome::kEnded) {
       co_await CheckForCrash(*choice);
     }
     outcome = co_await ContinueFromCopy(*choice, outcome);
@@ -342,9 +343,6 @@
   if (!endpoints.HasStopped(*aChoice.mEndpoint, Now())) {
     return false;
   }
-  if (MayContinueFromCopy(aChoice, AttemptOutcome::kSilent)) {
-    return true;
-  }
   if (!MayRetry(AttemptOutcome::kSilent)) {
     return false;
   }
@@ -400,8 +398,9 @@
   if (mIsHeadForwarded && !isResumable) {
     return false;
   }
-  const bool mayHaveRun =
-    aOutcome == AttemptOutcome::kBroken || aOutcome == AttemptOutcome::kSilent;
+  const bool mayHaveRun = aOutcome == AttemptOutcome::kBroken ||
+                          aOutcome == AttemptOutcome::kSilent ||
+                          aOutcome == AttemptOutcome::kEnded;
   if (mayHaveRun && !mRoute->IsRepeatable()) {
     return false;
   }
@@ -450,6 +449,7 @@
     case AttemptOutcome::kUnsent:
     case AttemptOutcome::kBroken:
     case AttemptOutcome::kSilent:
+    case AttemptOutcome::kEnded:
       endpoints.NoteFailure(endpoint, Now());
       break;
     case AttemptOutcome::kNotRun:
@@ -478,7 +478,7 @@
   const bool isFailed =
     aOutcome == AttemptOutcome::kFailed ||
     aOutcome == AttemptOutcome::kBroken ||
-    aOutcome == AttemptOutcome::kSilent ||
+    aOutcome == AttemptOutcome::kSilent || aOutcome == AttemptOutcome::kEnded ||
     (aOutcome == AttemptOutcome::kDone && mAnswerStatus >= kFirstServerError);
   const bool isTimeout = aOutcome == AttemptOutcome::kInterrupted &&
                          mInterrupt == RunInterrupt::kDeadline;
--- a/packages/coordination/src/relay_run.h
+++ b/packages/coordination/src/relay_run.h
@@ -46,11 +46,12 @@
   kFailed,      ///< the endpoint's own error, which is saved for the caller
   kBroken,      ///< it may have run; the answer is missing or unusable
   kSilent,      ///< the same: nothing shows that the endpoint's machine runs
+  kEnded,       ///< the same: the endpoint's run is known to have ended
   kInterrupted, ///< see RunInterrupt
 };
 
 /// Names of AttemptOutcome.
-inline constexpr state::EnumNames<AttemptOutcome, 12> kAttemptOutcomeNames{
+inline constexpr state::EnumNames<AttemptOutcome, 13> kAttemptOutcomeNames{
   { "done",
     "unsent",
     "withheld",
@@ -62,6 +63,7 @@
     "failed",
     "broken",
     "silent",
+    "ended",
     "interrupted" }
 };
 
@@ -200,6 +202,8 @@
   /// Logs that an endpoint was silent for too long, and how long each sign of
   /// life is ago.
   void LogSilence(const Attempt& aAttempt);
+  /// Logs what showed that a lost run had ended, if anything did.
+  void LogRunEnd(const EndpointChoice& aChoice, state::RunEnd aEnd);
   /// Counts how the answer of the last attempt ended.
   void CountAnswerEnd();
   bool MayRetry(AttemptOutcome aOutcome);
@@ -208,9 +212,22 @@
   // Continuation from a copy.
   /// Chooses the engine that gets a copy of the run that is about to be sent.
   void PlaceCopy(Attempt& aAttempt);
-  /// Whether a stream that was lost at an engine may continue from its copy.
-  bool MayContinueFromCopy(const EndpointChoice& aChoice,
-                           AttemptOutcome aOutcome) const;
+  /// Whether a stream that was lost at an engine may continue from its copy
+  /// once its run there has ended.
+  bool MayContinueFromCopy(AttemptOutcome aOutcome) const;
+  /// Whether a further run may begin after one that ended so.
+  bool HasAttemptAfter(state::RunEnd aEnd) const;
+  /// What is known about the end of the latest run.
+  state::RunEnd EndOfLatestRun(const RelayEndpoint& aEndpoint) const;
+  /// Queries the engine of a stream with a copy that is silent for too long;
+  /// returns whether its run is known to have ended.
+  bool HasEndedUnanswered(const Attempt& aAttempt);
+  /// Whether such a stream is silent for too long.
+  bool IsSilentTooLong(const Attempt& aAttempt) const;
+  /// When a request that waits for its answer checks that again.
+  state::TimePoint NextSilenceCheck(const Attempt& aAttempt) const;
+  /// Waits until it is known whether the latest run has ended.
+  transport::Task<state::RunEnd> AwaitRunEnd(EndpointChoice aChoice);
   /// Continues a lost stream from its copy, as long as there is one; returns
   /// the outcome of the last run.
   transport::Task<AttemptOutcome> ContinueFromCopy(EndpointChoice aChoice,
@@ -301,6 +318,9 @@
   std::vector<std::string> mTriedEndpoints; ///< endpoints that got the request
   AttemptTimes mTimes;                      ///< of the last attempt
   AnswerTrace mAnswerTrace;                 ///< of the last attempt
+  std::optional<state::RunInQuestion> mLatestRun; ///< empty: nothing was sent
+  /// Since when its engine has replied that it does not run it.
+  std::optional<state::TimePoint> mAbsentSince;
   int mUnsentTries = 0; ///< endpoints that could not be reached
   int mCrashes = 0;     ///< endpoints that crashed under this run
   bool mMayHaveRun = false;
--- a/packages/coordination/src/relay_run_log.cpp
+++ b/packages/coordination/src/relay_run_log.cpp
@@ -100,6 +100,22 @@
       .Add("ms", SinceArrival().count()));
 }
 
+void
+RelayRun::LogRunEnd(const EndpointChoice& aChoice, state::RunEnd aEnd)
+{
+  const auto name = state::kRunEndNames.Name(aEnd);
+  mCore->mDependencies.mLog.Write(
+    EventLine(kRelayComponent, "run-end", mCall.mRequestId)
+      .Add("endpoint", aChoice.mEndpoint->mInfo.mId)
+      .Add("end", name)
+      .Add("may_continue", HasAttemptAfter(aEnd))
+      .Add("copy", mCopy ? mCopy->Endpoint()->mInfo.mId : "")
+      .Add("ms", SinceArrival().count()));
+  mCore->mDependencies.mMetrics.Count(
+    "shuntjunction_relay_run_ends_total",
+    { { "service", mService }, { "end", std::string(name) } });
+}
+
 void
 RelayRun::CountAnswerEnd()
 {
