Log the shared parts of each prompt that is sent to an engine

Engines crashed under requests that were all different. Which parts their prompts had in common, and what else with these parts was answered, could not be seen: the lines named only the part that decided the placement, which prompts with small parts do not have.

--- a/packages/coordination/src/relay_run_log.cpp
+++ b/packages/coordination/src/relay_run_log.cpp
@@ -7,6 +7,22 @@
 
 namespace shuntjunction::coordination {
 
+namespace {
+
+/// The ids of a prompt's shared parts, separated by commas.
+std::string
+SharedPartIds(const CallInfo& aCall)
+{
+  std::string ids;
+  for (std::size_t i = 0; i + 1 < aCall.mParts.size(); ++i) {
+    ids += i == 0 ? "" : ",";
+    ids += aCall.mParts[i].mId;
+  }
+  return ids;
+}
+
+} // namespace
+
 void
 RelayRun::LogSent(const EndpointChoice& aChoice)
 {
@@ -28,6 +44,7 @@
       .Add("expected_ms", aChoice.mExpected.count())
       .Add("urgency", aChoice.mUrgency)
       .Add("news_age_ms", aChoice.mNewsAge.count())
+      .Add("parts", SharedPartIds(mCall))
       .Add("copy", aChoice.mCopyAddress)
       .Add("continued_from", aChoice.mContinueFrom);
   }
