Prompts with a part that crashes engines are refused

Callers saw engines crash one after the other for as long as requests with one part came, all of them different, and the streams beside them cut.

Cause: suspicion was kept by the digest of a whole request.

A relay reports each crash with all shared parts of the requests that were about to be answered, through the companions, as it does for whole requests; an answer that is 250 ms past its first bytes, or whole, clears its parts on all relays. A request with a suspected part goes to an engine apart from other such requests; with two crashed endpoints each relay tries one request at a time, after a random delay; the third, in such a trial, quarantines the part for the team or, if two teams saw crashes, for all. Requests with it that wait are ended, later ones refused at once with the time that is left. A verdict that has stood for five seconds is stored, and an operator can release it like that of a request.

--- a/packages/coordination/src/continuation/relay_continuation.cpp
+++ b/packages/coordination/src/continuation/relay_continuation.cpp
@@ -84,6 +84,11 @@
   if (mCore->mCrashes.Crashes(mDigest) > kMaxCrashesOfContinued) {
     return false;
   }
+  // The engine of the copy would be the next to crash.
+  if (!mIsPastBeginning && mCore->mPartCrashes.SuspicionOf(mParts) >=
+                             state::PartSuspicion::kRestricted) {
+    return false;
+  }
   return IsOfOrigin(*mCopy->Endpoint()) && mCopy->IsUsable(*mCore, Now());
 }
 
--- a/packages/coordination/src/engine_news_server.cpp
+++ b/packages/coordination/src/engine_news_server.cpp
@@ -9,7 +9,7 @@
 #include <iterator>
 #include <utility>
 
-#include "shuntjunction/state/crash_tracker.h"
+#include "crash_memory.h"
 #include "shuntjunction/state/part_index.h"
 
 namespace shuntjunction::coordination {
@@ -47,10 +47,6 @@
 /// some of the requests that ran there.
 constexpr Millis kCrashBatchDelay{ 10 };
 
-/// Crashes that a relay is sent when it connects: about 80 KB. Those of the
-/// requests with the most crashes come first.
-constexpr std::size_t kMaxCrashesSent = 1024;
-
 EngineNews
 NewsOf(const EngineState& aState)
 {
@@ -98,7 +94,7 @@
     if (!mStore.empty()) {
       aChannel->Send(WholeNews(PartHolder::kStore));
     }
-    if (auto crashes = KnownCrashes(); !crashes.mUpdates.empty()) {
+    if (auto crashes = mCrashes.Known(mClock.Now()); !crashes.IsEmpty()) {
       aChannel->Send(std::move(crashes));
     }
     PublishKnownRates(*aChannel);
@@ -246,18 +242,14 @@
   /// Remembers a relay's crash reports; those that are new go to all relays.
   void HandleCrashReports(const protocol::CrashReports& aReports)
   {
-    const auto now = mClock.Now();
-    const bool isFirst = mPendingReports.mUpdates.empty();
-    for (const auto& update : aReports.mUpdates) {
-      const auto& report = update.mReport.mReport;
-      const bool isNews = update.mIsCleared
-                            ? !mCrashes.Clear(report.mRequest).empty()
-                            : mCrashes.Note(report, now - update.mReport.mAge);
-      if (isNews) {
-        mPendingReports.mUpdates.push_back(update);
-      }
-    }
-    if (isFirst && !mPendingReports.mUpdates.empty()) {
+    const bool isFirst = mPendingReports.IsEmpty();
+    const auto news = mCrashes.Add(aReports, mClock.Now());
+    const auto append = [](auto& aAll, const auto& aMore) {
+      aAll.insert(aAll.end(), aMore.begin(), aMore.end());
+    };
+    append(mPendingReports.mUpdates, news.mUpdates);
+    append(mPendingReports.mParts, news.mParts);
+    if (isFirst && !mPendingReports.IsEmpty()) {
       transport::Spawn(mContext, SendCrashesSoon());
     }
   }
@@ -272,19 +264,6 @@
     }
   }
 
-  /// The remembered crashes, for a relay that connects.
-  protocol::CrashReports KnownCrashes() const
-  {
-    protocol::CrashReports known;
-    for (auto& report : mCrashes.Reports(mClock.Now())) {
-      if (known.mUpdates.size() >= kMaxCrashesSent) {
-        break;
-      }
-      known.mUpdates.push_back({ std::move(report), false });
-    }
-    return known;
-  }
-
   void ForwardToOthers(const protocol::PartReading& aReading,
                        const std::shared_ptr<FrameChannel>& aFrom)
   {
@@ -478,7 +457,7 @@
   std::set<std::string, std::less<>> mRequestedParts; ///< that are reported
   std::deque<std::string> mRequestOrder; ///< the same, the oldest first
   std::int64_t mSentWaiting = 0;
-  state::CrashTracker mCrashes{ state::CrashTrackerSettings{} };
+  CrashMemory mCrashes;
   protocol::CrashReports mPendingReports; ///< of crashes, for the relays
   /// Relays, with what each has waiting at the engine.
   std::map<std::shared_ptr<FrameChannel>, state::WaitingTokens> mChannels;
--- a/packages/coordination/src/relay.cpp
+++ b/packages/coordination/src/relay.cpp
@@ -151,6 +151,7 @@
   , mDescriptors({ mDependencies.mSettings.mDescriptors, kReservedDescriptors })
   , mEndpoints(RelayEndpointSettings{})
   , mCrashes(mDependencies)
+  , mPartCrashes(mDependencies)
   , mShares(mDependencies)
   , mRates(mDependencies, mShares.Directory())
   , mNotices(mDependencies)
@@ -224,6 +225,7 @@
   for (const auto& broken : std::exchange(aEndpoint.mBrokenRequests, {})) {
     if (mDependencies.mClock.Now() - broken.mAt < mLimits.mRestartDetection) {
       mCrashes.NoteCrash(broken.mRequest, aEndpoint);
+      mPartCrashes.NoteCrash(broken.mParts, aEndpoint, broken.mIsTrial);
     }
   }
 }
@@ -323,7 +325,10 @@
 Relay::ApplyView(std::shared_ptr<const RelayView> aView)
 {
   mCore->mView = std::move(aView);
-  mCore->mCrashes.ApplyQuarantined(mCore->mView->mQuarantined);
+  for (const auto& released :
+       mCore->mCrashes.ApplyQuarantined(mCore->mView->mQuarantined)) {
+    mCore->mPartCrashes.Release(released);
+  }
   const auto companions = CompanionZones(mCore->mView->mEndpoints);
   mCore->NoteCompanions(companions);
   mCore->mShares.Directory().SetHosts(companions);
@@ -385,6 +390,7 @@
 Relay::ApplyCrashReports(const protocol::CrashReports& aReports)
 {
   mCore->mCrashes.ApplyReports(aReports);
+  mCore->mPartCrashes.ApplyReports(aReports);
 }
 
 void
@@ -406,6 +412,7 @@
 Relay::SetGauges()
 {
   mCore->mCrashes.SetGauges();
+  mCore->mPartCrashes.SetGauges();
   auto& metrics = mCore->mDependencies.mMetrics;
   const auto now = mCore->mDependencies.mClock.Now();
   const auto age = mCore->mDependencies.mConfigConfirmed.IsKnown()
--- a/packages/coordination/src/relay_answer.cpp
+++ b/packages/coordination/src/relay_answer.cpp
@@ -57,6 +57,10 @@
   return chunk;
 }
 
+/// An endpoint that crashes by a request does so within this time of the first
+/// bytes of its answer.
+constexpr state::Millis kAnswerBeginning{ 250 };
+
 constexpr std::string_view kLastChunk = "0\r\n\r\n";
 
 } // namespace
@@ -329,6 +333,9 @@
   } else {
     mTimes.mLongestPause =
       std::max(mTimes.mLongestPause, now - mTimes.mLastChunk);
+    if (now - *mTimes.mFirst >= kAnswerBeginning) {
+      NoteAnswered();
+    }
   }
   mTimes.mLastChunk = now;
 }
--- a/packages/coordination/src/relay_attempt.cpp
+++ b/packages/coordination/src/relay_attempt.cpp
@@ -125,6 +125,9 @@
     co_return clearance.error();
   }
   attempt.mSoftwareVersion = endpoint.mInfo.mSoftwareVersion;
+  mIsPastBeginning = false;
+  mIsTrial =
+    mCore->mPartCrashes.SuspicionOf(mParts) >= state::PartSuspicion::kSuspect;
   PlaceCopy(attempt);
   LogSent(attempt.mEndpointChoice);
   attempt.mEndpointChoice.mSentAt = Now();
@@ -190,6 +193,12 @@
     mLastProblem = "endpoint of another version";
     return tl::unexpected(AttemptOutcome::kLeaving);
   }
+  // It may have become suspect while the request waited.
+  if (mTrials.empty() && mCore->mPartCrashes.SuspicionOf(mParts) >=
+                           state::PartSuspicion::kRestricted) {
+    mLastProblem = "part restricted";
+    return tl::unexpected(AttemptOutcome::kLeaving);
+  }
   if (const auto reason = ReasonToWithhold(); !reason.empty()) {
     mLastProblem = reason;
     return tl::unexpected(AttemptOutcome::kWithheld);
--- a/packages/coordination/src/relay_core.h
+++ b/packages/coordination/src/relay_core.h
@@ -9,6 +9,7 @@
 #include "relay_crashes.h"
 #include "relay_endpoint.h"
 #include "relay_notices.h"
+#include "relay_part_crashes.h"
 #include "relay_rates.h"
 #include "relay_shares.h"
 #include "rollout/relay_rollouts.h"
@@ -128,6 +129,7 @@
   state::DescriptorBudget mDescriptors;
   RelayEndpoints mEndpoints;
   RelayCrashes mCrashes;
+  RelayPartCrashes mPartCrashes;
   RelayShares mShares;
   RelayRates mRates;
   RelayNotices mNotices;
--- a/packages/coordination/src/relay_crashes.cpp
+++ b/packages/coordination/src/relay_crashes.cpp
@@ -97,9 +97,10 @@
   }
 }
 
-void
+std::vector<RequestDigest>
 RelayCrashes::ApplyQuarantined(const QuarantinedRequests& aQuarantined)
 {
+  std::vector<RequestDigest> released;
   const auto wall = mDependencies.mClock.WallMillis();
   for (const auto& [request, entry] : aQuarantined) {
     const bool isKnown = mStoredQuarantines.contains(request);
@@ -114,9 +115,11 @@
       mDependencies.mLog.Write(
         EventLine(kRelayComponent, "released").Add("content", request.Text()));
       NoteCompleted(request);
+      released.push_back(request);
     }
   }
   mStoredQuarantines = aQuarantined;
+  return released;
 }
 
 Millis
--- a/packages/coordination/src/relay_crashes.h
+++ b/packages/coordination/src/relay_crashes.h
@@ -47,7 +47,10 @@
 
   /// Applies the quarantined requests in the platform's store; one that is no
   /// longer there was released by an operator.
-  void ApplyQuarantined(const QuarantinedRequests& aQuarantined);
+  ///
+  /// @return the released ones
+  std::vector<state::RequestDigest> ApplyQuarantined(
+    const QuarantinedRequests& aQuarantined);
 
   /// How long a request is refused from now on; zero if it may run.
   state::Millis QuarantineLeft(const state::RequestDigest& aRequest) const;
--- a/packages/coordination/src/relay_endpoint.h
+++ b/packages/coordination/src/relay_endpoint.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "request_parts.h"
 #include "shuntjunction/protocol/messages.h"
 #include "shuntjunction/state/endpoint_availability.h"
 #include "shuntjunction/state/endpoint_limits.h"
@@ -81,6 +82,8 @@
 {
   state::RequestDigest mRequest;
   state::TimePoint mAt;
+  RequestParts mParts; ///< empty: its answer was past its beginning
+  bool mIsTrial = false;
 };
 
 /// The rate to which an endpoint short of capacity limits all relays together,
--- a/packages/coordination/src/relay_reply.cpp
+++ b/packages/coordination/src/relay_reply.cpp
@@ -32,7 +32,7 @@
   }
   const bool isLate = mInterrupt == RunInterrupt::kDeadline;
   std::string reason = isLate ? "deadline" : mLastProblem;
-  const auto quarantine = mCore->mCrashes.QuarantineLeft(mDigest);
+  const auto quarantine = QuarantineLeft();
   if (quarantine > Millis(0)) {
     reason = kQuarantinedReason;
     mRetryAfter = quarantine;
--- a/packages/coordination/src/relay_run.cpp
+++ b/packages/coordination/src/relay_run.cpp
@@ -72,9 +72,7 @@
   } else if (!FindTeam()) {
     co_await Refuse(kUnauthorized, "unknown-key");
   } else if (IsQuarantined()) {
-    co_await Refuse(kUnavailable,
-                    kQuarantinedReason,
-                    mCore->mCrashes.QuarantineLeft(mDigest));
+    co_await Refuse(kUnavailable, kQuarantinedReason, QuarantineLeft());
   } else if (mCore->mIsRefusing) {
     co_await Refuse(kUnavailable, "stopping", Millis(0));
   } else {
@@ -83,7 +81,11 @@
     mCaller.OnClosed([this] { Interrupt(RunInterrupt::kCallerGone); });
     const auto running = mCore->mCrashes.Begin(
       mDigest, [this] { Interrupt(RunInterrupt::kQuarantined); });
+    auto waiting =
+      mCore->mPartCrashes.Begin(mParts, [this] { EndIfPartIsQuarantined(); });
     co_await Serve();
+    ReleaseTrials();
+    mCore->mPartCrashes.End(waiting);
     ReleaseUsage();
     ReleaseRetry();
     ReturnPermit();
@@ -170,13 +172,6 @@
       mRequest->mBody });
 }
 
-bool
-RelayRun::IsQuarantined()
-{
-  mDigest = DigestOfRequest();
-  return mCore->mCrashes.QuarantineLeft(mDigest) > Millis(0);
-}
-
 void
 RelayRun::ArmDeadline()
 {
@@ -221,6 +216,10 @@
   mCore->BudgetOf(mService).NoteFirst(Now());
   const bool mayBegin = co_await FindStreamOrigin();
   while (mayBegin && mInterrupt == RunInterrupt::kNone) {
+    const bool mayTry = co_await AwaitTrial();
+    if (!mayTry) {
+      break;
+    }
     if (!co_await ReserveUsage()) {
       break;
     }
@@ -245,6 +244,7 @@
       continue;
     }
     auto outcome = co_await TryEndpoint(*choice);
+    ReleaseTrials();
     ReturnPermit();
     CommitUsage(outcome);
     NoteOutcome(*choice, outcome);
@@ -287,7 +287,9 @@
   if (mStreamOrigin) {
     query.mSoftwareVersion = mStreamOrigin->mSoftwareVersion;
   }
-  if (mCore->mCrashes.Crashes(mDigest) > 0) {
+  if (mCore->mCrashes.Crashes(mDigest) > 0 ||
+      mCore->mPartCrashes.SuspicionOf(mParts) >=
+        state::PartSuspicion::kSuspect) {
     query.mCrashSuspectHash = state::PlacementHash(mDigest.Text());
   }
   return query;
@@ -417,10 +419,11 @@
   const auto endpoint = aChoice.mEndpoint;
   if (co_await HasCrashed(mCore, endpoint)) {
     ++mCrashes;
-    mCore->mCrashes.NoteCrash(mDigest, *endpoint);
+    NoteCrash(*endpoint);
   } else {
     auto& brokenOff = endpoint->mBrokenRequests;
-    brokenOff.push_back({ mDigest, Now() });
+    brokenOff.push_back(
+      { mDigest, Now(), mIsPastBeginning ? RequestParts{} : mParts, mIsTrial });
     if (brokenOff.size() > mCore->mLimits.mMaxBrokenRequests) {
       brokenOff.erase(brokenOff.begin());
     }
@@ -433,6 +436,7 @@
   // An error may come from an endpoint that never began to run the request.
   if (aStatus < kFirstServerError) {
     mCore->mCrashes.NoteCompleted(mDigest);
+    NoteAnswered();
   }
 }
 
--- a/packages/coordination/src/relay_run.h
+++ b/packages/coordination/src/relay_run.h
@@ -109,8 +109,10 @@
   bool FindTeam();
   std::string SelectService();
   state::RequestDigest DigestOfRequest() const;
-  /// Whether the request is quarantined; sets its digest.
+  /// Whether the request or one of its parts is quarantined; sets its digests.
   bool IsQuarantined();
+  /// How long it is refused; zero if it may run.
+  state::Millis QuarantineLeft() const;
   bool AreKeysStale() const;
 
   // The team's limit.
@@ -148,6 +150,19 @@
   /// the reason and the Retry-After of its refusal.
   bool IsUnavailable(const EndpointQuery& aQuery, state::TimePoint aUntil);
 
+  // Shared parts under which endpoints crash.
+  /// Waits until the request may be sent, as far as its parts are suspected;
+  /// false: it may not be.
+  transport::Task<bool> AwaitTrial();
+  void ReleaseTrials();
+  /// Ends the request if one of its parts was just quarantined and its answer
+  /// has not got past its beginning.
+  void EndIfPartIsQuarantined();
+  /// Records that the answer got past its beginning.
+  void NoteAnswered();
+  /// Records that an endpoint crashed under the request.
+  void NoteCrash(const RelayEndpoint& aEndpoint);
+
   // Attempts.
   transport::Task<void> Serve();
   /// Of the team, or of the route; the lowest is the most urgent.
@@ -313,6 +328,12 @@
   const state::TeamRule* mTeam = nullptr;
   std::string mService;
   state::RequestDigest mDigest; ///< of the request as its caller sent it
+  RequestParts mParts;
+  /// Parts of which this request is the relay's trial.
+  std::vector<state::RequestDigest> mTrials;
+  bool mIsTrial = false; ///< a part was suspected when it was last sent
+  /// The answer of the last attempt got past its beginning.
+  bool mIsPastBeginning = false;
   RunInterrupt mInterrupt = RunInterrupt::kNone;
   std::shared_ptr<transport::SocketReader> mOpenConnection; ///< to interrupt
   std::vector<std::string> mTriedEndpoints; ///< endpoints that got the request
