Parts of prompts that crash endpoints: evidence, messages

Requests that share only a part of their prompts are all new to a tracker of whole requests, so that one part can crash every engine. PartCrashTracker counts endpoints that crashed when they were about to answer requests with a part, and drops them once an answer with the part got past its beginning; crash reports carry parts. Not used yet.

--- a/packages/protocol/include/shuntjunction/protocol/messages.h
+++ b/packages/protocol/include/shuntjunction/protocol/messages.h
@@ -9,6 +9,7 @@
 #include "shuntjunction/state/waiting_tokens.h"
 #include "shuntjunction/state/block_index.h"
 #include "shuntjunction/state/crash_tracker.h"
+#include "shuntjunction/state/part_crash_tracker.h"
 #include "shuntjunction/state/endpoint_incarnation.h"
 #include "shuntjunction/state/endpoint_limits.h"
 #include "shuntjunction/state/limit_shares.h"
@@ -277,11 +278,27 @@
   bool mIsCleared = false; ///< the request causes no crash: drop this report
 };
 
+/// Report that an endpoint crashed when it was about to answer a request with
+/// these shared parts, or that its only part is no longer suspected.
+struct PartCrashUpdate
+{
+  state::AgedPartCrash mReport;
+  /// An answer to a request with the part got past its beginning at that time:
+  /// drop earlier reports.
+  bool mIsCleared = false;
+};
+
+/// Maximum number of parts in a PartCrashUpdate; further ones are dropped.
+inline constexpr std::size_t kMaxPartsInReport = 16;
+
 /// Crashes that relays observed, in order; companions forward them to all
 /// relays.
 struct CrashReports
 {
   std::vector<CrashUpdate> mUpdates;
+  std::vector<PartCrashUpdate> mParts;
+
+  bool IsEmpty() const { return mUpdates.empty() && mParts.empty(); }
 };
 
 /// Requests part of a team's limit from a companion.
--- a/packages/protocol/src/codec_pack.cpp
+++ b/packages/protocol/src/codec_pack.cpp
@@ -301,6 +301,25 @@
     std::clamp<std::int64_t>(aTime.count(), 0, UINT32_MAX));
 }
 
+Offset<wire::PartCrashReport>
+PackPartCrash(FlatBufferBuilder& aBuilder, const PartCrashUpdate& aUpdate)
+{
+  const auto& crash = aUpdate.mReport.mCrash;
+  std::vector<Offset<flatbuffers::String>> parts;
+  for (const auto& part : crash.mParts) {
+    if (parts.size() < kMaxPartsInReport) {
+      parts.push_back(aBuilder.CreateString(part.Text()));
+    }
+  }
+  return wire::CreatePartCrashReport(aBuilder,
+                                     aBuilder.CreateVector(parts),
+                                     crash.mTeam,
+                                     crash.mEndpoint,
+                                     ToWireMillis(aUpdate.mReport.mAge),
+                                     crash.mIsTrial,
+                                     aUpdate.mIsCleared);
+}
+
 Offset<void>
 Pack(FlatBufferBuilder& aBuilder, const CrashReports& aMessage)
 {
@@ -315,7 +334,14 @@
                                               ToWireMillis(update.mReport.mAge),
                                               update.mIsCleared));
   }
-  return wire::CreateCrashReports(aBuilder, aBuilder.CreateVector(reports))
+  std::vector<Offset<wire::PartCrashReport>> parts;
+  parts.reserve(aMessage.mParts.size());
+  for (const auto& update : aMessage.mParts) {
+    parts.push_back(PackPartCrash(aBuilder, update));
+  }
+  return wire::CreateCrashReports(aBuilder,
+                                  aBuilder.CreateVector(reports),
+                                  aBuilder.CreateVector(parts))
     .Union();
 }
 
--- a/packages/protocol/src/codec_unpack.cpp
+++ b/packages/protocol/src/codec_unpack.cpp
@@ -277,20 +277,51 @@
 }
 
 /// Skips reports without a valid request digest.
+std::optional<PartCrashUpdate>
+UnpackPartCrash(const wire::PartCrashReport& aWire)
+{
+  PartCrashUpdate update;
+  auto& crash = update.mReport.mCrash;
+  if (aWire.parts() == nullptr) {
+    return std::nullopt;
+  }
+  for (const auto* part : *aWire.parts()) {
+    auto digest = state::RequestDigest::Parse(TextOf(part));
+    if (digest && crash.mParts.size() < kMaxPartsInReport) {
+      crash.mParts.push_back(std::move(*digest));
+    }
+  }
+  if (crash.mParts.empty()) {
+    return std::nullopt;
+  }
+  crash.mTeam = aWire.team();
+  crash.mEndpoint = aWire.endpoint();
+  crash.mIsTrial = aWire.is_trial();
+  update.mReport.mAge = state::Millis(aWire.age_ms());
+  update.mIsCleared = aWire.is_cleared();
+  return update;
+}
+
 CrashReports
 Unpack(const wire::CrashReports& aWire)
 {
   CrashReports message;
-  if (aWire.reports() == nullptr) {
-    return message;
+  if (aWire.reports() != nullptr) {
+    for (const auto* report : *aWire.reports()) {
+      auto request = state::RequestDigest::Parse(TextOf(report->request()));
+      if (request) {
+        message.mUpdates.push_back(
+          { { { std::move(*request), report->endpoint() },
+              state::Millis(report->age_ms()) },
+            report->is_cleared() });
+      }
+    }
   }
-  for (const auto* report : *aWire.reports()) {
-    auto request = state::RequestDigest::Parse(TextOf(report->request()));
-    if (request) {
-      message.mUpdates.push_back(
-        { { { std::move(*request), report->endpoint() },
-            state::Millis(report->age_ms()) },
-          report->is_cleared() });
+  if (aWire.parts() != nullptr) {
+    for (const auto* report : *aWire.parts()) {
+      if (auto update = UnpackPartCrash(*report)) {
+        message.mParts.push_back(std::move(*update));
+      }
     }
   }
   return message;
--- a/packages/state/include/shuntjunction/state/request_digest.h
+++ b/packages/state/include/shuntjunction/state/request_digest.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <compare>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -45,4 +46,19 @@
   std::string mText;
 };
 
+/// Identifies a shared part of prompts, as RequestDigest does a request; no
+/// request has the same digest.
+///
+/// @param aIsolatedTeam  team that shares no parts with others; empty: shared
+RequestDigest
+PartDigest(std::string_view aModel,
+           std::string_view aPart,
+           std::string_view aIsolatedTeam);
+
+/// Identifies a shared part in the requests of one team.
+///
+/// @param aTeam  hash of the team's name
+RequestDigest
+PartOfTeamDigest(const RequestDigest& aPart, std::uint64_t aTeam);
+
 } // namespace shuntjunction::state
--- /dev/null
+++ b/packages/state/src/part_crash_tracker.cpp
@@ -0,0 +1,388 @@
+#include "shuntjunction/state/part_crash_tracker.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace shuntjunction::state {
+
+namespace {
+
+/// A full tracker evicts one record in this many at once, so that a flood of
+/// suspects does not scan all records for each.
+constexpr std::size_t kEvictionDivisor = 8;
+
+/// Crashes that are kept of one part: more than any threshold.
+constexpr std::size_t kMaxCrashes = 8;
+
+/// Teams for which a part is refused before it is refused for all.
+constexpr std::size_t kMaxTeams = 1;
+
+bool
+Contains(const std::vector<RequestDigest>& aParts, const RequestDigest& aPart)
+{
+  return std::find(aParts.begin(), aParts.end(), aPart) != aParts.end();
+}
+
+} // namespace
+
+PartChanges
+PartCrashTracker::Note(const PartCrash& aCrash, TimePoint aAt)
+{
+  PartChanges changes;
+  const auto isRefused = [&](const RequestDigest& aPart) {
+    return QuarantineLeft(aPart, aCrash.mTeam, aAt) > Millis(0);
+  };
+  const auto& parts = aCrash.mParts;
+  const auto known = std::find_if(parts.begin(), parts.end(), isRefused);
+  if (known != parts.end()) {
+    // Sent before its relay knew; it says nothing about the other parts.
+    return changes;
+  }
+  for (const auto& part : parts) {
+    changes.mIsNew = AddCrash(part, aCrash, aAt) || changes.mIsNew;
+  }
+  const auto cause = FindCause(aCrash, aAt);
+  if (cause != mRecords.end() && MayCondemn(aAt)) {
+    Condemn(cause, aAt);
+    const auto part = cause->first;
+    changes.mCondemned.push_back(part);
+    changes.mReleased = DropExplained(part);
+  }
+  return changes;
+}
+
+bool
+PartCrashTracker::AddCrash(const RequestDigest& aPart,
+                           const PartCrash& aCrash,
+                           TimePoint aAt)
+{
+  auto& record = RecordOf(aPart, aAt);
+  auto& crashes = record.mCrashes;
+  const auto same =
+    std::find_if(crashes.begin(), crashes.end(), [&](const Crash& aKnown) {
+      return aKnown.mReport.mEndpoint == aCrash.mEndpoint;
+    });
+  record.mLatest = std::max(record.mLatest, aAt);
+  if (same != crashes.end()) {
+    const auto apart = std::max(aAt, same->mAt) - std::min(aAt, same->mAt);
+    const bool isKnown = apart < mSettings.mDuplicateWindow;
+    // A trial is known as one whichever of its reports comes first.
+    same->mReport.mIsTrial = same->mReport.mIsTrial || aCrash.mIsTrial;
+    same->mAt = std::max(same->mAt, aAt);
+    return !isKnown;
+  }
+  if (crashes.size() >= kMaxCrashes) {
+    crashes.erase(crashes.begin());
+  }
+  crashes.push_back({ aCrash, aAt });
+  return true;
+}
+
+PartCrashTracker::Records::iterator
+PartCrashTracker::FindCause(const PartCrash& aCrash, TimePoint aAt)
+{
+  auto cause = mRecords.end();
+  std::size_t most = 0;
+  // Among equals the innermost, whose refusal affects the fewest requests.
+  for (const auto& part : aCrash.mParts) {
+    const auto found = mRecords.find(part);
+    if (found != mRecords.end() && IsEvident(found->second, aAt) &&
+        found->second.mCrashes.size() >= most) {
+      cause = found;
+      most = found->second.mCrashes.size();
+    }
+  }
+  return cause;
+}
+
+bool
+PartCrashTracker::IsEvident(const Record& aRecord, TimePoint aAt) const
+{
+  const bool wasCondemned = aRecord.mCondemnedUntil != TimePoint();
+  if (wasCondemned && aAt >= aRecord.mCondemnedUntil) {
+    return true;
+  }
+  const auto& crashes = aRecord.mCrashes;
+  const bool hasTrial =
+    std::any_of(crashes.begin(), crashes.end(), [](const Crash& aCrash) {
+      return aCrash.mReport.mIsTrial;
+    });
+  return hasTrial && crashes.size() >= mSettings.mVerdictCrashes;
+}
+
+bool
+PartCrashTracker::MayCondemn(TimePoint aAt)
+{
+  while (!mVerdicts.empty() &&
+         aAt - mVerdicts.front() >= mSettings.mVerdictWindow) {
+    mVerdicts.pop_front();
+  }
+  return mVerdicts.size() < mSettings.mMaxVerdicts;
+}
+
+void
+PartCrashTracker::Condemn(Records::iterator aRecord, TimePoint aAt)
+{
+  auto& record = aRecord->second;
+  for (const auto& crash : record.mCrashes) {
+    const auto team = crash.mReport.mTeam;
+    auto& teams = record.mTeams;
+    if (std::find(teams.begin(), teams.end(), team) == teams.end()) {
+      teams.push_back(team);
+    }
+  }
+  if (record.mTeams.size() > kMaxTeams) {
+    record.mIsForAllTeams = true;
+    record.mTeams.clear();
+  }
+  record.mCondemnedAt = aAt;
+  record.mCondemnedUntil = aAt + mSettings.mQuarantine;
+  mVerdicts.push_back(aAt);
+}
+
+std::vector<RequestDigest>
+PartCrashTracker::DropExplained(const RequestDigest& aCause)
+{
+  std::vector<RequestDigest> released;
+  for (auto entry = mRecords.begin(); entry != mRecords.end();) {
+    auto& [part, record] = *entry;
+    const auto dropped =
+      part == aCause ? 0
+                     : std::erase_if(record.mCrashes, [&](const Crash& aCrash) {
+                         return Contains(aCrash.mReport.mParts, aCause);
+                       });
+    const bool isCleared =
+      dropped != 0 && record.mCrashes.size() < mSettings.mVerdictCrashes;
+    const bool wasCondemned = record.mCondemnedUntil != TimePoint();
+    if (isCleared && (wasCondemned || record.mCrashes.empty())) {
+      if (wasCondemned) {
+        released.push_back(part);
+      }
+      entry = mRecords.erase(entry);
+    } else {
+      ++entry;
+    }
+  }
+  return released;
+}
+
+std::vector<std::uint64_t>
+PartCrashTracker::Clear(const RequestDigest& aPart,
+                        std::uint64_t aTeam,
+                        TimePoint aAt)
+{
+  std::vector<std::uint64_t> endpoints;
+  const auto found = mRecords.find(aPart);
+  if (found == mRecords.end()) {
+    return endpoints;
+  }
+  auto& record = found->second;
+  const auto before = aAt - mSettings.mMaxSkew;
+  const bool isCondemned = record.mCondemnedUntil != TimePoint();
+  const bool isReleased =
+    isCondemned && record.mCondemnedAt < before && IsRefusedFor(record, aTeam);
+  std::erase_if(record.mCrashes, [&](const Crash& aCrash) {
+    const bool isDropped = isReleased || aCrash.mAt < before;
+    if (isDropped) {
+      endpoints.push_back(aCrash.mReport.mEndpoint);
+    }
+    return isDropped;
+  });
+  if (isReleased || (!isCondemned && record.mCrashes.empty())) {
+    mRecords.erase(found);
+  }
+  return endpoints;
+}
+
+bool
+PartCrashTracker::IsRefusedFor(const Record& aRecord, std::uint64_t aTeam)
+{
+  const auto& teams = aRecord.mTeams;
+  return aRecord.mIsForAllTeams ||
+         std::find(teams.begin(), teams.end(), aTeam) != teams.end();
+}
+
+PartSuspicion
+PartCrashTracker::SuspicionOf(const RequestDigest& aPart,
+                              std::uint64_t aTeam,
+                              TimePoint aNow) const
+{
+  const auto found = mRecords.find(aPart);
+  if (found == mRecords.end() || IsForgotten(found->second, aNow)) {
+    return PartSuspicion::kNone;
+  }
+  const auto& record = found->second;
+  const bool wasCondemned = record.mCondemnedUntil != TimePoint();
+  if (aNow < record.mCondemnedUntil && IsRefusedFor(record, aTeam)) {
+    return PartSuspicion::kCrashing;
+  }
+  if (wasCondemned || record.mCrashes.size() >= mSettings.mRestrictedCrashes) {
+    return PartSuspicion::kRestricted;
+  }
+  return record.mCrashes.empty() ? PartSuspicion::kNone
+                                 : PartSuspicion::kSuspect;
+}
+
+Millis
+PartCrashTracker::QuarantineLeft(const RequestDigest& aPart,
+                                 std::uint64_t aTeam,
+                                 TimePoint aNow) const
+{
+  const auto found = mRecords.find(aPart);
+  const bool isRefused =
+    found != mRecords.end() && IsRefusedFor(found->second, aTeam);
+  return isRefused ? RefusalLeft(aPart, aNow) : Millis(0);
+}
+
+Millis
+PartCrashTracker::RefusalLeft(const RequestDigest& aPart, TimePoint aNow) const
+{
+  const auto found = mRecords.find(aPart);
+  if (found == mRecords.end() || found->second.mCondemnedUntil <= aNow) {
+    return Millis(0);
+  }
+  return std::chrono::ceil<Millis>(found->second.mCondemnedUntil - aNow);
+}
+
+RequestDigest
+PartCrashTracker::RefusedDigest(const RequestDigest& aPart) const
+{
+  const auto found = mRecords.find(aPart);
+  const bool isForTeam =
+    found != mRecords.end() && found->second.mTeams.size() == 1;
+  return isForTeam ? PartOfTeamDigest(aPart, found->second.mTeams.front())
+                   : aPart;
+}
+
+std::optional<RequestDigest>
+PartCrashTracker::FindRefused(const RequestDigest& aDigest) const
+{
+  for (const auto& [part, record] : mRecords) {
+    const bool wasCondemned = record.mCondemnedUntil != TimePoint();
+    if (wasCondemned && RefusedDigest(part) == aDigest) {
+      return part;
+    }
+  }
+  return std::nullopt;
+}
+
+std::vector<PartCrash>
+PartCrashTracker::Forget(const RequestDigest& aPart)
+{
+  std::vector<PartCrash> crashes;
+  const auto found = mRecords.find(aPart);
+  if (found == mRecords.end()) {
+    return crashes;
+  }
+  for (const auto& crash : found->second.mCrashes) {
+    crashes.push_back(crash.mReport);
+  }
+  mRecords.erase(found);
+  return crashes;
+}
+
+std::size_t
+PartCrashTracker::Crashes(const RequestDigest& aPart) const
+{
+  const auto found = mRecords.find(aPart);
+  return found == mRecords.end() ? 0 : found->second.mCrashes.size();
+}
+
+std::vector<AgedPartCrash>
+PartCrashTracker::Reports(TimePoint aNow) const
+{
+  std::vector<const Record*> records;
+  for (const auto& [part, record] : mRecords) {
+    if (!IsForgotten(record, aNow)) {
+      records.push_back(&record);
+    }
+  }
+  const auto rankOf = [&](const Record* aRecord) {
+    return std::tuple(aRecord->mCondemnedUntil > aNow,
+                      aRecord->mCrashes.size());
+  };
+  std::stable_sort(records.begin(),
+                   records.end(),
+                   [&](const Record* aOne, const Record* aTwo) {
+                     return rankOf(aOne) > rankOf(aTwo);
+                   });
+  std::vector<AgedPartCrash> reports;
+  for (const auto* record : records) {
+    for (const auto& crash : record->mCrashes) {
+      const auto age = std::max(aNow - crash.mAt, TimePoint::duration(0));
+      reports.push_back(
+        { crash.mReport, std::chrono::duration_cast<Millis>(age) });
+    }
+  }
+  return reports;
+}
+
+Millis
+PartCrashTracker::TrialDelay(std::size_t aRelays, double aDraw) const
+{
+  const auto range =
+    std::min(mSettings.mTrialSpacing * static_cast<std::int64_t>(aRelays),
+             mSettings.mMaxTrialDelay);
+  return Millis(static_cast<std::int64_t>(static_cast<double>(range.count()) *
+                                          std::clamp(aDraw, 0.0, 1.0)));
+}
+
+std::size_t
+PartCrashTracker::Condemned(TimePoint aNow) const
+{
+  return static_cast<std::size_t>(
+    std::count_if(mRecords.begin(), mRecords.end(), [&](const auto& aItem) {
+      return aItem.second.mCondemnedUntil > aNow;
+    }));
+}
+
+bool
+PartCrashTracker::IsForgotten(const Record& aRecord, TimePoint aNow) const
+{
+  const auto since = std::max(aRecord.mLatest, aRecord.mCondemnedUntil);
+  return aNow - since >= mSettings.mSuspicionPeriod;
+}
+
+PartCrashTracker::Record&
+PartCrashTracker::RecordOf(const RequestDigest& aPart, TimePoint aNow)
+{
+  const auto found = mRecords.find(aPart);
+  if (found != mRecords.end()) {
+    if (IsForgotten(found->second, aNow)) {
+      found->second = {};
+    }
+    return found->second;
+  }
+  if (mRecords.size() >= mSettings.mMaxParts) {
+    EvictLowestRanked(aNow);
+  }
+  return mRecords[aPart];
+}
+
+void
+PartCrashTracker::EvictLowestRanked(TimePoint aNow)
+{
+  // A flood of suspects must not evict a part that is refused.
+  const auto rankOf = [&](const Record& aRecord) {
+    return std::tuple(
+      aRecord.mCondemnedUntil > aNow, aRecord.mCrashes.size(), aRecord.mLatest);
+  };
+  std::vector<Records::iterator> entries;
+  for (auto entry = mRecords.begin(); entry != mRecords.end(); ++entry) {
+    entries.push_back(entry);
+  }
+  const auto count =
+    std::max<std::size_t>(entries.size() / kEvictionDivisor, 1);
+  const auto end = entries.begin() + static_cast<std::ptrdiff_t>(count);
+  std::nth_element(entries.begin(),
+                   end - 1,
+                   entries.end(),
+                   [&](Records::iterator aOne, Records::iterator aTwo) {
+                     return rankOf(aOne->second) < rankOf(aTwo->second);
+                   });
+  for (auto entry = entries.begin(); entry != end; ++entry) {
+    mRecords.erase(*entry);
+  }
+}
+
+} // namespace shuntjunction::state
--- a/packages/state/src/request_digest.cpp
+++ b/packages/state/src/request_digest.cpp
@@ -42,4 +42,20 @@
   return digest;
 }
 
+RequestDigest
+PartDigest(std::string_view aModel,
+           std::string_view aPart,
+           std::string_view aIsolatedTeam)
+{
+  // No method of a request contains a space.
+  return RequestDigest({ "prompt part", aModel, aPart, aIsolatedTeam, {} });
+}
+
+RequestDigest
+PartOfTeamDigest(const RequestDigest& aPart, std::uint64_t aTeam)
+{
+  return RequestDigest(
+    { "prompt part of team", aPart.Text(), std::to_string(aTeam), {}, {} });
+}
+
 } // namespace shuntjunction::state
