--- a/packages/protocol/tests/codec_test.cpp
+++ b/packages/protocol/tests/codec_test.cpp
@@ -1,6 +1,7 @@
 // Messages survive encoding and decoding unchanged; malformed frames are
 // refused before any of their content is used.
 
+#include <iostream>
 #include <limits>
 #include <random>
 
@@ -122,6 +123,82 @@
   EXPECT_TRUE(result[1].mIsCleared);
 }
 
+state::RequestDigest
+PartNumber(std::size_t aNumber)
+{
+  return state::PartDigest("model", std::to_string(aNumber), {});
+}
+
+/// Report of a crash under a request with so many shared parts.
+PartCrashUpdate
+PartCrashOf(std::size_t aParts)
+{
+  PartCrashUpdate update{ { { {}, 1ULL << 63, (1ULL << 62) + 1, true },
+                            state::Millis(70) } };
+  for (std::size_t i = 0; i < aParts; ++i) {
+    update.mReport.mCrash.mParts.push_back(PartNumber(i));
+  }
+  return update;
+}
+
+TEST(GivenMessages, CrashesUnderPartsAreDecodedUnchanged)
+{
+  CrashReports message;
+  EXPECT_TRUE(message.IsEmpty());
+  message.mParts = { PartCrashOf(3), PartCrashOf(1) };
+  message.mParts[1].mIsCleared = true;
+  message.mParts[1].mReport.mCrash.mIsTrial = false;
+  EXPECT_FALSE(message.IsEmpty());
+  const auto result = RoundTrip(message);
+  EXPECT_TRUE(result.mUpdates.empty());
+  ASSERT_EQ(result.mParts.size(), 2U);
+  const auto& crash = result.mParts[0].mReport.mCrash;
+  EXPECT_EQ(crash.mParts, message.mParts[0].mReport.mCrash.mParts);
+  EXPECT_EQ(crash.mTeam, 1ULL << 63);
+  EXPECT_EQ(crash.mEndpoint, (1ULL << 62) + 1);
+  EXPECT_TRUE(crash.mIsTrial);
+  EXPECT_EQ(result.mParts[0].mReport.mAge, state::Millis(70));
+  EXPECT_FALSE(result.mParts[0].mIsCleared);
+  EXPECT_FALSE(result.mParts[1].mReport.mCrash.mIsTrial);
+  EXPECT_TRUE(result.mParts[1].mIsCleared);
+}
+
+TEST(GivenMessages, MalformedDigestsOfPartsAreDropped)
+{
+  CrashReports message;
+  message.mParts = { PartCrashOf(2), PartCrashOf(0), PartCrashOf(1) };
+  message.mParts[0].mReport.mCrash.mParts[0] = state::RequestDigest();
+  message.mParts[2].mReport.mCrash.mParts[0] = state::RequestDigest();
+  const auto parts = RoundTrip(message).mParts;
+  ASSERT_EQ(parts.size(), 1U);
+  EXPECT_EQ(parts[0].mReport.mCrash.mParts,
+            std::vector<state::RequestDigest>{ PartNumber(1) });
+}
+
+TEST(GivenMessages, ACrashReportHoldsABoundedNumberOfParts)
+{
+  CrashReports message;
+  message.mParts = { PartCrashOf(kMaxPartsInReport * 10) };
+  const auto parts = RoundTrip(message).mParts;
+  ASSERT_EQ(parts.size(), 1U);
+  EXPECT_EQ(parts[0].mReport.mCrash.mParts.size(), kMaxPartsInReport);
+  EXPECT_EQ(parts[0].mReport.mCrash.mParts[0], PartNumber(0));
+}
+
+// A node has 6 kB a second for control. A crash is reported for each request
+// that was about to be answered there; at most one crash a second is expected
+// of 600 endpoints, under four such requests of three shared parts.
+TEST(GivenMessages, TheReportsOfACrashTakeASixthOfTheControlBudget)
+{
+  constexpr std::size_t kControlBytesPerSecond = 6000;
+  CrashReports message;
+  message.mParts.assign(4, PartCrashOf(3));
+  const auto bytes = Encode(message).size();
+  std::cout << "reports of a crash under four requests: " << bytes
+            << " bytes\n";
+  EXPECT_LE(bytes, kControlBytesPerSecond / 6);
+}
+
 TEST(GivenMessages, LimitRequestsAndGrantsAreDecodedUnchanged)
 {
   const state::ShareKey key{ 1ULL << 63, 3 };
