A part is held to be the cause only if it crashes endpoints without its inner ones

Of the parts of a crash the one with most crashes was condemned. One crash of another cause under the sound first part of a deadly inner one was enough to have the sound one condemned (test OneMoreCrashUnderTheFirstPartDoesNotHideTheInner, failed before). In turn a deadly first part lost all its evidence to each inner part that was condemned in its place, so that it cost three crashes for each.

An outer part is the cause if two endpoints crashed under it without any inner part that has two crashes itself, one of them in a trial. Crashes that a condemned part explains stay marked: they do not restrict a part, but two more without the condemned one make it the cause, and the inner one is released. DropExplained became MarkExplained.

--- a/packages/state/include/shuntjunction/state/part_crash_tracker.h
+++ b/packages/state/include/shuntjunction/state/part_crash_tracker.h
@@ -91,13 +91,14 @@
 
 /// Tracks the crashes under shared parts of prompts.
 ///
-/// Of parts that are always used together the one with the most crashes is held
-/// to be the cause; crashes under requests with it no longer count against the
-/// others, which are released if they were condemned. If crashes were seen
-/// under requests of one team only, the part is refused for that team alone:
-/// otherwise a team could make endpoints crash by other means and have parts of
-/// others refused.
-/// Thread safety: none; owned by one thread.
+/// Of parts with enough evidence the innermost is held to be the cause, as its
+/// refusal affects the fewest requests, unless several endpoints crashed
+/// without it under one that comes before. Crashes that the cause explains
+/// count no longer against the others, which are released if they were
+/// condemned. If crashes were seen under requests of one team only, the part is
+/// refused for that team alone: otherwise a team could make endpoints crash by
+/// other means and have parts of others refused. Thread safety: none; owned by
+/// one thread.
 class PartCrashTracker
 {
 public:
@@ -169,6 +170,8 @@
   {
     PartCrash mReport;
     TimePoint mAt;
+    /// A refused part of the same request is held to be the cause.
+    bool mIsExplained = false;
   };
 
   /// State of one part.
@@ -191,9 +194,15 @@
   /// The part that is held to be the cause of a crash, if there is one.
   Records::iterator FindCause(const PartCrash& aCrash, TimePoint aAt);
   bool IsEvident(const Record& aRecord, TimePoint aAt) const;
+  /// Whether a part explains a crash under another one.
+  bool Explains(const Records::value_type& aCause, const Crash& aCrash) const;
+  /// Whether several endpoints crashed under a part without the other one.
+  bool IsEvidentWithout(const Record& aRecord,
+                        const Records::value_type& aOther) const;
   void Condemn(Records::iterator aRecord, TimePoint aAt);
-  /// Drops what another part explains; returns the parts that are released.
-  std::vector<RequestDigest> DropExplained(const RequestDigest& aCause);
+  /// Marks the crashes that a part explains; returns the parts that are
+  /// released.
+  std::vector<RequestDigest> MarkExplained(const Records::value_type& aCause);
   bool MayCondemn(TimePoint aAt);
   bool IsForgotten(const Record& aRecord, TimePoint aNow) const;
   static bool IsRefusedFor(const Record& aRecord, std::uint64_t aTeam);
--- a/packages/state/src/part_crash_tracker.cpp
+++ b/packages/state/src/part_crash_tracker.cpp
@@ -23,6 +23,22 @@
   return std::find(aParts.begin(), aParts.end(), aPart) != aParts.end();
 }
 
+/// Whether as many of the crashes match, one of them in a trial.
+template<typename Crashes, typename Predicate>
+bool
+IsEnough(const Crashes& aCrashes, std::size_t aCount, Predicate aMatches)
+{
+  std::size_t count = 0;
+  bool hasTrial = false;
+  for (const auto& crash : aCrashes) {
+    if (aMatches(crash)) {
+      ++count;
+      hasTrial = hasTrial || crash.mReport.mIsTrial;
+    }
+  }
+  return hasTrial && count >= aCount;
+}
+
 } // namespace
 
 PartChanges
@@ -44,9 +60,8 @@
   const auto cause = FindCause(aCrash, aAt);
   if (cause != mRecords.end() && MayCondemn(aAt)) {
     Condemn(cause, aAt);
-    const auto part = cause->first;
-    changes.mCondemned.push_back(part);
-    changes.mReleased = DropExplained(part);
+    changes.mCondemned.push_back(cause->first);
+    changes.mReleased = MarkExplained(*cause);
   }
   return changes;
 }
@@ -82,14 +97,24 @@
 PartCrashTracker::FindCause(const PartCrash& aCrash, TimePoint aAt)
 {
   auto cause = mRecords.end();
-  std::size_t most = 0;
-  // Among equals the innermost, whose refusal affects the fewest requests.
-  for (const auto& part : aCrash.mParts) {
-    const auto found = mRecords.find(part);
-    if (found != mRecords.end() && IsEvident(found->second, aAt) &&
-        found->second.mCrashes.size() >= most) {
+  std::vector<Records::iterator> rivals;
+  const auto isEvidentWithout = [&](Records::iterator aRecord) {
+    return std::all_of(
+      rivals.begin(), rivals.end(), [&](Records::iterator aRival) {
+        return IsEvidentWithout(aRecord->second, *aRival);
+      });
+  };
+  const auto& parts = aCrash.mParts;
+  for (auto part = parts.rbegin(); part != parts.rend(); ++part) {
+    const auto found = mRecords.find(*part);
+    if (found == mRecords.end()) {
+      continue;
+    }
+    if (IsEvident(found->second, aAt) && isEvidentWithout(found)) {
       cause = found;
-      most = found->second.mCrashes.size();
+    }
+    if (found->second.mCrashes.size() >= mSettings.mRestrictedCrashes) {
+      rivals.push_back(found);
     }
   }
   return cause;
@@ -103,11 +128,26 @@
     return true;
   }
   const auto& crashes = aRecord.mCrashes;
-  const bool hasTrial =
-    std::any_of(crashes.begin(), crashes.end(), [](const Crash& aCrash) {
-      return aCrash.mReport.mIsTrial;
+  const auto isOpen = [](const Crash& aCrash) { return !aCrash.mIsExplained; };
+  return crashes.size() >= mSettings.mVerdictCrashes &&
+         IsEnough(crashes, mSettings.mRestrictedCrashes, isOpen);
+}
+
+bool
+PartCrashTracker::Explains(const Records::value_type& aCause,
+                           const Crash& aCrash) const
+{
+  return Contains(aCrash.mReport.mParts, aCause.first);
+}
+
+bool
+PartCrashTracker::IsEvidentWithout(const Record& aRecord,
+                                   const Records::value_type& aOther) const
+{
+  return IsEnough(
+    aRecord.mCrashes, mSettings.mRestrictedCrashes, [&](const Crash& aCrash) {
+      return !aCrash.mIsExplained && !Explains(aOther, aCrash);
     });
-  return hasTrial && crashes.size() >= mSettings.mVerdictCrashes;
 }
 
 bool
@@ -141,23 +181,21 @@
 }
 
 std::vector<RequestDigest>
-PartCrashTracker::DropExplained(const RequestDigest& aCause)
+PartCrashTracker::MarkExplained(const Records::value_type& aCause)
 {
   std::vector<RequestDigest> released;
   for (auto entry = mRecords.begin(); entry != mRecords.end();) {
     auto& [part, record] = *entry;
-    const auto dropped =
-      part == aCause ? 0
-                     : std::erase_if(record.mCrashes, [&](const Crash& aCrash) {
-                         return Contains(aCrash.mReport.mParts, aCause);
-                       });
-    const bool isCleared =
-      dropped != 0 && record.mCrashes.size() < mSettings.mVerdictCrashes;
-    const bool wasCondemned = record.mCondemnedUntil != TimePoint();
-    if (isCleared && (wasCondemned || record.mCrashes.empty())) {
-      if (wasCondemned) {
-        released.push_back(part);
+    bool isChanged = false;
+    for (auto& crash : record.mCrashes) {
+      if (part != aCause.first && Explains(aCause, crash)) {
+        crash.mIsExplained = true;
+        isChanged = true;
       }
+    }
+    const bool wasCondemned = record.mCondemnedUntil != TimePoint();
+    if (isChanged && wasCondemned && !IsEvident(record, TimePoint())) {
+      released.push_back(part);
       entry = mRecords.erase(entry);
     } else {
       ++entry;
@@ -216,11 +254,16 @@
   if (aNow < record.mCondemnedUntil && IsRefusedFor(record, aTeam)) {
     return PartSuspicion::kCrashing;
   }
-  if (wasCondemned || record.mCrashes.size() >= mSettings.mRestrictedCrashes) {
+  const auto& crashes = record.mCrashes;
+  const bool isExplained =
+    std::all_of(crashes.begin(), crashes.end(), [](const Crash& aCrash) {
+      return aCrash.mIsExplained;
+    });
+  const bool isRepeated = crashes.size() >= mSettings.mRestrictedCrashes;
+  if (wasCondemned || (isRepeated && !isExplained)) {
     return PartSuspicion::kRestricted;
   }
-  return record.mCrashes.empty() ? PartSuspicion::kNone
-                                 : PartSuspicion::kSuspect;
+  return crashes.empty() ? PartSuspicion::kNone : PartSuspicion::kSuspect;
 }
 
 Millis
--- a/packages/state/tests/part_crash_tracker_test.cpp
+++ b/packages/state/tests/part_crash_tracker_test.cpp
@@ -182,6 +182,28 @@
   EXPECT_NE(SuspicionOf(mSound), PartSuspicion::kRestricted);
 }
 
+TEST_F(GivenAPartCrashTracker, OneMoreCrashUnderTheFirstPartDoesNotHideTheInner)
+{
+  Crash({ mSound, Part(5) }, 30);
+  CrashOneByOne({ mSound, mDeadly }, 10);
+  EXPECT_TRUE(IsRefused(mDeadly));
+  EXPECT_FALSE(IsRefused(mSound));
+}
+
+TEST_F(GivenAPartCrashTracker, ADeadlyFirstPartIsFoundBehindACondemnedInnerOne)
+{
+  CrashOneByOne({ mDeadly, Part(5) }, 10);
+  EXPECT_TRUE(IsRefused(Part(5)));
+  EXPECT_EQ(SuspicionOf(mDeadly), PartSuspicion::kSuspect);
+  Crash({ mDeadly, Part(6) }, 20, true);
+  EXPECT_EQ(SuspicionOf(mDeadly), PartSuspicion::kRestricted);
+  EXPECT_FALSE(IsRefused(mDeadly));
+  const auto changes = Crash({ mDeadly, Part(7) }, 21, true);
+  EXPECT_TRUE(IsRefused(mDeadly));
+  EXPECT_EQ(changes.mReleased, std::vector<RequestDigest>{ Part(5) });
+  EXPECT_FALSE(IsRefused(Part(5)));
+}
+
 class WhenAPartIsRefused : public GivenAPartCrashTracker
 {
 protected:
