A refused part explains the crash for all requests at the endpoint

An endpoint that crashes under a deadly request ends sound ones beside it, whose prompts share nothing with it. Each crash counted against their parts as well, after the verdict too: such parts stayed restricted (tests GivenRequestsBesideTheDeadlyOnes; before, restricted after the verdict).

A crash of an endpoint under a refused part is kept in the record of that part, reported to other relays (mIsNew), and no longer counts against others: parts beside are as if nothing had happened. Costs a look at all records for each report of a crash.

--- a/packages/state/include/shuntjunction/state/part_crash_tracker.h
+++ b/packages/state/include/shuntjunction/state/part_crash_tracker.h
@@ -194,14 +194,23 @@
   /// The part that is held to be the cause of a crash, if there is one.
   Records::iterator FindCause(const PartCrash& aCrash, TimePoint aAt);
   bool IsEvident(const Record& aRecord, TimePoint aAt) const;
-  /// Whether a part explains a crash under another one.
+  /// Whether a part explains a crash under another one: it was part of the same
+  /// request, or of one beside it at the endpoint.
   bool Explains(const Records::value_type& aCause, const Crash& aCrash) const;
   /// Whether several endpoints crashed under a part without the other one.
   bool IsEvidentWithout(const Record& aRecord,
                         const Records::value_type& aOther) const;
   void Condemn(Records::iterator aRecord, TimePoint aAt);
-  /// Marks the crashes that a part explains; returns the parts that are
-  /// released.
+  /// Whether a crash without a part is one that endpoints had under it.
+  bool IsBeside(const Records::value_type& aCause, const Crash& aCrash) const;
+  bool IsSameCrash(const Crash& aOne, const Crash& aTwo) const;
+  /// Whether a refused part explains a crash under requests beside it.
+  bool IsBesideRefused(const Crash& aCrash) const;
+  /// Number of crashes that another part explains; see MarkExplained.
+  std::size_t ExplainCrashes(Record& aRecord,
+                             const Records::value_type& aCause) const;
+  /// Marks the crashes that a part explains, drops those beside it; returns the
+  /// parts that are released.
   std::vector<RequestDigest> MarkExplained(const Records::value_type& aCause);
   bool MayCondemn(TimePoint aAt);
   bool IsForgotten(const Record& aRecord, TimePoint aNow) const;
--- a/packages/state/src/part_crash_tracker.cpp
+++ b/packages/state/src/part_crash_tracker.cpp
@@ -51,7 +51,12 @@
   const auto& parts = aCrash.mParts;
   const auto known = std::find_if(parts.begin(), parts.end(), isRefused);
   if (known != parts.end()) {
-    // Sent before its relay knew; it says nothing about the other parts.
+    // Sent before its relay knew; it explains the crash under all other parts.
+    changes.mIsNew = AddCrash(*known, aCrash, aAt);
+    changes.mReleased = MarkExplained(*mRecords.find(*known));
+    return changes;
+  }
+  if (IsBesideRefused({ aCrash, aAt })) {
     return changes;
   }
   for (const auto& part : parts) {
@@ -79,8 +84,7 @@
     });
   record.mLatest = std::max(record.mLatest, aAt);
   if (same != crashes.end()) {
-    const auto apart = std::max(aAt, same->mAt) - std::min(aAt, same->mAt);
-    const bool isKnown = apart < mSettings.mDuplicateWindow;
+    const bool isKnown = IsSameCrash(*same, { aCrash, aAt });
     // A trial is known as one whichever of its reports comes first.
     same->mReport.mIsTrial = same->mReport.mIsTrial || aCrash.mIsTrial;
     same->mAt = std::max(same->mAt, aAt);
@@ -137,7 +141,38 @@
 PartCrashTracker::Explains(const Records::value_type& aCause,
                            const Crash& aCrash) const
 {
-  return Contains(aCrash.mReport.mParts, aCause.first);
+  return Contains(aCrash.mReport.mParts, aCause.first) ||
+         IsBeside(aCause, aCrash);
+}
+
+bool
+PartCrashTracker::IsBeside(const Records::value_type& aCause,
+                           const Crash& aCrash) const
+{
+  const auto& crashes = aCause.second.mCrashes;
+  return !Contains(aCrash.mReport.mParts, aCause.first) &&
+         std::any_of(crashes.begin(), crashes.end(), [&](const Crash& aOne) {
+           return IsSameCrash(aOne, aCrash);
+         });
+}
+
+bool
+PartCrashTracker::IsSameCrash(const Crash& aOne, const Crash& aTwo) const
+{
+  const auto apart =
+    std::max(aOne.mAt, aTwo.mAt) - std::min(aOne.mAt, aTwo.mAt);
+  return aOne.mReport.mEndpoint == aTwo.mReport.mEndpoint &&
+         apart < mSettings.mDuplicateWindow;
+}
+
+bool
+PartCrashTracker::IsBesideRefused(const Crash& aCrash) const
+{
+  return std::any_of(
+    mRecords.begin(), mRecords.end(), [&](const auto& aRecord) {
+      return aRecord.second.mCondemnedUntil > aCrash.mAt &&
+             IsBeside(aRecord, aCrash);
+    });
 }
 
 bool
@@ -180,22 +215,37 @@
   mVerdicts.push_back(aAt);
 }
 
+std::size_t
+PartCrashTracker::ExplainCrashes(Record& aRecord,
+                                 const Records::value_type& aCause) const
+{
+  std::size_t explained = 0;
+  for (auto& crash : aRecord.mCrashes) {
+    if (Contains(crash.mReport.mParts, aCause.first)) {
+      crash.mIsExplained = true;
+      ++explained;
+    }
+  }
+  return explained + std::erase_if(aRecord.mCrashes, [&](const Crash& aCrash) {
+           return IsBeside(aCause, aCrash);
+         });
+}
+
 std::vector<RequestDigest>
 PartCrashTracker::MarkExplained(const Records::value_type& aCause)
 {
   std::vector<RequestDigest> released;
   for (auto entry = mRecords.begin(); entry != mRecords.end();) {
     auto& [part, record] = *entry;
-    bool isChanged = false;
-    for (auto& crash : record.mCrashes) {
-      if (part != aCause.first && Explains(aCause, crash)) {
-        crash.mIsExplained = true;
-        isChanged = true;
-      }
-    }
+    const auto explained =
+      part == aCause.first ? 0 : ExplainCrashes(record, aCause);
     const bool wasCondemned = record.mCondemnedUntil != TimePoint();
-    if (isChanged && wasCondemned && !IsEvident(record, TimePoint())) {
+    const bool isReleased = wasCondemned && !IsEvident(record, TimePoint());
+    if (explained != 0 && isReleased) {
       released.push_back(part);
+    }
+    if (explained != 0 &&
+        (isReleased || (!wasCondemned && record.mCrashes.empty()))) {
       entry = mRecords.erase(entry);
     } else {
       ++entry;
--- a/packages/state/tests/part_crash_tracker_test.cpp
+++ b/packages/state/tests/part_crash_tracker_test.cpp
@@ -204,6 +204,44 @@
   EXPECT_FALSE(IsRefused(Part(5)));
 }
 
+class GivenRequestsBesideTheDeadlyOnes : public GivenAPartCrashTracker
+{
+protected:
+  /// An endpoint crashes under a deadly request and a sound one beside it.
+  void CrashUnderBoth(std::uint64_t aEndpoint, bool aIsSoundFirst)
+  {
+    if (aIsSoundFirst) {
+      Crash({ mSound }, aEndpoint, true, kOtherTeam);
+    }
+    Crash({ mDeadly }, aEndpoint, true);
+    if (!aIsSoundFirst) {
+      Crash({ mSound }, aEndpoint, true, kOtherTeam);
+    }
+    mClock.Advance(std::chrono::seconds(1));
+  }
+};
+
+TEST_F(GivenRequestsBesideTheDeadlyOnes, TheVerdictExplainsTheirCrashes)
+{
+  CrashUnderBoth(10, true);
+  CrashUnderBoth(11, true);
+  EXPECT_EQ(SuspicionOf(mSound, kOtherTeam), PartSuspicion::kRestricted);
+  Crash({ mDeadly }, 12, true);
+  EXPECT_TRUE(IsRefused(mDeadly));
+  EXPECT_EQ(SuspicionOf(mSound, kOtherTeam), PartSuspicion::kNone);
+}
+
+TEST_F(GivenRequestsBesideTheDeadlyOnes, CrashesAfterTheVerdictAreExplainedToo)
+{
+  CrashOneByOne({ mDeadly }, 10);
+  for (std::uint64_t endpoint = 20; endpoint < 26; ++endpoint) {
+    CrashUnderBoth(endpoint, endpoint % 2 == 0);
+    EXPECT_EQ(SuspicionOf(mSound, kOtherTeam), PartSuspicion::kNone);
+  }
+  EXPECT_TRUE(Crash({ mDeadly }, 27).mIsNew)
+    << "other relays have to know of it, for requests beside it";
+}
+
 class WhenAPartIsRefused : public GivenAPartCrashTracker
 {
 protected:
