A verdict on a part needs half a second without an answer

When a rack or zone crashes over some hundred milliseconds, a sound part that is in use there has several crashes at once, and requests sent after the first report count as trials: three crashes, one of them in a trial, with no time for an answer anywhere (test TrialsThatItTakesAlongAreNoEvidence; condemned before).

The trial has to crash at least 500 ms after the first crash that still counts. Answers drop the crashes before them, so that this is a time without any answer. The first crash is kept when the record is full.

--- a/packages/state/include/shuntjunction/state/part_crash_tracker.h
+++ b/packages/state/include/shuntjunction/state/part_crash_tracker.h
@@ -40,6 +40,9 @@
   /// The same from which on it is refused, if one of them crashed in a trial.
   /// Without a trial they may have crashed together, for a cause of their own.
   std::size_t mVerdictCrashes = 3;
+  /// Shortest time between the first crash and one in a trial for a verdict.
+  /// An endpoint answers within it, which clears a sound part that is in use.
+  Millis mMinEvidencePeriod{ 500 };
   /// Reports about one endpoint that are closer together than this describe the
   /// same crash: a restart takes at least a few seconds.
   Millis mDuplicateWindow{ 2000 };
@@ -194,6 +197,8 @@
   /// The part that is held to be the cause of a crash, if there is one.
   Records::iterator FindCause(const PartCrash& aCrash, TimePoint aAt);
   bool IsEvident(const Record& aRecord, TimePoint aAt) const;
+  /// Time between the first crash of a part and the last one in a trial.
+  static TimePoint::duration EvidencePeriod(const Record& aRecord);
   /// Whether a part explains a crash under another one: it was part of the same
   /// request, or of one beside it at the endpoint.
   bool Explains(const Records::value_type& aCause, const Crash& aCrash) const;
--- a/packages/state/src/part_crash_tracker.cpp
+++ b/packages/state/src/part_crash_tracker.cpp
@@ -91,7 +91,8 @@
     return !isKnown;
   }
   if (crashes.size() >= kMaxCrashes) {
-    crashes.erase(crashes.begin());
+    // The first one stays: it says for how long no answer came.
+    crashes.erase(crashes.begin() + 1);
   }
   crashes.push_back({ aCrash, aAt });
   return true;
@@ -133,10 +134,25 @@
   }
   const auto& crashes = aRecord.mCrashes;
   const auto isOpen = [](const Crash& aCrash) { return !aCrash.mIsExplained; };
-  return crashes.size() >= mSettings.mVerdictCrashes &&
+  return EvidencePeriod(aRecord) >= mSettings.mMinEvidencePeriod &&
+         crashes.size() >= mSettings.mVerdictCrashes &&
          IsEnough(crashes, mSettings.mRestrictedCrashes, isOpen);
 }
 
+TimePoint::duration
+PartCrashTracker::EvidencePeriod(const Record& aRecord)
+{
+  TimePoint first = TimePoint::max();
+  TimePoint lastTrial = TimePoint::min();
+  for (const auto& crash : aRecord.mCrashes) {
+    first = std::min(first, crash.mAt);
+    if (crash.mReport.mIsTrial) {
+      lastTrial = std::max(lastTrial, crash.mAt);
+    }
+  }
+  return lastTrial > first ? lastTrial - first : TimePoint::duration(0);
+}
+
 bool
 PartCrashTracker::Explains(const Records::value_type& aCause,
                            const Crash& aCrash) const
--- a/packages/state/tests/part_crash_tracker_test.cpp
+++ b/packages/state/tests/part_crash_tracker_test.cpp
@@ -128,6 +128,23 @@
   EXPECT_TRUE(IsRefused(mSound));
 }
 
+TEST_F(WhenARackCrashes, TrialsThatItTakesAlongAreNoEvidence)
+{
+  mClock.Advance(mSettings.mMinEvidencePeriod - std::chrono::milliseconds(1));
+  for (std::uint64_t endpoint = 20; endpoint < 30; ++endpoint) {
+    Crash({ mSound }, endpoint, true);
+  }
+  EXPECT_FALSE(IsRefused(mSound));
+  {
+    SCOPED_TRACE("a later one is, as nothing was answered meanwhile");
+    mClock.Advance(std::chrono::milliseconds(1));
+    Crash({ mSound }, 31);
+    EXPECT_FALSE(IsRefused(mSound));
+    Crash({ mSound }, 30, true);
+    EXPECT_TRUE(IsRefused(mSound));
+  }
+}
+
 TEST_F(GivenAPartCrashTracker, AnAnswerClearsEarlierCrashesOnly)
 {
   Crash({ mSound }, 10);
