The bound of verdicts holds for the time they were made at

A process that starts gets the crashes of the last hour together, in no order of time. The bound of eight verdicts a minute was kept as a queue that assumed order: of 20 verdicts made a minute apart a second tracker took 16 (test ItKnowsAllVerdictsOfTheLastHour).

The parts condemned within a minute before or after are counted instead; a part does not count against itself when a second team is added.

--- a/packages/state/include/shuntjunction/state/part_crash_tracker.h
+++ b/packages/state/include/shuntjunction/state/part_crash_tracker.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <vector>
@@ -217,14 +216,14 @@
   /// Marks the crashes that a part explains, drops those beside it; returns the
   /// parts that are released.
   std::vector<RequestDigest> MarkExplained(const Records::value_type& aCause);
-  bool MayCondemn(TimePoint aAt);
+  /// Whether few enough other parts were condemned at about that time.
+  bool MayCondemn(const RequestDigest& aPart, TimePoint aAt) const;
   bool IsForgotten(const Record& aRecord, TimePoint aNow) const;
   static bool IsRefusedFor(const Record& aRecord, std::uint64_t aTeam);
   void EvictLowestRanked(TimePoint aNow);
 
   PartCrashSettings mSettings;
   Records mRecords;
-  std::deque<TimePoint> mVerdicts; ///< within the last window
 };
 
 } // namespace shuntjunction::state
--- a/packages/state/src/part_crash_tracker.cpp
+++ b/packages/state/src/part_crash_tracker.cpp
@@ -63,7 +63,7 @@
     changes.mIsNew = AddCrash(part, aCrash, aAt) || changes.mIsNew;
   }
   const auto cause = FindCause(aCrash, aAt);
-  if (cause != mRecords.end() && MayCondemn(aAt)) {
+  if (cause != mRecords.end() && MayCondemn(cause->first, aAt)) {
     Condemn(cause, aAt);
     changes.mCondemned.push_back(cause->first);
     changes.mReleased = MarkExplained(*cause);
@@ -202,13 +202,19 @@
 }
 
 bool
-PartCrashTracker::MayCondemn(TimePoint aAt)
+PartCrashTracker::MayCondemn(const RequestDigest& aPart, TimePoint aAt) const
 {
-  while (!mVerdicts.empty() &&
-         aAt - mVerdicts.front() >= mSettings.mVerdictWindow) {
-    mVerdicts.pop_front();
-  }
-  return mVerdicts.size() < mSettings.mMaxVerdicts;
+  // Times of reports need not be in order.
+  const auto count =
+    std::count_if(mRecords.begin(), mRecords.end(), [&](const auto& aItem) {
+      const auto& record = aItem.second;
+      const auto apart =
+        std::max(record.mCondemnedAt, aAt) - std::min(record.mCondemnedAt, aAt);
+      const bool wasCondemned = record.mCondemnedUntil != TimePoint();
+      return aItem.first != aPart && wasCondemned &&
+             apart < mSettings.mVerdictWindow;
+    });
+  return static_cast<std::size_t>(count) < mSettings.mMaxVerdicts;
 }
 
 void
@@ -228,7 +234,6 @@
   }
   record.mCondemnedAt = aAt;
   record.mCondemnedUntil = aAt + mSettings.mQuarantine;
-  mVerdicts.push_back(aAt);
 }
 
 std::size_t
--- a/packages/state/tests/part_crash_tracker_test.cpp
+++ b/packages/state/tests/part_crash_tracker_test.cpp
@@ -431,6 +431,18 @@
   }
 }
 
+TEST_F(GivenATrackerThatGetsAllReports, ItKnowsAllVerdictsOfTheLastHour)
+{
+  constexpr int kVerdicts = 20;
+  for (int i = 0; i < kVerdicts; ++i) {
+    CrashOneByOne({ Part(100 + i) }, 1000 + 10 * static_cast<std::uint64_t>(i));
+    mClock.Advance(std::chrono::minutes(1));
+  }
+  Replay();
+  EXPECT_EQ(mTracker.Condemned(mClock.Now()), kVerdicts);
+  EXPECT_EQ(mOther.Condemned(mClock.Now()), kVerdicts);
+}
+
 TEST_F(GivenAPartCrashTracker, TrialsOfManyRelaysAreSpreadOverTime)
 {
   EXPECT_EQ(mTracker.TrialDelay(4, 0), Millis(0));
