Answers to other teams leave a verdict its evidence and end their own suspicion

A part refused for one team stayed restricted for all others for an hour, however often they were answered; such an answer also dropped the crashes the verdict rests on, so that a process that started later never got it (tests AnotherTeamsAnswer...). One crash of another cause under a second team's request then made the part refused for everyone.

An answer to another team keeps the crashes of the refused team, ends the suspicion of other teams, and from then on two crashes under their requests, one in a trial, extend the verdict. A late report of an answer between the crashes releases the part if what is left would not condemn it.

--- a/packages/state/include/shuntjunction/state/part_crash_tracker.h
+++ b/packages/state/include/shuntjunction/state/part_crash_tracker.h
@@ -183,6 +183,7 @@
     TimePoint mLatest;
     std::vector<std::uint64_t> mTeams; ///< for which it is refused
     bool mIsForAllTeams = false;
+    bool mIsOthersCleared = false; ///< another team's request was answered
     TimePoint mCondemnedAt;
     TimePoint mCondemnedUntil; ///< past: on probation, if it ever was
   };
@@ -196,6 +197,10 @@
   /// The part that is held to be the cause of a crash, if there is one.
   Records::iterator FindCause(const PartCrash& aCrash, TimePoint aAt);
   bool IsEvident(const Record& aRecord, TimePoint aAt) const;
+  /// Whether a part that was never condemned should be.
+  bool HasEvidence(const Record& aRecord) const;
+  /// Suspicion by the crashes under teams for which a part is not refused.
+  PartSuspicion SuspicionByCrashes(const Record& aRecord) const;
   /// Time between the first crash of a part and the last one in a trial.
   static TimePoint::duration EvidencePeriod(const Record& aRecord);
   /// Whether a part explains a crash under another one: it was part of the same
--- a/packages/state/src/part_crash_tracker.cpp
+++ b/packages/state/src/part_crash_tracker.cpp
@@ -128,10 +128,22 @@
 bool
 PartCrashTracker::IsEvident(const Record& aRecord, TimePoint aAt) const
 {
-  const bool wasCondemned = aRecord.mCondemnedUntil != TimePoint();
-  if (wasCondemned && aAt >= aRecord.mCondemnedUntil) {
+  if (aRecord.mCondemnedUntil == TimePoint()) {
+    return HasEvidence(aRecord);
+  }
+  if (aAt >= aRecord.mCondemnedUntil) {
     return true;
   }
+  const auto needed =
+    aRecord.mIsOthersCleared ? mSettings.mRestrictedCrashes : 1;
+  return IsEnough(aRecord.mCrashes, needed, [&](const Crash& aCrash) {
+    return !IsRefusedFor(aRecord, aCrash.mReport.mTeam);
+  });
+}
+
+bool
+PartCrashTracker::HasEvidence(const Record& aRecord) const
+{
   const auto& crashes = aRecord.mCrashes;
   const auto isOpen = [](const Crash& aCrash) { return !aCrash.mIsExplained; };
   return EvidencePeriod(aRecord) >= mSettings.mMinEvidencePeriod &&
@@ -232,6 +244,7 @@
     record.mIsForAllTeams = true;
     record.mTeams.clear();
   }
+  record.mIsOthersCleared = false;
   record.mCondemnedAt = aAt;
   record.mCondemnedUntil = aAt + mSettings.mQuarantine;
 }
@@ -261,7 +274,7 @@
     const auto explained =
       part == aCause.first ? 0 : ExplainCrashes(record, aCause);
     const bool wasCondemned = record.mCondemnedUntil != TimePoint();
-    const bool isReleased = wasCondemned && !IsEvident(record, TimePoint());
+    const bool isReleased = wasCondemned && !HasEvidence(record);
     if (explained != 0 && isReleased) {
       released.push_back(part);
     }
@@ -288,15 +301,22 @@
   auto& record = found->second;
   const auto before = aAt - mSettings.mMaxSkew;
   const bool isCondemned = record.mCondemnedUntil != TimePoint();
-  const bool isReleased =
-    isCondemned && record.mCondemnedAt < before && IsRefusedFor(record, aTeam);
+  const bool isRefused = IsRefusedFor(record, aTeam);
+  const bool isLater = isCondemned && record.mCondemnedAt < before;
+  record.mIsOthersCleared = record.mIsOthersCleared || (isLater && !isRefused);
   std::erase_if(record.mCrashes, [&](const Crash& aCrash) {
-    const bool isDropped = isReleased || aCrash.mAt < before;
+    // A verdict on another team keeps its evidence.
+    const bool isKept =
+      !isRefused && IsRefusedFor(record, aCrash.mReport.mTeam);
+    const bool isDropped =
+      (isLater && isRefused) || (aCrash.mAt < before && !isKept);
     if (isDropped) {
       endpoints.push_back(aCrash.mReport.mEndpoint);
     }
     return isDropped;
   });
+  const bool isReleased =
+    isRefused && (isLater || (!endpoints.empty() && !HasEvidence(record)));
   if (isReleased || (!isCondemned && record.mCrashes.empty())) {
     mRecords.erase(found);
   }
@@ -321,20 +341,33 @@
     return PartSuspicion::kNone;
   }
   const auto& record = found->second;
-  const bool wasCondemned = record.mCondemnedUntil != TimePoint();
-  if (aNow < record.mCondemnedUntil && IsRefusedFor(record, aTeam)) {
+  const bool isRefusedFor = IsRefusedFor(record, aTeam);
+  if (aNow < record.mCondemnedUntil && isRefusedFor) {
     return PartSuspicion::kCrashing;
   }
-  const auto& crashes = record.mCrashes;
-  const bool isExplained =
-    std::all_of(crashes.begin(), crashes.end(), [](const Crash& aCrash) {
-      return aCrash.mIsExplained;
-    });
-  const bool isRepeated = crashes.size() >= mSettings.mRestrictedCrashes;
-  if (wasCondemned || (isRepeated && !isExplained)) {
-    return PartSuspicion::kRestricted;
+  const bool wasCondemned = record.mCondemnedUntil != TimePoint();
+  const bool isCleared = record.mIsOthersCleared && !isRefusedFor;
+  return wasCondemned && !isCleared ? PartSuspicion::kRestricted
+                                    : SuspicionByCrashes(record);
+}
+
+PartSuspicion
+PartCrashTracker::SuspicionByCrashes(const Record& aRecord) const
+{
+  std::size_t count = 0;
+  bool isExplained = true;
+  for (const auto& crash : aRecord.mCrashes) {
+    if (!IsRefusedFor(aRecord, crash.mReport.mTeam)) {
+      ++count;
+      isExplained = isExplained && crash.mIsExplained;
+    }
+  }
+  if (count == 0) {
+    return PartSuspicion::kNone;
   }
-  return crashes.empty() ? PartSuspicion::kNone : PartSuspicion::kSuspect;
+  return count >= mSettings.mRestrictedCrashes && !isExplained
+           ? PartSuspicion::kRestricted
+           : PartSuspicion::kSuspect;
 }
 
 Millis
--- a/packages/state/tests/part_crash_tracker_test.cpp
+++ b/packages/state/tests/part_crash_tracker_test.cpp
@@ -288,8 +288,31 @@
 
 TEST_F(WhenAPartIsRefused, AnotherTeamsAnswerDoesNotReleaseIt)
 {
-  Answer(mDeadly, kOtherTeam);
+  EXPECT_EQ(Answer(mDeadly, kOtherTeam), 0U);
   EXPECT_TRUE(IsRefused(mDeadly, kTeam));
+  EXPECT_GE(mTracker.Reports(mClock.Now()).size(), mSettings.mVerdictCrashes);
+}
+
+TEST_F(WhenAPartIsRefused, AnotherTeamsAnswerEndsTheSuspicionOfOtherTeams)
+{
+  Answer(mDeadly, kOtherTeam);
+  EXPECT_EQ(SuspicionOf(mDeadly, kOtherTeam), PartSuspicion::kNone);
+  EXPECT_EQ(SuspicionOf(mDeadly, kTeam), PartSuspicion::kCrashing);
+  {
+    SCOPED_TRACE("one crash of a cause of its own does not extend the verdict");
+    mClock.Advance(std::chrono::seconds(1));
+    Crash({ mDeadly }, 20, true, kOtherTeam);
+    EXPECT_EQ(SuspicionOf(mDeadly, kOtherTeam), PartSuspicion::kSuspect);
+    mClock.Advance(std::chrono::seconds(1));
+    EXPECT_EQ(Answer(mDeadly, kOtherTeam), 1U);
+    EXPECT_EQ(SuspicionOf(mDeadly, kOtherTeam), PartSuspicion::kNone);
+  }
+  {
+    SCOPED_TRACE("two without an answer between them do");
+    Crash({ mDeadly }, 21, true, kOtherTeam);
+    Crash({ mDeadly }, 22, true, kOtherTeam);
+    EXPECT_TRUE(IsRefused(mDeadly, kOtherTeam));
+  }
 }
 
 TEST_F(WhenAPartIsRefused, AnAnswerToTheTeamAfterTheVerdictReleasesIt)
@@ -305,6 +328,13 @@
   EXPECT_TRUE(IsRefused(mDeadly));
 }
 
+TEST_F(WhenAPartIsRefused, ALateReportOfAnAnswerBetweenTheCrashesReleasesIt)
+{
+  mTracker.Clear(
+    mDeadly, kTeam, mClock.Now() - std::chrono::milliseconds(1500));
+  EXPECT_FALSE(IsRefused(mDeadly));
+}
+
 TEST_F(WhenAPartIsRefused, AnOperatorMayReleaseIt)
 {
   EXPECT_GE(mTracker.Forget(mDeadly).size(), mSettings.mVerdictCrashes);
