Reports of crashes leave out the parts that were cleared

A process that starts got each crash with all parts of its request, once for each of them. Parts cleared by answers counted again there: with a deadly first part and a sound inner one beside it, a second tracker refused the sound one, which the first had cleared (test ItKnowsWhichPartsWereCleared).

Reports names a crash once, with the parts against which it still counts.

--- a/packages/state/include/shuntjunction/state/part_crash_tracker.h
+++ b/packages/state/include/shuntjunction/state/part_crash_tracker.h
@@ -151,7 +151,8 @@
   /// Number of endpoints known to have crashed under a part.
   std::size_t Crashes(const RequestDigest& aPart) const;
 
-  /// All known crashes, those under parts that are refused first.
+  /// All known crashes, those under parts that are refused first, each with the
+  /// parts against which it still counts.
   std::vector<AgedPartCrash> Reports(TimePoint aNow) const;
 
   /// How long a relay waits before it tries a restricted part, so that rarely
@@ -223,6 +224,7 @@
   std::vector<RequestDigest> MarkExplained(const Records::value_type& aCause);
   /// Whether few enough other parts were condemned at about that time.
   bool MayCondemn(const RequestDigest& aPart, TimePoint aAt) const;
+  PartCrash WithoutCleared(const PartCrash& aCrash) const;
   bool IsForgotten(const Record& aRecord, TimePoint aNow) const;
   static bool IsRefusedFor(const Record& aRecord, std::uint64_t aTeam);
   void EvictLowestRanked(TimePoint aNow);
--- a/packages/state/src/part_crash_tracker.cpp
+++ b/packages/state/src/part_crash_tracker.cpp
@@ -1,7 +1,9 @@
 #include "shuntjunction/state/part_crash_tracker.h"
 
 #include <algorithm>
+#include <set>
 #include <tuple>
+#include <utility>
 
 namespace shuntjunction::state {
 
@@ -454,16 +456,36 @@
                      return rankOf(aOne) > rankOf(aTwo);
                    });
   std::vector<AgedPartCrash> reports;
+  std::set<std::pair<std::uint64_t, std::vector<RequestDigest>>> reported;
   for (const auto* record : records) {
     for (const auto& crash : record->mCrashes) {
-      const auto age = std::max(aNow - crash.mAt, TimePoint::duration(0));
-      reports.push_back(
-        { crash.mReport, std::chrono::duration_cast<Millis>(age) });
+      const auto& report = crash.mReport;
+      if (reported.emplace(report.mEndpoint, report.mParts).second) {
+        const auto age = std::max(aNow - crash.mAt, TimePoint::duration(0));
+        reports.push_back(
+          { WithoutCleared(report), std::chrono::duration_cast<Millis>(age) });
+      }
     }
   }
   return reports;
 }
 
+PartCrash
+PartCrashTracker::WithoutCleared(const PartCrash& aCrash) const
+{
+  auto crash = aCrash;
+  std::erase_if(crash.mParts, [&](const RequestDigest& aPart) {
+    const auto found = mRecords.find(aPart);
+    return found == mRecords.end() ||
+           std::none_of(found->second.mCrashes.begin(),
+                        found->second.mCrashes.end(),
+                        [&](const Crash& aKnown) {
+                          return aKnown.mReport.mEndpoint == aCrash.mEndpoint;
+                        });
+  });
+  return crash;
+}
+
 Millis
 PartCrashTracker::TrialDelay(std::size_t aRelays, double aDraw) const
 {
--- a/packages/state/tests/part_crash_tracker_test.cpp
+++ b/packages/state/tests/part_crash_tracker_test.cpp
@@ -461,6 +461,27 @@
   }
 }
 
+TEST_F(GivenATrackerThatGetsAllReports, ItKnowsWhichPartsWereCleared)
+{
+  for (std::uint64_t endpoint = 10; endpoint < 14; ++endpoint) {
+    Crash({ mDeadly, mSound }, endpoint, true);
+    mClock.Advance(std::chrono::milliseconds(600));
+    Answer(mSound);
+  }
+  EXPECT_TRUE(IsRefused(mDeadly));
+  Replay();
+  for (const auto& part : { mDeadly, mSound }) {
+    ExpectSame(part);
+  }
+}
+
+TEST_F(GivenATrackerThatGetsAllReports, EachCrashIsReportedOnce)
+{
+  Crash({ Part(5), Part(6), Part(7) }, 10);
+  Crash({ Part(5), Part(6), Part(7) }, 11);
+  EXPECT_EQ(mTracker.Reports(mClock.Now()).size(), 2U);
+}
+
 TEST_F(GivenATrackerThatGetsAllReports, ItKnowsAllVerdictsOfTheLastHour)
 {
   constexpr int kVerdicts = 20;
