Of two trials that crash together neither part is condemned

In a fleet of a few engines a part that crashes all of them is tried beside sound ones that were on the same engines and are restricted too.

A trial is no evidence while a trial of another part with as many crashes ran beside it. What a verdict explains is derived when asked instead of being dropped, so that the order of reports does not matter, and a verdict that the next report contradicts is withdrawn.

--- a/packages/state/include/shuntjunction/state/part_crash_tracker.h
+++ b/packages/state/include/shuntjunction/state/part_crash_tracker.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "shuntjunction/state/clock.h"
@@ -42,6 +43,9 @@
   /// Shortest time between the first crash and one in a trial for a verdict.
   /// An endpoint answers within it, which clears a sound part that is in use.
   Millis mMinEvidencePeriod{ 500 };
+  /// Time after which a verdict holds: until then reports of requests beside
+  /// the trial come from other processes, of which one may be the cause.
+  Millis mSettlePeriod{ 100 };
   /// Reports about one endpoint that are closer together than this describe the
   /// same crash: a restart takes at least a few seconds.
   Millis mDuplicateWindow{ 2000 };
@@ -87,6 +91,7 @@
 struct PartChanges
 {
   bool mIsNew = false; ///< it was not known before
+  /// Refused after mSettlePeriod, unless it is released before.
   std::vector<RequestDigest> mCondemned;
   std::vector<RequestDigest> mReleased;
 };
@@ -173,8 +178,6 @@
   {
     PartCrash mReport;
     TimePoint mAt;
-    /// A refused part of the same request is held to be the cause.
-    bool mIsExplained = false;
   };
 
   /// State of one part.
@@ -197,13 +200,18 @@
   Record& RecordOf(const RequestDigest& aPart, TimePoint aNow);
   /// The part that is held to be the cause of a crash, if there is one.
   Records::iterator FindCause(const PartCrash& aCrash, TimePoint aAt);
-  bool IsEvident(const Record& aRecord, TimePoint aAt) const;
-  /// Whether a part that was never condemned should be.
-  bool HasEvidence(const Record& aRecord) const;
+  bool IsEvident(const Records::value_type& aEntry, TimePoint aAt) const;
+  /// Whether a part should be refused that was not, or still should be.
+  bool HasEvidence(const Records::value_type& aEntry, TimePoint aAt) const;
+  /// Whether a trial of another part, under which as many endpoints crashed,
+  /// ran beside one: either may be the cause.
+  bool HasRival(const Records::value_type& aEntry, const Crash& aTrial) const;
+  /// Whether another part, which is refused, explains a crash.
+  bool IsExplained(const RequestDigest& aPart, const Crash& aCrash) const;
+  /// The same, by a part of the same request.
+  bool IsExplainedInside(const RequestDigest& aPart, const Crash& aCrash) const;
   /// Suspicion by the crashes under teams for which a part is not refused.
-  PartSuspicion SuspicionByCrashes(const Record& aRecord) const;
-  /// Time between the first crash of a part and the last one in a trial.
-  static TimePoint::duration EvidencePeriod(const Record& aRecord);
+  PartSuspicion SuspicionByCrashes(const Records::value_type& aEntry) const;
   /// Whether a part explains a crash under another one: it was part of the same
   /// request, or of one beside it at the endpoint.
   bool Explains(const Records::value_type& aCause, const Crash& aCrash) const;
@@ -214,23 +222,20 @@
   /// Whether a crash without a part is one that endpoints had under it.
   bool IsBeside(const Records::value_type& aCause, const Crash& aCrash) const;
   bool IsSameCrash(const Crash& aOne, const Crash& aTwo) const;
-  /// Whether a refused part explains a crash under requests beside it.
-  bool IsBesideRefused(const Crash& aCrash) const;
-  /// Number of crashes that another part explains; see MarkExplained.
-  std::size_t ExplainCrashes(Record& aRecord,
-                             const Records::value_type& aCause) const;
-  /// Marks the crashes that a part explains, drops those beside it; returns the
-  /// parts that are released.
-  std::vector<RequestDigest> MarkExplained(const Records::value_type& aCause);
+  /// Releases refused parts whose evidence another part explains, or shares.
+  std::vector<RequestDigest> WithdrawUnfounded(TimePoint aAt);
   /// Whether few enough other parts were condemned at about that time.
   bool MayCondemn(const RequestDigest& aPart, TimePoint aAt) const;
   PartCrash WithoutCleared(const PartCrash& aCrash) const;
+  bool IsInForce(const Record& aRecord, TimePoint aNow) const;
   bool IsForgotten(const Record& aRecord, TimePoint aNow) const;
   static bool IsRefusedFor(const Record& aRecord, std::uint64_t aTeam);
+  void Erase(Records::iterator aEntry);
   void EvictLowestRanked(TimePoint aNow);
 
   PartCrashSettings mSettings;
   Records mRecords;
+  std::set<RequestDigest> mCondemned; ///< in mRecords, also those on probation
 };
 
 } // namespace shuntjunction::state
--- a/packages/state/src/part_crash_tracker.cpp
+++ b/packages/state/src/part_crash_tracker.cpp
@@ -14,7 +14,7 @@
 constexpr std::size_t kEvictionDivisor = 8;
 
 /// Crashes that are kept of one part: more than any threshold.
-constexpr std::size_t kMaxCrashes = 8;
+constexpr std::size_t kMaxCrashes = 16;
 
 /// Teams for which a part is refused before it is refused for all.
 constexpr std::size_t kMaxTeams = 1;
@@ -55,20 +55,19 @@
   if (known != parts.end()) {
     // Sent before its relay knew; it explains the crash under all other parts.
     changes.mIsNew = AddCrash(*known, aCrash, aAt);
-    changes.mReleased = MarkExplained(*mRecords.find(*known));
-    return changes;
-  }
-  if (IsBesideRefused({ aCrash, aAt })) {
     return changes;
   }
   for (const auto& part : parts) {
     changes.mIsNew = AddCrash(part, aCrash, aAt) || changes.mIsNew;
   }
+  changes.mReleased = WithdrawUnfounded(aAt);
   const auto cause = FindCause(aCrash, aAt);
   if (cause != mRecords.end() && MayCondemn(cause->first, aAt)) {
     Condemn(cause, aAt);
     changes.mCondemned.push_back(cause->first);
-    changes.mReleased = MarkExplained(*cause);
+    const auto released = WithdrawUnfounded(aAt);
+    changes.mReleased.insert(
+      changes.mReleased.end(), released.begin(), released.end());
   }
   return changes;
 }
@@ -117,7 +116,7 @@
     if (found == mRecords.end()) {
       continue;
     }
-    if (IsEvident(found->second, aAt) && isEvidentWithout(found)) {
+    if (IsEvident(*found, aAt) && isEvidentWithout(found)) {
       cause = found;
     }
     if (found->second.mCrashes.size() >= mSettings.mRestrictedCrashes) {
@@ -128,43 +127,79 @@
 }
 
 bool
-PartCrashTracker::IsEvident(const Record& aRecord, TimePoint aAt) const
+PartCrashTracker::IsEvident(const Records::value_type& aEntry,
+                            TimePoint aAt) const
 {
-  if (aRecord.mCondemnedUntil == TimePoint()) {
-    return HasEvidence(aRecord);
+  const auto& record = aEntry.second;
+  if (record.mCondemnedUntil == TimePoint()) {
+    return HasEvidence(aEntry, aAt);
   }
-  if (aAt >= aRecord.mCondemnedUntil) {
+  if (aAt >= record.mCondemnedUntil) {
     return true;
   }
   const auto needed =
-    aRecord.mIsOthersCleared ? mSettings.mRestrictedCrashes : 1;
-  return IsEnough(aRecord.mCrashes, needed, [&](const Crash& aCrash) {
-    return !IsRefusedFor(aRecord, aCrash.mReport.mTeam);
+    record.mIsOthersCleared ? mSettings.mRestrictedCrashes : 1;
+  return IsEnough(record.mCrashes, needed, [&](const Crash& aCrash) {
+    return !IsRefusedFor(record, aCrash.mReport.mTeam);
   });
 }
 
 bool
-PartCrashTracker::HasEvidence(const Record& aRecord) const
+PartCrashTracker::HasEvidence(const Records::value_type& aEntry,
+                              TimePoint aAt) const
 {
-  const auto& crashes = aRecord.mCrashes;
-  const auto isOpen = [](const Crash& aCrash) { return !aCrash.mIsExplained; };
-  return EvidencePeriod(aRecord) >= mSettings.mMinEvidencePeriod &&
-         crashes.size() >= mSettings.mVerdictCrashes &&
-         IsEnough(crashes, mSettings.mRestrictedCrashes, isOpen);
+  const auto& [part, record] = aEntry;
+  const auto& crashes = record.mCrashes;
+  const auto isOpen = [&](const Crash& aCrash) {
+    return !IsExplained(part, aCrash);
+  };
+  if (crashes.size() < mSettings.mVerdictCrashes ||
+      !IsEnough(crashes, mSettings.mRestrictedCrashes, isOpen)) {
+    return false;
+  }
+  // All reports of a crash come within the time in which they are duplicates.
+  const bool isSettled =
+    record.mCondemnedUntil != TimePoint() &&
+    aAt - record.mCondemnedAt >= mSettings.mDuplicateWindow;
+  const auto first = std::min_element(
+    crashes.begin(), crashes.end(), [](const Crash& aOne, const Crash& aTwo) {
+      return aOne.mAt < aTwo.mAt;
+    });
+  return std::any_of(crashes.begin(), crashes.end(), [&](const Crash& aCrash) {
+    return aCrash.mReport.mIsTrial &&
+           aCrash.mAt - first->mAt >= mSettings.mMinEvidencePeriod &&
+           isOpen(aCrash) && (isSettled || !HasRival(aEntry, aCrash));
+  });
 }
 
-TimePoint::duration
-PartCrashTracker::EvidencePeriod(const Record& aRecord)
+bool
+PartCrashTracker::HasRival(const Records::value_type& aEntry,
+                           const Crash& aTrial) const
 {
-  TimePoint first = TimePoint::max();
-  TimePoint lastTrial = TimePoint::min();
-  for (const auto& crash : aRecord.mCrashes) {
-    first = std::min(first, crash.mAt);
-    if (crash.mReport.mIsTrial) {
-      lastTrial = std::max(lastTrial, crash.mAt);
-    }
-  }
-  return lastTrial > first ? lastTrial - first : TimePoint::duration(0);
+  const auto isRival = [&](const Crash& aCrash) {
+    return aCrash.mReport.mIsTrial && IsSameCrash(aCrash, aTrial) &&
+           !Contains(aCrash.mReport.mParts, aEntry.first);
+  };
+  const auto count = aEntry.second.mCrashes.size();
+  return std::any_of(mRecords.begin(), mRecords.end(), [&](const auto& aOther) {
+    const auto& crashes = aOther.second.mCrashes;
+    return crashes.size() >= count &&
+           !Contains(aTrial.mReport.mParts, aOther.first) &&
+           std::any_of(crashes.begin(), crashes.end(), isRival);
+  });
+}
+
+bool
+PartCrashTracker::IsExplained(const RequestDigest& aPart,
+                              const Crash& aCrash) const
+{
+  return std::any_of(
+    mCondemned.begin(), mCondemned.end(), [&](const RequestDigest& aOther) {
+      const auto found = mRecords.find(aOther);
+      return aOther != aPart && found != mRecords.end() &&
+             found->second.mCondemnedUntil > aCrash.mAt &&
+             Explains(*found, aCrash);
+    });
 }
 
 bool
@@ -195,23 +230,13 @@
          apart < mSettings.mDuplicateWindow;
 }
 
-bool
-PartCrashTracker::IsBesideRefused(const Crash& aCrash) const
-{
-  return std::any_of(
-    mRecords.begin(), mRecords.end(), [&](const auto& aRecord) {
-      return aRecord.second.mCondemnedUntil > aCrash.mAt &&
-             IsBeside(aRecord, aCrash);
-    });
-}
-
 bool
 PartCrashTracker::IsEvidentWithout(const Record& aRecord,
                                    const Records::value_type& aOther) const
 {
   return IsEnough(
     aRecord.mCrashes, mSettings.mRestrictedCrashes, [&](const Crash& aCrash) {
-      return !aCrash.mIsExplained && !Explains(aOther, aCrash);
+      return !Explains(aOther, aCrash);
     });
 }
 
@@ -249,43 +274,27 @@
   record.mIsOthersCleared = false;
   record.mCondemnedAt = aAt;
   record.mCondemnedUntil = aAt + mSettings.mQuarantine;
-}
-
-std::size_t
-PartCrashTracker::ExplainCrashes(Record& aRecord,
-                                 const Records::value_type& aCause) const
-{
-  std::size_t explained = 0;
-  for (auto& crash : aRecord.mCrashes) {
-    if (Contains(crash.mReport.mParts, aCause.first)) {
-      crash.mIsExplained = true;
-      ++explained;
-    }
-  }
-  return explained + std::erase_if(aRecord.mCrashes, [&](const Crash& aCrash) {
-           return IsBeside(aCause, aCrash);
-         });
+  mCondemned.insert(aRecord->first);
 }
 
 std::vector<RequestDigest>
-PartCrashTracker::MarkExplained(const Records::value_type& aCause)
+PartCrashTracker::WithdrawUnfounded(TimePoint aAt)
 {
   std::vector<RequestDigest> released;
-  for (auto entry = mRecords.begin(); entry != mRecords.end();) {
-    auto& [part, record] = *entry;
-    const auto explained =
-      part == aCause.first ? 0 : ExplainCrashes(record, aCause);
-    const bool wasCondemned = record.mCondemnedUntil != TimePoint();
-    const bool isReleased = wasCondemned && !HasEvidence(record);
-    if (explained != 0 && isReleased) {
+  for (const auto& part : mCondemned) {
+    const auto found = mRecords.find(part);
+    const bool isInForce =
+      found != mRecords.end() && found->second.mCondemnedUntil > aAt;
+    if (isInForce && !HasEvidence(*found, aAt)) {
       released.push_back(part);
     }
-    if (explained != 0 &&
-        (isReleased || (!wasCondemned && record.mCrashes.empty()))) {
-      entry = mRecords.erase(entry);
-    } else {
-      ++entry;
-    }
+  }
+  for (const auto& part : released) {
+    auto& record = mRecords.find(part)->second;
+    record.mTeams.clear();
+    record.mIsForAllTeams = false;
+    record.mCondemnedUntil = {};
+    mCondemned.erase(part);
   }
   return released;
 }
@@ -318,9 +327,9 @@
     return isDropped;
   });
   const bool isReleased =
-    isRefused && (isLater || (!endpoints.empty() && !HasEvidence(record)));
+    isRefused && (isLater || (!endpoints.empty() && !HasEvidence(*found, aAt)));
   if (isReleased || (!isCondemned && record.mCrashes.empty())) {
-    mRecords.erase(found);
+    Erase(found);
   }
   return endpoints;
 }
@@ -344,34 +353,50 @@
   }
   const auto& record = found->second;
   const bool isRefusedFor = IsRefusedFor(record, aTeam);
-  if (aNow < record.mCondemnedUntil && isRefusedFor) {
+  if (isRefusedFor && IsInForce(record, aNow)) {
     return PartSuspicion::kCrashing;
   }
   const bool wasCondemned = record.mCondemnedUntil != TimePoint();
   const bool isCleared = record.mIsOthersCleared && !isRefusedFor;
   return wasCondemned && !isCleared ? PartSuspicion::kRestricted
-                                    : SuspicionByCrashes(record);
+                                    : SuspicionByCrashes(*found);
 }
 
 PartSuspicion
-PartCrashTracker::SuspicionByCrashes(const Record& aRecord) const
+PartCrashTracker::SuspicionByCrashes(const Records::value_type& aEntry) const
 {
-  std::size_t count = 0;
-  bool isExplained = true;
-  for (const auto& crash : aRecord.mCrashes) {
-    if (!IsRefusedFor(aRecord, crash.mReport.mTeam)) {
-      ++count;
-      isExplained = isExplained && crash.mIsExplained;
+  const auto& [part, record] = aEntry;
+  std::size_t explained = 0;
+  std::size_t open = 0;
+  for (const auto& crash : record.mCrashes) {
+    if (IsRefusedFor(record, crash.mReport.mTeam)) {
+      continue;
+    }
+    if (!IsExplained(part, crash)) {
+      ++open;
+    } else if (IsExplainedInside(part, crash)) {
+      ++explained;
     }
   }
-  if (count == 0) {
-    return PartSuspicion::kNone;
+  if (open == 0) {
+    return explained == 0 ? PartSuspicion::kNone : PartSuspicion::kSuspect;
   }
-  return count >= mSettings.mRestrictedCrashes && !isExplained
+  return open + explained >= mSettings.mRestrictedCrashes
            ? PartSuspicion::kRestricted
            : PartSuspicion::kSuspect;
 }
 
+bool
+PartCrashTracker::IsExplainedInside(const RequestDigest& aPart,
+                                    const Crash& aCrash) const
+{
+  const auto& parts = aCrash.mReport.mParts;
+  return std::any_of(
+    parts.begin(), parts.end(), [&](const RequestDigest& aOther) {
+      return aOther != aPart && mCondemned.count(aOther) != 0;
+    });
+}
+
 Millis
 PartCrashTracker::QuarantineLeft(const RequestDigest& aPart,
                                  std::uint64_t aTeam,
@@ -387,12 +412,19 @@
 PartCrashTracker::RefusalLeft(const RequestDigest& aPart, TimePoint aNow) const
 {
   const auto found = mRecords.find(aPart);
-  if (found == mRecords.end() || found->second.mCondemnedUntil <= aNow) {
+  if (found == mRecords.end() || !IsInForce(found->second, aNow)) {
     return Millis(0);
   }
   return std::chrono::ceil<Millis>(found->second.mCondemnedUntil - aNow);
 }
 
+bool
+PartCrashTracker::IsInForce(const Record& aRecord, TimePoint aNow) const
+{
+  return aNow < aRecord.mCondemnedUntil &&
+         aNow - aRecord.mCondemnedAt >= mSettings.mSettlePeriod;
+}
+
 RequestDigest
 PartCrashTracker::RefusedDigest(const RequestDigest& aPart) const
 {
@@ -426,7 +458,7 @@
   for (const auto& crash : found->second.mCrashes) {
     crashes.push_back(crash.mReport);
   }
-  mRecords.erase(found);
+  Erase(found);
   return crashes;
 }
 
@@ -519,6 +551,7 @@
   if (found != mRecords.end()) {
     if (IsForgotten(found->second, aNow)) {
       found->second = {};
+      mCondemned.erase(aPart);
     }
     return found->second;
   }
@@ -528,6 +561,13 @@
   return mRecords[aPart];
 }
 
+void
+PartCrashTracker::Erase(Records::iterator aEntry)
+{
+  mCondemned.erase(aEntry->first);
+  mRecords.erase(aEntry);
+}
+
 void
 PartCrashTracker::EvictLowestRanked(TimePoint aNow)
 {
@@ -550,7 +590,7 @@
                      return rankOf(aOne->second) < rankOf(aTwo->second);
                    });
   for (auto entry = entries.begin(); entry != end; ++entry) {
-    mRecords.erase(*entry);
+    Erase(*entry);
   }
 }
 
