Crashes are counted by event, and a recent verdict is decided anew with later reports

Crashes of one endpoint at different times are kept each (six an endpoint, 24 in all); thresholds count endpoints as before. Of parts tried beside each other the one with more late trials, then more crashes, is the cause. A verdict that is not in force yet is suspended when another report of its parts comes and restored unless that one names another cause.

--- a/packages/state/include/shuntjunction/state/part_crash_tracker.h
+++ b/packages/state/include/shuntjunction/state/part_crash_tracker.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 #include "shuntjunction/state/clock.h"
@@ -183,7 +184,7 @@
   /// State of one part.
   struct Record
   {
-    std::vector<Crash> mCrashes; ///< at most one an endpoint
+    std::vector<Crash> mCrashes;
     TimePoint mLatest;
     std::vector<std::uint64_t> mTeams; ///< for which it is refused
     bool mIsForAllTeams = false;
@@ -197,7 +198,23 @@
   bool AddCrash(const RequestDigest& aPart,
                 const PartCrash& aCrash,
                 TimePoint aAt);
+  /// Makes room for a crash of an endpoint.
+  static void DropSurplus(std::vector<Crash>& aCrashes,
+                          std::uint64_t aEndpoint);
+  static TimePoint FirstCrash(const Record& aRecord);
+  /// Whether a trial crashed after time enough for an answer to another
+  /// request.
+  bool IsLateTrial(TimePoint aFirst, const Crash& aCrash) const;
+  /// Number of such trials, then of all crashes.
+  std::pair<std::ptrdiff_t, std::size_t> Trials(const Record& aRecord) const;
   Record& RecordOf(const RequestDigest& aPart, TimePoint aNow);
+  /// Condemns the part that is held to be the cause of a crash, if there is
+  /// one.
+  void Decide(const PartCrash& aCrash, TimePoint aAt, PartChanges& aChanges);
+  /// Releases the parts of a crash whose verdicts are not in force yet, as one
+  /// of a later report may be the cause; returns what they were.
+  Records SuspendRecent(const PartCrash& aCrash, TimePoint aAt);
+  void Release(const RequestDigest& aPart);
   /// The part that is held to be the cause of a crash, if there is one.
   Records::iterator FindCause(const PartCrash& aCrash, TimePoint aAt);
   bool IsEvident(const Records::value_type& aEntry, TimePoint aAt) const;
@@ -216,7 +233,7 @@
   /// request, or of one beside it at the endpoint.
   bool Explains(const Records::value_type& aCause, const Crash& aCrash) const;
   /// Whether several endpoints crashed under a part without the other one.
-  bool IsEvidentWithout(const Record& aRecord,
+  bool IsEvidentWithout(const Records::value_type& aEntry,
                         const Records::value_type& aOther) const;
   void Condemn(Records::iterator aRecord, TimePoint aAt);
   /// Whether a crash without a part is one that endpoints had under it.
@@ -226,7 +243,7 @@
   std::vector<RequestDigest> WithdrawUnfounded(TimePoint aAt);
   /// Whether few enough other parts were condemned at about that time.
   bool MayCondemn(const RequestDigest& aPart, TimePoint aAt) const;
-  PartCrash WithoutCleared(const PartCrash& aCrash) const;
+  PartCrash WithoutCleared(const Crash& aCrash) const;
   bool IsInForce(const Record& aRecord, TimePoint aNow) const;
   bool IsForgotten(const Record& aRecord, TimePoint aNow) const;
   static bool IsRefusedFor(const Record& aRecord, std::uint64_t aTeam);
--- a/packages/state/src/part_crash_tracker.cpp
+++ b/packages/state/src/part_crash_tracker.cpp
@@ -14,33 +14,14 @@
 constexpr std::size_t kEvictionDivisor = 8;
 
 /// Crashes that are kept of one part: more than any threshold.
-constexpr std::size_t kMaxCrashes = 16;
+constexpr std::size_t kMaxCrashes = 24;
+
+/// The same of one endpoint, which may crash again and again.
+constexpr std::ptrdiff_t kMaxCrashesOfEndpoint = 6;
 
 /// Teams for which a part is refused before it is refused for all.
 constexpr std::size_t kMaxTeams = 1;
 
-bool
-Contains(const std::vector<RequestDigest>& aParts, const RequestDigest& aPart)
-{
-  return std::find(aParts.begin(), aParts.end(), aPart) != aParts.end();
-}
-
-/// Whether as many of the crashes match, one of them in a trial.
-template<typename Crashes, typename Predicate>
-bool
-IsEnough(const Crashes& aCrashes, std::size_t aCount, Predicate aMatches)
-{
-  std::size_t count = 0;
-  bool hasTrial = false;
-  for (const auto& crash : aCrashes) {
-    if (aMatches(crash)) {
-      ++count;
-      hasTrial = hasTrial || crash.mReport.mIsTrial;
-    }
-  }
-  return hasTrial && count >= aCount;
-}
-
 } // namespace
 
 PartChanges
@@ -61,15 +42,59 @@
     changes.mIsNew = AddCrash(part, aCrash, aAt) || changes.mIsNew;
   }
   changes.mReleased = WithdrawUnfounded(aAt);
+  Decide(aCrash, aAt, changes);
+  return changes;
+}
+
+void
+PartCrashTracker::Decide(const PartCrash& aCrash,
+                         TimePoint aAt,
+                         PartChanges& aChanges)
+{
+  const auto earlier = SuspendRecent(aCrash, aAt);
   const auto cause = FindCause(aCrash, aAt);
-  if (cause != mRecords.end() && MayCondemn(cause->first, aAt)) {
-    Condemn(cause, aAt);
-    changes.mCondemned.push_back(cause->first);
-    const auto released = WithdrawUnfounded(aAt);
-    changes.mReleased.insert(
-      changes.mReleased.end(), released.begin(), released.end());
+  const bool isFound = cause != mRecords.end() && MayCondemn(cause->first, aAt);
+  for (const auto& [part, record] : earlier) {
+    if (!isFound || part == cause->first) {
+      mRecords[part] = record;
+      mCondemned.insert(part);
+    } else {
+      aChanges.mReleased.push_back(part);
+    }
   }
-  return changes;
+  if (!isFound || earlier.count(cause->first) != 0) {
+    return;
+  }
+  Condemn(cause, aAt);
+  aChanges.mCondemned.push_back(cause->first);
+  const auto released = WithdrawUnfounded(aAt);
+  aChanges.mReleased.insert(
+    aChanges.mReleased.end(), released.begin(), released.end());
+}
+
+PartCrashTracker::Records
+PartCrashTracker::SuspendRecent(const PartCrash& aCrash, TimePoint aAt)
+{
+  Records suspended;
+  for (const auto& part : aCrash.mParts) {
+    auto& record = mRecords[part];
+    if (mCondemned.count(part) != 0 &&
+        aAt - record.mCondemnedAt < mSettings.mSettlePeriod) {
+      suspended[part] = record;
+      Release(part);
+    }
+  }
+  return suspended;
+}
+
+void
+PartCrashTracker::Release(const RequestDigest& aPart)
+{
+  auto& record = mRecords.find(aPart)->second;
+  record.mTeams.clear();
+  record.mIsForAllTeams = false;
+  record.mCondemnedUntil = {};
+  mCondemned.erase(aPart);
 }
 
 bool
@@ -79,165 +104,37 @@
 {
   auto& record = RecordOf(aPart, aAt);
   auto& crashes = record.mCrashes;
+  record.mLatest = std::max(record.mLatest, aAt);
   const auto same =
     std::find_if(crashes.begin(), crashes.end(), [&](const Crash& aKnown) {
-      return aKnown.mReport.mEndpoint == aCrash.mEndpoint;
+      return IsSameCrash(aKnown, { aCrash, aAt });
     });
-  record.mLatest = std::max(record.mLatest, aAt);
   if (same != crashes.end()) {
-    const bool isKnown = IsSameCrash(*same, { aCrash, aAt });
     // A trial is known as one whichever of its reports comes first.
     same->mReport.mIsTrial = same->mReport.mIsTrial || aCrash.mIsTrial;
-    same->mAt = std::max(same->mAt, aAt);
-    return !isKnown;
-  }
-  if (crashes.size() >= kMaxCrashes) {
-    // The first one stays: it says for how long no answer came.
-    crashes.erase(crashes.begin() + 1);
+    return false;
   }
+  DropSurplus(crashes, aCrash.mEndpoint);
   crashes.push_back({ aCrash, aAt });
   return true;
 }
 
-PartCrashTracker::Records::iterator
-PartCrashTracker::FindCause(const PartCrash& aCrash, TimePoint aAt)
+void
+PartCrashTracker::DropSurplus(std::vector<Crash>& aCrashes,
+                              std::uint64_t aEndpoint)
 {
-  auto cause = mRecords.end();
-  std::vector<Records::iterator> rivals;
-  const auto isEvidentWithout = [&](Records::iterator aRecord) {
-    return std::all_of(
-      rivals.begin(), rivals.end(), [&](Records::iterator aRival) {
-        return IsEvidentWithout(aRecord->second, *aRival);
-      });
+  const auto isOfEndpoint = [&](const Crash& aCrash) {
+    return aCrash.mReport.mEndpoint == aEndpoint;
   };
-  const auto& parts = aCrash.mParts;
-  for (auto part = parts.rbegin(); part != parts.rend(); ++part) {
-    const auto found = mRecords.find(*part);
-    if (found == mRecords.end()) {
-      continue;
-    }
-    if (IsEvident(*found, aAt) && isEvidentWithout(found)) {
-      cause = found;
-    }
-    if (found->second.mCrashes.size() >= mSettings.mRestrictedCrashes) {
-      rivals.push_back(found);
-    }
-  }
-  return cause;
-}
-
-bool
-PartCrashTracker::IsEvident(const Records::value_type& aEntry,
-                            TimePoint aAt) const
-{
-  const auto& record = aEntry.second;
-  if (record.mCondemnedUntil == TimePoint()) {
-    return HasEvidence(aEntry, aAt);
-  }
-  if (aAt >= record.mCondemnedUntil) {
-    return true;
+  const auto count =
+    std::count_if(aCrashes.begin(), aCrashes.end(), isOfEndpoint);
+  if (count >= kMaxCrashesOfEndpoint) {
+    aCrashes.erase(
+      std::find_if(aCrashes.begin(), aCrashes.end(), isOfEndpoint));
+  } else if (aCrashes.size() >= kMaxCrashes) {
+    // The first one stays: it says for how long no answer came.
+    aCrashes.erase(aCrashes.begin() + 1);
   }
-  const auto needed =
-    record.mIsOthersCleared ? mSettings.mRestrictedCrashes : 1;
-  return IsEnough(record.mCrashes, needed, [&](const Crash& aCrash) {
-    return !IsRefusedFor(record, aCrash.mReport.mTeam);
-  });
-}
-
-bool
-PartCrashTracker::HasEvidence(const Records::value_type& aEntry,
-                              TimePoint aAt) const
-{
-  const auto& [part, record] = aEntry;
-  const auto& crashes = record.mCrashes;
-  const auto isOpen = [&](const Crash& aCrash) {
-    return !IsExplained(part, aCrash);
-  };
-  if (crashes.size() < mSettings.mVerdictCrashes ||
-      !IsEnough(crashes, mSettings.mRestrictedCrashes, isOpen)) {
-    return false;
-  }
-  // All reports of a crash come within the time in which they are duplicates.
-  const bool isSettled =
-    record.mCondemnedUntil != TimePoint() &&
-    aAt - record.mCondemnedAt >= mSettings.mDuplicateWindow;
-  const auto first = std::min_element(
-    crashes.begin(), crashes.end(), [](const Crash& aOne, const Crash& aTwo) {
-      return aOne.mAt < aTwo.mAt;
-    });
-  return std::any_of(crashes.begin(), crashes.end(), [&](const Crash& aCrash) {
-    return aCrash.mReport.mIsTrial &&
-           aCrash.mAt - first->mAt >= mSettings.mMinEvidencePeriod &&
-           isOpen(aCrash) && (isSettled || !HasRival(aEntry, aCrash));
-  });
-}
-
-bool
-PartCrashTracker::HasRival(const Records::value_type& aEntry,
-                           const Crash& aTrial) const
-{
-  const auto isRival = [&](const Crash& aCrash) {
-    return aCrash.mReport.mIsTrial && IsSameCrash(aCrash, aTrial) &&
-           !Contains(aCrash.mReport.mParts, aEntry.first);
-  };
-  const auto count = aEntry.second.mCrashes.size();
-  return std::any_of(mRecords.begin(), mRecords.end(), [&](const auto& aOther) {
-    const auto& crashes = aOther.second.mCrashes;
-    return crashes.size() >= count &&
-           !Contains(aTrial.mReport.mParts, aOther.first) &&
-           std::any_of(crashes.begin(), crashes.end(), isRival);
-  });
-}
-
-bool
-PartCrashTracker::IsExplained(const RequestDigest& aPart,
-                              const Crash& aCrash) const
-{
-  return std::any_of(
-    mCondemned.begin(), mCondemned.end(), [&](const RequestDigest& aOther) {
-      const auto found = mRecords.find(aOther);
-      return aOther != aPart && found != mRecords.end() &&
-             found->second.mCondemnedUntil > aCrash.mAt &&
-             Explains(*found, aCrash);
-    });
-}
-
-bool
-PartCrashTracker::Explains(const Records::value_type& aCause,
-                           const Crash& aCrash) const
-{
-  return Contains(aCrash.mReport.mParts, aCause.first) ||
-         IsBeside(aCause, aCrash);
-}
-
-bool
-PartCrashTracker::IsBeside(const Records::value_type& aCause,
-                           const Crash& aCrash) const
-{
-  const auto& crashes = aCause.second.mCrashes;
-  return !Contains(aCrash.mReport.mParts, aCause.first) &&
-         std::any_of(crashes.begin(), crashes.end(), [&](const Crash& aOne) {
-           return IsSameCrash(aOne, aCrash);
-         });
-}
-
-bool
-PartCrashTracker::IsSameCrash(const Crash& aOne, const Crash& aTwo) const
-{
-  const auto apart =
-    std::max(aOne.mAt, aTwo.mAt) - std::min(aOne.mAt, aTwo.mAt);
-  return aOne.mReport.mEndpoint == aTwo.mReport.mEndpoint &&
-         apart < mSettings.mDuplicateWindow;
-}
-
-bool
-PartCrashTracker::IsEvidentWithout(const Record& aRecord,
-                                   const Records::value_type& aOther) const
-{
-  return IsEnough(
-    aRecord.mCrashes, mSettings.mRestrictedCrashes, [&](const Crash& aCrash) {
-      return !Explains(aOther, aCrash);
-    });
 }
 
 bool
@@ -290,11 +187,7 @@
     }
   }
   for (const auto& part : released) {
-    auto& record = mRecords.find(part)->second;
-    record.mTeams.clear();
-    record.mIsForAllTeams = false;
-    record.mCondemnedUntil = {};
-    mCondemned.erase(part);
+    Release(part);
   }
   return released;
 }
@@ -362,41 +255,6 @@
                                     : SuspicionByCrashes(*found);
 }
 
-PartSuspicion
-PartCrashTracker::SuspicionByCrashes(const Records::value_type& aEntry) const
-{
-  const auto& [part, record] = aEntry;
-  std::size_t explained = 0;
-  std::size_t open = 0;
-  for (const auto& crash : record.mCrashes) {
-    if (IsRefusedFor(record, crash.mReport.mTeam)) {
-      continue;
-    }
-    if (!IsExplained(part, crash)) {
-      ++open;
-    } else if (IsExplainedInside(part, crash)) {
-      ++explained;
-    }
-  }
-  if (open == 0) {
-    return explained == 0 ? PartSuspicion::kNone : PartSuspicion::kSuspect;
-  }
-  return open + explained >= mSettings.mRestrictedCrashes
-           ? PartSuspicion::kRestricted
-           : PartSuspicion::kSuspect;
-}
-
-bool
-PartCrashTracker::IsExplainedInside(const RequestDigest& aPart,
-                                    const Crash& aCrash) const
-{
-  const auto& parts = aCrash.mReport.mParts;
-  return std::any_of(
-    parts.begin(), parts.end(), [&](const RequestDigest& aOther) {
-      return aOther != aPart && mCondemned.count(aOther) != 0;
-    });
-}
-
 Millis
 PartCrashTracker::QuarantineLeft(const RequestDigest& aPart,
                                  std::uint64_t aTeam,
@@ -462,13 +320,6 @@
   return crashes;
 }
 
-std::size_t
-PartCrashTracker::Crashes(const RequestDigest& aPart) const
-{
-  const auto found = mRecords.find(aPart);
-  return found == mRecords.end() ? 0 : found->second.mCrashes.size();
-}
-
 std::vector<AgedPartCrash>
 PartCrashTracker::Reports(TimePoint aNow) const
 {
@@ -488,14 +339,15 @@
                      return rankOf(aOne) > rankOf(aTwo);
                    });
   std::vector<AgedPartCrash> reports;
-  std::set<std::pair<std::uint64_t, std::vector<RequestDigest>>> reported;
+  std::set<std::tuple<std::uint64_t, TimePoint, std::vector<RequestDigest>>>
+    reported;
   for (const auto* record : records) {
     for (const auto& crash : record->mCrashes) {
       const auto& report = crash.mReport;
-      if (reported.emplace(report.mEndpoint, report.mParts).second) {
+      if (reported.emplace(report.mEndpoint, crash.mAt, report.mParts).second) {
         const auto age = std::max(aNow - crash.mAt, TimePoint::duration(0));
         reports.push_back(
-          { WithoutCleared(report), std::chrono::duration_cast<Millis>(age) });
+          { WithoutCleared(crash), std::chrono::duration_cast<Millis>(age) });
       }
     }
   }
@@ -503,17 +355,16 @@
 }
 
 PartCrash
-PartCrashTracker::WithoutCleared(const PartCrash& aCrash) const
+PartCrashTracker::WithoutCleared(const Crash& aCrash) const
 {
-  auto crash = aCrash;
+  auto crash = aCrash.mReport;
   std::erase_if(crash.mParts, [&](const RequestDigest& aPart) {
     const auto found = mRecords.find(aPart);
     return found == mRecords.end() ||
-           std::none_of(found->second.mCrashes.begin(),
-                        found->second.mCrashes.end(),
-                        [&](const Crash& aKnown) {
-                          return aKnown.mReport.mEndpoint == aCrash.mEndpoint;
-                        });
+           std::none_of(
+             found->second.mCrashes.begin(),
+             found->second.mCrashes.end(),
+             [&](const Crash& aKnown) { return IsSameCrash(aKnown, aCrash); });
   });
   return crash;
 }
