--- a/packages/state/include/shuntjunction/state/part_crash_tracker.h
+++ b/packages/state/include/shuntjunction/state/part_crash_tracker.h
@@ -1,9 +1,10 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
+#include <set>
+#include <utility>
 #include <vector>
 
 #include "shuntjunction/state/clock.h"
@@ -40,6 +41,12 @@
   /// The same from which on it is refused, if one of them crashed in a trial.
   /// Without a trial they may have crashed together, for a cause of their own.
   std::size_t mVerdictCrashes = 3;
+  /// Shortest time between the first crash and one in a trial for a verdict.
+  /// An endpoint answers within it, which clears a sound part that is in use.
+  Millis mMinEvidencePeriod{ 500 };
+  /// Time after which a verdict holds: until then reports of requests beside
+  /// the trial come from other processes, of which one may be the cause.
+  Millis mSettlePeriod{ 100 };
   /// Reports about one endpoint that are closer together than this describe the
   /// same crash: a restart takes at least a few seconds.
   Millis mDuplicateWindow{ 2000 };
@@ -85,19 +92,21 @@
 struct PartChanges
 {
   bool mIsNew = false; ///< it was not known before
+  /// Refused after mSettlePeriod, unless it is released before.
   std::vector<RequestDigest> mCondemned;
   std::vector<RequestDigest> mReleased;
 };
 
 /// Tracks the crashes under shared parts of prompts.
 ///
-/// Of parts that are always used together the one with the most crashes is held
-/// to be the cause; crashes under requests with it no longer count against the
-/// others, which are released if they were condemned. If crashes were seen
-/// under requests of one team only, the part is refused for that team alone:
-/// otherwise a team could make endpoints crash by other means and have parts of
-/// others refused.
-/// Thread safety: none; owned by one thread.
+/// Of parts with enough evidence the innermost is held to be the cause, as its
+/// refusal affects the fewest requests, unless several endpoints crashed
+/// without it under one that comes before. Crashes that the cause explains
+/// count no longer against the others, which are released if they were
+/// condemned. If crashes were seen under requests of one team only, the part is
+/// refused for that team alone: otherwise a team could make endpoints crash by
+/// other means and have parts of others refused. Thread safety: none; owned by
+/// one thread.
 class PartCrashTracker
 {
 public:
@@ -148,7 +157,8 @@
   /// Number of endpoints known to have crashed under a part.
   std::size_t Crashes(const RequestDigest& aPart) const;
 
-  /// All known crashes, those under parts that are refused first.
+  /// All known crashes, those under parts that are refused first, each with the
+  /// parts against which it still counts.
   std::vector<AgedPartCrash> Reports(TimePoint aNow) const;
 
   /// How long a relay waits before it tries a restricted part, so that rarely
@@ -174,10 +184,11 @@
   /// State of one part.
   struct Record
   {
-    std::vector<Crash> mCrashes; ///< at most one an endpoint
+    std::vector<Crash> mCrashes;
     TimePoint mLatest;
     std::vector<std::uint64_t> mTeams; ///< for which it is refused
     bool mIsForAllTeams = false;
+    bool mIsOthersCleared = false; ///< another team's request was answered
     TimePoint mCondemnedAt;
     TimePoint mCondemnedUntil; ///< past: on probation, if it ever was
   };
@@ -187,21 +198,61 @@
   bool AddCrash(const RequestDigest& aPart,
                 const PartCrash& aCrash,
                 TimePoint aAt);
+  /// Makes room for a crash of an endpoint.
+  static void DropSurplus(std::vector<Crash>& aCrashes,
+                          std::uint64_t aEndpoint);
+  static TimePoint FirstCrash(const Record& aRecord);
+  /// Whether a trial crashed after time enough for an answer to another
+  /// request.
+  bool IsLateTrial(TimePoint aFirst, const Crash& aCrash) const;
+  /// Number of such trials, then of all crashes.
+  std::pair<std::ptrdiff_t, std::size_t> Trials(const Record& aRecord) const;
   Record& RecordOf(const RequestDigest& aPart, TimePoint aNow);
+  /// Condemns the part that is held to be the cause of a crash, if there is
+  /// one.
+  void Decide(const PartCrash& aCrash, TimePoint aAt, PartChanges& aChanges);
+  /// Releases the parts of a crash whose verdicts are not in force yet, as one
+  /// of a later report may be the cause; returns what they were.
+  Records SuspendRecent(const PartCrash& aCrash, TimePoint aAt);
+  void Release(const RequestDigest& aPart);
   /// The part that is held to be the cause of a crash, if there is one.
   Records::iterator FindCause(const PartCrash& aCrash, TimePoint aAt);
-  bool IsEvident(const Record& aRecord, TimePoint aAt) const;
+  bool IsEvident(const Records::value_type& aEntry, TimePoint aAt) const;
+  /// Whether a part should be refused that was not, or still should be.
+  bool HasEvidence(const Records::value_type& aEntry, TimePoint aAt) const;
+  /// Whether a trial of another part, under which as many endpoints crashed,
+  /// ran beside one: either may be the cause.
+  bool HasRival(const Records::value_type& aEntry, const Crash& aTrial) const;
+  /// Whether another part, which is refused, explains a crash.
+  bool IsExplained(const RequestDigest& aPart, const Crash& aCrash) const;
+  /// The same, by a part of the same request.
+  bool IsExplainedInside(const RequestDigest& aPart, const Crash& aCrash) const;
+  /// Suspicion by the crashes under teams for which a part is not refused.
+  PartSuspicion SuspicionByCrashes(const Records::value_type& aEntry) const;
+  /// Whether a part explains a crash under another one: it was part of the same
+  /// request, or of one beside it at the endpoint.
+  bool Explains(const Records::value_type& aCause, const Crash& aCrash) const;
+  /// Whether several endpoints crashed under a part without the other one.
+  bool IsEvidentWithout(const Records::value_type& aEntry,
+                        const Records::value_type& aOther) const;
   void Condemn(Records::iterator aRecord, TimePoint aAt);
-  /// Drops what another part explains; returns the parts that are released.
-  std::vector<RequestDigest> DropExplained(const RequestDigest& aCause);
-  bool MayCondemn(TimePoint aAt);
+  /// Whether a crash without a part is one that endpoints had under it.
+  bool IsBeside(const Records::value_type& aCause, const Crash& aCrash) const;
+  bool IsSameCrash(const Crash& aOne, const Crash& aTwo) const;
+  /// Releases refused parts whose evidence another part explains, or shares.
+  std::vector<RequestDigest> WithdrawUnfounded(TimePoint aAt);
+  /// Whether few enough other parts were condemned at about that time.
+  bool MayCondemn(const RequestDigest& aPart, TimePoint aAt) const;
+  PartCrash WithoutCleared(const Crash& aCrash) const;
+  bool IsInForce(const Record& aRecord, TimePoint aNow) const;
   bool IsForgotten(const Record& aRecord, TimePoint aNow) const;
   static bool IsRefusedFor(const Record& aRecord, std::uint64_t aTeam);
+  void Erase(Records::iterator aEntry);
   void EvictLowestRanked(TimePoint aNow);
 
   PartCrashSettings mSettings;
   Records mRecords;
-  std::deque<TimePoint> mVerdicts; ///< within the last window
+  std::set<RequestDigest> mCondemned; ///< in mRecords, also those on probation
 };
 
 } // namespace shuntjunction::state
--- a/packages/state/src/part_crash_tracker.cpp
+++ b/packages/state/src/part_crash_tracker.cpp
@@ -1,7 +1,9 @@
 #include "shuntjunction/state/part_crash_tracker.h"
 
 #include <algorithm>
+#include <set>
 #include <tuple>
+#include <utility>
 
 namespace shuntjunction::state {
 
@@ -12,17 +14,14 @@
 constexpr std::size_t kEvictionDivisor = 8;
 
 /// Crashes that are kept of one part: more than any threshold.
-constexpr std::size_t kMaxCrashes = 8;
+constexpr std::size_t kMaxCrashes = 24;
+
+/// The same of one endpoint, which may crash again and again.
+constexpr std::ptrdiff_t kMaxCrashesOfEndpoint = 6;
 
 /// Teams for which a part is refused before it is refused for all.
 constexpr std::size_t kMaxTeams = 1;
 
-bool
-Contains(const std::vector<RequestDigest>& aParts, const RequestDigest& aPart)
-{
-  return std::find(aParts.begin(), aParts.end(), aPart) != aParts.end();
-}
-
 } // namespace
 
 PartChanges
@@ -35,20 +34,67 @@
   const auto& parts = aCrash.mParts;
   const auto known = std::find_if(parts.begin(), parts.end(), isRefused);
   if (known != parts.end()) {
-    // Sent before its relay knew; it says nothing about the other parts.
+    // Sent before its relay knew; it explains the crash under all other parts.
+    changes.mIsNew = AddCrash(*known, aCrash, aAt);
     return changes;
   }
   for (const auto& part : parts) {
     changes.mIsNew = AddCrash(part, aCrash, aAt) || changes.mIsNew;
   }
+  changes.mReleased = WithdrawUnfounded(aAt);
+  Decide(aCrash, aAt, changes);
+  return changes;
+}
+
+void
+PartCrashTracker::Decide(const PartCrash& aCrash,
+                         TimePoint aAt,
+                         PartChanges& aChanges)
+{
+  const auto earlier = SuspendRecent(aCrash, aAt);
   const auto cause = FindCause(aCrash, aAt);
-  if (cause != mRecords.end() && MayCondemn(aAt)) {
-    Condemn(cause, aAt);
-    const auto part = cause->first;
-    changes.mCondemned.push_back(part);
-    changes.mReleased = DropExplained(part);
+  const bool isFound = cause != mRecords.end() && MayCondemn(cause->first, aAt);
+  for (const auto& [part, record] : earlier) {
+    if (!isFound || part == cause->first) {
+      mRecords[part] = record;
+      mCondemned.insert(part);
+    } else {
+      aChanges.mReleased.push_back(part);
+    }
   }
-  return changes;
+  if (!isFound || earlier.count(cause->first) != 0) {
+    return;
+  }
+  Condemn(cause, aAt);
+  aChanges.mCondemned.push_back(cause->first);
+  const auto released = WithdrawUnfounded(aAt);
+  aChanges.mReleased.insert(
+    aChanges.mReleased.end(), released.begin(), released.end());
+}
+
+PartCrashTracker::Records
+PartCrashTracker::SuspendRecent(const PartCrash& aCrash, TimePoint aAt)
+{
+  Records suspended;
+  for (const auto& part : aCrash.mParts) {
+    auto& record = mRecords[part];
+    if (mCondemned.count(part) != 0 &&
+        aAt - record.mCondemnedAt < mSettings.mSettlePeriod) {
+      suspended[part] = record;
+      Release(part);
+    }
+  }
+  return suspended;
+}
+
+void
+PartCrashTracker::Release(const RequestDigest& aPart)
+{
+  auto& record = mRecords.find(aPart)->second;
+  record.mTeams.clear();
+  record.mIsForAllTeams = false;
+  record.mCondemnedUntil = {};
+  mCondemned.erase(aPart);
 }
 
 bool
@@ -58,66 +104,53 @@
 {
   auto& record = RecordOf(aPart, aAt);
   auto& crashes = record.mCrashes;
+  record.mLatest = std::max(record.mLatest, aAt);
   const auto same =
     std::find_if(crashes.begin(), crashes.end(), [&](const Crash& aKnown) {
-      return aKnown.mReport.mEndpoint == aCrash.mEndpoint;
+      return IsSameCrash(aKnown, { aCrash, aAt });
     });
-  record.mLatest = std::max(record.mLatest, aAt);
   if (same != crashes.end()) {
-    const auto apart = std::max(aAt, same->mAt) - std::min(aAt, same->mAt);
-    const bool isKnown = apart < mSettings.mDuplicateWindow;
     // A trial is known as one whichever of its reports comes first.
     same->mReport.mIsTrial = same->mReport.mIsTrial || aCrash.mIsTrial;
-    same->mAt = std::max(same->mAt, aAt);
-    return !isKnown;
-  }
-  if (crashes.size() >= kMaxCrashes) {
-    crashes.erase(crashes.begin());
+    return false;
   }
+  DropSurplus(crashes, aCrash.mEndpoint);
   crashes.push_back({ aCrash, aAt });
   return true;
 }
 
-PartCrashTracker::Records::iterator
-PartCrashTracker::FindCause(const PartCrash& aCrash, TimePoint aAt)
+void
+PartCrashTracker::DropSurplus(std::vector<Crash>& aCrashes,
+                              std::uint64_t aEndpoint)
 {
-  auto cause = mRecords.end();
-  std::size_t most = 0;
-  // Among equals the innermost, whose refusal affects the fewest requests.
-  for (const auto& part : aCrash.mParts) {
-    const auto found = mRecords.find(part);
-    if (found != mRecords.end() && IsEvident(found->second, aAt) &&
-        found->second.mCrashes.size() >= most) {
-      cause = found;
-      most = found->second.mCrashes.size();
-    }
+  const auto isOfEndpoint = [&](const Crash& aCrash) {
+    return aCrash.mReport.mEndpoint == aEndpoint;
+  };
+  const auto count =
+    std::count_if(aCrashes.begin(), aCrashes.end(), isOfEndpoint);
+  if (count >= kMaxCrashesOfEndpoint) {
+    aCrashes.erase(
+      std::find_if(aCrashes.begin(), aCrashes.end(), isOfEndpoint));
+  } else if (aCrashes.size() >= kMaxCrashes) {
+    // The first one stays: it says for how long no answer came.
+    aCrashes.erase(aCrashes.begin() + 1);
   }
-  return cause;
 }
 
 bool
-PartCrashTracker::IsEvident(const Record& aRecord, TimePoint aAt) const
+PartCrashTracker::MayCondemn(const RequestDigest& aPart, TimePoint aAt) const
 {
-  const bool wasCondemned = aRecord.mCondemnedUntil != TimePoint();
-  if (wasCondemned && aAt >= aRecord.mCondemnedUntil) {
-    return true;
-  }
-  const auto& crashes = aRecord.mCrashes;
-  const bool hasTrial =
-    std::any_of(crashes.begin(), crashes.end(), [](const Crash& aCrash) {
-      return aCrash.mReport.mIsTrial;
+  // Times of reports need not be in order.
+  const auto count =
+    std::count_if(mRecords.begin(), mRecords.end(), [&](const auto& aItem) {
+      const auto& record = aItem.second;
+      const auto apart =
+        std::max(record.mCondemnedAt, aAt) - std::min(record.mCondemnedAt, aAt);
+      const bool wasCondemned = record.mCondemnedUntil != TimePoint();
+      return aItem.first != aPart && wasCondemned &&
+             apart < mSettings.mVerdictWindow;
     });
-  return hasTrial && crashes.size() >= mSettings.mVerdictCrashes;
-}
-
-bool
-PartCrashTracker::MayCondemn(TimePoint aAt)
-{
-  while (!mVerdicts.empty() &&
-         aAt - mVerdicts.front() >= mSettings.mVerdictWindow) {
-    mVerdicts.pop_front();
-  }
-  return mVerdicts.size() < mSettings.mMaxVerdicts;
+  return static_cast<std::size_t>(count) < mSettings.mMaxVerdicts;
 }
 
 void
@@ -135,34 +168,27 @@
     record.mIsForAllTeams = true;
     record.mTeams.clear();
   }
+  record.mIsOthersCleared = false;
   record.mCondemnedAt = aAt;
   record.mCondemnedUntil = aAt + mSettings.mQuarantine;
-  mVerdicts.push_back(aAt);
+  mCondemned.insert(aRecord->first);
 }
 
 std::vector<RequestDigest>
-PartCrashTracker::DropExplained(const RequestDigest& aCause)
+PartCrashTracker::WithdrawUnfounded(TimePoint aAt)
 {
   std::vector<RequestDigest> released;
-  for (auto entry = mRecords.begin(); entry != mRecords.end();) {
-    auto& [part, record] = *entry;
-    const auto dropped =
-      part == aCause ? 0
-                     : std::erase_if(record.mCrashes, [&](const Crash& aCrash) {
-                         return Contains(aCrash.mReport.mParts, aCause);
-                       });
-    const bool isCleared =
-      dropped != 0 && record.mCrashes.size() < mSettings.mVerdictCrashes;
-    const bool wasCondemned = record.mCondemnedUntil != TimePoint();
-    if (isCleared && (wasCondemned || record.mCrashes.empty())) {
-      if (wasCondemned) {
-        released.push_back(part);
-      }
-      entry = mRecords.erase(entry);
-    } else {
-      ++entry;
+  for (const auto& part : mCondemned) {
+    const auto found = mRecords.find(part);
+    const bool isInForce =
+      found != mRecords.end() && found->second.mCondemnedUntil > aAt;
+    if (isInForce && !HasEvidence(*found, aAt)) {
+      released.push_back(part);
     }
   }
+  for (const auto& part : released) {
+    Release(part);
+  }
   return released;
 }
 
@@ -179,17 +205,24 @@
   auto& record = found->second;
   const auto before = aAt - mSettings.mMaxSkew;
   const bool isCondemned = record.mCondemnedUntil != TimePoint();
-  const bool isReleased =
-    isCondemned && record.mCondemnedAt < before && IsRefusedFor(record, aTeam);
+  const bool isRefused = IsRefusedFor(record, aTeam);
+  const bool isLater = isCondemned && record.mCondemnedAt < before;
+  record.mIsOthersCleared = record.mIsOthersCleared || (isLater && !isRefused);
   std::erase_if(record.mCrashes, [&](const Crash& aCrash) {
-    const bool isDropped = isReleased || aCrash.mAt < before;
+    // A verdict on another team keeps its evidence.
+    const bool isKept =
+      !isRefused && IsRefusedFor(record, aCrash.mReport.mTeam);
+    const bool isDropped =
+      (isLater && isRefused) || (aCrash.mAt < before && !isKept);
     if (isDropped) {
       endpoints.push_back(aCrash.mReport.mEndpoint);
     }
     return isDropped;
   });
+  const bool isReleased =
+    isRefused && (isLater || (!endpoints.empty() && !HasEvidence(*found, aAt)));
   if (isReleased || (!isCondemned && record.mCrashes.empty())) {
-    mRecords.erase(found);
+    Erase(found);
   }
   return endpoints;
 }
@@ -212,15 +245,14 @@
     return PartSuspicion::kNone;
   }
   const auto& record = found->second;
-  const bool wasCondemned = record.mCondemnedUntil != TimePoint();
-  if (aNow < record.mCondemnedUntil && IsRefusedFor(record, aTeam)) {
+  const bool isRefusedFor = IsRefusedFor(record, aTeam);
+  if (isRefusedFor && IsInForce(record, aNow)) {
     return PartSuspicion::kCrashing;
   }
-  if (wasCondemned || record.mCrashes.size() >= mSettings.mRestrictedCrashes) {
-    return PartSuspicion::kRestricted;
-  }
-  return record.mCrashes.empty() ? PartSuspicion::kNone
-                                 : PartSuspicion::kSuspect;
+  const bool wasCondemned = record.mCondemnedUntil != TimePoint();
+  const bool isCleared = record.mIsOthersCleared && !isRefusedFor;
+  return wasCondemned && !isCleared ? PartSuspicion::kRestricted
+                                    : SuspicionByCrashes(*found);
 }
 
 Millis
@@ -238,12 +270,19 @@
 PartCrashTracker::RefusalLeft(const RequestDigest& aPart, TimePoint aNow) const
 {
   const auto found = mRecords.find(aPart);
-  if (found == mRecords.end() || found->second.mCondemnedUntil <= aNow) {
+  if (found == mRecords.end() || !IsInForce(found->second, aNow)) {
     return Millis(0);
   }
   return std::chrono::ceil<Millis>(found->second.mCondemnedUntil - aNow);
 }
 
+bool
+PartCrashTracker::IsInForce(const Record& aRecord, TimePoint aNow) const
+{
+  return aNow < aRecord.mCondemnedUntil &&
+         aNow - aRecord.mCondemnedAt >= mSettings.mSettlePeriod;
+}
+
 RequestDigest
 PartCrashTracker::RefusedDigest(const RequestDigest& aPart) const
 {
@@ -277,17 +316,10 @@
   for (const auto& crash : found->second.mCrashes) {
     crashes.push_back(crash.mReport);
   }
-  mRecords.erase(found);
+  Erase(found);
   return crashes;
 }
 
-std::size_t
-PartCrashTracker::Crashes(const RequestDigest& aPart) const
-{
-  const auto found = mRecords.find(aPart);
-  return found == mRecords.end() ? 0 : found->second.mCrashes.size();
-}
-
 std::vector<AgedPartCrash>
 PartCrashTracker::Reports(TimePoint aNow) const
 {
@@ -307,16 +339,36 @@
                      return rankOf(aOne) > rankOf(aTwo);
                    });
   std::vector<AgedPartCrash> reports;
+  std::set<std::tuple<std::uint64_t, TimePoint, std::vector<RequestDigest>>>
+    reported;
   for (const auto* record : records) {
     for (const auto& crash : record->mCrashes) {
-      const auto age = std::max(aNow - crash.mAt, TimePoint::duration(0));
-      reports.push_back(
-        { crash.mReport, std::chrono::duration_cast<Millis>(age) });
+      const auto& report = crash.mReport;
+      if (reported.emplace(report.mEndpoint, crash.mAt, report.mParts).second) {
+        const auto age = std::max(aNow - crash.mAt, TimePoint::duration(0));
+        reports.push_back(
+          { WithoutCleared(crash), std::chrono::duration_cast<Millis>(age) });
+      }
     }
   }
   return reports;
 }
 
+PartCrash
+PartCrashTracker::WithoutCleared(const Crash& aCrash) const
+{
+  auto crash = aCrash.mReport;
+  std::erase_if(crash.mParts, [&](const RequestDigest& aPart) {
+    const auto found = mRecords.find(aPart);
+    return found == mRecords.end() ||
+           std::none_of(
+             found->second.mCrashes.begin(),
+             found->second.mCrashes.end(),
+             [&](const Crash& aKnown) { return IsSameCrash(aKnown, aCrash); });
+  });
+  return crash;
+}
+
 Millis
 PartCrashTracker::TrialDelay(std::size_t aRelays, double aDraw) const
 {
@@ -350,6 +402,7 @@
   if (found != mRecords.end()) {
     if (IsForgotten(found->second, aNow)) {
       found->second = {};
+      mCondemned.erase(aPart);
     }
     return found->second;
   }
@@ -359,6 +412,13 @@
   return mRecords[aPart];
 }
 
+void
+PartCrashTracker::Erase(Records::iterator aEntry)
+{
+  mCondemned.erase(aEntry->first);
+  mRecords.erase(aEntry);
+}
+
 void
 PartCrashTracker::EvictLowestRanked(TimePoint aNow)
 {
@@ -381,7 +441,7 @@
                      return rankOf(aOne->second) < rankOf(aTwo->second);
                    });
   for (auto entry = entries.begin(); entry != end; ++entry) {
-    mRecords.erase(*entry);
+    Erase(*entry);
   }
 }
 
