--- a/packages/state/src/part_crash_evidence.cpp
+++ b/packages/state/src/part_crash_evidence.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <ranges>
 #include <set>
 
 #include "shuntjunction/state/part_crash_tracker.h"
@@ -53,8 +54,8 @@
       });
   };
   const auto& parts = aCrash.mParts;
-  for (auto part = parts.rbegin(); part != parts.rend(); ++part) {
-    const auto found = mRecords.find(*part);
+  for (const auto& part : std::ranges::reverse_view(parts)) {
+    const auto found = mRecords.find(part);
     if (found == mRecords.end()) {
       continue;
     }
@@ -62,7 +63,7 @@
     if (isEvident && isEvidentWithout(found)) {
       cause = found;
     }
-    if (Crashes(*part) >= mSettings.mRestrictedCrashes) {
+    if (Crashes(part) >= mSettings.mRestrictedCrashes) {
       rivals.push_back(found);
     }
   }
--- a/packages/state/tests/part_crash_tracker_test.cpp
+++ b/packages/state/tests/part_crash_tracker_test.cpp
@@ -413,7 +413,7 @@
   CrashOneByOne({ mDeadly }, 10);
   for (int i = 100; i < 20000; ++i) {
     Crash({ Part(i) }, static_cast<std::uint64_t>(i), true);
-    Crash({ Part(i) }, static_cast<std::uint64_t>(i + 1), true);
+    Crash({ Part(i) }, static_cast<std::uint64_t>(i) + 1, true);
   }
   EXPECT_LE(mTracker.Suspects(), mSettings.mMaxParts);
   EXPECT_TRUE(IsRefused(mDeadly));
