A full tracker stays within its bound of parts

Looking at recent verdicts made a record for a part that the same report had evicted. Found while reading; no test hits it. The comment on memory follows the number of crashes that are kept.

--- a/packages/state/include/shuntjunction/state/part_crash_tracker.h
+++ b/packages/state/include/shuntjunction/state/part_crash_tracker.h
@@ -58,7 +58,8 @@
   /// How long requests with a part are refused: a fleet can afford one trial
   /// per hour.
   Millis mQuarantine{ std::chrono::hours(1) };
-  /// Maximum number of tracked parts, about 1 kB each.
+  /// Maximum number of tracked parts, about 250 bytes for each crash, of which
+  /// a part has at most 24.
   std::size_t mMaxParts = 2048;
   /// Parts that may be refused within mVerdictWindow. More would mean that the
   /// endpoints crash for another reason, whatever they run.
--- a/packages/state/src/part_crash_tracker.cpp
+++ b/packages/state/src/part_crash_tracker.cpp
@@ -77,10 +77,12 @@
 {
   Records suspended;
   for (const auto& part : aCrash.mParts) {
-    auto& record = mRecords[part];
-    if (mCondemned.count(part) != 0 &&
-        aAt - record.mCondemnedAt < mSettings.mSettlePeriod) {
-      suspended[part] = record;
+    const auto found = mRecords.find(part);
+    const bool isRecent =
+      mCondemned.count(part) != 0 && found != mRecords.end() &&
+      aAt - found->second.mCondemnedAt < mSettings.mSettlePeriod;
+    if (isRecent) {
+      suspended.insert(*found);
       Release(part);
     }
   }
