A caller is accepted only where a request of the recent size has room

Callers saw requests read and refused (no memory for the body) while most new connections came to one relay: each connection reserved 64 KB, so that accepted connections filled the memory, and a body of 24 KB, which needs 80 KB, found no room once its head had been read.

The reservation shrinks to the exact size when the request is read. Long bodies on older connections, and larger ones than any of late, may still be refused: nothing is reserved for them.

--- a/packages/coordination/src/caller_acceptor.cpp
+++ b/packages/coordination/src/caller_acceptor.cpp
@@ -1,5 +1,7 @@
 #include "caller_acceptor.h"
 
+#include <algorithm>
+
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -16,6 +18,8 @@
 
 namespace {
 
+/// Part of the memory that is reserved for one connection at most.
+constexpr std::int64_t kMaxNeedDivisor = 8;
 /// Pause after a connection could not be accepted.
 constexpr Millis kAcceptPause{ 50 };
 /// Interval at which the acceptor checks whether the traffic thread has begun
@@ -42,6 +46,9 @@
   , mMemory(aMemory)
   , mProbe(aProbe)
   , mOnCaller(std::move(aOnCaller))
+  , mNeed({ aSettings.mBytesPerCaller,
+            std::max(aSettings.mBytesPerCaller,
+                     aMemory.Limit() / kMaxNeedDivisor) })
 {
 }
 
@@ -105,7 +112,7 @@
 CallerAcceptor::IsFull() const
 {
   return mIsOverloaded || mCallers >= mMaxCallers ||
-         !mMemory.HasRoom(mSettings.mBytesPerCaller);
+         !mMemory.HasRoom(mNeed.Expected());
 }
 
 Task<void>
@@ -154,7 +161,7 @@
   }
   AcceptedCaller caller{ std::move(socket), state::MemoryReservation(mMemory) };
   // Another reservation may have taken the room meanwhile.
-  if (!caller.mMemory.Resize(mSettings.mBytesPerCaller)) {
+  if (!caller.mMemory.Resize(mNeed.Expected())) {
     ++mRefused;
     return true;
   }
--- a/packages/coordination/src/caller_acceptor.h
+++ b/packages/coordination/src/caller_acceptor.h
@@ -14,6 +14,7 @@
 #include "shuntjunction/state/clock.h"
 #include "shuntjunction/state/error.h"
 #include "shuntjunction/state/memory_budget.h"
+#include "shuntjunction/state/memory_need.h"
 #include "shuntjunction/state/settings.h"
 #include "shuntjunction/transport/task.h"
 
@@ -29,7 +30,7 @@
 /// Settings of a CallerAcceptor.
 struct CallerAcceptorSettings
 {
-  /// Memory reserved for each connection.
+  /// Least memory reserved for each connection.
   std::int64_t mBytesPerCaller = 64L * 1024;
   /// Interval at which the process's memory is measured.
   state::Millis mMeasureInterval{ 100 };
@@ -90,6 +91,10 @@
   /// Notes that the traffic thread begins to serve a caller.
   void NoteBegun() { --mPending; }
 
+  /// Notes the bytes that a request needed: connections are accepted only where
+  /// a request of such a size has room. Called by one thread.
+  void NoteNeed(std::int64_t aBytes) { mNeed.Note(aBytes); }
+
   /// Notes that a caller's connection was closed.
   void NoteClosed() { --mCallers; }
 
@@ -115,6 +120,7 @@
   state::MemoryBudget& mMemory;
   MemoryProbe* mProbe;
   Handler mOnCaller;
+  state::MemoryNeed mNeed;
   transport::asio::io_context mContext{ 1 };
   std::shared_ptr<transport::asio::ip::tcp::acceptor> mAcceptor;
   std::atomic<bool> mIsOverloaded{ false };
--- a/packages/coordination/src/relay_session.cpp
+++ b/packages/coordination/src/relay_session.cpp
@@ -109,10 +109,13 @@
         co_return false;
       }
       if (!ReserveForBody(aRequest.BodyBytes())) {
+        mCore->mAcceptor->NoteNeed(MemoryNeeded(aRequest.BodyBytes()));
         co_await RefuseUnread(kUnavailable, "no memory for the body");
         co_return false;
       }
       if (step == ParseStatus::kDone) {
+        mCore->mAcceptor->NoteNeed(MemoryNeeded(aRequest.BodyBytes()));
+        mMemory.Resize(MemoryNeeded(aRequest.BodyBytes()));
         co_return true;
       }
       if (aRequest.ExpectsContinue() && !std::exchange(isContinued, true)) {
@@ -136,13 +139,20 @@
 
 bool
 RelaySession::ReserveForBody(std::size_t aBodyBytes)
+{
+  // Keeps what was reserved until the whole size is known.
+  return mMemory.Resize(std::max(mMemory.Bytes(), MemoryNeeded(aBodyBytes)));
+}
+
+std::int64_t
+RelaySession::MemoryNeeded(std::size_t aBodyBytes) const
 {
   // Twice: while it arrives a part of it is also in the read-ahead buffer, and
   // a body of unknown length is moved as it grows.
   const auto& limits = mCore->mLimits;
   const auto needed =
     limits.mSessionBytes + 2 * static_cast<std::int64_t>(aBodyBytes);
-  return mMemory.Resize(std::max(limits.mBytesPerSession, needed));
+  return std::max(limits.mBytesPerSession, needed);
 }
 
 Task<void>
--- a/packages/coordination/src/relay_session.h
+++ b/packages/coordination/src/relay_session.h
@@ -39,6 +39,9 @@
   /// returns whether there was room.
   bool ReserveForBody(std::size_t aBodyBytes);
 
+  /// Memory, in bytes, for a request with a body of this size.
+  std::int64_t MemoryNeeded(std::size_t aBodyBytes) const;
+
   transport::Task<void> RefuseUnread(unsigned aStatus,
                                      std::string_view aProblem);
   transport::Task<void> Write(std::string aText);
