The traffic thread is handed no more connections than it serves in time

Callers saw requests read and refused (relay-overloaded) while most new connections came to one relay. Up to 64 connections were handed over at once; where their requests take longer than 170 ms together, the later ones of the turn are refused after they were read.

AcceptWindow bounds the connections between two signs of the traffic thread: it halves when a sign comes 100 ms late, and grows when it was used up and the thread was in time. What waits longer than 170 ms for it in the kernel is closed unread, 32 each 20 ms as before, so that nothing is held.

--- a/packages/coordination/src/caller_acceptor.cpp
+++ b/packages/coordination/src/caller_acceptor.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -68,7 +69,7 @@
   // AcceptOne needs this, so that accept() returns when none is pending.
   boost::system::error_code ignored;
   mAcceptor->non_blocking(true, ignored);
-  NoteTrafficSign();
+  NoteTrafficSign(Millis(0));
   transport::Spawn(mContext, Accept());
   if (mProbe != nullptr) {
     transport::Spawn(mContext, MeasureMemory());
@@ -119,6 +120,9 @@
 CallerAcceptor::Accept()
 {
   while (true) {
+    if (!IsAnyWaiting()) {
+      mWaitingSince.reset();
+    }
     const auto [error] = co_await mAcceptor->async_wait(
       tcp::acceptor::wait_read, transport::kAsTuple);
     if (error) {
@@ -126,10 +130,10 @@
       continue;
     }
     const bool isLate = co_await IsTrafficLate();
-    if (isLate || IsFull()) {
+    if (isLate || IsFull() || IsBehind()) {
       RejectWaiting();
       co_await transport::Sleep(kRejectPause);
-    } else if (mPending >= mSettings.mMaxPending) {
+    } else if (IsWindowUsedUp()) {
       co_await transport::Sleep(kPendingPause);
     } else if (!AcceptOne()) {
       co_await transport::Sleep(kAcceptPause);
@@ -137,6 +141,32 @@
   }
 }
 
+bool
+CallerAcceptor::IsWindowUsedUp() const
+{
+  return mPending >= mSettings.mMaxPending || !mWindow.HasRoom();
+}
+
+bool
+CallerAcceptor::IsAnyWaiting() const
+{
+  pollfd listening{ mAcceptor->native_handle(), POLLIN, 0 };
+  return ::poll(&listening, 1, 0) > 0;
+}
+
+bool
+CallerAcceptor::IsBehind()
+{
+  if (!IsWindowUsedUp()) {
+    return false;
+  }
+  const auto now = mClock.Now();
+  if (!mWaitingSince) {
+    mWaitingSince = now;
+  }
+  return now - *mWaitingSince >= mSettings.mMaxSignAge;
+}
+
 void
 CallerAcceptor::RejectWaiting()
 {
@@ -167,6 +197,7 @@
   }
   ++mCallers;
   ++mPending;
+  mWindow.NoteHandedOver();
   mOnCaller(std::move(caller));
   return true;
 }
--- a/packages/coordination/src/caller_acceptor.h
+++ b/packages/coordination/src/caller_acceptor.h
@@ -5,12 +5,14 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <thread>
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
 #include "shuntjunction/coordination/memory_probe.h"
+#include "shuntjunction/state/accept_window.h"
 #include "shuntjunction/state/clock.h"
 #include "shuntjunction/state/error.h"
 #include "shuntjunction/state/memory_budget.h"
@@ -35,8 +37,9 @@
   /// Interval at which the process's memory is measured.
   state::Millis mMeasureInterval{ 100 };
   /// Age of the traffic thread's last sign from which on it is taken to be
-  /// overloaded. Must exceed the pauses of CPU quotas, which may last for the
-  /// rest of a 100 ms period.
+  /// overloaded, and longest time in which connections may wait for it. Must
+  /// exceed the pauses of CPU quotas, which may last for the rest of a 100 ms
+  /// period.
   state::Millis mMaxSignAge{ 170 };
   /// Connections handed over that the traffic thread has not begun to serve.
   /// More wait in the kernel, unless that thread is overloaded.
@@ -81,9 +84,13 @@
   /// Sets whether the process has more work than it can answer.
   void SetOverloaded(bool aIsOverloaded) { mIsOverloaded = aIsOverloaded; }
 
-  /// Notes that the traffic thread runs: work that becomes ready now waits no
-  /// longer than until the next sign.
-  void NoteTrafficSign() { mSignAt = mClock.Now(); }
+  /// Notes that the traffic thread runs, and how late its sign came: work that
+  /// becomes ready now waits no longer than until the next sign.
+  void NoteTrafficSign(state::Millis aDelay)
+  {
+    mSignAt = mClock.Now();
+    mWindow.NoteSign(aDelay);
+  }
 
   /// Sets the maximum number of callers that descriptors allow.
   void SetMaxCallers(std::int64_t aCallers) { mMaxCallers = aCallers; }
@@ -109,6 +116,12 @@
   transport::Task<void> MeasureMemory();
   /// Whether a new connection would be served too late.
   transport::Task<bool> IsTrafficLate();
+  /// Whether the traffic thread has been handed as many as it serves in time.
+  bool IsWindowUsedUp() const;
+  /// Whether a connection is waiting in the kernel.
+  bool IsAnyWaiting() const;
+  /// Whether connections have been waiting for too long to be served in time.
+  bool IsBehind();
   /// Closes connections that are waiting in the kernel, unread.
   void RejectWaiting();
   /// Accepts one that is waiting, if any; returns false if that failed.
@@ -121,12 +134,16 @@
   MemoryProbe* mProbe;
   Handler mOnCaller;
   state::MemoryNeed mNeed;
+  state::AcceptWindow mWindow;
   transport::asio::io_context mContext{ 1 };
   std::shared_ptr<transport::asio::ip::tcp::acceptor> mAcceptor;
   std::atomic<bool> mIsOverloaded{ false };
   std::atomic<state::TimePoint> mSignAt{ state::TimePoint() };
   std::atomic<std::int64_t> mMaxCallers{ 0 };
   state::TimePoint mLateSign; ///< last sign of an overloaded traffic thread
+  /// Since when connections have been waiting for the traffic thread; none
+  /// while no connection waits.
+  std::optional<state::TimePoint> mWaitingSince;
   std::atomic<std::int64_t> mPending{ 0 };
   std::atomic<std::int64_t> mCallers{ 0 };
   std::atomic<std::uint64_t> mRefused{ 0 };
--- a/packages/coordination/src/relay.cpp
+++ b/packages/coordination/src/relay.cpp
@@ -61,7 +61,7 @@
     const auto now = clock.Now();
     const auto late = std::chrono::duration_cast<Millis>(now - due);
     guard.NoteCheck(late, now);
-    aCore->mAcceptor->NoteTrafficSign();
+    aCore->mAcceptor->NoteTrafficSign(late);
     if (guard.IsOverloaded() != wasOverloaded) {
       aCore->mAcceptor->SetOverloaded(guard.IsOverloaded());
       aCore->mDependencies.mLog.Write(
