--- a/packages/coordination/src/caller_acceptor.cpp
+++ b/packages/coordination/src/caller_acceptor.cpp
@@ -1,5 +1,8 @@
 #include "caller_acceptor.h"
 
+#include <algorithm>
+
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -16,6 +19,8 @@
 
 namespace {
 
+/// Part of the memory that is reserved for one connection at most.
+constexpr std::int64_t kMaxNeedDivisor = 8;
 /// Pause after a connection could not be accepted.
 constexpr Millis kAcceptPause{ 50 };
 /// Interval at which the acceptor checks whether the traffic thread has begun
@@ -42,6 +47,9 @@
   , mMemory(aMemory)
   , mProbe(aProbe)
   , mOnCaller(std::move(aOnCaller))
+  , mNeed({ aSettings.mBytesPerCaller,
+            std::max(aSettings.mBytesPerCaller,
+                     aMemory.Limit() / kMaxNeedDivisor) })
 {
 }
 
@@ -61,7 +69,7 @@
   // AcceptOne needs this, so that accept() returns when none is pending.
   boost::system::error_code ignored;
   mAcceptor->non_blocking(true, ignored);
-  NoteTrafficSign();
+  NoteTrafficSign(Millis(0));
   transport::Spawn(mContext, Accept());
   if (mProbe != nullptr) {
     transport::Spawn(mContext, MeasureMemory());
@@ -105,13 +113,16 @@
 CallerAcceptor::IsFull() const
 {
   return mIsOverloaded || mCallers >= mMaxCallers ||
-         !mMemory.HasRoom(mSettings.mBytesPerCaller);
+         !mMemory.HasRoom(mNeed.Expected());
 }
 
 Task<void>
 CallerAcceptor::Accept()
 {
   while (true) {
+    if (!IsAnyWaiting()) {
+      mWaitingSince.reset();
+    }
     const auto [error] = co_await mAcceptor->async_wait(
       tcp::acceptor::wait_read, transport::kAsTuple);
     if (error) {
@@ -119,10 +130,10 @@
       continue;
     }
     const bool isLate = co_await IsTrafficLate();
-    if (isLate || IsFull()) {
+    if (isLate || IsFull() || IsBehind()) {
       RejectWaiting();
       co_await transport::Sleep(kRejectPause);
-    } else if (mPending >= mSettings.mMaxPending) {
+    } else if (IsWindowUsedUp()) {
       co_await transport::Sleep(kPendingPause);
     } else if (!AcceptOne()) {
       co_await transport::Sleep(kAcceptPause);
@@ -130,6 +141,32 @@
   }
 }
 
+bool
+CallerAcceptor::IsWindowUsedUp() const
+{
+  return mPending >= mSettings.mMaxPending || !mWindow.HasRoom();
+}
+
+bool
+CallerAcceptor::IsAnyWaiting() const
+{
+  pollfd listening{ mAcceptor->native_handle(), POLLIN, 0 };
+  return ::poll(&listening, 1, 0) > 0;
+}
+
+bool
+CallerAcceptor::IsBehind()
+{
+  if (!IsWindowUsedUp()) {
+    return false;
+  }
+  const auto now = mClock.Now();
+  if (!mWaitingSince) {
+    mWaitingSince = now;
+  }
+  return now - *mWaitingSince >= mSettings.mMaxSignAge;
+}
+
 void
 CallerAcceptor::RejectWaiting()
 {
@@ -154,12 +191,13 @@
   }
   AcceptedCaller caller{ std::move(socket), state::MemoryReservation(mMemory) };
   // Another reservation may have taken the room meanwhile.
-  if (!caller.mMemory.Resize(mSettings.mBytesPerCaller)) {
+  if (!caller.mMemory.Resize(mNeed.Expected())) {
     ++mRefused;
     return true;
   }
   ++mCallers;
   ++mPending;
+  mWindow.NoteHandedOver();
   mOnCaller(std::move(caller));
   return true;
 }
--- a/packages/coordination/src/caller_acceptor.h
+++ b/packages/coordination/src/caller_acceptor.h
@@ -5,15 +5,18 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <thread>
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
 #include "shuntjunction/coordination/memory_probe.h"
+#include "shuntjunction/state/accept_window.h"
 #include "shuntjunction/state/clock.h"
 #include "shuntjunction/state/error.h"
 #include "shuntjunction/state/memory_budget.h"
+#include "shuntjunction/state/memory_need.h"
 #include "shuntjunction/state/settings.h"
 #include "shuntjunction/transport/task.h"
 
@@ -29,13 +32,14 @@
 /// Settings of a CallerAcceptor.
 struct CallerAcceptorSettings
 {
-  /// Memory reserved for each connection.
+  /// Least memory reserved for each connection.
   std::int64_t mBytesPerCaller = 64L * 1024;
   /// Interval at which the process's memory is measured.
   state::Millis mMeasureInterval{ 100 };
   /// Age of the traffic thread's last sign from which on it is taken to be
-  /// overloaded. Must exceed the pauses of CPU quotas, which may last for the
-  /// rest of a 100 ms period.
+  /// overloaded, and longest time in which connections may wait for it. Must
+  /// exceed the pauses of CPU quotas, which may last for the rest of a 100 ms
+  /// period.
   state::Millis mMaxSignAge{ 170 };
   /// Connections handed over that the traffic thread has not begun to serve.
   /// More wait in the kernel, unless that thread is overloaded.
@@ -80,9 +84,13 @@
   /// Sets whether the process has more work than it can answer.
   void SetOverloaded(bool aIsOverloaded) { mIsOverloaded = aIsOverloaded; }
 
-  /// Notes that the traffic thread runs: work that becomes ready now waits no
-  /// longer than until the next sign.
-  void NoteTrafficSign() { mSignAt = mClock.Now(); }
+  /// Notes that the traffic thread runs, and how late its sign came: work that
+  /// becomes ready now waits no longer than until the next sign.
+  void NoteTrafficSign(state::Millis aDelay)
+  {
+    mSignAt = mClock.Now();
+    mWindow.NoteSign(aDelay);
+  }
 
   /// Sets the maximum number of callers that descriptors allow.
   void SetMaxCallers(std::int64_t aCallers) { mMaxCallers = aCallers; }
@@ -90,6 +98,10 @@
   /// Notes that the traffic thread begins to serve a caller.
   void NoteBegun() { --mPending; }
 
+  /// Notes the bytes that a request needed: connections are accepted only where
+  /// a request of such a size has room. Called by one thread.
+  void NoteNeed(std::int64_t aBytes) { mNeed.Note(aBytes); }
+
   /// Notes that a caller's connection was closed.
   void NoteClosed() { --mCallers; }
 
@@ -104,6 +116,12 @@
   transport::Task<void> MeasureMemory();
   /// Whether a new connection would be served too late.
   transport::Task<bool> IsTrafficLate();
+  /// Whether the traffic thread has been handed as many as it serves in time.
+  bool IsWindowUsedUp() const;
+  /// Whether a connection is waiting in the kernel.
+  bool IsAnyWaiting() const;
+  /// Whether connections have been waiting for too long to be served in time.
+  bool IsBehind();
   /// Closes connections that are waiting in the kernel, unread.
   void RejectWaiting();
   /// Accepts one that is waiting, if any; returns false if that failed.
@@ -115,12 +133,17 @@
   state::MemoryBudget& mMemory;
   MemoryProbe* mProbe;
   Handler mOnCaller;
+  state::MemoryNeed mNeed;
+  state::AcceptWindow mWindow;
   transport::asio::io_context mContext{ 1 };
   std::shared_ptr<transport::asio::ip::tcp::acceptor> mAcceptor;
   std::atomic<bool> mIsOverloaded{ false };
   std::atomic<state::TimePoint> mSignAt{ state::TimePoint() };
   std::atomic<std::int64_t> mMaxCallers{ 0 };
   state::TimePoint mLateSign; ///< last sign of an overloaded traffic thread
+  /// Since when connections have been waiting for the traffic thread; none
+  /// while no connection waits.
+  std::optional<state::TimePoint> mWaitingSince;
   std::atomic<std::int64_t> mPending{ 0 };
   std::atomic<std::int64_t> mCallers{ 0 };
   std::atomic<std::uint64_t> mRefused{ 0 };
