One trial at a time for all restricted parts of a relay

The model's relays hold one trial over all restricted parts; the relay held one for each. Planned trials are kept as times only.

--- a/packages/coordination/src/relay_part_crashes.cpp
+++ b/packages/coordination/src/relay_part_crashes.cpp
@@ -81,48 +81,41 @@
 {
   const auto now = Now();
   std::vector<RequestDigest> restricted;
-  bool isFree = true;
+  bool isDue = true;
   for (const auto& part : aParts.mParts) {
     const auto suspicion = mTracker.SuspicionOf(part, aParts.mTeam, now);
     if (suspicion < PartSuspicion::kRestricted) {
       continue;
     }
-    const auto [trial, isNew] = mTrials.try_emplace(part);
+    const auto [next, isNew] = mNextTrials.try_emplace(part);
     if (isNew) {
-      trial->second.mNotBefore = now + mTracker.TrialDelay(aRelays, aDraw);
+      next->second = now + mTracker.TrialDelay(aRelays, aDraw);
     }
-    isFree = isFree && !trial->second.mIsRunning &&
-             now >= trial->second.mNotBefore &&
-             now >= mTracker.NextTrialAt(part, now);
+    isDue =
+      isDue && now >= next->second && now >= mTracker.NextTrialAt(part, now);
     restricted.push_back(part);
   }
+  const bool isFree = restricted.empty() || (isDue && !mIsTrialRunning);
   if (!isFree) {
     return std::nullopt;
   }
-  for (const auto& part : restricted) {
-    mTrials[part].mIsRunning = true;
-  }
+  mIsTrialRunning = mIsTrialRunning || !restricted.empty();
   return restricted;
 }
 
 void
 RelayPartCrashes::ReleaseTrials(std::vector<RequestDigest>& aTrials)
 {
+  if (aTrials.empty()) {
+    return;
+  }
+  mIsTrialRunning = false;
   for (const auto& part : aTrials) {
-    mTrials.erase(part);
+    mNextTrials.erase(part);
   }
   aTrials.clear();
 }
 
-void
-RelayPartCrashes::ForgetTrial(const RequestDigest& aPart)
-{
-  const auto trial = mTrials.find(aPart);
-  if (trial != mTrials.end() && !trial->second.mIsRunning) {
-    mTrials.erase(trial);
-  }
-}
-
 void
 RelayPartCrashes::NoteCrash(const RequestParts& aParts,
                             const RelayEndpoint& aEndpoint,
@@ -166,7 +159,7 @@
     for (const auto endpoint : mTracker.Clear(part, aParts.mTeam, at)) {
       QueueReport(
         { { { { part }, aParts.mTeam, endpoint, false }, Millis(0) }, true });
-      ForgetTrial(part);
+      mNextTrials.erase(part);
     }
   }
 }
@@ -179,7 +172,7 @@
     const auto at = Now() - update.mReport.mAge;
     if (update.mIsCleared) {
       mTracker.Clear(crash.mParts.front(), crash.mTeam, at);
-      ForgetTrial(crash.mParts.front());
+      mNextTrials.erase(crash.mParts.front());
     } else {
       Apply(mTracker.Note(crash, at), "relays");
     }
--- a/packages/coordination/src/relay_part_crashes.h
+++ b/packages/coordination/src/relay_part_crashes.h
@@ -43,11 +43,12 @@
                                        const std::function<void()>& aEnd);
   void End(std::vector<Waiting::iterator>& aWaiting);
 
-  /// Acquires this relay's trials of the restricted parts among these.
+  /// Acquires this relay's trial, one at a time for all restricted parts, if
+  /// any of these is: engines that crash under several at once show nothing.
   ///
   /// @param aRelays  number of relays
   /// @param aDraw  uniform in [0, 1)
-  /// @return the parts; empty if the request may not be sent now
+  /// @return the restricted parts; empty if the request may not be sent now
   std::optional<std::vector<state::RequestDigest>>
   AcquireTrials(const RequestParts& aParts, std::size_t aRelays, double aDraw);
   void ReleaseTrials(std::vector<state::RequestDigest>& aTrials);
@@ -71,21 +72,12 @@
   void SetGauges();
 
 private:
-  /// The trials of one restricted part.
-  struct Trial
-  {
-    bool mIsRunning = false;
-    state::TimePoint mNotBefore;
-  };
-
   void Apply(const state::PartChanges& aChanges, std::string_view aSource);
   /// Begins the quarantine of a part once its verdict holds.
   transport::Task<void> BeginQuarantine(state::RequestDigest aPart,
                                         std::string aSource);
   /// Records a quarantine in the store once it has stood for a while.
   transport::Task<void> StoreSoon(state::RequestDigest aPart);
-  /// Drops a planned trial of a part that was cleared.
-  void ForgetTrial(const state::RequestDigest& aPart);
   void QueueReport(protocol::PartCrashUpdate aUpdate);
   transport::Task<void> FlushSoon();
   state::TimePoint Now() const { return mDependencies.mClock.Now(); }
@@ -93,7 +85,9 @@
   const RelayDependencies& mDependencies;
   state::PartCrashTracker mTracker;
   Waiting mWaiting;
-  std::map<state::RequestDigest, Trial> mTrials;
+  /// Earliest times of this relay's next trials, by restricted part.
+  std::map<state::RequestDigest, state::TimePoint> mNextTrials;
+  bool mIsTrialRunning = false;
   /// Parts under which this relay itself saw a crash.
   std::set<state::RequestDigest> mOwnCrashes;
   /// Reports that wait to be sent, by the endpoint that crashed.
