--- a/packages/coordination/src/continuation/relay_continuation.cpp
+++ b/packages/coordination/src/continuation/relay_continuation.cpp
@@ -111,12 +111,13 @@
 RunEnd
 RelayRun::EndOfLatestRun(const RelayEndpoint& aEndpoint)
 {
-  if (!mLatestRun) {
-    return RunEnd::kUnknown;
+  if (!mLatestRun || mLatestEnd != RunEnd::kUnknown) {
+    return mLatestEnd;
   }
   const auto& queries = aEndpoint.mRunsQueries;
   mLatestRun->NoteReply(queries.mReply, queries.mAskedAt);
-  return state::EndOfRun(*mLatestRun, queries.mReply, queries.mAskedAt);
+  mLatestEnd = state::EndOfRun(*mLatestRun, queries.mReply, queries.mAskedAt);
+  return mLatestEnd;
 }
 
 bool
--- a/packages/coordination/src/continuation/runs_query.cpp
+++ b/packages/coordination/src/continuation/runs_query.cpp
@@ -133,8 +133,11 @@
   auto reply = co_await QueryRuns(aCore, aEndpoint);
   auto& queries = aEndpoint->mRunsQueries;
   queries.mIsPending = false;
-  queries.mReply = std::move(reply);
-  queries.mAskedAt = askedAt;
+  // A check for a crash may have seen a refusal meanwhile.
+  if (askedAt >= queries.mAskedAt) {
+    queries.mReply = std::move(reply);
+    queries.mAskedAt = askedAt;
+  }
   LogReply(*aCore,
            *aEndpoint,
            std::chrono::duration_cast<Millis>(clock.Now() - askedAt));
--- a/packages/coordination/src/relay_attempt.cpp
+++ b/packages/coordination/src/relay_attempt.cpp
@@ -132,6 +132,7 @@
   LogSent(attempt.mEndpointChoice);
   attempt.mEndpointChoice.mSentAt = Now();
   mAbsentSince.reset();
+  mLatestEnd = state::RunEnd::kUnknown;
   mLatestRun = { mCall.mRequestId, attempt.mEndpointChoice.mSentAt, {} };
   if (endpoint.mRunning++ == 0) {
     endpoint.mLastBytesAt = Now();
--- a/packages/coordination/src/relay_run.h
+++ b/packages/coordination/src/relay_run.h
@@ -340,6 +340,8 @@
   AttemptTimes mTimes;                      ///< of the last attempt
   AnswerTrace mAnswerTrace;                 ///< of the last attempt
   std::optional<state::RunInQuestion> mLatestRun; ///< empty: nothing was sent
+  /// What is known of its end, which holds once it is known.
+  state::RunEnd mLatestEnd = state::RunEnd::kUnknown;
   /// Since when its engine has replied that it does not run it.
   std::optional<state::TimePoint> mAbsentSince;
   int mUnsentTries = 0; ///< endpoints that could not be reached
