A quarantine that expired and was deleted is no operator's release

Relays delete expired quarantines from the store; each other relay took the absence of the entry for a release and forgot the crashes, so that a request or part on probation needed three crashes again instead of one. Only an entry that was still in force counts as released when it goes. No test of its own; the tests of stored quarantines pass.

--- a/packages/coordination/src/relay_crashes.cpp
+++ b/packages/coordination/src/relay_crashes.cpp
@@ -111,7 +111,8 @@
     }
   }
   for (const auto& [request, entry] : mStoredQuarantines) {
-    if (!aQuarantined.contains(request)) {
+    // Entries that have expired are deleted by relays.
+    if (!aQuarantined.contains(request) && entry.mUntilMillis > wall) {
       mDependencies.mLog.Write(
         EventLine(kRelayComponent, "released").Add("content", request.Text()));
       NoteCompleted(request);
