--- a/packages/coordination/src/relay.cpp
+++ b/packages/coordination/src/relay.cpp
@@ -151,7 +151,7 @@
   , mDescriptors({ mDependencies.mSettings.mDescriptors, kReservedDescriptors })
   , mEndpoints(RelayEndpointSettings{})
   , mCrashes(mDependencies)
-  , mPartCrashes(mDependencies)
+  , mPartCrashes(mDependencies, mCrashes)
   , mShares(mDependencies)
   , mRates(mDependencies, mShares.Directory())
   , mNotices(mDependencies)
@@ -225,7 +225,8 @@
   for (const auto& broken : std::exchange(aEndpoint.mBrokenRequests, {})) {
     if (mDependencies.mClock.Now() - broken.mAt < mLimits.mRestartDetection) {
       mCrashes.NoteCrash(broken.mRequest, aEndpoint);
-      mPartCrashes.NoteCrash(broken.mParts, aEndpoint, broken.mIsTrial);
+      mPartCrashes.NoteCrash(
+        broken.mParts, aEndpoint, broken.mIsTrial, broken.mAt);
     }
   }
 }
--- a/packages/coordination/src/relay_attempt.cpp
+++ b/packages/coordination/src/relay_attempt.cpp
@@ -195,8 +195,9 @@
     return tl::unexpected(AttemptOutcome::kLeaving);
   }
   // It may have become suspect while the request waited.
-  if (mTrials.empty() && mCore->mPartCrashes.SuspicionOf(mParts) >=
-                           state::PartSuspicion::kRestricted) {
+  if (!mIsPastBeginning && mTrials.empty() &&
+      mCore->mPartCrashes.SuspicionOf(mParts) >=
+        state::PartSuspicion::kRestricted) {
     mLastProblem = "part restricted";
     return tl::unexpected(AttemptOutcome::kLeaving);
   }
--- a/packages/coordination/src/relay_crashes.h
+++ b/packages/coordination/src/relay_crashes.h
@@ -52,6 +52,12 @@
   std::vector<state::RequestDigest> ApplyQuarantined(
     const QuarantinedRequests& aQuarantined);
 
+  /// Ends the quarantine of a digest at this relay.
+  void Forget(const state::RequestDigest& aRequest)
+  {
+    mTracker.Clear(aRequest);
+  }
+
   /// How long a request is refused from now on; zero if it may run.
   state::Millis QuarantineLeft(const state::RequestDigest& aRequest) const;
 
--- a/packages/coordination/src/relay_part_crashes.cpp
+++ b/packages/coordination/src/relay_part_crashes.cpp
@@ -26,8 +26,10 @@
 
 } // namespace
 
-RelayPartCrashes::RelayPartCrashes(const RelayDependencies& aDependencies)
+RelayPartCrashes::RelayPartCrashes(const RelayDependencies& aDependencies,
+                                   RelayCrashes& aCrashes)
   : mDependencies(aDependencies)
+  , mCrashes(aCrashes)
   , mTracker(state::PartCrashSettings{})
 {
 }
@@ -119,7 +121,8 @@
 void
 RelayPartCrashes::NoteCrash(const RequestParts& aParts,
                             const RelayEndpoint& aEndpoint,
-                            bool aIsTrial)
+                            bool aIsTrial,
+                            state::TimePoint aAt)
 {
   if (aParts.mParts.empty()) {
     return;
@@ -128,10 +131,14 @@
                                 aParts.mTeam,
                                 state::PlacementHash(aEndpoint.mInfo.mAddress),
                                 aIsTrial };
-  const auto changes = mTracker.Note(crash, Now());
+  const auto changes = mTracker.Note(crash, aAt);
   if (!changes.mIsNew) {
     return;
   }
+  std::erase_if(mNextTrials, [this](const auto& aItem) {
+    return mTracker.Crashes(aItem.first) <
+           mTracker.Settings().mRestrictedCrashes;
+  });
   for (const auto& part : aParts.mParts) {
     if (mOwnCrashes.size() >= mTracker.Settings().mMaxParts) {
       mOwnCrashes.clear();
@@ -146,7 +153,8 @@
         .Add("trial", aIsTrial)
         .Add("suspicion", state::kPartSuspicionNames.Name(suspicion)));
   }
-  QueueReport({ { crash, Millis(0) }, false });
+  const auto age = std::chrono::duration_cast<Millis>(Now() - aAt);
+  QueueReport({ { crash, age }, false });
   Apply(changes, "own");
 }
 
@@ -161,6 +169,7 @@
         { { { { part }, aParts.mTeam, endpoint, false }, Millis(0) }, true });
       mNextTrials.erase(part);
     }
+    EndQuarantine(part);
   }
 }
 
@@ -173,6 +182,7 @@
     if (update.mIsCleared) {
       mTracker.Clear(crash.mParts.front(), crash.mTeam, at);
       mNextTrials.erase(crash.mParts.front());
+      EndQuarantine(crash.mParts.front());
     } else {
       Apply(mTracker.Note(crash, at), "relays");
     }
@@ -211,9 +221,22 @@
                      BeginQuarantine(part, std::string(aSource)));
   }
   for (const auto& part : aChanges.mReleased) {
-    mDependencies.mLog.Write(
-      EventLine(kRelayComponent, "part-released").Add("content", part.Text()));
+    EndQuarantine(part);
+  }
+}
+
+void
+RelayPartCrashes::EndQuarantine(const RequestDigest& aPart)
+{
+  const auto refused = mRefused.find(aPart);
+  if (refused == mRefused.end() ||
+      mTracker.RefusalLeft(aPart, Now()) > Millis(0)) {
+    return;
   }
+  mDependencies.mLog.Write(EventLine(kRelayComponent, "part-released")
+                             .Add("content", refused->second.Text()));
+  mCrashes.Forget(refused->second);
+  mRefused.erase(refused);
 }
 
 Task<void>
@@ -224,6 +247,7 @@
     co_return;
   }
   const auto digest = mTracker.RefusedDigest(aPart);
+  mRefused[aPart] = digest;
   mDependencies.mLog.Write(EventLine(kRelayComponent, "part-quarantined")
                              .Add("content", digest.Text())
                              .Add("shared", aPart.Text())
--- a/packages/coordination/src/relay_part_crashes.h
+++ b/packages/coordination/src/relay_part_crashes.h
@@ -11,6 +11,7 @@
 #include <string_view>
 #include <vector>
 
+#include "relay_crashes.h"
 #include "relay_endpoint.h"
 #include "request_parts.h"
 #include "shuntjunction/coordination/relay.h"
@@ -30,7 +31,9 @@
   using Waiting = std::multimap<state::RequestDigest, std::function<void()>>;
 
   /// @param aDependencies  outlive this object, as do their members
-  explicit RelayPartCrashes(const RelayDependencies& aDependencies);
+  /// @param aCrashes  outlives this object; holds quarantines that were stored
+  RelayPartCrashes(const RelayDependencies& aDependencies,
+                   RelayCrashes& aCrashes);
 
   /// Highest suspicion among the parts of a request.
   state::PartSuspicion SuspicionOf(const RequestParts& aParts) const;
@@ -56,9 +59,11 @@
   /// Records that an endpoint crashed when it was about to answer a request.
   ///
   /// @param aIsTrial  it was sent while one of its parts was suspected
+  /// @param aAt  when its connection broke
   void NoteCrash(const RequestParts& aParts,
                  const RelayEndpoint& aEndpoint,
-                 bool aIsTrial);
+                 bool aIsTrial,
+                 state::TimePoint aAt);
 
   /// Records that an answer got past its beginning, which clears its parts.
   void NoteAnswered(const RequestParts& aParts);
@@ -73,6 +78,9 @@
 
 private:
   void Apply(const state::PartChanges& aChanges, std::string_view aSource);
+  /// Ends a quarantine that the tracker does not hold any more, also as the
+  /// store brought it.
+  void EndQuarantine(const state::RequestDigest& aPart);
   /// Begins the quarantine of a part once its verdict holds.
   transport::Task<void> BeginQuarantine(state::RequestDigest aPart,
                                         std::string aSource);
@@ -83,7 +91,10 @@
   state::TimePoint Now() const { return mDependencies.mClock.Now(); }
 
   const RelayDependencies& mDependencies;
+  RelayCrashes& mCrashes;
   state::PartCrashTracker mTracker;
+  /// Digests under which parts are refused, by part.
+  std::map<state::RequestDigest, state::RequestDigest> mRefused;
   Waiting mWaiting;
   /// Earliest times of this relay's next trials, by restricted part.
   std::map<state::RequestDigest, state::TimePoint> mNextTrials;
--- a/packages/coordination/src/relay_run.cpp
+++ b/packages/coordination/src/relay_run.cpp
@@ -241,6 +241,7 @@
       break;
     }
     if (!mayBeSent) {
+      ReleaseTrials();
       continue;
     }
     auto outcome = co_await TryEndpoint(*choice);
--- a/packages/coordination/src/relay_run_parts.cpp
+++ b/packages/coordination/src/relay_run_parts.cpp
@@ -107,7 +107,7 @@
 {
   mCore->mCrashes.NoteCrash(mDigest, aEndpoint);
   if (!mIsPastBeginning) {
-    mCore->mPartCrashes.NoteCrash(mParts, aEndpoint, mIsTrial);
+    mCore->mPartCrashes.NoteCrash(mParts, aEndpoint, mIsTrial, Now());
   }
 }
 
