Logs and metrics of a process's start, and of what it reads from the store

Callers of a fleet that restarted got 503 for many seconds, and nothing showed what each process waited for.

- start-phase lines and shuntjunction_start_phase_ms: when watchers, source, configuration, endpoints and readiness were reached.
- list-read lines with count, time and source; platform-lost with the time that the failed call lasted; shuntjunction_store_failures beside _store_calls.
- connections closed unread by reason (overloaded, traffic_late, backlogged, caller_limit, no_memory): a label of the existing metric.

No logic is changed.

--- a/packages/coordination/include/shuntjunction/coordination/mirrored_platform.h
+++ b/packages/coordination/include/shuntjunction/coordination/mirrored_platform.h
@@ -117,6 +117,12 @@
     return mCalls[static_cast<std::size_t>(aCall)].load();
   }
 
+  /// Number of those calls that failed; may be called from any thread.
+  std::uint64_t Failures(StoreCall aCall) const
+  {
+    return mFailures[static_cast<std::size_t>(aCall)].load();
+  }
+
   /// Number of watcher responses applied; may be called from any thread.
   std::uint64_t MirrorResponses() const { return mMirrorResponses.load(); }
 
@@ -155,7 +161,11 @@
     kUpdated,    ///< a response was applied
   };
 
-  void Count(StoreCall aCall);
+  /// Makes a call to the store and counts it, and its failure.
+  template<typename T>
+  transport::Task<state::Result<T>> CallStore(
+    StoreCall aCall,
+    transport::Task<state::Result<T>> aTask);
   transport::Task<void> Run();
   /// Queries the watchers in order until one serves.
   transport::Task<QueryOutcome> QueryWatchers();
@@ -181,6 +191,7 @@
   std::uint64_t mSequence = 0;   ///< up to which its changes were applied
   std::atomic<std::uint64_t> mMirrorResponses{ 0 };
   std::array<std::atomic<std::uint64_t>, kStoreCallNames.Size()> mCalls{};
+  std::array<std::atomic<std::uint64_t>, kStoreCallNames.Size()> mFailures{};
   std::atomic<bool> mIsMirrored{ false };
   std::optional<state::TimePoint> mLastRequestAt; ///< from another process
   std::list<transport::Timer> mWaiters;
--- a/packages/coordination/include/shuntjunction/coordination/relay_feed.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay_feed.h
@@ -202,7 +202,10 @@
   void CheckLists();
   transport::Task<void> CheckList(Topic& aTopic);
   transport::Task<void> RereadList(Topic& aTopic);
-  void NoteCallFailure(Topic& aTopic, const state::Error& aError);
+  void NoteCallFailure(Topic& aTopic,
+                       const state::Error& aError,
+                       std::int64_t aWaitedMillis);
+  std::int64_t MillisSince(state::TimePoint aTime) const;
   void NoteSuccess(Topic& aTopic);
   /// Cancels the calls that have waited since before the last failure: a store
   /// that stopped responding may never answer them, though it answers new ones.
--- a/packages/coordination/include/shuntjunction/coordination/zone_mirror.h
+++ b/packages/coordination/include/shuntjunction/coordination/zone_mirror.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -8,6 +9,7 @@
 #include "shuntjunction/coordination/relay_settings.h"
 #include "shuntjunction/coordination/snapshot_server.h"
 #include "shuntjunction/coordination/mirrored_platform.h"
+#include "shuntjunction/state/start_phases.h"
 #include "shuntjunction/state/start_plan.h"
 #include "shuntjunction/state/usage_limit.h"
 
@@ -28,12 +30,16 @@
 class ZoneMirror
 {
 public:
+  using PhaseHandler = std::function<void(state::StartPhase)>;
+
   /// @param aStore, aClock, aLog  outlive this
+  /// @param aOnPhase  called on the context's thread as this process starts
   ZoneMirror(transport::asio::io_context& aContext,
              const MirroredPlatformSettings& aSettings,
              Platform& aStore,
              const state::Clock& aClock,
-             EventLog& aLog);
+             EventLog& aLog,
+             PhaseHandler aOnPhase);
 
   /// The store, read through a watcher or directly; used for all access of this
   /// process.
@@ -87,6 +93,7 @@
   transport::ChannelIdentity mIdentity;
   const state::Clock& mClock;
   EventLog& mLog;
+  PhaseHandler mOnPhase;
   state::ObjectMirror mMirror;
   MirroredPlatform mPlatform;
   std::unique_ptr<SnapshotServer> mServer;
--- a/packages/coordination/src/caller_acceptor.cpp
+++ b/packages/coordination/src/caller_acceptor.cpp
@@ -109,11 +109,35 @@
   co_return true;
 }
 
-bool
-CallerAcceptor::IsFull() const
+std::optional<AcceptRefusal>
+CallerAcceptor::ReasonIfFull() const
 {
-  return mIsOverloaded || mCallers >= mMaxCallers ||
-         !mMemory.HasRoom(mNeed.Expected());
+  if (mIsOverloaded) {
+    return AcceptRefusal::kOverloaded;
+  }
+  if (mCallers >= mMaxCallers) {
+    return AcceptRefusal::kCallerLimit;
+  }
+  if (!mMemory.HasRoom(mNeed.Expected())) {
+    return AcceptRefusal::kNoMemory;
+  }
+  return std::nullopt;
+}
+
+Task<std::optional<AcceptRefusal>>
+CallerAcceptor::ReasonToReject()
+{
+  const bool isLate = co_await IsTrafficLate();
+  if (const auto reason = ReasonIfFull()) {
+    co_return reason;
+  }
+  if (isLate) {
+    co_return AcceptRefusal::kTrafficLate;
+  }
+  if (IsBehind()) {
+    co_return AcceptRefusal::kBacklogged;
+  }
+  co_return std::nullopt;
 }
 
 Task<void>
@@ -129,9 +153,9 @@
       co_await transport::Sleep(kAcceptPause);
       continue;
     }
-    const bool isLate = co_await IsTrafficLate();
-    if (isLate || IsFull() || IsBehind()) {
-      RejectWaiting();
+    const auto reason = co_await ReasonToReject();
+    if (reason) {
+      RejectWaiting(*reason);
       co_await transport::Sleep(kRejectPause);
     } else if (IsWindowUsedUp()) {
       co_await transport::Sleep(kPendingPause);
@@ -168,7 +192,7 @@
 }
 
 void
-CallerAcceptor::RejectWaiting()
+CallerAcceptor::RejectWaiting(AcceptRefusal aReason)
 {
   for (int i = 0; i < kMaxRejectsPerTurn; ++i) {
     const int socket =
@@ -177,7 +201,7 @@
       return;
     }
     ::close(socket);
-    ++mRefused;
+    CountRefusal(aReason);
   }
 }
 
@@ -192,7 +216,7 @@
   AcceptedCaller caller{ std::move(socket), state::MemoryReservation(mMemory) };
   // Another reservation may have taken the room meanwhile.
   if (!caller.mMemory.Resize(mNeed.Expected())) {
-    ++mRefused;
+    CountRefusal(AcceptRefusal::kNoMemory);
     return true;
   }
   ++mCallers;
--- a/packages/coordination/src/caller_acceptor.h
+++ b/packages/coordination/src/caller_acceptor.h
@@ -2,6 +2,7 @@
 
 // Private to coordination: accepts callers' connections on a thread of its own.
 
+#include <array>
 #include <atomic>
 #include <functional>
 #include <memory>
@@ -14,6 +15,7 @@
 #include "shuntjunction/coordination/memory_probe.h"
 #include "shuntjunction/state/accept_window.h"
 #include "shuntjunction/state/clock.h"
+#include "shuntjunction/state/enum_names.h"
 #include "shuntjunction/state/error.h"
 #include "shuntjunction/state/memory_budget.h"
 #include "shuntjunction/state/memory_need.h"
@@ -29,6 +31,21 @@
   state::MemoryReservation mMemory;
 };
 
+/// Why a connection was closed unread.
+enum class AcceptRefusal : std::uint8_t
+{
+  kOverloaded,  ///< the process has more work than it can answer
+  kTrafficLate, ///< the traffic thread gave no sign in time
+  kBacklogged,  ///< connections waited too long for the traffic thread
+  kCallerLimit, ///< as many callers are connected as descriptors allow
+  kNoMemory,    ///< no memory is left for another request
+};
+
+/// Names of AcceptRefusal.
+inline constexpr state::EnumNames<AcceptRefusal, 5> kAcceptRefusalNames{
+  { "overloaded", "traffic_late", "backlogged", "caller_limit", "no_memory" }
+};
+
 /// Settings of a CallerAcceptor.
 struct CallerAcceptorSettings
 {
@@ -106,10 +123,13 @@
   void NoteClosed() { --mCallers; }
 
   /// Whether no more callers can be accepted now.
-  bool IsFull() const;
+  bool IsFull() const { return ReasonIfFull().has_value(); }
 
-  /// Number of connections closed unread since the start.
-  std::uint64_t Refused() const { return mRefused; }
+  /// Number of connections closed unread since the start, by reason.
+  std::uint64_t Refused(AcceptRefusal aReason) const
+  {
+    return mRefused[static_cast<std::size_t>(aReason)];
+  }
 
 private:
   transport::Task<void> Accept();
@@ -122,8 +142,16 @@
   bool IsAnyWaiting() const;
   /// Whether connections have been waiting for too long to be served in time.
   bool IsBehind();
+  /// Why no more callers can be accepted now, if so.
+  std::optional<AcceptRefusal> ReasonIfFull() const;
+  /// Why connections that are waiting would not be served, if so.
+  transport::Task<std::optional<AcceptRefusal>> ReasonToReject();
   /// Closes connections that are waiting in the kernel, unread.
-  void RejectWaiting();
+  void RejectWaiting(AcceptRefusal aReason);
+  void CountRefusal(AcceptRefusal aReason)
+  {
+    ++mRefused[static_cast<std::size_t>(aReason)];
+  }
   /// Accepts one that is waiting, if any; returns false if that failed.
   bool AcceptOne();
 
@@ -146,7 +174,7 @@
   std::optional<state::TimePoint> mWaitingSince;
   std::atomic<std::int64_t> mPending{ 0 };
   std::atomic<std::int64_t> mCallers{ 0 };
-  std::atomic<std::uint64_t> mRefused{ 0 };
+  std::array<std::atomic<std::uint64_t>, kAcceptRefusalNames.Size()> mRefused{};
   std::thread mThread;
 };
 
--- a/packages/coordination/src/fleet_daemon.cpp
+++ b/packages/coordination/src/fleet_daemon.cpp
@@ -71,13 +71,15 @@
     , mAdapter(aAdapter)
     , mReload(std::move(aReload))
     , mLog(EventLogSettings{}, mClock)
+    , mPhases(mClock.Now())
     , mControlGuard(asio::make_work_guard(mControl))
     , mSignals(mTraffic, SIGTERM, SIGINT, SIGHUP)
     , mZoneMirror(mControl,
                   MakeMirroredPlatformSettings(aSettings, aAdapter.mStoreCodec),
                   aAdapter.mPlatform,
                   mClock,
-                  mLog)
+                  mLog,
+                  [this](auto aPhase) { NotePhase(aPhase); })
     , mFeed(mControl,
             FeedSettings(aSettings),
             mZoneMirror.Store(),
@@ -141,9 +143,33 @@
   }
 
 private:
+  /// May be called from any thread.
+  void NotePhase(state::StartPhase aPhase)
+  {
+    if (const auto elapsed = mPhases.Reach(aPhase, mClock.Now())) {
+      mLog.Write(EventLine(kComponent, "start-phase")
+                   .Add("phase", state::kStartPhaseNames.Name(aPhase))
+                   .Add("since_start_ms", elapsed->count()));
+    }
+  }
+
+  void SetPhaseGauges()
+  {
+    for (std::size_t i = 0; i < state::kStartPhaseNames.Size(); ++i) {
+      const auto phase = static_cast<state::StartPhase>(i);
+      if (const auto reached = mPhases.ReachedAt(phase)) {
+        mMetrics.Set(
+          "shuntjunction_start_phase_ms",
+          static_cast<double>(reached->count()),
+          { { "phase", std::string(state::kStartPhaseNames.Name(phase)) } });
+      }
+    }
+  }
+
   /// On the traffic thread: serializes all metrics.
   std::string Exposition()
   {
+    SetPhaseGauges();
     mMetrics.Set("shuntjunction_log_lines_dropped",
                  static_cast<double>(mLog.Dropped()));
     mMetrics.Set("shuntjunction_watch_served",
@@ -153,6 +179,9 @@
       mMetrics.Set("shuntjunction_store_calls",
                    static_cast<double>(mZoneMirror.Store().Calls(call)),
                    { { "call", std::string(kStoreCallNames.Name(call)) } });
+      mMetrics.Set("shuntjunction_store_failures",
+                   static_cast<double>(mZoneMirror.Store().Failures(call)),
+                   { { "call", std::string(kStoreCallNames.Name(call)) } });
     }
     mMetrics.Set("shuntjunction_watch_answers",
                  static_cast<double>(mZoneMirror.Store().MirrorResponses()));
@@ -453,6 +482,12 @@
   void ApplyView(std::shared_ptr<const RelayView> aView)
   {
     mZoneMirror.ApplyEndpoints(aView->mEndpoints);
+    if (aView->mConfig->Version() != 0) {
+      NotePhase(state::StartPhase::kConfigKnown);
+    }
+    if (!aView->mEndpoints.empty()) {
+      NotePhase(state::StartPhase::kEndpointsKnown);
+    }
     if (mWeightsController) {
       UpdateCompanions(aView->mEndpoints);
       mStreams.Update(aView->mEndpoints, mClock.Now());
@@ -470,6 +505,7 @@
       mRelay->ApplyView(std::move(view));
       if (!wasReady && mRelay->IsReady()) {
         mLog.Write(EventLine(kComponent, "ready"));
+        NotePhase(state::StartPhase::kReady);
       }
     });
   }
@@ -558,6 +594,7 @@
   Reload mReload;
   state::SystemClock mClock;
   EventLog mLog;
+  state::StartPhases mPhases;
   Metrics mMetrics;
   ProcessMemoryProbe mMemoryProbe;
   asio::io_context mControl{ 1 };
--- a/packages/coordination/src/mirrored_platform.cpp
+++ b/packages/coordination/src/mirrored_platform.cpp
@@ -80,12 +80,6 @@
   return mLastRequestAt && mClock.Now() - *mLastRequestAt < kServingTimeout;
 }
 
-void
-MirroredPlatform::Count(StoreCall aCall)
-{
-  ++mCalls[static_cast<std::size_t>(aCall)];
-}
-
 // Querying watchers.
 
 Task<void>
@@ -231,6 +225,19 @@
 
 // Platform calls.
 
+template<typename T>
+Task<Result<T>>
+MirroredPlatform::CallStore(StoreCall aCall, Task<Result<T>> aTask)
+{
+  const auto call = static_cast<std::size_t>(aCall);
+  ++mCalls[call];
+  auto result = co_await std::move(aTask);
+  if (!result) {
+    ++mFailures[call];
+  }
+  co_return result;
+}
+
 std::optional<ObjectList>
 MirroredPlatform::ListFromMirror(std::string_view aPrefix) const
 {
@@ -249,8 +256,8 @@
   if (auto list = ListFromMirror(aPrefix)) {
     co_return std::move(*list);
   }
-  Count(StoreCall::kList);
-  co_return co_await mStore.List(std::move(aPrefix));
+  co_return co_await CallStore(StoreCall::kList,
+                               mStore.List(std::move(aPrefix)));
 }
 
 Task<Result<ObjectList>>
@@ -259,16 +266,16 @@
   if (auto list = ListFromMirror(aPrefix)) {
     co_return std::move(*list);
   }
-  Count(StoreCall::kListCached);
-  co_return co_await mStore.ListCached(std::move(aPrefix));
+  co_return co_await CallStore(StoreCall::kListCached,
+                               mStore.ListCached(std::move(aPrefix)));
 }
 
 Task<Result<WatchResult>>
 MirroredPlatform::Watch(std::string aPrefix, std::uint64_t aAfter, Millis aWait)
 {
   if (!IsPrefixMirrored(aPrefix)) {
-    Count(StoreCall::kWatch);
-    co_return co_await mStore.Watch(std::move(aPrefix), aAfter, aWait);
+    co_return co_await CallStore(
+      StoreCall::kWatch, mStore.Watch(std::move(aPrefix), aAfter, aWait));
   }
   const auto until = mClock.Now() + aWait;
   const auto responsesBefore = mMirrorResponses.load();
@@ -298,8 +305,7 @@
 Task<Result<std::optional<RawObject>>>
 MirroredPlatform::Read(std::string aKey)
 {
-  Count(StoreCall::kRead);
-  return mStore.Read(std::move(aKey));
+  return CallStore(StoreCall::kRead, mStore.Read(std::move(aKey)));
 }
 
 Task<Result<std::uint64_t>>
@@ -307,8 +313,9 @@
                         std::string aValue,
                         std::uint64_t aIfRevision)
 {
-  Count(StoreCall::kWrite);
-  return mStore.Write(std::move(aKey), std::move(aValue), aIfRevision);
+  return CallStore(
+    StoreCall::kWrite,
+    mStore.Write(std::move(aKey), std::move(aValue), aIfRevision));
 }
 
 Task<Result<std::uint64_t>>
@@ -316,15 +323,16 @@
                               std::string aStatus,
                               std::uint64_t aIfRevision)
 {
-  Count(StoreCall::kWrite);
-  return mStore.WriteStatus(std::move(aKey), std::move(aStatus), aIfRevision);
+  return CallStore(
+    StoreCall::kWrite,
+    mStore.WriteStatus(std::move(aKey), std::move(aStatus), aIfRevision));
 }
 
 Task<Result<void>>
 MirroredPlatform::Delete(std::string aKey, std::uint64_t aIfRevision)
 {
-  Count(StoreCall::kWrite);
-  return mStore.Delete(std::move(aKey), aIfRevision);
+  return CallStore(StoreCall::kWrite,
+                   mStore.Delete(std::move(aKey), aIfRevision));
 }
 
 Task<Result<InstanceList>>
--- a/packages/coordination/src/relay.cpp
+++ b/packages/coordination/src/relay.cpp
@@ -423,8 +423,13 @@
   metrics.Set("shuntjunction_relay_active", static_cast<double>(Active()));
   metrics.Set("shuntjunction_relay_connections",
               static_cast<double>(Connections()));
-  metrics.Set("shuntjunction_relay_connections_refused_total",
-              static_cast<double>(mCore->mAcceptor->Refused()));
+  for (std::size_t i = 0; i < kAcceptRefusalNames.Size(); ++i) {
+    const auto reason = static_cast<AcceptRefusal>(i);
+    metrics.Set(
+      "shuntjunction_relay_connections_refused_total",
+      static_cast<double>(mCore->mAcceptor->Refused(reason)),
+      { { "reason", std::string(kAcceptRefusalNames.Name(reason)) } });
+  }
   metrics.Set("shuntjunction_relay_memory_reserved_bytes",
               static_cast<double>(mCore->mMemory.Reserved()));
   metrics.Set("shuntjunction_relay_memory_reservable_bytes",
--- a/packages/coordination/src/relay_feed.cpp
+++ b/packages/coordination/src/relay_feed.cpp
@@ -264,6 +264,7 @@
     } else {
       done = co_await ListOnce(aTopic);
     }
+    const auto waited = MillisSince(aTopic.mRequestedAt.value_or(mClock.Now()));
     aTopic.mRequestedAt.reset();
     if (done) {
       NoteSuccess(aTopic);
@@ -272,7 +273,7 @@
     if (aTopic.mIsAbandoned) {
       continue;
     }
-    NoteCallFailure(aTopic, done.error());
+    NoteCallFailure(aTopic, done.error(), waited);
     aTopic.mPause = std::clamp(
       aTopic.mPause * 2, mSettings.mFirstPause, mSettings.mLongestPause);
     co_await transport::Sleep(state::JitteredPause(aTopic.mPause, mRandom));
@@ -280,6 +281,12 @@
   aTopic.mIsFollowed = false;
 }
 
+std::int64_t
+RelayFeed::MillisSince(state::TimePoint aTime) const
+{
+  return std::chrono::duration_cast<Millis>(mClock.Now() - aTime).count();
+}
+
 Task<Result<void>>
 RelayFeed::ListOnce(Topic& aTopic)
 {
@@ -287,8 +294,8 @@
   if (!list) {
     co_return tl::unexpected(list.error());
   }
-  const auto askedAt = NoteSource(
-    list->mMirrorFreshness, *std::exchange(aTopic.mRequestedAt, std::nullopt));
+  const auto requestedAt = *std::exchange(aTopic.mRequestedAt, std::nullopt);
+  const auto askedAt = NoteSource(list->mMirrorFreshness, requestedAt);
   aTopic.mIsListed = true;
   if (list->mRevision >= aTopic.mRevision) {
     ApplyList(aTopic, *list);
@@ -297,6 +304,12 @@
     mConfirmed.Confirm(askedAt);
   }
   NoteRevision(aTopic, list->mRevision, askedAt);
+  mLog.Write(EventLine(kFeedComponent, "list-read")
+               .Add("objects", aTopic.mPrefix)
+               .Add("count", list->mObjects.size())
+               .Add("revision", list->mRevision)
+               .Add("mirrored", list->mMirrorFreshness.has_value())
+               .Add("took_ms", MillisSince(requestedAt)));
   Publish();
   co_return Result<void>{};
 }
@@ -383,7 +396,9 @@
 }
 
 void
-RelayFeed::NoteCallFailure(Topic& aTopic, const Error& aError)
+RelayFeed::NoteCallFailure(Topic& aTopic,
+                           const Error& aError,
+                           std::int64_t aWaitedMillis)
 {
   mLastFailureAt = mClock.Now();
   mDirectory.NoteOutage(mLastFailureAt);
@@ -394,6 +409,7 @@
   mLog.Write(EventLine(kFeedComponent, "platform-lost")
                .Add("objects", aTopic.mPrefix)
                .Add("revision", aTopic.mRevision)
+               .Add("waited_ms", aWaitedMillis)
                .Add("error", aError.Describe()));
 }
 
--- a/packages/coordination/src/zone_mirror.cpp
+++ b/packages/coordination/src/zone_mirror.cpp
@@ -90,11 +90,13 @@
                        const MirroredPlatformSettings& aSettings,
                        Platform& aStore,
                        const state::Clock& aClock,
-                       EventLog& aLog)
+                       EventLog& aLog,
+                       PhaseHandler aOnPhase)
   : mContext(aContext)
   , mIdentity{ aSettings.mName, aSettings.mSecret, 0 }
   , mClock(aClock)
   , mLog(aLog)
+  , mOnPhase(std::move(aOnPhase))
   , mMirror(RandomEpoch())
   , mPlatform(aContext, aSettings, aStore, aClock, aLog)
   , mWholeBytes(kWholeBytesLimit, kWholeBytesLimit.mBurst, aClock.Now())
@@ -141,7 +143,9 @@
   }
   mLog.Write(EventLine("watch", "started")
                .Add("mirrored", mPlatform.IsMirrored())
+               .Add("looks", plan.Looks())
                .Add("fleet_starting", plan.IsFleetStarting()));
+  mOnPhase(state::StartPhase::kSourceFound);
   mStartPlan.reset();
   aFeed->Start();
   mPlatform.Start();
@@ -162,6 +166,9 @@
     }
   }
   mPlatform.ApplyEndpoints(endpoints);
+  if (mPlatform.HasWatchers()) {
+    mOnPhase(state::StartPhase::kWatchersFound);
+  }
   mStartPlan->NoteLook(endpoints.size(), mPlatform.HasWatchers(), mClock.Now());
 }
 
