A failed look at the store is repeated, and a transfer is not abandoned

Callers of a fleet whose processes restarted together got 503 from nearly all relays for as long as they were observed, though all machines were back.

Cause: everybody falls back to the shared source at once. A process that starts reads the store's cached list of endpoints to find its zone's watchers. 880 looks at 643 endpoints need the store's link for seconds; each call ended at its fixed time-out. A process whose look failed listed everything itself, which is more than the look, calls that ran out of time had used the link for nothing and began anew, and the watchers read in the same crowd. So the load stayed after its cause was gone.

Refusals by the store were ruled out as the cause: the time-outs came at machines that it did not turn away.

The fix: a response that keeps arriving is received to its end (a connection that falls silent is still found after the former time-out), so that congestion delays calls and doesn't multiply them. A failed look is repeated at growing intervals for as long as an empty list is; processes that started together spread their steps. Former and present processes may run side by side: nothing on the wire changes.

--- a/packages/coordination/include/shuntjunction/coordination/zone_mirror.h
+++ b/packages/coordination/include/shuntjunction/coordination/zone_mirror.h
@@ -101,6 +101,7 @@
   state::UsageBucket mWholeBytes; ///< what may be sent of whole mirrors
   std::optional<state::StartPlan> mStartPlan; ///< while this process starts
   transport::Timer mStartTimer;
+  state::RandomSource mRandom;
 };
 
 } // namespace shuntjunction::coordination
--- a/packages/coordination/src/zone_mirror.cpp
+++ b/packages/coordination/src/zone_mirror.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <random>
 
+#include "shuntjunction/state/jittered_pause.h"
+
 namespace shuntjunction::coordination {
 
 using state::Millis;
@@ -101,6 +103,7 @@
   , mPlatform(aContext, aSettings, aStore, aClock, aLog)
   , mWholeBytes(kWholeBytesLimit, kWholeBytesLimit.mBurst, aClock.Now())
   , mStartTimer(aContext)
+  , mRandom(std::random_device{}())
 {
 }
 
@@ -137,7 +140,10 @@
       plan.NoteIsWatcher(mClock.Now());
     }
     step = plan.Next();
-    mStartTimer.expires_at(plan.Due());
+    // Processes that started together must not call together again.
+    const auto pause = std::chrono::ceil<Millis>(
+      std::max(plan.Due() - mClock.Now(), state::TimePoint::duration::zero()));
+    mStartTimer.expires_after(state::JitteredPause(pause, mRandom));
     co_await mStartTimer.async_wait(transport::kAsTuple);
     step = plan.Next();
   }
--- a/packages/state/include/shuntjunction/state/start_plan.h
+++ b/packages/state/include/shuntjunction/state/start_plan.h
@@ -31,6 +31,9 @@
 {
   /// Between two looks while the fleet itself starts.
   Millis mLookPause{ 1300 };
+  /// After the first failed look; each further failure doubles it up to
+  /// mLookPause.
+  Millis mFailedLookPause{ 200 };
   /// Between two queries of watchers that are not ready yet.
   Millis mQueryPause{ 300 };
   /// Rounds of queries without any answer before the store is followed. The
@@ -52,7 +55,9 @@
 /// is taken from it.
 ///
 /// An empty list means that the fleet itself starts: more looks follow. A list
-/// of a few endpoints is that of a small fleet, which has no watchers.
+/// of a few endpoints is that of a small fleet, which has no watchers. More
+/// looks follow a failed one too: if all processes of a fleet restart together
+/// and each that fails lists everything instead, none of them succeeds.
 /// Thread safety: none.
 class StartPlan
 {
@@ -70,7 +75,7 @@
   /// @param aHasWatchers  whether the listed engines include watchers to query
   void NoteLook(std::size_t aEndpoints, bool aHasWatchers, TimePoint aNow);
 
-  /// Applies that a look failed: the store is out of reach.
+  /// Applies that a look failed: the store is out of reach or overloaded.
   void NoteFailedLook(TimePoint aNow);
 
   /// Applies the outcome of a round of queries.
@@ -88,7 +93,7 @@
 
 private:
   void Set(StartStep aStep, TimePoint aDue);
-  void LookAgain(TimePoint aNow);
+  void LookAgain(Millis aPause, TimePoint aNow);
 
   StartPlanSettings mSettings;
   TimePoint mStart;
@@ -96,6 +101,7 @@
   TimePoint mDue;
   bool mIsFleetStarting = false;
   int mLooks = 0;
+  int mFailedLooks = 0;       ///< in a row
   std::size_t mEndpoints = 0; ///< in the last look
   int mUnanswered = 0;        ///< rounds of queries
   TimePoint mQueryingSince;
--- a/packages/state/src/start_plan.cpp
+++ b/packages/state/src/start_plan.cpp
@@ -1,5 +1,6 @@
 #include "shuntjunction/state/start_plan.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace shuntjunction::state {
@@ -19,12 +20,12 @@
 }
 
 void
-StartPlan::LookAgain(TimePoint aNow)
+StartPlan::LookAgain(Millis aPause, TimePoint aNow)
 {
   if (aNow - mStart >= mSettings.mMaxLookTime) {
     Set(StartStep::kFollowStore, aNow);
   } else {
-    Set(StartStep::kLook, aNow + mSettings.mLookPause);
+    Set(StartStep::kLook, aNow + aPause);
   }
 }
 
@@ -32,6 +33,7 @@
 StartPlan::NoteLook(std::size_t aEndpoints, bool aHasWatchers, TimePoint aNow)
 {
   ++mLooks;
+  mFailedLooks = 0;
   const auto before = std::exchange(mEndpoints, aEndpoints);
   if (aHasWatchers) {
     mQueryingSince = aNow;
@@ -45,15 +47,17 @@
     return;
   }
   mIsFleetStarting = true;
-  LookAgain(aNow);
+  LookAgain(mSettings.mLookPause, aNow);
 }
 
 void
 StartPlan::NoteFailedLook(TimePoint aNow)
 {
-  // A process that follows the store retries all its lists until the store is
-  // back, which costs no less.
-  Set(StartStep::kFollowStore, aNow);
+  constexpr int kMaxDoublings = 8;
+  const int doublings = std::min(mFailedLooks++, kMaxDoublings);
+  LookAgain(std::min(mSettings.mFailedLookPause * (1 << doublings),
+                     mSettings.mLookPause),
+            aNow);
 }
 
 void
--- a/packages/transport/include/shuntjunction/transport/http_client.h
+++ b/packages/transport/include/shuntjunction/transport/http_client.h
@@ -73,6 +73,16 @@
   virtual Task<state::Result<std::string>> Read(state::Millis aTimeout) = 0;
 };
 
+/// Time limits of a call.
+struct CallTimeouts
+{
+  state::Millis mResponse; ///< to connect, and until the response begins
+  state::Millis mSilence;  ///< between two parts of the response
+  /// Of the whole call. A response that keeps arriving is not abandoned
+  /// earlier: on a congested link its transfer would only begin anew.
+  state::Millis mTotal;
+};
+
 /// A client of one address that reuses idle connections.
 ///
 /// Thread safety: none; used on one thread.
@@ -90,6 +100,10 @@
   /// @return kUnavailable when no connection could be opened, so that nothing
   ///         was sent; kTimeout when the request may have been sent and its
   ///         effect is unknown
+  Task<state::Result<HttpResponse>> Send(HttpRequest aRequest,
+                                         CallTimeouts aTimeouts);
+
+  /// The same with one time limit for the whole call.
   Task<state::Result<HttpResponse>> Send(HttpRequest aRequest,
                                          state::Millis aTimeout);
 
@@ -121,7 +135,7 @@
   Task<state::Result<HttpResponse>> Exchange(
     std::unique_ptr<Connection>& aConnection,
     const HttpRequest& aRequest,
-    state::Millis aTimeout);
+    CallTimeouts aTimeouts);
 
   state::Address mAddress;
   std::size_t mMaxResponseBytes;
--- a/packages/transport/src/http_client.cpp
+++ b/packages/transport/src/http_client.cpp
@@ -1,5 +1,7 @@
 #include "shuntjunction/transport/http_client.h"
 
+#include <algorithm>
+
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
@@ -182,11 +184,16 @@
 Task<Result<HttpResponse>>
 HttpClient::Exchange(std::unique_ptr<Connection>& aConnection,
                      const HttpRequest& aRequest,
-                     Millis aTimeout)
+                     CallTimeouts aTimeouts)
 {
   auto request = ToBeast(aRequest, mAddress.Text());
   auto& stream = aConnection->mStream;
-  stream.expires_after(aTimeout);
+  const auto until = std::chrono::steady_clock::now() + aTimeouts.mTotal;
+  const auto expireAfter = [&](Millis aTime) {
+    stream.expires_at(
+      std::min(until, std::chrono::steady_clock::now() + aTime));
+  };
+  expireAfter(aTimeouts.mResponse);
   const auto [sendError, sent] =
     co_await http::async_write(stream, request, kAsTuple);
   if (sendError) {
@@ -195,13 +202,17 @@
   }
   http::response_parser<http::string_body> parser;
   parser.body_limit(mMaxResponseBytes);
-  const auto [readError, read] =
-    co_await http::async_read(stream, aConnection->mBuffer, parser, kAsTuple);
-  if (readError) {
-    co_return Fail(ErrorCode::kTimeout,
-                   "http.receive",
-                   mAddress.Text(),
-                   readError.message());
+  // Not eager: a chunk is reported without waiting for the next one.
+  while (!parser.is_done()) {
+    const auto [readError, read] = co_await http::async_read_some(
+      stream, aConnection->mBuffer, parser, kAsTuple);
+    if (readError) {
+      co_return Fail(ErrorCode::kTimeout,
+                     "http.receive",
+                     mAddress.Text(),
+                     readError.message());
+    }
+    expireAfter(aTimeouts.mSilence);
   }
   const bool isKeptAlive = parser.keep_alive();
   auto message = parser.release();
@@ -222,6 +233,13 @@
 
 Task<Result<HttpResponse>>
 HttpClient::Send(HttpRequest aRequest, Millis aTimeout)
+{
+  return Send(std::move(aRequest),
+              CallTimeouts{ aTimeout, aTimeout, aTimeout });
+}
+
+Task<Result<HttpResponse>>
+HttpClient::Send(HttpRequest aRequest, CallTimeouts aTimeouts)
 {
   std::unique_ptr<Connection> connection;
   while (!mIdle.empty() && !connection) {
@@ -240,7 +258,7 @@
     }
   }
   if (!connection) {
-    auto fresh = co_await Connect(aTimeout);
+    auto fresh = co_await Connect(aTimeouts.mResponse);
     if (!fresh) {
       co_return tl::unexpected(fresh.error());
     }
@@ -248,7 +266,7 @@
   }
   auto* const busy = connection.get();
   mBusy.insert(busy);
-  auto response = co_await Exchange(connection, aRequest, aTimeout);
+  auto response = co_await Exchange(connection, aRequest, aTimeouts);
   mBusy.erase(busy);
   co_return response;
 }
--- a/packages/transport/tests/http_server_test.cpp
+++ b/packages/transport/tests/http_server_test.cpp
@@ -22,6 +22,10 @@
 using state::Millis;
 using tcp = asio::ip::tcp;
 
+/// Parts of a response that is sent slowly, and the pause before each.
+constexpr int kSlowParts = 12;
+constexpr Millis kSlowPause{ 40 };
+
 /// Echoes, streams, or waits for the caller to disconnect, depending on the
 /// path.
 class TestHandler final : public HttpHandler
@@ -58,6 +62,19 @@
       co_await aExchange.Write("first,");
       co_await aExchange.Write("second");
       co_await aExchange.EndStream();
+    } else if (path == "/slow") {
+      co_await aExchange.BeginStream(header);
+      for (int i = 0; i < kSlowParts; ++i) {
+        co_await Sleep(kSlowPause);
+        co_await aExchange.Write(".");
+      }
+      co_await aExchange.EndStream();
+    } else if (path == "/stall") {
+      co_await aExchange.BeginStream(header);
+      co_await aExchange.Write("first part");
+      aExchange.OnDisconnect([this] { mDisconnected.Push(true); });
+      co_await mDisconnected.Receive(state::TimePoint::max());
+      aExchange.Abort();
     } else {
       HttpResponse response;
       response.mBody = aExchange.Request().mBody;
@@ -319,6 +336,36 @@
   EXPECT_EQ(Run(send(&client)), state::ErrorCode::kUnavailable);
 }
 
+class WhoseResponseTakesLong : public GivenAServer
+{
+protected:
+  static constexpr Millis kSilence = kSlowPause * (kSlowParts - 2);
+
+  state::Result<HttpResponse> Get(const std::string& aPath)
+  {
+    HttpClient client(mAddress, 1 << 20);
+    HttpRequest request;
+    request.mTarget = aPath;
+    return Run(client.Send(request, { kSilence, kSilence, Millis(5000) }));
+  }
+};
+
+// Calls that ended at a fixed time began anew, so that a congested link only
+// carried responses that nobody awaited.
+TEST_F(WhoseResponseTakesLong, OneThatKeepsArrivingIsReceivedWhole)
+{
+  const auto answer = Get("/slow");
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->mBody.size(), kSlowParts);
+}
+
+TEST_F(WhoseResponseTakesLong, OneThatStopsArrivingIsAbandoned)
+{
+  const auto answer = Get("/stall");
+  ASSERT_FALSE(answer);
+  EXPECT_EQ(answer.error().mCode, state::ErrorCode::kTimeout);
+}
+
 /// TCP_USER_TIMEOUT in milliseconds of each connection of this process to a
 /// port; 0 when keep-alive is off.
 std::vector<int>
