Metrics of first requests and repeats, by who granted the repeat

Callers' repeats exceeded a service's budget, and no metric told how many of them the ratio and the pool had granted. Summed over relays, these lie beside the operator's limit. No logic is changed.

--- a/packages/coordination/src/relay_retries.cpp
+++ b/packages/coordination/src/relay_retries.cpp
@@ -40,10 +40,14 @@
 bool
 RelayRun::UseRetry()
 {
-  if (mReservedRetry.empty()) {
-    return mCore->BudgetOf(mService).TryRepeat(Now());
+  const bool isPooled = !mReservedRetry.empty();
+  if (!isPooled && !mCore->BudgetOf(mService).TryRepeat(Now())) {
+    return false;
   }
   mReservedRetry.clear();
+  mCore->mDependencies.mMetrics.Count(
+    "shuntjunction_relay_repeats_total",
+    { { "service", mService }, { "grant", isPooled ? "pool" : "ratio" } });
   return true;
 }
 
--- a/packages/coordination/src/relay_run.cpp
+++ b/packages/coordination/src/relay_run.cpp
@@ -214,6 +214,8 @@
 RelayRun::Serve()
 {
   mCore->BudgetOf(mService).NoteFirst(Now());
+  mCore->mDependencies.mMetrics.Count(
+    "shuntjunction_relay_first_requests_total", { { "service", mService } });
   const bool mayBegin = co_await FindStreamOrigin();
   while (mayBegin && mInterrupt == RunInterrupt::kNone) {
     const bool mayTry = co_await AwaitTrial();
