Failing test: repeats that arrive late exceed the retry budget

The model of relays and the retry pool gets endpoints that stop and resume, and relays that move requests away from them. Half of the endpoints stop for four seconds; six seconds after they resumed attempts fail for a while. Arrivals are counted as the operator counts them: those past the first of each request in any ten seconds, against the best of three windows.

--- a/packages/state/tests/retry_pool_model_test.cpp
+++ b/packages/state/tests/retry_pool_model_test.cpp
@@ -18,6 +18,10 @@
 
 constexpr Millis kStep{ 20 };
 constexpr std::size_t kCompanions = 6;
+constexpr std::size_t kEndpoints = 20;
+
+/// Time without bytes after which relays move a request elsewhere.
+constexpr Millis kSilence{ 1300 };
 
 /// Where a relay takes a repeat from that the ratio does not allow.
 enum class Slack : std::uint8_t
@@ -35,6 +39,10 @@
   double mFailures = 0.14;  ///< share of the attempts that fail
   Slack mSlack = Slack::kPool;
   bool mHasFaults = false;
+  /// Whether half of the endpoints stop for some seconds, again and again.
+  /// Relays then move requests from them to others. Attempts fail some seconds
+  /// later only.
+  bool mHasStops = false;
   WindowBudgetSettings mBudget{ 0.2, 1040.0, 10s };
 };
 
@@ -68,6 +76,34 @@
   return largest;
 }
 
+/// The same as the operator counts it: first requests are those of the best of
+/// a window, the one before it, and the one half a window before it.
+double
+LargestCountedExcess(const std::vector<StepCount>& aSteps,
+                     const WindowBudgetSettings& aBudget)
+{
+  const auto length = static_cast<std::size_t>(aBudget.mWindow / kStep);
+  std::vector<double> firsts(1);
+  std::vector<double> repeats(1);
+  for (const auto& step : aSteps) {
+    firsts.push_back(firsts.back() + step.mFirsts);
+    repeats.push_back(repeats.back() + step.mRepeats);
+  }
+  const auto firstsBefore = [&](std::size_t aEnd) {
+    return firsts[aEnd] - firsts[aEnd - std::min(aEnd, length)];
+  };
+  double largest = -aBudget.mSlack;
+  for (std::size_t end = length; end < firsts.size(); ++end) {
+    const double best = std::max({ firstsBefore(end),
+                                   firstsBefore(end - length / 2),
+                                   firstsBefore(end - length) });
+    const double counted = repeats[end] - repeats[end - length];
+    largest =
+      std::max(largest, counted - aBudget.mRatio * best - aBudget.mSlack);
+  }
+  return largest;
+}
+
 class Simulation
 {
 public:
@@ -99,6 +135,10 @@
       if (mScenario.mHasFaults) {
         InjectFaults();
       }
+      if (mScenario.mHasStops) {
+        StopAndResume();
+        MoveWaiting();
+      }
       for (auto& relay : mRelays) {
         for (int i = arrivals(mRandom); i > 0; --i) {
           Serve(relay);
@@ -121,19 +161,46 @@
 
   double Excess() const { return LargestExcess(mSteps, mScenario.mBudget); }
 
+  double CountedExcess() const
+  {
+    return LargestCountedExcess(mSteps, mScenario.mBudget);
+  }
+
 private:
   struct Relay
   {
-    WindowBudget mOwn;
+    std::shared_ptr<WindowBudget> mOwn;
     ShareDirectory mOwners;
   };
 
+  /// One request and what arrived of it.
+  struct Request
+  {
+    Relay* mRelay = nullptr;
+    int mArrivals = 0;
+  };
+  using RequestPtr = std::shared_ptr<Request>;
+
+  /// A request that was sent to an endpoint while that had stopped.
+  struct WaitingSend
+  {
+    RequestPtr mRequest;
+    TimePoint mSentAt;
+    bool mIsMoved = false;
+  };
+
+  struct Endpoint
+  {
+    bool mIsStopped = false;
+    std::vector<WaitingSend> mWaiting;
+  };
+
   bool Happens(double aChance)
   {
     return std::uniform_real_distribution(0.0, 1.0)(mRandom) < aChance;
   }
 
-  WindowBudget NewBudget() const
+  std::shared_ptr<WindowBudget> NewBudget() const
   {
     auto settings = mScenario.mBudget;
     if (mScenario.mSlack == Slack::kPool) {
@@ -142,7 +209,7 @@
       const auto relays = static_cast<double>(mScenario.mRelays);
       settings.mSlack = std::floor(settings.mSlack / (2 * relays));
     }
-    return { settings, mClock.Now() };
+    return std::make_shared<WindowBudget>(settings, mClock.Now());
   }
 
   std::unique_ptr<LimitShares> NewCompanion(std::size_t aIndex) const
@@ -176,18 +243,91 @@
 
   void Serve(Relay& aRelay)
   {
-    aRelay.mOwn.NoteFirst(mClock.Now());
+    aRelay.mOwn->NoteFirst(mClock.Now());
     ++mSteps.back().mFirsts;
+    if (mScenario.mHasStops) {
+      SendToAny(std::make_shared<Request>(Request{ &aRelay, 0 }));
+      return;
+    }
     if (!Happens(mScenario.mFailures)) {
       return;
     }
     ++mFailed;
-    if (aRelay.mOwn.TryRepeat(mClock.Now()) || TakeFromPool(aRelay)) {
+    if (aRelay.mOwn->TryRepeat(mClock.Now()) || TakeFromPool(aRelay)) {
       ++mRepeated;
       ++mSteps.back().mRepeats;
     }
   }
 
+  /// Time since the current cycle began. In each the endpoints work, half of
+  /// them stop, all work again, and then fail.
+  TimePoint::duration Phase() const
+  {
+    return mClock.Now().time_since_epoch() % 24s;
+  }
+
+  /// Stops half of the endpoints for four seconds; those that resume receive
+  /// what waits there.
+  void StopAndResume()
+  {
+    const auto phase = Phase();
+    for (std::size_t i = 0; i < mEndpoints.size(); ++i) {
+      auto& endpoint = mEndpoints[i];
+      endpoint.mIsStopped = i % 2 == 0 && phase >= 8s && phase < 12s;
+      if (!endpoint.mIsStopped) {
+        for (const auto& send : std::exchange(endpoint.mWaiting, {})) {
+          NoteArrival(send.mRequest);
+        }
+      }
+    }
+  }
+
+  /// Moves what has waited at stopped endpoints for long, if it is allowed.
+  void MoveWaiting()
+  {
+    std::vector<RequestPtr> moved;
+    for (auto& endpoint : mEndpoints) {
+      for (auto& send : endpoint.mWaiting) {
+        const bool isDue =
+          !send.mIsMoved && mClock.Now() - send.mSentAt >= kSilence;
+        if (!isDue) {
+          continue;
+        }
+        send.mIsMoved = true;
+        if (MayRepeat(send.mRequest)) {
+          moved.push_back(send.mRequest);
+        }
+      }
+    }
+    for (const auto& request : moved) {
+      NoteArrival(request);
+    }
+  }
+
+  bool MayRepeat(const RequestPtr& aRequest)
+  {
+    auto& relay = *aRequest->mRelay;
+    return relay.mOwn->TryRepeat(mClock.Now()) || TakeFromPool(relay);
+  }
+
+  void SendToAny(const RequestPtr& aRequest)
+  {
+    auto& endpoint = mEndpoints[mRandom() % mEndpoints.size()];
+    if (endpoint.mIsStopped) {
+      endpoint.mWaiting.push_back({ aRequest, mClock.Now() });
+      return;
+    }
+    NoteArrival(aRequest);
+    if (Phase() >= 18s && Happens(mScenario.mFailures) && MayRepeat(aRequest)) {
+      NoteArrival(aRequest);
+    }
+  }
+
+  void NoteArrival(const RequestPtr& aRequest)
+  {
+    mSteps.back().mRepeats += aRequest->mArrivals++ > 0 ? 1 : 0;
+  }
+
   bool TakeFromPool(Relay& aRelay)
   {
     if (mScenario.mSlack != Slack::kPool) {
@@ -214,6 +354,7 @@
   std::vector<std::string> mHosts;
   std::vector<std::unique_ptr<LimitShares>> mCompanions;
   std::vector<Relay> mRelays;
+  std::vector<Endpoint> mEndpoints{ kEndpoints };
   std::vector<StepCount> mSteps;
   int mFailed = 0;
   int mRepeated = 0;
@@ -304,6 +445,32 @@
   EXPECT_GT(LargestExcessOf(Slack::kUnbounded), 0);
 }
 
+// Requests that were moved from stopped machines arrived there as well once the
+// machines resumed, in a window that allowed as many repeats again.
+class WhoseEndpointsStopAndResume : public ::testing::TestWithParam<double>
+{};
+
+INSTANTIATE_TEST_SUITE_P(Slack,
+                         WhoseEndpointsStopAndResume,
+                         ::testing::Values(0.0, 86.0));
+
+TEST_P(WhoseEndpointsStopAndResume, LateArrivalsStayWithinTheBudget)
+{
+  constexpr std::uint64_t kSeeds = 5;
+  Scenario scenario;
+  scenario.mRelays = 23;
+  scenario.mPerSecond = 10.6;
+  scenario.mFailures = 0.4;
+  scenario.mHasStops = true;
+  scenario.mBudget.mSlack = GetParam();
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    SCOPED_TRACE(seed);
+    Simulation simulation(seed, scenario);
+    simulation.Run(60s);
+    EXPECT_LE(simulation.CountedExcess(), 0);
+  }
+}
+
 TEST(GivenARetryPool, ItsLimitFitsIntoAWindowWithLateArrivals)
 {
   const WindowBudgetSettings budget{ 0.2, 56.0, 10s };
