A repeat counts against the budget until its request has arrived

Callers' requests arrived more often than the operator's retry budget allows when several disruptions came together.

Cause: repeats were charged when they were granted, and the operator counts them when they arrive. A request that is moved away from a machine that stands still arrives there as well once the machine goes on, seconds later, in a window that allowed as many repeats again. A grant of the pool was kept without an age.

The fix: a repeat of the ratio is open until each send of its request is known to have arrived, or never will, and counts for a window from then on. One of the pool that arrives later than the pool allows for counts against the relay's own ratio; a grant older than half of that time is requested anew. Relays use .95 of the ratio. So whatever moves an arrival, the windows around it have room for it.

--- a/packages/coordination/src/relay.cpp
+++ b/packages/coordination/src/relay.cpp
@@ -10,6 +10,7 @@
 #include "relay_core.h"
 #include "relay_session.h"
 #include "shuntjunction/state/followed_companions.h"
+#include "shuntjunction/state/retry_pool.h"
 #include "shuntjunction/transport/connect.h"
 #include "shuntjunction/transport/frame_channel.h"
 
@@ -278,16 +279,18 @@
   }
 }
 
-state::WindowBudget&
+std::shared_ptr<state::WindowBudget>
 Relay::Core::BudgetOf(const std::string& aService)
 {
   const auto& settings = mDependencies.mSettings.mBounds.mRetries;
-  auto& budget =
-    mBudgets.try_emplace(aService, settings, mDependencies.mClock.Now())
-      .first->second;
-  budget.SetSlack(mShares.Directory().HasHosts()
-                    ? 0.0
-                    : std::floor(settings.mSlack / kRelaysWithoutCompanions));
+  auto& budget = mBudgets[aService];
+  if (!budget) {
+    budget = std::make_shared<state::WindowBudget>(
+      state::RelayRetryBudget(settings), mDependencies.mClock.Now());
+  }
+  budget->SetSlack(mShares.Directory().HasHosts()
+                     ? 0.0
+                     : std::floor(settings.mSlack / kRelaysWithoutCompanions));
   return budget;
 }
 
--- a/packages/coordination/src/relay_answer.cpp
+++ b/packages/coordination/src/relay_answer.cpp
@@ -99,6 +99,7 @@
     if (*step == ParseStatus::kMalformed) {
       co_return AttemptOutcome::kBroken;
     }
+    NoteArrival(aAttempt);
     if (const auto outcome = EvaluateHeadOnce(aAttempt, *step)) {
       co_return *outcome;
     }
--- a/packages/coordination/src/relay_attempt.cpp
+++ b/packages/coordination/src/relay_attempt.cpp
@@ -144,6 +144,7 @@
       "shuntjunction_relay_limited_sends_total", { { "service", mService } });
   }
   attempt.mPermit = std::exchange(mPermit, std::nullopt);
+  attempt.mRetryCharge = std::exchange(mRetryCharge, nullptr);
   mTriedEndpoints.push_back(endpoint.mInfo.mId);
   mCore->mRollouts.NoteSent(endpoint.mInfo);
   Send(attempt, std::move(*clearance));
@@ -154,6 +155,7 @@
   mCore->mEngineRuns += runs;
   mCore->mEngineRunTokens += runs * mCall.mPromptTokens;
   const auto outcome = co_await ReadAnswer(attempt);
+  KeepUnsettled(attempt, outcome);
   mCore->mEngineRuns -= runs;
   mCore->mEngineRunTokens -= runs * mCall.mPromptTokens;
   endpoint.mBusy.erase(connection);
--- a/packages/coordination/src/relay_attempt.h
+++ b/packages/coordination/src/relay_attempt.h
@@ -31,6 +31,9 @@
   std::optional<HeldPermit> mPermit; ///< the permit that it used
   /// Set while the endpoint has not answered.
   std::optional<state::SendClearance> mClearance;
+  /// Of a repeat, until the endpoint shows that it arrived; else null.
+  state::RetryChargePtr mRetryCharge;
+  bool mHasArrived = false; ///< the endpoint has sent bytes
   bool mIsHeadEvaluated = false;
   bool mIsForeign = false; ///< the answer belongs to another request
   /// Body that was received and not yet forwarded; of a stream, whole events.
--- a/packages/coordination/src/relay_core.h
+++ b/packages/coordination/src/relay_core.h
@@ -122,7 +122,7 @@
   /// The part of a service's retry budget that is this relay's alone: the ratio
   /// of its own requests. The slack is shared by all relays, unless no
   /// companion is listed.
-  state::WindowBudget& BudgetOf(const std::string& aService);
+  std::shared_ptr<state::WindowBudget> BudgetOf(const std::string& aService);
 
   RelayDependencies mDependencies;
   RelayLimits mLimits;
@@ -138,7 +138,8 @@
   state::PartRecordTable mPartRecords;
   state::PrefillRate mPrefillRate;
   state::OverloadGuard mGuard;
-  std::map<std::string, state::WindowBudget> mBudgets; ///< by service
+  std::map<std::string, std::shared_ptr<state::WindowBudget>>
+    mBudgets;                   ///< by service
   std::uint32_t mMaxRelays = 0; ///< most that a companion reported; 0: none did
   /// In a large fleet a companion is followed by the relays of its zone at
   /// most, as those that watch the store for it are; in a fleet of several
--- a/packages/coordination/src/relay_endpoint.cpp
+++ b/packages/coordination/src/relay_endpoint.cpp
@@ -309,6 +309,7 @@
   aEndpoint.mNews->mRemovedParts.clear();
   aEndpoint.mNewsAt = aNow;
   aEndpoint.mIsNewsConnectionEnded = false;
+  aEndpoint.mUnsettledCharges.Clear();
   if (aNews.mPhase == protocol::EnginePhase::kDown) {
     CloseConnections(aEndpoint);
   }
@@ -392,6 +393,7 @@
 RelayEndpoints::WakeRequestsAtStopped(TimePoint aNow)
 {
   for (const auto& [id, endpoint] : mById) {
+    endpoint->mUnsettledCharges.Expire(aNow);
     if (endpoint->mBusy.empty() || !HasStopped(*endpoint, aNow)) {
       continue;
     }
--- a/packages/coordination/src/relay_endpoint.h
+++ b/packages/coordination/src/relay_endpoint.h
@@ -17,6 +17,7 @@
 #include "shuntjunction/state/part_index.h"
 #include "shuntjunction/state/relay_config.h"
 #include "shuntjunction/state/request_digest.h"
+#include "shuntjunction/state/retry_charge.h"
 #include "shuntjunction/state/streams/run_end.h"
 #include "shuntjunction/transport/relay_message.h"
 #include "shuntjunction/transport/socket_reader.h"
@@ -170,6 +171,7 @@
   /// Its companion's connection was ended by the companion's machine.
   bool mIsNewsConnectionEnded = false;
   std::optional<AdvertisedRate> mRate; ///< while it advertises one
+  state::UnsettledCharges mUnsettledCharges;
   /// When its last bytes came, or when a request was sent while none waited
   /// there.
   state::TimePoint mLastBytesAt;
--- a/packages/coordination/src/relay_run.h
+++ b/packages/coordination/src/relay_run.h
@@ -135,6 +135,11 @@
   transport::Task<bool> ReserveRetry();
   /// Counts a repeat that is about to be sent; returns whether it is allowed.
   bool UseRetry();
+  /// Notes that an attempt's request has arrived at its endpoint.
+  void NoteArrival(Attempt& aAttempt);
+  /// Has the charges of an attempt that ended wait for its endpoint, if its
+  /// request may still arrive there.
+  void KeepUnsettled(Attempt& aAttempt, AttemptOutcome aOutcome);
   /// Returns a reserved repeat that was not sent.
   void ReleaseRetry();
 
@@ -362,6 +367,11 @@
   std::optional<state::Millis> mRetryAfter = kRetrySoon;
   std::vector<ReservedUsage> mReservedUsage; ///< of the team's limit
   std::vector<ReservedUsage> mReservedRetry; ///< of the service's retry pool
+  state::TimePoint mRetryReservedAt;
+  /// Of the attempt that is about to be sent; null if it is the first.
+  state::RetryChargePtr mRetryCharge;
+  /// Endpoints at which requests of this run may still arrive.
+  std::vector<RelayEndpointPtr> mUnsettledEndpoints;
   std::optional<HeldPermit> mPermit; ///< if the endpoint advertises a rate
   /// Copy of the current run; null if there is none.
   std::unique_ptr<StreamCopy> mCopy;
--- a/packages/coordination/src/relay_run_log.cpp
+++ b/packages/coordination/src/relay_run_log.cpp
@@ -39,6 +39,12 @@
     .Add("listed", aChoice.mEndpoint->mInfo.mRevision)
     .Add("list_age_ms", mCore->mDependencies.mEndpointList.Age(Now()).count())
     .Add("ms", SinceArrival().count());
+  if (mRetryCharge) {
+    const auto age = Now() - mRetryCharge->GrantedAt();
+    line.Add("retry_grant", state::kRetryGrantNames.Name(mRetryCharge->Grant()))
+      .Add("retry_grant_age_ms",
+           std::chrono::duration_cast<state::Millis>(age).count());
+  }
   if (aChoice.mWeights != 0) {
     line.Add("waiting_tokens", aChoice.mWaitingTokens)
       .Add("expected_ms", aChoice.mExpected.count())
--- a/packages/state/include/shuntjunction/state/retry_pool.h
+++ b/packages/state/include/shuntjunction/state/retry_pool.h
@@ -13,12 +13,25 @@
 /// sixth of what the operator allows.
 namespace shuntjunction::state {
 
+/// Time after its grant by which a repeat of the pool is expected to arrive:
+/// longer than a connection may take to open.
+inline constexpr Millis kLatestPooledArrival{ 1000 };
+
 /// Identifies the pool of a service among the limits that companions own.
 ///
 /// Thread safety: pure.
 LimitHash
 HashOfRetryPool(std::string_view aService);
 
+/// The budget of a relay's own first requests, without slack.
+///
+/// Keeps back a part of the ratio: relays repeat at the peaks of their own
+/// requests, which do not coincide, and some requests are counted by them and
+/// not by the operator.
+/// Thread safety: pure.
+WindowBudgetSettings
+RelayRetryBudget(const WindowBudgetSettings& aBudget);
+
 /// The rate and burst at which the pool's owners grant repeats.
 ///
 /// Any window of the budget, and the time by which a granted repeat may arrive
--- a/packages/state/include/shuntjunction/state/window_budget.h
+++ b/packages/state/include/shuntjunction/state/window_budget.h
@@ -20,9 +20,11 @@
 ///
 /// Counts are kept in slices of the window. A repeat counts as long as any part
 /// of its slice is in the window, a first request only while its whole slice
-/// is. Several processes keep a common limit without a slack of their own;
-/// see RetryPoolLimit for one that they share.
-/// Thread safety: none; owned by one thread.
+/// is. A repeat that may still be on its way counts in every window until it is
+/// settled, and in those around that time: a stopped machine receives what was
+/// sent to it once it resumes, many seconds late. Several processes keep a
+/// common limit without a slack of their own; see RetryPoolLimit for one that
+/// they share. Thread safety: none; owned by one thread.
 class WindowBudget
 {
 public:
@@ -40,6 +42,16 @@
   /// Records a repeat if it is allowed; returns whether it is.
   bool TryRepeat(TimePoint aNow);
 
+  /// Records a repeat that was granted elsewhere, allowed or not.
+  void NoteRepeat(TimePoint aNow);
+
+  /// Begins a repeat that is yet to arrive, if it is allowed; returns whether
+  /// it is. To be followed by Settle.
+  bool TryOpen(TimePoint aNow);
+
+  /// Records that a repeat begun with TryOpen has arrived, or never will.
+  void Settle(TimePoint aNow);
+
 private:
   static constexpr std::size_t kSlices = 20;
 
@@ -55,6 +67,7 @@
 
   WindowBudgetSettings mSettings;
   TimePoint mStart;
+  std::int64_t mOpen = 0; ///< repeats that are not settled
   std::array<Slice, kSlices + 1> mSlices{};
 };
 
--- a/packages/state/src/retry_pool.cpp
+++ b/packages/state/src/retry_pool.cpp
@@ -9,14 +9,13 @@
 /// Separates the hashes of services from those of teams.
 constexpr std::uint64_t kRetryPoolSeed = 0x7265747279;
 
-/// Time within which a granted repeat arrives at its endpoint: longer than a
-/// connection may take to open.
-constexpr Millis kLatestArrival{ 1000 };
-
 /// Part of the slack that may be used at once. The rest is the rate, so that
 /// the pool is not empty for long after an outage.
 constexpr double kBurstShare = 0.5;
 
+/// Part of the ratio that relays use.
+constexpr double kRatioShare = 0.95;
+
 } // namespace
 
 LimitHash
@@ -25,11 +24,17 @@
   return PlacementHash(aService, kRetryPoolSeed);
 }
 
+WindowBudgetSettings
+RelayRetryBudget(const WindowBudgetSettings& aBudget)
+{
+  return { aBudget.mRatio * kRatioShare, 0.0, aBudget.mWindow };
+}
+
 UsageLimit
 RetryPoolLimit(const WindowBudgetSettings& aBudget)
 {
   const std::chrono::duration<double> longest =
-    aBudget.mWindow + kLatestArrival;
+    aBudget.mWindow + kLatestPooledArrival;
   const double burst = aBudget.mSlack * kBurstShare;
   return { (aBudget.mSlack - burst) / longest.count(), burst };
 }
--- a/packages/state/src/window_budget.cpp
+++ b/packages/state/src/window_budget.cpp
@@ -37,7 +37,7 @@
 {
   const std::int64_t now = SliceNumberAt(aNow);
   double firsts = 0.0;
-  double repeats = 0.0;
+  auto repeats = static_cast<double>(mOpen);
   for (const auto& slice : mSlices) {
     const auto age = now - slice.mNumber;
     if (slice.mNumber < 0 || age > static_cast<std::int64_t>(kSlices)) {
@@ -56,9 +56,30 @@
 {
   const bool isAllowed = MayRepeat(aNow);
   if (isAllowed) {
-    ++SliceOf(SliceNumberAt(aNow)).mRepeats;
+    NoteRepeat(aNow);
   }
   return isAllowed;
 }
 
+void
+WindowBudget::NoteRepeat(TimePoint aNow)
+{
+  ++SliceOf(SliceNumberAt(aNow)).mRepeats;
+}
+
+bool
+WindowBudget::TryOpen(TimePoint aNow)
+{
+  const bool isAllowed = MayRepeat(aNow);
+  mOpen += isAllowed ? 1 : 0;
+  return isAllowed;
+}
+
+void
+WindowBudget::Settle(TimePoint aNow)
+{
+  --mOpen;
+  NoteRepeat(aNow);
+}
+
 } // namespace shuntjunction::state
--- a/packages/state/tests/retry_pool_model_test.cpp
+++ b/packages/state/tests/retry_pool_model_test.cpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <random>
 
+#include "shuntjunction/state/retry_charge.h"
 #include "shuntjunction/state/retry_pool.h"
 
 namespace shuntjunction::state {
@@ -178,6 +179,7 @@
   {
     Relay* mRelay = nullptr;
     int mArrivals = 0;
+    RetryChargePtr mCharge; ///< of its repeat, while a send has not arrived
   };
   using RequestPtr = std::shared_ptr<Request>;
 
@@ -204,7 +206,7 @@
   {
     auto settings = mScenario.mBudget;
     if (mScenario.mSlack == Slack::kPool) {
-      settings.mSlack = 0;
+      settings = RelayRetryBudget(settings);
     } else if (mScenario.mSlack == Slack::kFixedShare) {
       const auto relays = static_cast<double>(mScenario.mRelays);
       settings.mSlack = std::floor(settings.mSlack / (2 * relays));
@@ -246,7 +248,7 @@
     aRelay.mOwn->NoteFirst(mClock.Now());
     ++mSteps.back().mFirsts;
     if (mScenario.mHasStops) {
-      SendToAny(std::make_shared<Request>(Request{ &aRelay, 0 }));
+      SendToAny(std::make_shared<Request>(Request{ &aRelay, 0, nullptr }));
       return;
     }
     if (!Happens(mScenario.mFailures)) {
@@ -277,6 +279,7 @@
       if (!endpoint.mIsStopped) {
         for (const auto& send : std::exchange(endpoint.mWaiting, {})) {
           NoteArrival(send.mRequest);
+          send.mRequest->mCharge = nullptr;
         }
       }
     }
@@ -307,7 +310,14 @@
   bool MayRepeat(const RequestPtr& aRequest)
   {
     auto& relay = *aRequest->mRelay;
-    return relay.mOwn->TryRepeat(mClock.Now()) || TakeFromPool(relay);
+    const auto now = mClock.Now();
+    const bool isOwn = relay.mOwn->TryOpen(now);
+    if (!isOwn && !TakeFromPool(relay)) {
+      return false;
+    }
+    aRequest->mCharge = std::make_shared<RetryCharge>(
+      relay.mOwn, isOwn ? RetryGrant::kRatio : RetryGrant::kPool, now, mClock);
+    return true;
   }
 
   void SendToAny(const RequestPtr& aRequest)
@@ -320,6 +330,7 @@
     NoteArrival(aRequest);
     if (Phase() >= 18s && Happens(mScenario.mFailures) && MayRepeat(aRequest)) {
       NoteArrival(aRequest);
+      aRequest->mCharge = nullptr;
     }
   }
 
