Only steps after a failed look are spread

Processes look at a list that grows while endpoints register; those that find watchers at other times than the watchers themselves ask too early and list.

--- a/packages/coordination/src/zone_mirror.cpp
+++ b/packages/coordination/src/zone_mirror.cpp
@@ -140,10 +140,13 @@
       plan.NoteIsWatcher(mClock.Now());
     }
     step = plan.Next();
-    // Processes that started together must not call together again.
-    const auto pause = std::chrono::ceil<Millis>(
-      std::max(plan.Due() - mClock.Now(), state::TimePoint::duration::zero()));
-    mStartTimer.expires_after(state::JitteredPause(pause, mRandom));
+    mStartTimer.expires_at(plan.Due());
+    if (plan.HasFailedLook()) {
+      // Processes whose looks failed together must not look together again.
+      const auto pause = std::chrono::ceil<Millis>(std::max(
+        plan.Due() - mClock.Now(), state::TimePoint::duration::zero()));
+      mStartTimer.expires_after(state::JitteredPause(pause, mRandom));
+    }
     co_await mStartTimer.async_wait(transport::kAsTuple);
     step = plan.Next();
   }
--- a/packages/state/include/shuntjunction/state/start_plan.h
+++ b/packages/state/include/shuntjunction/state/start_plan.h
@@ -88,6 +88,10 @@
   /// first.
   bool IsFleetStarting() const { return mIsFleetStarting; }
 
+  /// Whether the latest look failed, so that other processes' looks may fail
+  /// for the same reason.
+  bool HasFailedLook() const { return mFailedLooks > 0; }
+
   /// Number of looks so far.
   int Looks() const { return mLooks; }
 
