--- a/packages/state/include/shuntjunction/state/window_budget.h
+++ b/packages/state/include/shuntjunction/state/window_budget.h
@@ -20,11 +20,14 @@
 ///
 /// Counts are kept in slices of the window. A repeat counts as long as any part
 /// of its slice is in the window, a first request only while its whole slice
-/// is. A repeat that may still be on its way counts in every window until it is
+/// is. Several processes keep a common limit without a slack of their own; see
+/// RetryPoolLimit for one that they share.
+///
+/// A repeat that may still be on its way counts in every window until it is
 /// settled, and in those around that time: a stopped machine receives what was
-/// sent to it once it resumes, many seconds late. Several processes keep a
-/// common limit without a slack of their own; see RetryPoolLimit for one that
-/// they share. Thread safety: none; owned by one thread.
+/// sent to it once it resumes, many seconds late.
+///
+/// Thread safety: none; owned by one thread.
 class WindowBudget
 {
 public:
