--- a/packages/coordination/src/config_feed_peers.cpp
+++ b/packages/coordination/src/config_feed_peers.cpp
@@ -5,10 +5,12 @@
 
 #include "shuntjunction/coordination/config_feed.h"
 #include "shuntjunction/state/json_reader.h"
+#include "shuntjunction/transport/http_client.h"
 
 namespace shuntjunction::coordination {
 
 using state::MergeOutcome;
+using state::Millis;
 using transport::Task;
 
 namespace {
@@ -31,7 +33,10 @@
   have.mKnownVersion =
     mNeedsFullSnapshot ? 0 : std::max(Version().Packed(), mRefusedVersion);
   have.mKnownInstances = mInstancesRevision;
-  const auto reply = co_await aClient.QuerySnapshot(aAddress, have);
+  // While a configuration is in force, other peers are queried in time instead.
+  const auto maxTime =
+    have.mKnownVersion == 0 ? transport::kMaxTransferTime : Millis(0);
+  const auto reply = co_await aClient.QuerySnapshot(aAddress, have, maxTime);
   if (!reply) {
     mLog.Debug("no snapshot received: " + reply.error().Describe() + ".");
     co_return false;
--- a/packages/coordination/src/http_platform.cpp
+++ b/packages/coordination/src/http_platform.cpp
@@ -65,7 +65,10 @@
                    HttpRequest aRequest,
                    Millis aTimeout)
 {
-  auto response = co_await mClient.Send(std::move(aRequest), aTimeout);
+  const transport::CallTimeouts timeouts{
+    aTimeout, mTimeout, aTimeout + transport::kMaxTransferTime
+  };
+  auto response = co_await mClient.Send(std::move(aRequest), timeouts);
   if (!response) {
     state::Error error = response.error();
     error.mStep = aStep;
--- a/packages/coordination/src/mirrored_platform.cpp
+++ b/packages/coordination/src/mirrored_platform.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <random>
 
+#include "shuntjunction/transport/http_client.h"
+
 namespace shuntjunction::coordination {
 
 using state::Millis;
@@ -147,7 +149,9 @@
   request.mKnownVersion = mSequence;
   request.mKnownInstances = mEpoch;
   const auto requestedAt = mClock.Now();
-  const auto reply = co_await mClient.QuerySnapshot(aAddress, request);
+  // What a watcher served ages while the next response is awaited.
+  const auto maxTime = mIsMirrored ? Millis(0) : transport::kMaxTransferTime;
+  const auto reply = co_await mClient.QuerySnapshot(aAddress, request, maxTime);
   if (!reply) {
     co_return QueryOutcome::kNoResponse;
   }
--- a/packages/coordination/src/snapshot_client.cpp
+++ b/packages/coordination/src/snapshot_client.cpp
@@ -1,5 +1,7 @@
 #include "shuntjunction/coordination/snapshot_client.h"
 
+#include <algorithm>
+
 #include "shuntjunction/state/settings.h"
 
 namespace shuntjunction::coordination {
@@ -10,6 +12,13 @@
 using transport::FrameChannel;
 using transport::Task;
 
+struct SnapshotClient::PendingReply
+{
+  ChannelPtr mChannel;
+  transport::Timer mTimer;
+  bool mIsDone = false; ///< complete, or the channel is closed
+};
+
 SnapshotClient::SnapshotClient(asio::io_context& aContext,
                                std::string aName,
                                std::string aSecret,
@@ -48,7 +57,8 @@
 
 Task<Result<protocol::SnapshotReply>>
 SnapshotClient::QuerySnapshot(std::string aAddress,
-                              protocol::SnapshotRequest aHave)
+                              protocol::SnapshotRequest aHave,
+                              Millis aMaxTime)
 {
   const auto opened = co_await Open(aAddress, aHave.mKnownVersion);
   if (!opened) {
@@ -56,22 +66,40 @@
   }
   const ChannelPtr& channel = *opened;
   channel->Send(aHave);
-  transport::Timer timer(mContext, mTimeout);
-  timer.async_wait([weak = std::weak_ptr(channel)](auto aError) {
-    const auto open = weak.lock();
-    if (!aError && open) {
-      open->Close();
-    }
-  });
-  while (true) {
-    auto message = co_await channel->Receive();
-    if (!message) {
-      mChannels.erase(aAddress);
-      co_return tl::unexpected(message.error());
-    }
-    // Ignore other messages; they are meant for routers.
-    if (auto* reply = std::get_if<protocol::SnapshotReply>(&*message)) {
-      co_return std::move(*reply);
+  const auto pending =
+    std::make_shared<PendingReply>(channel, transport::Timer(mContext));
+  transport::Spawn(mContext, LimitWait(pending, mTimeout, aMaxTime));
+  auto message = co_await channel->Receive();
+  // Other messages are ignored; they are meant for routers.
+  while (message &&
+         !std::holds_alternative<protocol::SnapshotReply>(*message)) {
+    message = co_await channel->Receive();
+  }
+  pending->mIsDone = true;
+  pending->mTimer.cancel();
+  if (!message) {
+    mChannels.erase(aAddress);
+    co_return tl::unexpected(message.error());
+  }
+  co_return std::move(std::get<protocol::SnapshotReply>(*message));
+}
+
+Task<void>
+SnapshotClient::LimitWait(std::shared_ptr<PendingReply> aReply,
+                          Millis aTimeout,
+                          Millis aMaxTime)
+{
+  const auto until = state::BootClock::now() + std::max(aTimeout, aMaxTime);
+  while (!aReply->mIsDone) {
+    const auto received = aReply->mChannel->ReceivedBytes();
+    aReply->mTimer.expires_at(
+      std::min(until, state::BootClock::now() + aTimeout));
+    co_await aReply->mTimer.async_wait(transport::kAsTuple);
+    const bool isSilent = received == aReply->mChannel->ReceivedBytes();
+    const bool isOver = isSilent || state::BootClock::now() >= until;
+    if (!aReply->mIsDone && isOver) {
+      aReply->mChannel->Close();
+      break;
     }
   }
 }
--- a/packages/coordination/src/zone_mirror.cpp
+++ b/packages/coordination/src/zone_mirror.cpp
@@ -116,7 +116,11 @@
 void
 ZoneMirror::Start(const StoreCodec& aCodec, RelayFeed& aFeed)
 {
-  mStartPlan.emplace(mPlatform.Settings().mStart, mClock.Now());
+  // Processes whose watchers are late must not all list the store together.
+  auto settings = mPlatform.Settings().mStart;
+  settings.mMaxQueryTime =
+    state::JitteredPause(settings.mMaxQueryTime * 2, mRandom);
+  mStartPlan.emplace(settings, mClock.Now());
   transport::Spawn(mContext, Discover(&aCodec, &aFeed));
 }
 
--- a/packages/state/include/shuntjunction/state/start_plan.h
+++ b/packages/state/include/shuntjunction/state/start_plan.h
@@ -42,7 +42,8 @@
   /// Time after which a process whose watchers are not ready follows the store.
   Millis mMaxQueryTime{ 3000 };
   /// Time after which a process that found no watchers follows the store: more
-  /// than an engine takes to start and to be listed.
+  /// than an engine takes to start and to be listed. Counts while the store
+  /// answers.
   Millis mMaxLookTime{ 8000 };
 };
 
@@ -56,8 +57,9 @@
 ///
 /// An empty list means that the fleet itself starts: more looks follow. A list
 /// of a few endpoints is that of a small fleet, which has no watchers. More
-/// looks follow a failed one too: if all processes of a fleet restart together
-/// and each that fails lists everything instead, none of them succeeds.
+/// looks follow a failed one too, for as long as they fail: if all processes of
+/// a fleet restart together and each that fails lists everything instead, none
+/// of them succeeds.
 /// Thread safety: none.
 class StartPlan
 {
@@ -100,7 +102,7 @@
   void LookAgain(Millis aPause, TimePoint aNow);
 
   StartPlanSettings mSettings;
-  TimePoint mStart;
+  TimePoint mStart; ///< or the latest failed look
   StartStep mNext = StartStep::kLook;
   TimePoint mDue;
   bool mIsFleetStarting = false;
--- a/packages/state/src/start_plan.cpp
+++ b/packages/state/src/start_plan.cpp
@@ -53,6 +53,9 @@
 void
 StartPlan::NoteFailedLook(TimePoint aNow)
 {
+  // The time to find watchers begins once the store answers. Until then, to
+  // follow it would fail as well, and all lists would be read at its return.
+  mStart = aNow;
   constexpr int kMaxDoublings = 8;
   const int doublings = std::min(mFailedLooks++, kMaxDoublings);
   LookAgain(std::min(mSettings.mFailedLookPause * (1 << doublings),
--- a/packages/transport/include/shuntjunction/transport/frame_channel.h
+++ b/packages/transport/include/shuntjunction/transport/frame_channel.h
@@ -73,6 +73,9 @@
   /// open, and when it was closed locally or because the peer was unresponsive.
   bool IsClosedByPeer() const { return mIsClosedByPeer; }
 
+  /// Bytes received so far, those of an incomplete frame included.
+  std::uint64_t ReceivedBytes() const { return mReceivedBytes; }
+
   /// Address of the other side.
   const std::string& Peer() const { return mPeer; }
 
@@ -101,6 +104,8 @@
   template<typename T>
   Task<state::Result<T>> Expect(std::string_view aStep);
   Task<void> WriteQueued();
+  /// Reads until a buffer is full; counts the bytes as they come.
+  Task<boost::system::error_code> ReadFull(asio::mutable_buffer aBuffer);
 
   asio::ip::tcp::socket mSocket;
   std::string mPeer;
@@ -109,6 +114,7 @@
   std::uint64_t mAnnouncedVersion = 0;
   std::uint16_t mProtocolVersion = 0;
   ChannelCounters& mCounters;
+  std::uint64_t mReceivedBytes = 0;
   bool mIsClosedByPeer = false;
   std::deque<std::vector<std::uint8_t>> mQueue;
   std::size_t mPendingBytes = 0;
--- a/packages/transport/include/shuntjunction/transport/http_client.h
+++ b/packages/transport/include/shuntjunction/transport/http_client.h
@@ -73,6 +73,10 @@
   virtual Task<state::Result<std::string>> Read(state::Millis aTimeout) = 0;
 };
 
+/// Longest time in which a response that keeps arriving is received. A page of
+/// a list takes some milliseconds, and seconds if a whole fleet lists together.
+inline constexpr state::Millis kMaxTransferTime{ 5000 };
+
 /// Time limits of a call.
 struct CallTimeouts
 {
--- a/packages/transport/src/frame_channel.cpp
+++ b/packages/transport/src/frame_channel.cpp
@@ -106,8 +106,7 @@
 {
   const auto self = shared_from_this();
   std::array<std::uint8_t, protocol::kLengthBytes> prefix{};
-  const auto [prefixError, prefixBytes] =
-    co_await asio::async_read(mSocket, asio::buffer(prefix), kAsTuple);
+  const auto prefixError = co_await ReadFull(asio::buffer(prefix));
   if (prefixError) {
     mIsClosedByPeer = prefixError == asio::error::eof ||
                       prefixError == asio::error::connection_reset;
@@ -124,8 +123,7 @@
   std::vector<std::uint8_t> frame(prefix.size() + *length);
   std::copy(prefix.begin(), prefix.end(), frame.begin());
   const auto rest = asio::buffer(frame) + prefix.size();
-  const auto [frameError, frameBytes] =
-    co_await asio::async_read(mSocket, rest, kAsTuple);
+  const auto frameError = co_await ReadFull(rest);
   if (frameError) {
     mIsClosedByPeer = frameError == asio::error::eof ||
                       frameError == asio::error::connection_reset;
@@ -135,7 +133,7 @@
                    mPeer,
                    "connection lost within a frame: " + frameError.message());
   }
-  mCounters.mBytesIn += prefixBytes + frameBytes;
+  mCounters.mBytesIn += frame.size();
   ++mCounters.mFramesIn;
   auto message = protocol::Decode(frame, mPeer);
   if (!message) {
@@ -145,6 +143,21 @@
   co_return message;
 }
 
+Task<boost::system::error_code>
+FrameChannel::ReadFull(asio::mutable_buffer aBuffer)
+{
+  while (aBuffer.size() > 0) {
+    const auto [error, bytes] =
+      co_await mSocket.async_read_some(aBuffer, kAsTuple);
+    if (error) {
+      co_return error;
+    }
+    mReceivedBytes += bytes;
+    aBuffer += bytes;
+  }
+  co_return boost::system::error_code();
+}
+
 void
 FrameChannel::Close()
 {
