--- a/packages/coordination/include/shuntjunction/coordination/mirrored_platform.h
+++ b/packages/coordination/include/shuntjunction/coordination/mirrored_platform.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "shuntjunction/coordination/event_log.h"
+#include "shuntjunction/coordination/metrics.h"
 #include "shuntjunction/coordination/platform.h"
 #include "shuntjunction/coordination/snapshot_client.h"
 #include "shuntjunction/state/object_mirror.h"
@@ -71,7 +72,7 @@
 /// each makes one call per second and one per change, e.g. 15,580 calls in 58 s
 /// for 283 processes.
 /// Thread safety: none; used on the thread of its context, except for
-/// IsMirrored, Calls and MirrorResponses.
+/// IsMirrored, Calls, Failures, MirrorResponses and SetGauges.
 class MirroredPlatform final : public Platform
 {
 public:
@@ -110,6 +111,9 @@
   /// thread.
   bool IsMirrored() const { return mIsMirrored.load(); }
 
+  /// Sets the gauges of calls and responses, on the thread of the metrics.
+  void SetGauges(Metrics& aMetrics) const;
+
   /// Number of calls of one kind made to the store itself; may be called from
   /// any thread.
   std::uint64_t Calls(StoreCall aCall) const
--- a/packages/coordination/src/fleet_daemon.cpp
+++ b/packages/coordination/src/fleet_daemon.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/signal_set.hpp>
 
 #include "path_server.h"
+#include "start_reporter.h"
 #include "shuntjunction/coordination/throttled_engine_control.h"
 #include "shuntjunction/coordination/engine_news.h"
 #include "shuntjunction/coordination/engine_monitor.h"
@@ -71,7 +72,7 @@
     , mAdapter(aAdapter)
     , mReload(std::move(aReload))
     , mLog(EventLogSettings{}, mClock)
-    , mPhases(mClock.Now())
+    , mStart(mClock, mLog)
     , mControlGuard(asio::make_work_guard(mControl))
     , mSignals(mTraffic, SIGTERM, SIGINT, SIGHUP)
     , mZoneMirror(mControl,
@@ -79,7 +80,7 @@
                   aAdapter.mPlatform,
                   mClock,
                   mLog,
-                  [this](auto aPhase) { NotePhase(aPhase); })
+                  [this](auto aPhase) { mStart.Note(aPhase); })
     , mFeed(mControl,
             FeedSettings(aSettings),
             mZoneMirror.Store(),
@@ -143,48 +144,13 @@
   }
 
 private:
-  /// May be called from any thread.
-  void NotePhase(state::StartPhase aPhase)
-  {
-    if (const auto elapsed = mPhases.Reach(aPhase, mClock.Now())) {
-      mLog.Write(EventLine(kComponent, "start-phase")
-                   .Add("phase", state::kStartPhaseNames.Name(aPhase))
-                   .Add("since_start_ms", elapsed->count()));
-    }
-  }
-
-  void SetPhaseGauges()
-  {
-    for (std::size_t i = 0; i < state::kStartPhaseNames.Size(); ++i) {
-      const auto phase = static_cast<state::StartPhase>(i);
-      if (const auto reached = mPhases.ReachedAt(phase)) {
-        mMetrics.Set(
-          "shuntjunction_start_phase_ms",
-          static_cast<double>(reached->count()),
-          { { "phase", std::string(state::kStartPhaseNames.Name(phase)) } });
-      }
-    }
-  }
-
   /// On the traffic thread: serializes all metrics.
   std::string Exposition()
   {
-    SetPhaseGauges();
+    mStart.SetGauges(mMetrics);
     mMetrics.Set("shuntjunction_log_lines_dropped",
                  static_cast<double>(mLog.Dropped()));
-    mMetrics.Set("shuntjunction_watch_served",
-                 mZoneMirror.Store().IsMirrored() ? 1 : 0);
-    for (std::size_t i = 0; i < kStoreCallNames.Size(); ++i) {
-      const auto call = static_cast<StoreCall>(i);
-      mMetrics.Set("shuntjunction_store_calls",
-                   static_cast<double>(mZoneMirror.Store().Calls(call)),
-                   { { "call", std::string(kStoreCallNames.Name(call)) } });
-      mMetrics.Set("shuntjunction_store_failures",
-                   static_cast<double>(mZoneMirror.Store().Failures(call)),
-                   { { "call", std::string(kStoreCallNames.Name(call)) } });
-    }
-    mMetrics.Set("shuntjunction_watch_answers",
-                 static_cast<double>(mZoneMirror.Store().MirrorResponses()));
+    mZoneMirror.Store().SetGauges(mMetrics);
     mMetrics.Set("shuntjunction_refused_objects",
                  static_cast<double>(mFeed.RefusedObjects()));
     if (mRelay) {
@@ -483,10 +449,10 @@
   {
     mZoneMirror.ApplyEndpoints(aView->mEndpoints);
     if (aView->mConfig->Version() != 0) {
-      NotePhase(state::StartPhase::kConfigKnown);
+      mStart.Note(state::StartPhase::kConfigKnown);
     }
     if (!aView->mEndpoints.empty()) {
-      NotePhase(state::StartPhase::kEndpointsKnown);
+      mStart.Note(state::StartPhase::kEndpointsKnown);
     }
     if (mWeightsController) {
       UpdateCompanions(aView->mEndpoints);
@@ -505,7 +471,7 @@
       mRelay->ApplyView(std::move(view));
       if (!wasReady && mRelay->IsReady()) {
         mLog.Write(EventLine(kComponent, "ready"));
-        NotePhase(state::StartPhase::kReady);
+        mStart.Note(state::StartPhase::kReady);
       }
     });
   }
@@ -594,7 +560,7 @@
   Reload mReload;
   state::SystemClock mClock;
   EventLog mLog;
-  state::StartPhases mPhases;
+  StartReporter mStart;
   Metrics mMetrics;
   ProcessMemoryProbe mMemoryProbe;
   asio::io_context mControl{ 1 };
--- a/packages/coordination/src/mirrored_platform.cpp
+++ b/packages/coordination/src/mirrored_platform.cpp
@@ -82,6 +82,24 @@
   return mLastRequestAt && mClock.Now() - *mLastRequestAt < kServingTimeout;
 }
 
+void
+MirroredPlatform::SetGauges(Metrics& aMetrics) const
+{
+  aMetrics.Set("shuntjunction_watch_served", IsMirrored() ? 1 : 0);
+  aMetrics.Set("shuntjunction_watch_answers",
+               static_cast<double>(MirrorResponses()));
+  for (std::size_t i = 0; i < kStoreCallNames.Size(); ++i) {
+    const auto call = static_cast<StoreCall>(i);
+    const MetricLabels labels{ { "call",
+                                 std::string(kStoreCallNames.Name(call)) } };
+    aMetrics.Set(
+      "shuntjunction_store_calls", static_cast<double>(Calls(call)), labels);
+    aMetrics.Set("shuntjunction_store_failures",
+                 static_cast<double>(Failures(call)),
+                 labels);
+  }
+}
+
 // Querying watchers.
 
 Task<void>
