--- a/packages/coordination/src/zone_mirror.cpp
+++ b/packages/coordination/src/zone_mirror.cpp
@@ -170,6 +170,8 @@
   const auto list = co_await mPlatform.ListCached(aCodec->EndpointPrefix());
   if (!list) {
     mStartPlan->NoteFailedLook(mClock.Now());
+    mLog.Write(
+      EventLine("watch", "look-failed").Add("error", list.error().Describe()));
     co_return;
   }
   std::vector<state::EndpointInfo> endpoints;
