Log of endpoints that don't respond to their companion

The reset of an endpoint's connections on its companion's report looked in the relays' logs like one by the endpoint itself. `endpoint-down` says when a companion reports that it gets no reply, and again when it gets one, how many requests of the relay run there and the age of the last bytes. No logic is changed.

--- a/packages/coordination/src/relay.cpp
+++ b/packages/coordination/src/relay.cpp
@@ -357,8 +357,19 @@
 Relay::ApplyNews(const protocol::EngineNews& aNews)
 {
   mCore->UpdateRelayCount(aNews.mRelayCount);
-  const auto restarted =
-    mCore->mEndpoints.ApplyNews(aNews, mCore->mDependencies.mClock.Now());
+  const auto now = mCore->mDependencies.mClock.Now();
+  const auto endpoint = mCore->mEndpoints.Find(aNews.mEndpoint);
+  const bool wasDown = endpoint && endpoint->IsReportedDown();
+  const auto restarted = mCore->mEndpoints.ApplyNews(aNews, now);
+  if (endpoint && endpoint->IsReportedDown() != wasDown) {
+    const auto signals = RelayEndpoints::SignalsOf(*endpoint, now);
+    mCore->mDependencies.mLog.Write(
+      EventLine(kRelayComponent, "endpoint-down")
+        .Add("is", endpoint->IsReportedDown())
+        .Add("endpoint", aNews.mEndpoint)
+        .Add("running", endpoint->mRunning)
+        .Add("bytes_age_ms", signals.mSinceEndpointBytes.count()));
+  }
   if (restarted) {
     mCore->NoteRestart(*restarted);
   }
--- a/packages/coordination/src/relay_endpoint.h
+++ b/packages/coordination/src/relay_endpoint.h
@@ -182,6 +182,12 @@
     return mAvailability->IsListed() && !mAvailability->IsDraining();
   }
 
+  /// Whether its companion gets no reply from it, as far as is known.
+  bool IsReportedDown() const
+  {
+    return mNews && mNews->mPhase == protocol::EnginePhase::kDown;
+  }
+
   /// The permit that a request needs at the rate that it advertises.
   state::PermitNeed PermitNeedOf(bool aIsUrgent, bool aIsHeld) const
   {
@@ -324,7 +330,7 @@
   static void ApplyState(RelayEndpoint& aEndpoint,
                          const protocol::EngineNews& aNews,
                          state::TimePoint aNow);
-  /// Closes all connections of an endpoint that is down.
+  /// Closes all connections of an endpoint whose incarnation has ended.
   static void CloseConnections(RelayEndpoint& aEndpoint);
 
   RelayEndpointSettings mSettings;
