Requests stay at an engine whose companion gets no reply from it

What callers saw: when an engine fell silent for about a second, all streams that it ran and that may run once were cut, and requests that may run once got 502, at all relays within milliseconds.

Cause: three calls of a companion to its engine, 250 ms each, make the engine "down" after 0.85 to 1.15 s, and a relay reset all connections to an engine that is reported down. An absence taken for an end.

Why this works: the report keeps new work away, as before, but ends nothing. An engine that has ended closes its own connections, and one whose machine is gone fails by the keep-alive probes within 3 s. Requests that may be repeated move once the engine has sent no byte for 1.3 s and is reported down, as they do when its whole machine is silent (state::HasStopped).

Old and new processes side by side: the report is unchanged on the wire.

--- a/packages/coordination/src/relay_endpoint.cpp
+++ b/packages/coordination/src/relay_endpoint.cpp
@@ -310,9 +310,6 @@
   aEndpoint.mNewsAt = aNow;
   aEndpoint.mIsNewsConnectionEnded = false;
   aEndpoint.mUnsettledCharges.Clear();
-  if (aNews.mPhase == protocol::EnginePhase::kDown) {
-    CloseConnections(aEndpoint);
-  }
 }
 
 void
@@ -370,11 +367,9 @@
   const auto since = [&](TimePoint aThen) {
     return std::chrono::duration_cast<Millis>(aNow - aThen);
   };
-  return { aEndpoint.mNews.has_value(),
-           since(aEndpoint.mNewsAt),
-           aEndpoint.mIsNewsConnectionEnded,
-           aEndpoint.mRunning > 0,
-           since(aEndpoint.mLastBytesAt) };
+  return { aEndpoint.mNews.has_value(),      since(aEndpoint.mNewsAt),
+           aEndpoint.mIsNewsConnectionEnded, aEndpoint.IsReportedDown(),
+           aEndpoint.mRunning > 0,           since(aEndpoint.mLastBytesAt) };
 }
 
 bool
--- a/packages/protocol/include/shuntjunction/protocol/messages.h
+++ b/packages/protocol/include/shuntjunction/protocol/messages.h
@@ -223,7 +223,7 @@
   kOpen,     ///< takes work
   kDraining, ///< finishes running requests before its weights change
   kLoading,  ///< loads weights
-  kDown,     ///< does not respond to its companion
+  kDown,     ///< does not respond to its companion, and may be running requests
 };
 
 /// Names of EnginePhase.
--- a/packages/state/include/shuntjunction/state/endpoint_silence.h
+++ b/packages/state/include/shuntjunction/state/endpoint_silence.h
@@ -27,6 +27,7 @@
   bool mHasCompanionMessage = false;  ///< its companion has sent any message
   Millis mSinceCompanionMessage{ 0 }; ///< since its companion's last message
   bool mIsCompanionClosed = false;    ///< the companion disconnected
+  bool mIsReportedDown = false;       ///< it does not respond to its companion
   bool mHasPendingRequest = false;    ///< a request waits for its bytes
   Millis mSinceEndpointBytes{ 0 };    ///< since bytes, or since the wait began
 };
@@ -57,8 +58,9 @@
                                  aSettings.mCompanionTimeoutIfPending);
 }
 
-/// Whether a machine has stopped while requests are pending on it: both the
-/// endpoint and its companion have been silent for longer than load explains.
+/// Whether an endpoint has stopped while requests are pending on it: it has
+/// been silent for longer than load explains, and so has its companion, or the
+/// companion reports that it gets no reply from it either.
 ///
 /// Stricter than IsSilent, because the prompt of a request that is moved has to
 /// be prefilled again elsewhere.
@@ -67,10 +69,17 @@
 HasStopped(const LivenessSignals& aSignals,
            const SilenceSettings& aSettings = {})
 {
-  return aSignals.mHasCompanionMessage && !aSignals.mIsCompanionClosed &&
-         aSignals.mHasPendingRequest &&
-         aSignals.mSinceEndpointBytes >= aSettings.mBytesTimeout &&
-         aSignals.mSinceCompanionMessage >= aSettings.mCompanionTimeout;
+  if (!aSignals.mHasCompanionMessage || aSignals.mIsCompanionClosed ||
+      !aSignals.mHasPendingRequest) {
+    return false;
+  }
+  const bool isCompanionSilent =
+    aSignals.mSinceEndpointBytes >= aSettings.mBytesTimeout &&
+    aSignals.mSinceCompanionMessage >= aSettings.mCompanionTimeout;
+  const bool isUnresponsive =
+    aSignals.mIsReportedDown &&
+    aSignals.mSinceEndpointBytes >= aSettings.mCompanionTimeout;
+  return isCompanionSilent || isUnresponsive;
 }
 
 } // namespace shuntjunction::state
--- a/packages/state/tests/endpoint_silence_test.cpp
+++ b/packages/state/tests/endpoint_silence_test.cpp
@@ -63,4 +63,34 @@
   EXPECT_FALSE(IsSilentAfter(Millis(600), Millis(799)));
 }
 
+class WhoseCompanionReportsItDown : public WithAPendingRequest
+{
+protected:
+  WhoseCompanionReportsItDown() { mSignals.mIsReportedDown = true; }
+
+  bool HasStoppedAfter(Millis aSinceBytes)
+  {
+    mSignals.mSinceEndpointBytes = aSinceBytes;
+    return HasStopped(mSignals);
+  }
+};
+
+TEST_F(WhoseCompanionReportsItDown, ItHasStoppedOnceItsBytesAreOverdueToo)
+{
+  EXPECT_FALSE(HasStoppedAfter(Millis(1299)));
+  EXPECT_TRUE(HasStoppedAfter(Millis(1300)));
+}
+
+TEST_F(WhoseCompanionReportsItDown, AReportFromBeforeItsEndShowsNothing)
+{
+  mSignals.mIsCompanionClosed = true;
+  EXPECT_FALSE(HasStoppedAfter(Millis(60000)));
+}
+
+TEST_F(WhoseCompanionReportsItDown, WithoutRequestsThereIsNothingToMove)
+{
+  mSignals.mHasPendingRequest = false;
+  EXPECT_FALSE(HasStoppedAfter(Millis(60000)));
+}
+
 } // namespace shuntjunction::state
