A run at a silent endpoint is kept until another endpoint answers

What callers saw: a request that may be repeated, at an endpoint whose machine was silent, was cut at 1.3 s, or got 502, though the endpoint would have finished it half a second later.

Cause: the attempt was ended, with a reset, before another endpoint had accepted the request. That endpoint may refuse (full, another version, a rate), be silent too, or not be allowed any more (attempts, budget, keys). What is given up was given up before its replacement was certain.

Change: the attempt is suspended. Its connection stays open and counted, and the next attempt is made as before, within attempts and budget. If the silent endpoint sends bytes first, the other attempt is withdrawn; if the other refuses, fails or cannot be made, the request waits for the first; once the other's answer begins to be forwarded, the first is ended. A caller that leaves ends all of them at once.

Ruled out: waiting for the endpoint's clearance only (a refusal may come after the request was sent), and reading two answers at once (events of both would have to be merged). Price: a request at two engines until one of them answers; the first of them was cut before, with its work lost.

--- a/packages/coordination/src/continuation/relay_continuation.cpp
+++ b/packages/coordination/src/continuation/relay_continuation.cpp
@@ -47,6 +47,7 @@
     case AttemptOutcome::kBroken:
     case AttemptOutcome::kSilent:
     case AttemptOutcome::kEnded:
+    case AttemptOutcome::kWithdrawn:
     case AttemptOutcome::kInterrupted:
       break;
   }
--- a/packages/coordination/src/relay_answer.cpp
+++ b/packages/coordination/src/relay_answer.cpp
@@ -69,8 +69,10 @@
 RelayRun::ReadAnswer(Attempt& aAttempt)
 {
   auto& reader = *aAttempt.mConnection.mReader;
-  aAttempt.mAnswer =
-    std::make_unique<RelayResponseReader>(mRequest->mMethod == "HEAD");
+  if (!aAttempt.mAnswer) {
+    aAttempt.mAnswer =
+      std::make_unique<RelayResponseReader>(mRequest->mMethod == "HEAD");
+  }
   while (true) {
     if (mInterrupt != RunInterrupt::kNone) {
       ApplyUnreadNotice(aAttempt);
@@ -93,6 +95,10 @@
         LogSilence(aAttempt);
         co_return AttemptOutcome::kEnded;
       }
+      if (HasRevivedAttempt()) {
+        mLastProblem = "former endpoint revived";
+        co_return AttemptOutcome::kWithdrawn;
+      }
       co_await reader.Wait(NextSilenceCheck(aAttempt));
       continue;
     }
@@ -174,7 +180,8 @@
 Task<bool>
 RelayRun::MayMoveElsewhere(Attempt& aAttempt)
 {
-  if (!ShouldMoveElsewhere(aAttempt.mEndpointChoice)) {
+  if (Now() < aAttempt.mMaySuspendAt ||
+      !ShouldMoveElsewhere(aAttempt.mEndpointChoice)) {
     co_return false;
   }
   const auto& reader = *aAttempt.mConnection.mReader;
@@ -382,6 +389,7 @@
 Task<bool>
 RelayRun::ForwardBufferedAnswer(Attempt& aAttempt)
 {
+  EndSuspended();
   std::string text = BufferedAnswerText(aAttempt);
   mIsHeadForwarded = true;
   mAnswerStatus = aAttempt.mAnswer->Head().mStatus;
@@ -393,9 +401,10 @@
 {
   const bool isFailure = aAttempt.mAnswer->Head().mStatus == kServerError &&
                          mRoute->mKind == RouteKind::kRepeatable;
-  const bool mayTry =
-    mSavedFailure.empty() &&
+  const bool hasOther =
+    !mSuspended.empty() ||
     static_cast<int>(mTriedEndpoints.size()) < mRoute->mMaxAttempts;
+  const bool mayTry = mSavedFailure.empty() && hasOther;
   // The retry may take as long again, plus a margin; otherwise even the saved
   // failure would reach the caller too late.
   const auto spent = SinceArrival();
@@ -413,6 +422,7 @@
 Task<bool>
 RelayRun::ForwardStreamChunk(Attempt& aAttempt, bool aIsDone)
 {
+  EndSuspended();
   std::string body = std::exchange(aAttempt.mBufferedBody, {});
   if (aAttempt.mEvents) {
     mLastEventId = aAttempt.mEvents->LastEventId();
--- a/packages/coordination/src/relay_attempt.cpp
+++ b/packages/coordination/src/relay_attempt.cpp
@@ -107,67 +107,64 @@
 Task<AttemptOutcome>
 RelayRun::RunAttempt(EndpointChoice aChoice)
 {
-  Attempt attempt;
-  attempt.mEndpointChoice = std::move(aChoice);
+  auto attempt = std::make_unique<Attempt>();
+  attempt->mEndpointChoice = std::move(aChoice);
   mTimes = {};
   mAnswerTrace = {};
-  auto& endpoint = *attempt.mEndpointChoice.mEndpoint;
-  const auto connected = co_await Connect(attempt);
+  auto& endpoint = *attempt->mEndpointChoice.mEndpoint;
+  const auto connected = co_await Connect(*attempt);
   if (connected == AttemptOutcome::kUnsent) {
     ++mUnsentTries;
   }
   if (connected != AttemptOutcome::kDone) {
     co_return connected;
   }
-  auto clearance = ClearToSend(attempt);
+  auto clearance = ClearToSend(*attempt);
   if (!clearance) {
-    ReleaseUnused(attempt);
+    ReleaseUnused(*attempt);
     co_return clearance.error();
   }
-  attempt.mSoftwareVersion = endpoint.mInfo.mSoftwareVersion;
+  attempt->mSoftwareVersion = endpoint.mInfo.mSoftwareVersion;
   mIsPastBeginning = false;
   mIsTrial =
     mCore->mPartCrashes.SuspicionOf(mParts) >= state::PartSuspicion::kSuspect;
-  PlaceCopy(attempt);
-  LogSent(attempt.mEndpointChoice);
-  attempt.mEndpointChoice.mSentAt = Now();
+  PlaceCopy(*attempt);
+  LogSent(attempt->mEndpointChoice);
+  attempt->mEndpointChoice.mSentAt = Now();
   mAbsentSince.reset();
   mLatestEnd = state::RunEnd::kUnknown;
-  mLatestRun = { mCall.mRequestId, attempt.mEndpointChoice.mSentAt, {} };
+  mLatestRun = { mCall.mRequestId, attempt->mEndpointChoice.mSentAt, {} };
   if (endpoint.mRunning++ == 0) {
     endpoint.mLastBytesAt = Now();
   }
-  AddWaiting(attempt.mEndpointChoice);
+  AddWaiting(attempt->mEndpointChoice);
   if (endpoint.mRate) {
     ++endpoint.mRate->mSent;
     mCore->mDependencies.mMetrics.Count(
       "shuntjunction_relay_limited_sends_total", { { "service", mService } });
   }
-  attempt.mPermit = std::exchange(mPermit, std::nullopt);
-  attempt.mRetryCharge = std::exchange(mRetryCharge, nullptr);
+  attempt->mPermit = std::exchange(mPermit, std::nullopt);
+  attempt->mRetryCharge = std::exchange(mRetryCharge, nullptr);
   mTriedEndpoints.push_back(endpoint.mInfo.mId);
   mCore->mRollouts.NoteSent(endpoint.mInfo);
-  Send(attempt, std::move(*clearance));
+  Send(*attempt, std::move(*clearance));
   mTimes.mSent = SinceArrival();
-  const auto connection = attempt.mConnection.mReader;
-  endpoint.mBusy.insert(connection);
-  const std::int64_t runs = attempt.mEndpointChoice.mWeights != 0 ? 1 : 0;
+  endpoint.mBusy.insert(attempt->mConnection.mReader);
+  const std::int64_t runs = attempt->mEndpointChoice.mWeights != 0 ? 1 : 0;
   mCore->mEngineRuns += runs;
   mCore->mEngineRunTokens += runs * mCall.mPromptTokens;
-  const auto outcome = co_await ReadAnswer(attempt);
-  KeepUnsettled(attempt, outcome);
-  mCore->mEngineRuns -= runs;
-  mCore->mEngineRunTokens -= runs * mCall.mPromptTokens;
-  endpoint.mBusy.erase(connection);
-  --endpoint.mRunning;
-  SettleClearance(attempt, false);
-  if (!attempt.mHasBegun) {
-    RemoveWaiting(attempt.mEndpointChoice);
-  }
+  co_return co_await CompleteAttempt(std::move(attempt));
+}
+
+Task<AttemptOutcome>
+RelayRun::CompleteAttempt(std::unique_ptr<Attempt> aAttempt)
+{
+  const auto outcome = co_await ReadAnswer(*aAttempt);
   mOpenConnection = nullptr;
-  if (attempt.mConnection.mReader) {
-    // Not returned to the pool: whatever may still come belongs to no request.
-    attempt.mConnection.mReader->Close(true);
+  if (outcome == AttemptOutcome::kSilent) {
+    Suspend(std::move(aAttempt));
+  } else {
+    EndAttempt(*aAttempt, outcome);
   }
   if (outcome == AttemptOutcome::kBroken ||
       outcome == AttemptOutcome::kSilent || outcome == AttemptOutcome::kEnded ||
@@ -177,6 +174,26 @@
   co_return outcome;
 }
 
+void
+RelayRun::EndAttempt(Attempt& aAttempt, AttemptOutcome aOutcome)
+{
+  auto& endpoint = *aAttempt.mEndpointChoice.mEndpoint;
+  KeepUnsettled(aAttempt, aOutcome);
+  const std::int64_t runs = aAttempt.mEndpointChoice.mWeights != 0 ? 1 : 0;
+  mCore->mEngineRuns -= runs;
+  mCore->mEngineRunTokens -= runs * mCall.mPromptTokens;
+  --endpoint.mRunning;
+  SettleClearance(aAttempt, false);
+  if (!aAttempt.mHasBegun) {
+    RemoveWaiting(aAttempt.mEndpointChoice);
+  }
+  if (const auto reader = aAttempt.mConnection.mReader) {
+    endpoint.mBusy.erase(reader);
+    // Not returned to the pool: whatever may still come belongs to no request.
+    reader->Close(true);
+  }
+}
+
 tl::expected<state::SendClearance, AttemptOutcome>
 RelayRun::ClearToSend(const Attempt& aAttempt)
 {
@@ -410,6 +427,7 @@
     return;
   }
   mOpenConnection = nullptr;
+  aAttempt.mEndpointChoice.mEndpoint->mBusy.erase(reader);
   mCore->mEndpoints.PutIdle(*aAttempt.mEndpointChoice.mEndpoint,
                             std::exchange(aAttempt.mConnection, {}),
                             head.Field("Keep-Alive"),
--- a/packages/coordination/src/relay_attempt.h
+++ b/packages/coordination/src/relay_attempt.h
@@ -44,6 +44,23 @@
   bool mIsForeignSkipped = false; ///< an answer to another request came first
   bool mIsStreamed = false;       ///< forwarded as it arrives
   bool mHasBegun = false;
+  bool mIsUnsettled = false; ///< its request may arrive after the attempt
+  state::TimePoint mMaySuspendAt;
+};
+
+/// An attempt whose endpoint is silent, while the run makes others.
+struct RelayRun::SuspendedAttempt
+{
+  std::unique_ptr<Attempt> mAttempt;
+  AttemptRecord mRecord;
+  std::unique_ptr<StreamCopy> mCopy; ///< of its run
+  std::size_t mBuffered = 0; ///< bytes that were unread when it was suspended
+
+  /// Whether its endpoint has sent bytes since.
+  bool HasRevived() const
+  {
+    return mAttempt->mConnection.mReader->Buffered().size() != mBuffered;
+  }
 };
 
 } // namespace shuntjunction::coordination
--- a/packages/coordination/src/relay_limits.cpp
+++ b/packages/coordination/src/relay_limits.cpp
@@ -109,6 +109,7 @@
     case AttemptOutcome::kBroken:
     case AttemptOutcome::kSilent:
     case AttemptOutcome::kEnded:
+    case AttemptOutcome::kWithdrawn:
     case AttemptOutcome::kInterrupted:
       mReservedUsage.clear();
       return;
--- a/packages/coordination/src/relay_retries.cpp
+++ b/packages/coordination/src/relay_retries.cpp
@@ -90,8 +90,9 @@
 {
   const bool mayArrive =
     !aAttempt.mHasArrived && (aOutcome == AttemptOutcome::kSilent ||
+                              aOutcome == AttemptOutcome::kWithdrawn ||
                               aOutcome == AttemptOutcome::kInterrupted);
-  if (!mayArrive) {
+  if (!mayArrive || std::exchange(aAttempt.mIsUnsettled, true)) {
     return;
   }
   const auto& endpoint = aAttempt.mEndpointChoice.mEndpoint;
--- a/packages/coordination/src/relay_run.cpp
+++ b/packages/coordination/src/relay_run.cpp
@@ -1,4 +1,4 @@
-#include "relay_run.h"
+#include "relay_attempt.h"
 
 #include <random>
 
@@ -200,6 +200,8 @@
   if (mOpenConnection) {
     mOpenConnection->Close(true);
   }
+  // Their endpoints are to notice at once that the request is not wanted.
+  EndSuspended();
 }
 
 Millis
@@ -217,7 +219,45 @@
   mCore->mDependencies.mMetrics.Count(
     "shuntjunction_relay_first_requests_total", { { "service", mService } });
   const bool mayBegin = co_await FindStreamOrigin();
-  while (mayBegin && mInterrupt == RunInterrupt::kNone) {
+  const bool isAnswered = mayBegin && co_await MakeAttempts();
+  EndSuspended();
+  if (!isAnswered) {
+    co_await AnswerFailure();
+  }
+}
+
+Task<bool>
+RelayRun::MakeAttempts()
+{
+  bool mayTryNext = true;
+  while (mInterrupt == RunInterrupt::kNone) {
+    std::optional<EndpointChoice> choice;
+    if (mayTryNext) {
+      choice = co_await PrepareAttempt();
+    }
+    auto outcome = AttemptOutcome::kDone;
+    if (choice) {
+      outcome = co_await TryEndpoint(*choice);
+    } else if (!mSuspended.empty()) {
+      auto suspended = TakeSuspended();
+      choice = suspended->mAttempt->mEndpointChoice;
+      outcome = co_await Resume(std::move(suspended));
+    } else {
+      co_return false;
+    }
+    outcome = co_await SettleAttempt(*choice, outcome);
+    if (outcome == AttemptOutcome::kDone) {
+      co_return true;
+    }
+    mayTryNext = MayRetry(outcome) && !HasRevivedAttempt();
+  }
+  co_return false;
+}
+
+Task<std::optional<EndpointChoice>>
+RelayRun::PrepareAttempt()
+{
+  while (mInterrupt == RunInterrupt::kNone && !HasRevivedAttempt()) {
     const bool mayTry = co_await AwaitTrial();
     if (!mayTry) {
       break;
@@ -242,28 +282,26 @@
     if (mInterrupt != RunInterrupt::kNone) {
       break;
     }
-    if (!mayBeSent) {
-      ReleaseTrials();
-      continue;
+    if (mayBeSent) {
+      co_return choice;
     }
-    auto outcome = co_await TryEndpoint(*choice);
     ReleaseTrials();
-    ReturnPermit();
-    CommitUsage(outcome);
-    NoteOutcome(*choice, outcome);
-    if (outcome == AttemptOutcome::kBroken ||
-        outcome == AttemptOutcome::kEnded) {
-      co_await CheckForCrash(*choice);
-    }
-    outcome = co_await ContinueFromCopy(*choice, outcome);
-    if (outcome == AttemptOutcome::kDone) {
-      co_return;
-    }
-    if (!MayRetry(outcome)) {
-      break;
-    }
   }
-  co_await AnswerFailure();
+  co_return std::nullopt;
+}
+
+Task<AttemptOutcome>
+RelayRun::SettleAttempt(EndpointChoice aChoice, AttemptOutcome aOutcome)
+{
+  ReleaseTrials();
+  ReturnPermit();
+  CommitUsage(aOutcome);
+  NoteOutcome(aChoice, aOutcome);
+  if (aOutcome == AttemptOutcome::kBroken ||
+      aOutcome == AttemptOutcome::kEnded) {
+    co_await CheckForCrash(aChoice);
+  }
+  co_return co_await ContinueFromCopy(aChoice, aOutcome);
 }
 
 int
@@ -312,7 +350,7 @@
     Millis(static_cast<std::int64_t>(objective * mCore->mLimits.mWaitShare));
   // Set when no endpoint of the versions chosen first accepts the request.
   bool hasOtherVersions = false;
-  while (mInterrupt == RunInterrupt::kNone) {
+  while (mInterrupt == RunInterrupt::kNone && !HasRevivedAttempt()) {
     const auto query = MakeEndpointQuery();
     if (auto choice = ChooseEndpoint(*mCore, query)) {
       co_return choice;
@@ -379,7 +417,8 @@
   }
   const auto& limits = mCore->mLimits;
   const auto until = Now() + limits.mPartWait;
-  while (mInterrupt == RunInterrupt::kNone && Now() < until) {
+  while (mInterrupt == RunInterrupt::kNone && !HasRevivedAttempt() &&
+         Now() < until) {
     const auto& record = mCore->mPartRecords.At(aChoice.mPartName);
     const bool isRead = Now() - record.mPrefillStartedAt < limits.mPartWait &&
                         record.IsPrefilling();
@@ -405,6 +444,7 @@
   }
   const bool mayHaveRun = aOutcome == AttemptOutcome::kBroken ||
                           aOutcome == AttemptOutcome::kSilent ||
+                          aOutcome == AttemptOutcome::kWithdrawn ||
                           aOutcome == AttemptOutcome::kEnded;
   if (mayHaveRun && !mRoute->IsRepeatable()) {
     return false;
@@ -471,6 +511,7 @@
     case AttemptOutcome::kLeaving:
     case AttemptOutcome::kNoPermit:
     case AttemptOutcome::kCooldown:
+    case AttemptOutcome::kWithdrawn:
     case AttemptOutcome::kInterrupted:
       break;
   }
--- a/packages/coordination/src/relay_run.h
+++ b/packages/coordination/src/relay_run.h
@@ -47,11 +47,12 @@
   kBroken,      ///< it may have run; the answer is missing or unusable
   kSilent,      ///< the same: nothing shows that the endpoint's machine runs
   kEnded,       ///< the same: the endpoint's run is known to have ended
+  kWithdrawn,   ///< an endpoint that was silent goes on with the request
   kInterrupted, ///< see RunInterrupt
 };
 
 /// Names of AttemptOutcome.
-inline constexpr state::EnumNames<AttemptOutcome, 13> kAttemptOutcomeNames{
+inline constexpr state::EnumNames<AttemptOutcome, 14> kAttemptOutcomeNames{
   { "done",
     "unsent",
     "withheld",
@@ -64,6 +65,7 @@
     "broken",
     "silent",
     "ended",
+    "withdrawn",
     "interrupted" }
 };
 
@@ -76,6 +78,18 @@
   state::Millis mLastChunk{ 0 };
 };
 
+/// What a run records of an attempt, apart from its connection.
+struct AttemptRecord
+{
+  AttemptTimes mTimes;
+  AnswerTrace mAnswerTrace;
+  std::optional<state::RunInQuestion> mLatestRun;
+  state::RunEnd mLatestEnd = state::RunEnd::kUnknown;
+  std::optional<state::TimePoint> mAbsentSince;
+  bool mIsPastBeginning = false;
+  bool mIsTrial = false;
+};
+
 /// Where the events of a stream began.
 struct StreamOrigin
 {
@@ -94,12 +108,16 @@
            transport::SocketReader& aCaller,
            std::shared_ptr<transport::RelayRequest> aRequest,
            state::TimePoint aArrival);
+  ~RelayRun();
+  RelayRun(const RelayRun&) = delete;
+  RelayRun& operator=(const RelayRun&) = delete;
 
   /// Runs to the end; returns whether the caller's connection may be kept.
   transport::Task<bool> Run();
 
 private:
   struct Attempt;
+  struct SuspendedAttempt;
 
   // Admission.
   transport::Task<void> AwaitConfig();
@@ -170,6 +188,16 @@
 
   // Attempts.
   transport::Task<void> Serve();
+  /// Makes attempts until one answers the caller or none is left; returns
+  /// whether one did.
+  transport::Task<bool> MakeAttempts();
+  /// Chooses the endpoint of the next attempt, once the request may be sent
+  /// there; empty if no further attempt can be made.
+  transport::Task<std::optional<EndpointChoice>> PrepareAttempt();
+  /// Acts on the outcome of an attempt that has ended or is suspended; returns
+  /// the outcome of the last run if a copy continued it.
+  transport::Task<AttemptOutcome> SettleAttempt(EndpointChoice aChoice,
+                                                AttemptOutcome aOutcome);
   /// Of the team, or of the route; the lowest is the most urgent.
   int Urgency() const;
   transport::Task<std::optional<EndpointChoice>> SelectEndpoint();
@@ -188,6 +216,12 @@
   void SetOverloadRefusal(const EndpointChoice& aChoice);
   transport::Task<AttemptOutcome> TryEndpoint(EndpointChoice aChoice);
   transport::Task<AttemptOutcome> RunAttempt(EndpointChoice aChoice);
+  /// Reads the answer to a request that was sent, then ends or suspends its
+  /// attempt.
+  transport::Task<AttemptOutcome> CompleteAttempt(
+    std::unique_ptr<Attempt> aAttempt);
+  /// Closes the connection of an attempt that was sent, and settles its counts.
+  void EndAttempt(Attempt& aAttempt, AttemptOutcome aOutcome);
   transport::Task<AttemptOutcome> Connect(Attempt& aAttempt);
   /// Checks at the last moment whether the endpoint may get the request.
   tl::expected<state::SendClearance, AttemptOutcome> ClearToSend(
@@ -229,6 +263,23 @@
   bool MayRetry(AttemptOutcome aOutcome);
   void Finish(Attempt& aAttempt);
 
+  // Attempts whose endpoint is silent.
+  AttemptRecord CopyRecord() const;
+  void RestoreRecord(const AttemptRecord& aRecord);
+  /// Keeps an attempt, with its connection, while others are made.
+  void Suspend(std::unique_ptr<Attempt> aAttempt);
+  /// Whether the endpoint of a suspended attempt has sent bytes.
+  bool HasRevivedAttempt() const;
+  /// Takes the suspended attempt whose endpoint has sent bytes, and ends the
+  /// others; if there is none, the latest. @pre  some are suspended
+  std::unique_ptr<SuspendedAttempt> TakeSuspended();
+  /// Goes on with an attempt that was suspended.
+  transport::Task<AttemptOutcome> Resume(
+    std::unique_ptr<SuspendedAttempt> aSuspended);
+  /// Ends all suspended attempts.
+  void EndSuspended();
+  void LogResumed(const Attempt& aAttempt, bool aHasRevived);
+
   // Continuation from a copy.
   /// Chooses the engine that gets a copy of the run that is about to be sent.
   void PlaceCopy(Attempt& aAttempt);
@@ -349,6 +400,7 @@
   state::RunEnd mLatestEnd = state::RunEnd::kUnknown;
   /// Since when its engine has replied that it does not run it.
   std::optional<state::TimePoint> mAbsentSince;
+  std::vector<std::unique_ptr<SuspendedAttempt>> mSuspended;
   int mUnsentTries = 0; ///< endpoints that could not be reached
   int mCrashes = 0;     ///< endpoints that crashed under this run
   bool mMayHaveRun = false;
--- a/packages/coordination/src/relay_run_log.cpp
+++ b/packages/coordination/src/relay_run_log.cpp
@@ -123,6 +123,21 @@
       .Add("ms", SinceArrival().count()));
 }
 
+void
+RelayRun::LogResumed(const Attempt& aAttempt, bool aHasRevived)
+{
+  const auto& endpoint = *aAttempt.mEndpointChoice.mEndpoint;
+  mCore->mDependencies.mLog.Write(
+    EventLine(kRelayComponent, "run-resumed", mCall.mRequestId)
+      .Add("endpoint", endpoint.mInfo.mId)
+      .Add("revived", aHasRevived)
+      .Add("problem", mLastProblem)
+      .Add("ms", SinceArrival().count()));
+  mCore->mDependencies.mMetrics.Count(
+    "shuntjunction_relay_runs_resumed_total",
+    { { "service", mService }, { "revived", aHasRevived ? "yes" : "no" } });
+}
+
 void
 RelayRun::LogRunEnd(const EndpointChoice& aChoice, state::RunEnd aEnd)
 {
--- a/packages/transport/include/shuntjunction/transport/socket_reader.h
+++ b/packages/transport/include/shuntjunction/transport/socket_reader.h
@@ -59,6 +59,12 @@
     mOnClosed = std::move(aCallback);
   }
 
+  /// Sets a callback that runs whenever bytes were received; null for none.
+  void OnReceived(std::function<void()> aCallback)
+  {
+    mOnReceived = std::move(aCallback);
+  }
+
   /// Closes the connection, in order or with a reset.
   void Close(bool aWithReset);
 
@@ -81,6 +87,7 @@
   std::string mBuffer;
   std::size_t mConsumed = 0;
   std::function<void()> mOnClosed;
+  std::function<void()> mOnReceived;
   std::shared_ptr<void> mKeptWhileOpen;
   bool mIsArmed = false;
   bool mIsClosed = false;
--- a/packages/transport/src/socket_reader.cpp
+++ b/packages/transport/src/socket_reader.cpp
@@ -72,6 +72,7 @@
   mKeptWhileOpen = nullptr;
   mIsClosed = true;
   mOnClosed = nullptr;
+  mOnReceived = nullptr;
   Wake();
 }
 
@@ -119,6 +120,9 @@
   mBuffer.append(sBytes.data(), bytes);
   Arm();
   Wake();
+  if (mOnReceived) {
+    mOnReceived();
+  }
 }
 
 void
