A refusal is received by callers that are still sending; unanswered closes are logged

Cause: the response was followed by a close with unread bytes in the socket, which is a reset; the peer's write fails, and its kernel may drop what it had received. RFC 9112, 9.6, asks for a lingering close.

Observability: `caller-closed` and shuntjunction_relay_unanswered_closes_total show connections that the relay closed with a request unread or an answer cut, by reason, with the bytes that were left unread. They had no line before.

--- a/packages/coordination/src/relay_answer.cpp
+++ b/packages/coordination/src/relay_answer.cpp
@@ -373,7 +373,7 @@
 }
 
 std::string
-RelayRun::BufferedAnswerText(const Attempt& aAttempt) const
+RelayRun::BufferedAnswerText(const Attempt& aAttempt)
 {
   const auto& head = aAttempt.mAnswer->Head();
   std::optional<std::size_t> length = aAttempt.mBufferedBody.size();
@@ -466,7 +466,7 @@
 
 std::string
 RelayRun::HeadText(const RelayResponse& aAnswer,
-                   std::optional<std::size_t> aLength) const
+                   std::optional<std::size_t> aLength)
 {
   std::string text = "HTTP/1.1 " + std::to_string(aAnswer.mStatus) + " " +
                      aAnswer.mReason + "\r\n";
--- a/packages/coordination/src/relay_reply.cpp
+++ b/packages/coordination/src/relay_reply.cpp
@@ -91,9 +91,10 @@
 }
 
 void
-RelayRun::AppendConnectionField(std::string& aHeader) const
+RelayRun::AppendConnectionField(std::string& aHeader)
 {
-  if (!mKeepsConnection || mCore->mIsStopping) {
+  mIsCloseAnnounced = !mKeepsConnection || mCore->mIsStopping;
+  if (mIsCloseAnnounced) {
     aHeader += "Connection: close\r\n";
   }
 }
@@ -102,6 +103,7 @@
 RelayRun::CloseCallerConnection()
 {
   mKeepsConnection = false;
+  mIsAnswerCut = true;
   mCaller.Close(true);
 }
 
--- a/packages/coordination/src/relay_run.h
+++ b/packages/coordination/src/relay_run.h
@@ -115,6 +115,11 @@
   /// Runs to the end; returns whether the caller's connection may be kept.
   transport::Task<bool> Run();
 
+  /// Whether an answer was forwarded in part and could not be completed.
+  ///
+  /// @pre  Run has ended
+  bool IsAnswerCut() const { return mIsAnswerCut; }
+
 private:
   struct Attempt;
   struct SuspendedAttempt;
@@ -350,7 +355,7 @@
   bool ShouldRetryFailure(const Attempt& aAttempt) const;
   /// Saves an endpoint's failure for its caller, in case no other does better.
   void SaveFailure(const Attempt& aAttempt);
-  std::string BufferedAnswerText(const Attempt& aAttempt) const;
+  std::string BufferedAnswerText(const Attempt& aAttempt);
   transport::Task<bool> ForwardStreamChunk(Attempt& aAttempt, bool aIsDone);
   void HandleAnswerBegun(const Attempt& aAttempt);
   void NoteChunkTime(const RelayEndpoint& aEndpoint);
@@ -362,8 +367,8 @@
                                std::optional<state::Millis> aRetryAfter = {});
   transport::Task<bool> WriteToCaller(std::string aBytes);
   std::string HeadText(const transport::RelayResponse& aAnswer,
-                       std::optional<std::size_t> aLength) const;
-  void AppendConnectionField(std::string& aHeader) const;
+                       std::optional<std::size_t> aLength);
+  void AppendConnectionField(std::string& aHeader);
   void CloseCallerConnection();
 
   void Interrupt(RunInterrupt aReason);
@@ -406,6 +411,8 @@
   bool mMayHaveRun = false;
   bool mIsHeadForwarded = false;
   bool mKeepsConnection = true;
+  bool mIsCloseAnnounced = false; ///< by the head that was sent
+  bool mIsAnswerCut = false;
   std::string mSavedFailure; ///< ready to send to the caller
   unsigned mSavedFailureStatus = 0;
   std::string mLastEventId;                  ///< of the last event forwarded
--- a/packages/coordination/src/relay_session.cpp
+++ b/packages/coordination/src/relay_session.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/write.hpp>
 
 #include "relay_run.h"
+#include "shuntjunction/transport/lingering_close.h"
 
 namespace shuntjunction::coordination {
 
@@ -28,6 +29,7 @@
       std::make_shared<transport::SocketReader>(std::move(aCaller.mSocket),
                                                 mCore->mLimits.mReadAhead))
   , mMemory(std::move(aCaller.mMemory))
+  , mAcceptedAt(mCore->mDependencies.mClock.Now())
 {
   mCore->mSessions.insert(this);
 }
@@ -35,7 +37,7 @@
 RelaySession::~RelaySession()
 {
   mCore->mSessions.erase(this);
-  mReader->Close(false);
+  Close();
   mCore->mAcceptor->NoteClosed();
 }
 
@@ -46,7 +48,39 @@
   mReader->Start();
   while (co_await ServeOne()) {
   }
+  if (mEnd == SessionEnd::kRefused && !mReader->IsClosed()) {
+    co_await transport::CloseLingering(mReader, transport::LingerLimits{});
+  }
+  Close();
+}
+
+void
+RelaySession::Close()
+{
+  if (std::exchange(mIsClosed, true)) {
+    return;
+  }
+  const auto unread = mReader->UnreadBytes();
   mReader->Close(false);
+  const bool isUnanswered =
+    mEnd == SessionEnd::kCut || (unread > 0 && mEnd != SessionEnd::kByCaller);
+  if (!isUnanswered) {
+    return;
+  }
+  auto& dependencies = mCore->mDependencies;
+  const auto name = kSessionEndNames.Name(mEnd);
+  const auto now = dependencies.mClock.Now();
+  const auto since = [now](TimePoint aThen) {
+    return std::chrono::duration_cast<state::Millis>(now - aThen).count();
+  };
+  dependencies.mMetrics.Count("shuntjunction_relay_unanswered_closes_total",
+                              { { "reason", std::string(name) } });
+  dependencies.mLog.Write(EventLine(kRelayComponent, "caller-closed")
+                            .Add("reason", name)
+                            .Add("requests", mRequests)
+                            .Add("unread_bytes", unread)
+                            .Add("accepted_ms", since(mAcceptedAt))
+                            .Add("stopping", mCore->mIsStopping));
 }
 
 void
@@ -64,15 +98,20 @@
   if (!request) {
     co_return false;
   }
+  ++mRequests;
   ++mCore->mActive;
   mCore->mBodyBytes += request->mBody.size();
   const auto bytes = request->mBody.size();
   RelayRun run(mCore, *mReader, request, mCore->mDependencies.mClock.Now());
   const bool keepsConnection = co_await run.Run();
+  mEnd = run.IsAnswerCut() ? SessionEnd::kCut : SessionEnd::kAnswered;
   mCore->mBodyBytes -= bytes;
   --mCore->mActive;
   mIsIdle = true;
   mMemory.Resize(mCore->mLimits.mBytesPerSession);
+  if (keepsConnection) {
+    mEnd = SessionEnd::kIdle;
+  }
   co_return keepsConnection;
 }
 
@@ -125,6 +164,7 @@
       }
     }
     if (mReader->IsClosed()) {
+      mEnd = SessionEnd::kByCaller;
       co_return false;
     }
     if (clock.Now() >= until) {
@@ -158,6 +198,7 @@
 Task<void>
 RelaySession::RefuseUnread(unsigned aStatus, std::string_view aProblem)
 {
+  mEnd = SessionEnd::kRefused;
   mCore->mDependencies.mLog.Write(EventLine(kRelayComponent, "unread")
                                     .Add("status", aStatus)
                                     .Add("problem", aProblem));
--- a/packages/coordination/src/relay_session.h
+++ b/packages/coordination/src/relay_session.h
@@ -6,6 +6,21 @@
 
 namespace shuntjunction::coordination {
 
+/// What ended a caller's connection.
+enum class SessionEnd : std::uint8_t
+{
+  kIdle,     ///< no request came in time, or the relay stops
+  kAnswered, ///< the last response announced the end
+  kRefused,  ///< a request was refused before all of it was read
+  kCut,      ///< an answer that had begun could not be completed
+  kByCaller, ///< the caller closed it
+};
+
+/// Names of SessionEnd.
+inline constexpr state::EnumNames<SessionEnd, 5> kSessionEndNames{
+  { "idle", "answered", "refused", "cut", "by-caller" }
+};
+
 /// Reads requests from a connection and serves each.
 ///
 /// Thread safety: none; used on the relay's thread.
@@ -42,6 +57,9 @@
   /// Memory, in bytes, for a request with a body of this size.
   std::int64_t MemoryNeeded(std::size_t aBodyBytes) const;
 
+  /// Closes the connection; logs it if a request on it may be unanswered.
+  void Close();
+
   transport::Task<void> RefuseUnread(unsigned aStatus,
                                      std::string_view aProblem);
   transport::Task<void> Write(std::string aText);
@@ -49,7 +67,11 @@
   std::shared_ptr<Relay::Core> mCore;
   std::shared_ptr<transport::SocketReader> mReader;
   state::MemoryReservation mMemory;
+  state::TimePoint mAcceptedAt;
+  std::uint64_t mRequests = 0; ///< that were read completely
+  SessionEnd mEnd = SessionEnd::kIdle;
   bool mIsIdle = true;
+  bool mIsClosed = false;
 };
 
 } // namespace shuntjunction::coordination
--- a/packages/transport/include/shuntjunction/transport/socket_reader.h
+++ b/packages/transport/include/shuntjunction/transport/socket_reader.h
@@ -44,6 +44,15 @@
   /// Drops bytes from the front of the buffer.
   void Consume(std::size_t aBytes);
 
+  /// Number of received bytes that were not consumed, including those that the
+  /// kernel still holds.
+  std::size_t UnreadBytes() const
+  {
+    boost::system::error_code ignored;
+    const auto waiting = mSocket.available(ignored);
+    return Buffered().size() + (ignored ? 0 : waiting);
+  }
+
   /// Whether the connection ended: the peer closed its side, it failed, or
   /// Close was called.
   bool IsClosed() const { return mIsClosed; }
--- a/packages/transport/src/http_server.cpp
+++ b/packages/transport/src/http_server.cpp
@@ -4,6 +4,7 @@
 #include <boost/beast/http.hpp>
 
 #include "shuntjunction/transport/frame_channel.h"
+#include "shuntjunction/transport/lingering_close.h"
 #include "shuntjunction/transport/socket_reader.h"
 
 namespace shuntjunction::transport {
@@ -89,12 +90,16 @@
       static_cast<std::size_t>(mShared->mLimits.mMaxConnections);
     if (mShared->mSessions.size() > maxConnections) {
       mKeepsAlive = false;
+      mIsRefused = true;
       co_await Respond(
         mShared->mHandler.Refusal(503, "too many open connections"));
     } else {
       while (co_await ServeOne()) {
       }
     }
+    if (mIsRefused) {
+      co_await DiscardInput();
+    }
     Abort();
   }
 
@@ -241,10 +246,32 @@
     if (aError == http::error::end_of_stream || !mStream.socket().is_open()) {
       co_return;
     }
+    mIsRefused = true;
     co_await Respond(
       mShared->mHandler.Refusal(StatusOf(aError), aError.message()));
   }
 
+  /// Lingers until the caller of a refused request has closed its side; see
+  /// CloseLingering.
+  Task<void> DiscardInput()
+  {
+    const LingerLimits limits;
+    beast::error_code ignored;
+    mStream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    mStream.expires_after(limits.mTime);
+    mBuffer.clear();
+    std::size_t discarded = 0;
+    while (discarded < limits.mBytes) {
+      // Nothing is committed, so that the buffer is used again.
+      const auto [error, bytes] = co_await mStream.async_read_some(
+        mBuffer.prepare(kDiscardBytes), kAsTuple);
+      if (error) {
+        break;
+      }
+      discarded += bytes;
+    }
+  }
+
   /// Detects that the caller disconnects while its request is handled.
   Task<void> WatchCaller(std::uint64_t aRequestNumber)
   {
@@ -296,6 +323,7 @@
   }
 
   static constexpr std::size_t kFirstReadBytes = 4096;
+  static constexpr std::size_t kDiscardBytes = 16UL * 1024;
   static constexpr unsigned kHttp11 = 11;
 
   std::shared_ptr<Shared> mShared;
@@ -308,6 +336,7 @@
   bool mIsBusy = false;
   bool mIsAnswered = false;
   bool mIsTimedOut = false;
+  bool mIsRefused = false;  ///< before all of its request was read
   bool mIsHttp10 = false;   ///< the caller does not support chunks
   bool mIsUnframed = false; ///< only the close ends the current stream
 };
--- a/packages/transport/tests/http_server_test.cpp
+++ b/packages/transport/tests/http_server_test.cpp
@@ -208,6 +208,35 @@
     Exchange("POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nhalf"), 408));
 }
 
+// Guards against a refusal that is lost by the reset of its own connection.
+TEST_F(GivenAServer, ARefusalIsReceivedByACallerThatSendsItsWholeBodyFirst)
+{
+  constexpr std::size_t kBody = 2UL * 1024 * 1024;
+  const auto sendAll = [](state::Address aAddress) -> Task<std::string> {
+    tcp::socket socket(co_await asio::this_coro::executor);
+    co_await socket.async_connect(
+      { asio::ip::make_address(aAddress.mHost), aAddress.mPort }, kAsTuple);
+    const std::string text =
+      "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(kBody) +
+      "\r\n\r\n" + std::string(kBody, 'x');
+    const auto [error, sent] =
+      co_await asio::async_write(socket, asio::buffer(text), kAsTuple);
+    if (error) {
+      co_return error.message();
+    }
+    std::string in(1024, '\0');
+    const auto [end, bytes] =
+      co_await asio::async_read(socket, asio::buffer(in), kAsTuple);
+    in.resize(bytes);
+    co_return in;
+  };
+  for (int i = 0; i < 20; ++i) {
+    SCOPED_TRACE(i);
+    const auto answer = Run(sendAll(mAddress));
+    EXPECT_TRUE(HasStatus(answer, 413)) << answer;
+  }
+}
+
 class WithFewConnections : public GivenAServer
 {
 protected:
