A stopping relay closes no connection without notice, and none with unread bytes

What callers saw: the request after a stream that was still running when a stop began found a connection that closed, though the stream's head had not announced that; and a request that was in the kernel when the idle connections were closed got a reset instead of an answer or a refusal.

Cause: a session ended once the relay was stopping, whatever its last head had said, and a connection counted as idle by the bytes that the process had read, not by those that the kernel held. Both lost a request only if it crossed the close, which the caller could not know.

WhileTheRelayStops.* and AfterItHasBegunAnAnswer.* fail before and pass now.

--- a/packages/coordination/src/relay_run.cpp
+++ b/packages/coordination/src/relay_run.cpp
@@ -93,7 +93,8 @@
     mCaller.OnClosed(nullptr);
     mDeadlineTimer->cancel();
   }
-  co_return mKeepsConnection && !mCore->mIsStopping && !mCaller.IsClosed();
+  // Without an announced end the caller may have sent its next request.
+  co_return mKeepsConnection && !mIsCloseAnnounced && !mCaller.IsClosed();
 }
 
 // Admission.
--- a/packages/coordination/src/relay_session.cpp
+++ b/packages/coordination/src/relay_session.cpp
@@ -86,7 +86,8 @@
 void
 RelaySession::CloseIfIdle()
 {
-  if (mIsIdle && mReader->Buffered().empty()) {
+  // What the kernel holds is the beginning of a request.
+  if (mIsIdle && mReader->UnreadBytes() == 0) {
     mReader->Close(false);
   }
 }
