Suspended attempts end only once another's bytes are forwarded

Cause: any bytes of an endpoint counted as its answer, once in each direction: what is given up was again given up before its replacement was certain.

All others are ended when bytes of one answer are about to be written to the caller, and not before.

--- a/packages/coordination/src/relay_answer.cpp
+++ b/packages/coordination/src/relay_answer.cpp
@@ -422,7 +422,6 @@
 Task<bool>
 RelayRun::ForwardStreamChunk(Attempt& aAttempt, bool aIsDone)
 {
-  EndSuspended();
   std::string body = std::exchange(aAttempt.mBufferedBody, {});
   if (aAttempt.mEvents) {
     mLastEventId = aAttempt.mEvents->LastEventId();
@@ -456,6 +455,8 @@
   }
   bool isWritten = true;
   if (!text.empty()) {
+    // Others were asked for what follows the events forwarded before.
+    EndSuspended();
     isWritten = co_await WriteToCaller(std::move(text));
   }
   if (isWritten && aIsDone && !isChunked) {
--- a/packages/coordination/src/relay_suspended_attempts.cpp
+++ b/packages/coordination/src/relay_suspended_attempts.cpp
@@ -2,8 +2,9 @@
 
 #include <algorithm>
 
-// The part of a run that keeps attempts whose endpoint is silent: each goes on
-// if its endpoint does, until another endpoint's answer is forwarded.
+// The part of a run that keeps attempts whose endpoint is silent. The attempt
+// whose endpoint sent bytes last is read, and the others are ended once bytes
+// of its answer are forwarded.
 
 namespace shuntjunction::coordination {
 
@@ -72,14 +73,10 @@
     std::find_if(mSuspended.begin(), mSuspended.end(), [](const auto& aItem) {
       return aItem->HasRevived();
     });
-  const bool hasRevived = revived != mSuspended.end();
-  const auto chosen = hasRevived ? revived : std::prev(mSuspended.end());
+  const auto chosen =
+    revived != mSuspended.end() ? revived : std::prev(mSuspended.end());
   auto taken = std::move(*chosen);
   mSuspended.erase(chosen);
-  if (hasRevived) {
-    // Its next events would not follow on those that others were asked for.
-    EndSuspended();
-  }
   return taken;
 }
 
