A refused connection returns the memory of its body before it lingers

What callers saw: after a body that was refused for lack of memory, small requests of others were closed unread for up to a second.

--- a/packages/coordination/src/relay_session.cpp
+++ b/packages/coordination/src/relay_session.cpp
@@ -49,6 +49,7 @@
   while (co_await ServeOne()) {
   }
   if (mEnd == SessionEnd::kRefused && !mReader->IsClosed()) {
+    mMemory.Resize(mCore->mLimits.mBytesPerSession);
     co_await transport::CloseLingering(mReader, transport::LingerLimits{});
   }
   Close();
