A suspended attempt counts once: usage, outcome of its version, health

Change: what was reserved for an attempt that was not made is returned when a suspended one is resumed; a suspended attempt is evidence when it ends. A revival is seen at the last check before a send, so that nothing is sent in vain, and requests under which an endpoint crashed, or that are a trial, are not sent to a second endpoint while the first may still run them.

The last two changes have no test of their own.

--- a/packages/coordination/src/relay_attempt.cpp
+++ b/packages/coordination/src/relay_attempt.cpp
@@ -163,7 +163,7 @@
   mOpenConnection = nullptr;
   if (outcome == AttemptOutcome::kSilent ||
       outcome == AttemptOutcome::kWithdrawn) {
-    Suspend(std::move(aAttempt));
+    Suspend(std::move(aAttempt), outcome);
   } else {
     EndAttempt(*aAttempt, outcome);
   }
@@ -198,6 +198,10 @@
 tl::expected<state::SendClearance, AttemptOutcome>
 RelayRun::ClearToSend(const Attempt& aAttempt)
 {
+  if (HasRevivedAttempt()) {
+    mLastProblem = "former endpoint revived";
+    return tl::unexpected(AttemptOutcome::kWithheld);
+  }
   // While the request waited for a part, a permit or a connection, the chosen
   // endpoint may have become unavailable.
   const auto& endpoint = aAttempt.mEndpointChoice.mEndpoint;
--- a/packages/coordination/src/relay_attempt.h
+++ b/packages/coordination/src/relay_attempt.h
@@ -48,10 +48,12 @@
   state::TimePoint mMaySuspendAt;
 };
 
-/// An attempt whose endpoint is silent, while the run makes others.
+/// An attempt whose endpoint is silent, or that was withdrawn, while the answer
+/// of another is awaited.
 struct RelayRun::SuspendedAttempt
 {
   std::unique_ptr<Attempt> mAttempt;
+  AttemptOutcome mOutcome = AttemptOutcome::kSilent; ///< if it is not resumed
   AttemptRecord mRecord;
   std::unique_ptr<StreamCopy> mCopy; ///< of its run
   std::size_t mBuffered = 0; ///< bytes that were unread when it was suspended
--- a/packages/coordination/src/relay_run.cpp
+++ b/packages/coordination/src/relay_run.cpp
@@ -387,6 +387,10 @@
   if (!endpoints.HasStopped(*aChoice.mEndpoint, Now())) {
     return false;
   }
+  // Another engine might crash under it while the first still runs it.
+  if (mIsTrial || aChoice.mIsCrashSuspect) {
+    return false;
+  }
   if (!MayRetry(AttemptOutcome::kSilent)) {
     return false;
   }
@@ -496,7 +500,6 @@
       break;
     case AttemptOutcome::kUnsent:
     case AttemptOutcome::kBroken:
-    case AttemptOutcome::kSilent:
     case AttemptOutcome::kEnded:
       endpoints.NoteFailure(endpoint, Now());
       break;
@@ -512,16 +515,22 @@
     case AttemptOutcome::kLeaving:
     case AttemptOutcome::kNoPermit:
     case AttemptOutcome::kCooldown:
+    case AttemptOutcome::kSilent:
     case AttemptOutcome::kWithdrawn:
     case AttemptOutcome::kInterrupted:
       break;
   }
-  NoteRolloutOutcome(endpoint, aOutcome);
+  const bool isSuspended = aOutcome == AttemptOutcome::kSilent ||
+                           aOutcome == AttemptOutcome::kWithdrawn;
+  if (!isSuspended) {
+    NoteRolloutOutcome(endpoint, mTimes, aOutcome);
+  }
   LogAttempt(aChoice, aOutcome);
 }
 
 void
 RelayRun::NoteRolloutOutcome(const RelayEndpoint& aEndpoint,
+                             const AttemptTimes& aTimes,
                              AttemptOutcome aOutcome)
 {
   const bool isFailed =
@@ -532,10 +541,10 @@
   const bool isTimeout = aOutcome == AttemptOutcome::kInterrupted &&
                          mInterrupt == RunInterrupt::kDeadline;
   auto& rollouts = mCore->mRollouts;
-  if (mTimes.mSent && mTimes.mFirst && isFailed) {
+  if (aTimes.mSent && aTimes.mFirst && isFailed) {
     rollouts.NoteLateFailure(
-      aEndpoint.mInfo, mRoute->mName, *mTimes.mFirst - *mTimes.mSent);
-  } else if (mTimes.mSent && !mTimes.mFirst && (isFailed || isTimeout)) {
+      aEndpoint.mInfo, mRoute->mName, *aTimes.mFirst - *aTimes.mSent);
+  } else if (aTimes.mSent && !aTimes.mFirst && (isFailed || isTimeout)) {
     rollouts.NoteOutcome(aEndpoint.mInfo, mRoute->mName, std::nullopt);
   }
 }
--- a/packages/coordination/src/relay_run.h
+++ b/packages/coordination/src/relay_run.h
@@ -249,8 +249,9 @@
   /// Tells the other relays that a part is being prefilled, or was.
   void AnnouncePartReading(const EndpointChoice& aChoice, bool aIsDone);
   void NoteOutcome(const EndpointChoice& aChoice, AttemptOutcome aOutcome);
-  /// Reports an attempt as evidence of a roll-out.
+  /// Reports an attempt that has ended as evidence of a roll-out.
   void NoteRolloutOutcome(const RelayEndpoint& aEndpoint,
+                          const AttemptTimes& aTimes,
                           AttemptOutcome aOutcome);
   /// Checks whether an endpoint crashed under the request.
   transport::Task<void> CheckForCrash(const EndpointChoice& aChoice);
@@ -272,7 +273,9 @@
   AttemptRecord CopyRecord() const;
   void RestoreRecord(const AttemptRecord& aRecord);
   /// Keeps an attempt, with its connection, while others are made.
-  void Suspend(std::unique_ptr<Attempt> aAttempt);
+  ///
+  /// @param aOutcome  kSilent or kWithdrawn
+  void Suspend(std::unique_ptr<Attempt> aAttempt, AttemptOutcome aOutcome);
   /// Whether the endpoint of a suspended attempt has sent bytes.
   bool HasRevivedAttempt() const;
   /// Takes the suspended attempt whose endpoint has sent bytes; if there is
--- a/packages/coordination/src/relay_suspended_attempts.cpp
+++ b/packages/coordination/src/relay_suspended_attempts.cpp
@@ -39,13 +39,14 @@
 }
 
 void
-RelayRun::Suspend(std::unique_ptr<Attempt> aAttempt)
+RelayRun::Suspend(std::unique_ptr<Attempt> aAttempt, AttemptOutcome aOutcome)
 {
   // Its request may still arrive: a repeat that follows is charged for that.
-  KeepUnsettled(*aAttempt, AttemptOutcome::kSilent);
+  KeepUnsettled(*aAttempt, aOutcome);
   const auto reader = aAttempt->mConnection.mReader;
   auto suspended = std::make_unique<SuspendedAttempt>();
   suspended->mAttempt = std::move(aAttempt);
+  suspended->mOutcome = aOutcome;
   suspended->mRecord = CopyRecord();
   suspended->mCopy = std::move(mCopy);
   suspended->mBuffered = reader->Buffered().size();
@@ -83,6 +84,9 @@
 Task<AttemptOutcome>
 RelayRun::Resume(std::unique_ptr<SuspendedAttempt> aSuspended)
 {
+  // These were reserved for an attempt that was not made.
+  ReleaseUsage();
+  ReleaseRetry();
   const bool hasRevived = aSuspended->HasRevived();
   auto attempt = std::move(aSuspended->mAttempt);
   RestoreRecord(aSuspended->mRecord);
@@ -105,7 +109,16 @@
 {
   mMayHaveRun = mMayHaveRun || !mSuspended.empty();
   for (const auto& suspended : std::exchange(mSuspended, {})) {
-    EndAttempt(*suspended->mAttempt, AttemptOutcome::kSilent);
+    const auto outcome = mInterrupt == RunInterrupt::kNone
+                           ? suspended->mOutcome
+                           : AttemptOutcome::kInterrupted;
+    auto& attempt = *suspended->mAttempt;
+    EndAttempt(attempt, outcome);
+    auto& endpoint = *attempt.mEndpointChoice.mEndpoint;
+    if (outcome == AttemptOutcome::kSilent) {
+      mCore->mEndpoints.NoteFailure(endpoint, Now());
+    }
+    NoteRolloutOutcome(endpoint, suspended->mRecord.mTimes, outcome);
   }
 }
 
