Connections that are closed unread are counted by whether a request had arrived

What callers saw: a connection that closes without a byte, after its request was sent. What operators saw: a counter by reason, without whether the connection had carried anything or for how long it had waited.

Change: shuntjunction_relay_connections_refused_with_bytes_total by reason, and a log line `callers-rejected`, at most one a second, with the counts by reason, how many had bytes and the longest time since the last bytes or, without bytes, since the connection was established. Both come from the kernel (FIONREAD, TCP_INFO), since what waits in the backlog is not accepted before. Written by the acceptor's thread: EventLog may be used from any thread, Metrics only from the traffic thread, which reads the atomic counters in SetGauges.

--- a/packages/coordination/src/caller_acceptor.cpp
+++ b/packages/coordination/src/caller_acceptor.cpp
@@ -2,10 +2,14 @@
 
 #include <algorithm>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "relay_core.h"
 #include "shuntjunction/transport/connect.h"
 #include "shuntjunction/transport/frame_channel.h"
 
@@ -32,6 +36,30 @@
 constexpr Millis kRejectPause{ 20 };
 /// Time in which a traffic thread that is not overloaded gives a sign.
 constexpr Millis kSignPause{ 50 };
+/// Interval between two log lines about connections closed unread.
+constexpr Millis kRejectionsInterval{ 1000 };
+
+/// What a connection's caller has sent, unread.
+struct UnreadInput
+{
+  int mBytes = 0;
+  /// Time since bytes arrived last, or since the connection was established.
+  Millis mAge{ 0 };
+};
+
+/// Nothing of what the kernel does not report.
+UnreadInput
+UnreadInputOf(int aSocket)
+{
+  UnreadInput input;
+  ::ioctl(aSocket, FIONREAD, &input.mBytes);
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  if (::getsockopt(aSocket, IPPROTO_TCP, TCP_INFO, &info, &size) == 0) {
+    input.mAge = Millis(info.tcpi_last_data_recv);
+  }
+  return input;
+}
 
 } // namespace
 
@@ -39,12 +67,14 @@
                                const CallerAcceptorSettings& aSettings,
                                const state::Clock& aClock,
                                state::MemoryBudget& aMemory,
+                               EventLog& aLog,
                                MemoryProbe* aProbe,
                                Handler aOnCaller)
   : mTraffic(aTraffic)
   , mSettings(aSettings)
   , mClock(aClock)
   , mMemory(aMemory)
+  , mLog(aLog)
   , mProbe(aProbe)
   , mOnCaller(std::move(aOnCaller))
   , mNeed({ aSettings.mBytesPerCaller,
@@ -71,6 +101,7 @@
   mAcceptor->non_blocking(true, ignored);
   NoteTrafficSign(Millis(0));
   transport::Spawn(mContext, Accept());
+  transport::Spawn(mContext, LogRejections());
   if (mProbe != nullptr) {
     transport::Spawn(mContext, MeasureMemory());
   }
@@ -86,6 +117,7 @@
   if (mThread.joinable()) {
     mThread.join();
   }
+  WriteRejections();
 }
 
 Task<bool>
@@ -200,11 +232,52 @@
     if (socket < 0) {
       return;
     }
+    NoteRejected(socket, aReason);
     ::close(socket);
-    CountRefusal(aReason);
   }
 }
 
+void
+CallerAcceptor::NoteRejected(int aSocket, AcceptRefusal aReason)
+{
+  const auto input = UnreadInputOf(aSocket);
+  const auto reason = static_cast<std::size_t>(aReason);
+  ++mRefused[reason];
+  ++mRejections.mCounts[reason];
+  mRejections.mLongestWait = std::max(mRejections.mLongestWait, input.mAge);
+  if (input.mBytes > 0) {
+    ++mRefusedWithBytes[reason];
+    ++mRejections.mWithBytes;
+  }
+}
+
+Task<void>
+CallerAcceptor::LogRejections()
+{
+  while (true) {
+    co_await transport::Sleep(kRejectionsInterval);
+    WriteRejections();
+  }
+}
+
+void
+CallerAcceptor::WriteRejections()
+{
+  const auto rejections = std::exchange(mRejections, {});
+  const auto& counts = rejections.mCounts;
+  if (std::ranges::none_of(counts, [](auto aCount) { return aCount > 0; })) {
+    return;
+  }
+  EventLine line(kRelayComponent, "callers-rejected");
+  for (std::size_t i = 0; i < counts.size(); ++i) {
+    const auto reason = static_cast<AcceptRefusal>(i);
+    line.Add(kAcceptRefusalNames.Name(reason), counts[i]);
+  }
+  line.Add("with_bytes", rejections.mWithBytes);
+  line.Add("longest_wait_ms", rejections.mLongestWait.count());
+  mLog.Write(std::move(line));
+}
+
 bool
 CallerAcceptor::AcceptOne()
 {
@@ -216,7 +289,7 @@
   AcceptedCaller caller{ std::move(socket), state::MemoryReservation(mMemory) };
   // Another reservation may have taken the room meanwhile.
   if (!caller.mMemory.Resize(mNeed.Expected())) {
-    CountRefusal(AcceptRefusal::kNoMemory);
+    NoteRejected(caller.mSocket.native_handle(), AcceptRefusal::kNoMemory);
     return true;
   }
   ++mCallers;
--- a/packages/coordination/src/caller_acceptor.h
+++ b/packages/coordination/src/caller_acceptor.h
@@ -12,6 +12,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include "shuntjunction/coordination/event_log.h"
 #include "shuntjunction/coordination/memory_probe.h"
 #include "shuntjunction/state/accept_window.h"
 #include "shuntjunction/state/clock.h"
@@ -80,12 +81,14 @@
   /// @param aTraffic   context of the accepted sockets; outlives this
   /// @param aClock     outlives this
   /// @param aMemory    outlives this and all accepted callers
+  /// @param aLog       outlives this
   /// @param aProbe     null: only reservations bound memory
   /// @param aOnCaller  called on the acceptor's thread
   CallerAcceptor(transport::asio::io_context& aTraffic,
                  const CallerAcceptorSettings& aSettings,
                  const state::Clock& aClock,
                  state::MemoryBudget& aMemory,
+                 EventLog& aLog,
                  MemoryProbe* aProbe,
                  Handler aOnCaller);
   ~CallerAcceptor();
@@ -131,9 +134,30 @@
     return mRefused[static_cast<std::size_t>(aReason)];
   }
 
+  /// Number of those on which bytes of a request had arrived.
+  std::uint64_t RefusedWithBytes(AcceptRefusal aReason) const
+  {
+    return mRefusedWithBytes[static_cast<std::size_t>(aReason)];
+  }
+
 private:
+  using CountByReason = std::array<std::uint64_t, kAcceptRefusalNames.Size()>;
+  using SharedCountByReason =
+    std::array<std::atomic<std::uint64_t>, kAcceptRefusalNames.Size()>;
+
+  /// Connections closed unread since the last log line about them.
+  struct Rejections
+  {
+    CountByReason mCounts{};
+    std::uint64_t mWithBytes = 0;
+    state::Millis mLongestWait{ 0 };
+  };
+
   transport::Task<void> Accept();
   transport::Task<void> MeasureMemory();
+  /// Logs connections closed unread, at most one line a second.
+  transport::Task<void> LogRejections();
+  void WriteRejections();
   /// Whether a new connection would be served too late.
   transport::Task<bool> IsTrafficLate();
   /// Whether the traffic thread has been handed as many as it serves in time.
@@ -148,10 +172,8 @@
   transport::Task<std::optional<AcceptRefusal>> ReasonToReject();
   /// Closes connections that are waiting in the kernel, unread.
   void RejectWaiting(AcceptRefusal aReason);
-  void CountRefusal(AcceptRefusal aReason)
-  {
-    ++mRefused[static_cast<std::size_t>(aReason)];
-  }
+  /// Counts a connection that is about to be closed unread.
+  void NoteRejected(int aSocket, AcceptRefusal aReason);
   /// Accepts one that is waiting, if any; returns false if that failed.
   bool AcceptOne();
 
@@ -159,6 +181,7 @@
   CallerAcceptorSettings mSettings;
   const state::Clock& mClock;
   state::MemoryBudget& mMemory;
+  EventLog& mLog;
   MemoryProbe* mProbe;
   Handler mOnCaller;
   state::MemoryNeed mNeed;
@@ -174,7 +197,9 @@
   std::optional<state::TimePoint> mWaitingSince;
   std::atomic<std::int64_t> mPending{ 0 };
   std::atomic<std::int64_t> mCallers{ 0 };
-  std::array<std::atomic<std::uint64_t>, kAcceptRefusalNames.Size()> mRefused{};
+  SharedCountByReason mRefused{};
+  SharedCountByReason mRefusedWithBytes{};
+  Rejections mRejections; ///< used on the acceptor's thread
   std::thread mThread;
 };
 
--- a/packages/coordination/src/relay.cpp
+++ b/packages/coordination/src/relay.cpp
@@ -167,6 +167,7 @@
       CallerAcceptorSettings{ mLimits.mBytesPerSession },
       mDependencies.mClock,
       mMemory,
+      mDependencies.mLog,
       mDependencies.mMemoryProbe,
       [this](AcceptedCaller aCaller) { PostCaller(std::move(aCaller)); }))
 {
@@ -439,10 +440,15 @@
               static_cast<double>(Connections()));
   for (std::size_t i = 0; i < kAcceptRefusalNames.Size(); ++i) {
     const auto reason = static_cast<AcceptRefusal>(i);
-    metrics.Set(
-      "shuntjunction_relay_connections_refused_total",
-      static_cast<double>(mCore->mAcceptor->Refused(reason)),
-      { { "reason", std::string(kAcceptRefusalNames.Name(reason)) } });
+    const MetricLabels labels{
+      { "reason", std::string(kAcceptRefusalNames.Name(reason)) }
+    };
+    metrics.Set("shuntjunction_relay_connections_refused_total",
+                static_cast<double>(mCore->mAcceptor->Refused(reason)),
+                labels);
+    metrics.Set("shuntjunction_relay_connections_refused_with_bytes_total",
+                static_cast<double>(mCore->mAcceptor->RefusedWithBytes(reason)),
+                labels);
   }
   metrics.Set("shuntjunction_relay_memory_reserved_bytes",
               static_cast<double>(mCore->mMemory.Reserved()));
