Connections that have waited long are closed together, not 32 each 20 ms

What callers saw: with a late traffic thread and a burst, a whole request was sent, and its connection closed without a byte up to 0.4 s later. A close without an answer is a retry elsewhere, which each of these callers began the later the more were closed before it.

Cause: rejection closed 32 connections a turn of 20 ms, whatever their age; a backlog of 512 took 320 ms more than the decision.

Change: only recent connections count towards the 32 of a turn. One that would have waited for over 100 ms (kMaxRejectedWait) at the next turn is closed in this one, by the age of its last bytes in TCP_INFO. The processor's share stays bounded: at most the backlog reaches that age in 100 ms, beside the 32 each 20 ms.

Considered and left out: a queue of accepted connections of the process's own (descriptors and memory for what is closed anyway, and the kernel knows the ages already); a written refusal (the head would have to be read and recognised as whole on the acceptor's thread, and the close to linger for each of hundreds of connections).

--- a/packages/coordination/src/caller_acceptor.cpp
+++ b/packages/coordination/src/caller_acceptor.cpp
@@ -30,10 +30,15 @@
 /// Interval at which the acceptor checks whether the traffic thread has begun
 /// to serve the callers handed over.
 constexpr Millis kPendingPause{ 5 };
-/// Connections closed unread before the next pause, and that pause. Without
-/// it, a burst of callers would keep the processor from the traffic thread.
+/// Recent connections closed unread before the next pause, and that pause.
+/// Without it, a burst of callers would keep the processor from the traffic
+/// thread.
 constexpr int kMaxRejectsPerTurn = 32;
 constexpr Millis kRejectPause{ 20 };
+/// Wait up to which a connection may be left for a later turn: its caller has
+/// sent a request, and tries another relay once it is closed. At most the
+/// backlog reaches this age in this time, which bounds the processor time.
+constexpr Millis kMaxRejectedWait{ 100 };
 /// Time in which a traffic thread that is not overloaded gives a sign.
 constexpr Millis kSignPause{ 50 };
 /// Interval between two log lines about connections closed unread.
@@ -226,18 +231,20 @@
 void
 CallerAcceptor::RejectWaiting(AcceptRefusal aReason)
 {
-  for (int i = 0; i < kMaxRejectsPerTurn; ++i) {
+  int recent = 0;
+  while (recent < kMaxRejectsPerTurn) {
     const int socket =
       ::accept4(mAcceptor->native_handle(), nullptr, nullptr, SOCK_CLOEXEC);
     if (socket < 0) {
       return;
     }
-    NoteRejected(socket, aReason);
+    const auto waited = NoteRejected(socket, aReason);
     ::close(socket);
+    recent += waited + kRejectPause <= kMaxRejectedWait ? 1 : 0;
   }
 }
 
-void
+Millis
 CallerAcceptor::NoteRejected(int aSocket, AcceptRefusal aReason)
 {
   const auto input = UnreadInputOf(aSocket);
@@ -249,6 +256,7 @@
     ++mRefusedWithBytes[reason];
     ++mRejections.mWithBytes;
   }
+  return input.mAge;
 }
 
 Task<void>
--- a/packages/coordination/src/caller_acceptor.h
+++ b/packages/coordination/src/caller_acceptor.h
@@ -173,7 +173,9 @@
   /// Closes connections that are waiting in the kernel, unread.
   void RejectWaiting(AcceptRefusal aReason);
   /// Counts a connection that is about to be closed unread.
-  void NoteRejected(int aSocket, AcceptRefusal aReason);
+  ///
+  /// @return time since its caller's last bytes
+  state::Millis NoteRejected(int aSocket, AcceptRefusal aReason);
   /// Accepts one that is waiting, if any; returns false if that failed.
   bool AcceptOne();
 
