A late traffic thread is recognised after 170 ms, not after 220

What callers saw: with a late traffic thread the first close without a byte came 217 ms after the request had been sent, though mMaxSignAge (170 ms) is documented as the longest wait; requests that reach a turn of that length are refused from 170 ms on (OverloadSettings::mLateTurn).

Cause: the second look of 50 ms, which tells a pause of the machine from overload, began only once the sign was 170 ms old.

Change: it begins at 120 ms, so that both end at 170, and returns with the sign instead of after the whole 50 ms. After a pause of the machine the thread still has 50 ms for its sign.

No test shows this change by itself: it would assert wall time.

--- a/packages/coordination/src/caller_acceptor.cpp
+++ b/packages/coordination/src/caller_acceptor.cpp
@@ -132,14 +132,16 @@
     co_return true;
   }
   const auto sign = mSignAt.load();
-  if (mClock.Now() - sign < mSettings.mMaxSignAge) {
+  if (mClock.Now() - sign < mSettings.mMaxSignAge - kSignPause) {
     co_return false;
   }
   // After a pause of the machine the sign is old too, and comes at once.
   if (mLateSign != sign) {
-    co_await transport::Sleep(kSignPause);
-    if (mSignAt.load() != sign) {
-      co_return false;
+    for (Millis waited{ 0 }; waited < kSignPause; waited += kPendingPause) {
+      co_await transport::Sleep(kPendingPause);
+      if (mSignAt.load() != sign) {
+        co_return false;
+      }
     }
     mLateSign = sign;
   }
