--- a/packages/coordination/src/caller_acceptor.cpp
+++ b/packages/coordination/src/caller_acceptor.cpp
@@ -2,10 +2,14 @@
 
 #include <algorithm>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "relay_core.h"
 #include "shuntjunction/transport/connect.h"
 #include "shuntjunction/transport/frame_channel.h"
 
@@ -26,12 +30,41 @@
 /// Interval at which the acceptor checks whether the traffic thread has begun
 /// to serve the callers handed over.
 constexpr Millis kPendingPause{ 5 };
-/// Connections closed unread before the next pause, and that pause. Without
-/// it, a burst of callers would keep the processor from the traffic thread.
+/// Recent connections closed unread before the next pause, and that pause.
+/// Without it, a burst of callers would keep the processor from the traffic
+/// thread.
 constexpr int kMaxRejectsPerTurn = 32;
 constexpr Millis kRejectPause{ 20 };
+/// Wait up to which a connection may be left for a later turn: its caller has
+/// sent a request, and tries another relay once it is closed. At most the
+/// backlog reaches this age in this time, which bounds the processor time.
+constexpr Millis kMaxRejectedWait{ 100 };
 /// Time in which a traffic thread that is not overloaded gives a sign.
 constexpr Millis kSignPause{ 50 };
+/// Interval between two log lines about connections closed unread.
+constexpr Millis kRejectionsInterval{ 1000 };
+
+/// What a connection's caller has sent, unread.
+struct UnreadInput
+{
+  int mBytes = 0;
+  /// Time since bytes arrived last, or since the connection was established.
+  Millis mAge{ 0 };
+};
+
+/// Nothing of what the kernel does not report.
+UnreadInput
+UnreadInputOf(int aSocket)
+{
+  UnreadInput input;
+  ::ioctl(aSocket, FIONREAD, &input.mBytes);
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  if (::getsockopt(aSocket, IPPROTO_TCP, TCP_INFO, &info, &size) == 0) {
+    input.mAge = Millis(info.tcpi_last_data_recv);
+  }
+  return input;
+}
 
 } // namespace
 
@@ -39,12 +72,14 @@
                                const CallerAcceptorSettings& aSettings,
                                const state::Clock& aClock,
                                state::MemoryBudget& aMemory,
+                               EventLog& aLog,
                                MemoryProbe* aProbe,
                                Handler aOnCaller)
   : mTraffic(aTraffic)
   , mSettings(aSettings)
   , mClock(aClock)
   , mMemory(aMemory)
+  , mLog(aLog)
   , mProbe(aProbe)
   , mOnCaller(std::move(aOnCaller))
   , mNeed({ aSettings.mBytesPerCaller,
@@ -71,6 +106,7 @@
   mAcceptor->non_blocking(true, ignored);
   NoteTrafficSign(Millis(0));
   transport::Spawn(mContext, Accept());
+  transport::Spawn(mContext, LogRejections());
   if (mProbe != nullptr) {
     transport::Spawn(mContext, MeasureMemory());
   }
@@ -86,6 +122,7 @@
   if (mThread.joinable()) {
     mThread.join();
   }
+  WriteRejections();
 }
 
 Task<bool>
@@ -95,14 +132,16 @@
     co_return true;
   }
   const auto sign = mSignAt.load();
-  if (mClock.Now() - sign < mSettings.mMaxSignAge) {
+  if (mClock.Now() - sign < mSettings.mMaxSignAge - kSignPause) {
     co_return false;
   }
   // After a pause of the machine the sign is old too, and comes at once.
   if (mLateSign != sign) {
-    co_await transport::Sleep(kSignPause);
-    if (mSignAt.load() != sign) {
-      co_return false;
+    for (Millis waited{ 0 }; waited < kSignPause; waited += kPendingPause) {
+      co_await transport::Sleep(kPendingPause);
+      if (mSignAt.load() != sign) {
+        co_return false;
+      }
     }
     mLateSign = sign;
   }
@@ -194,15 +233,59 @@
 void
 CallerAcceptor::RejectWaiting(AcceptRefusal aReason)
 {
-  for (int i = 0; i < kMaxRejectsPerTurn; ++i) {
+  int recent = 0;
+  while (recent < kMaxRejectsPerTurn) {
     const int socket =
       ::accept4(mAcceptor->native_handle(), nullptr, nullptr, SOCK_CLOEXEC);
     if (socket < 0) {
       return;
     }
+    const auto waited = NoteRejected(socket, aReason);
     ::close(socket);
-    CountRefusal(aReason);
+    recent += waited + kRejectPause <= kMaxRejectedWait ? 1 : 0;
+  }
+}
+
+Millis
+CallerAcceptor::NoteRejected(int aSocket, AcceptRefusal aReason)
+{
+  const auto input = UnreadInputOf(aSocket);
+  const auto reason = static_cast<std::size_t>(aReason);
+  ++mRefused[reason];
+  ++mRejections.mCounts[reason];
+  mRejections.mLongestWait = std::max(mRejections.mLongestWait, input.mAge);
+  if (input.mBytes > 0) {
+    ++mRefusedWithBytes[reason];
+    ++mRejections.mWithBytes;
+  }
+  return input.mAge;
+}
+
+Task<void>
+CallerAcceptor::LogRejections()
+{
+  while (true) {
+    co_await transport::Sleep(kRejectionsInterval);
+    WriteRejections();
+  }
+}
+
+void
+CallerAcceptor::WriteRejections()
+{
+  const auto rejections = std::exchange(mRejections, {});
+  const auto& counts = rejections.mCounts;
+  if (std::ranges::none_of(counts, [](auto aCount) { return aCount > 0; })) {
+    return;
+  }
+  EventLine line(kRelayComponent, "callers-rejected");
+  for (std::size_t i = 0; i < counts.size(); ++i) {
+    const auto reason = static_cast<AcceptRefusal>(i);
+    line.Add(kAcceptRefusalNames.Name(reason), counts[i]);
   }
+  line.Add("with_bytes", rejections.mWithBytes);
+  line.Add("longest_wait_ms", rejections.mLongestWait.count());
+  mLog.Write(std::move(line));
 }
 
 bool
@@ -216,7 +299,7 @@
   AcceptedCaller caller{ std::move(socket), state::MemoryReservation(mMemory) };
   // Another reservation may have taken the room meanwhile.
   if (!caller.mMemory.Resize(mNeed.Expected())) {
-    CountRefusal(AcceptRefusal::kNoMemory);
+    NoteRejected(caller.mSocket.native_handle(), AcceptRefusal::kNoMemory);
     return true;
   }
   ++mCallers;
