Peers that read nothing for two seconds are not taken for gone

What callers saw: an answer that was cut, or 502 for a request that runs once, after its peer, the caller or the endpoint, had read nothing for 2 s while more was on its way than its receive buffer holds (400 KB on loopback).

Cause: TCP_USER_TIMEOUT of 1.5 s also ends a connection whose peer acknowledges the probes of a full window, with the next probe, after 2.0 to 2.1 s. An absence taken for an end, by the kernel.

Change: 3 s, the time after which keep-alive probes give up an idle connection too. Requests that may be repeated leave a silent machine after 1.3 s without it.

--- a/packages/transport/include/shuntjunction/transport/connect.h
+++ b/packages/transport/include/shuntjunction/transport/connect.h
@@ -22,10 +22,12 @@
 /// Limits how long an unresponsive peer is considered alive.
 struct DeadPeerTimeouts
 {
-  state::Millis mUserTimeout{ 1500 }; ///< for unacknowledged data
-  int mKeepAliveIdleSeconds = 1;      ///< until the first probe
-  int mKeepAliveIntervalSeconds = 1;  ///< between probes
-  int mKeepAliveProbes = 2;           ///< unanswered ones until failure
+  /// For unacknowledged data. The kernel also counts a peer whose receive
+  /// window is full, so that it exceeds the pause of a peer that works.
+  state::Millis mUserTimeout{ 3000 };
+  int mKeepAliveIdleSeconds = 1;     ///< until the first probe
+  int mKeepAliveIntervalSeconds = 1; ///< between probes
+  int mKeepAliveProbes = 2;          ///< unanswered ones until failure
 };
 
 /// Enables TCP_NODELAY, keep-alive and the timeouts on a connected socket.
