A response without end is refused by the relay's parser

Seen by callers: a request whose endpoint sent interim responses, a chunk's size, chunk extensions or trailer fields without end got nothing until its deadline; one that may be repeated was not tried elsewhere.

Cause: the parser consumes a chunk's line and a trailer only when they are complete. With 64 KB buffered nothing more is read, and nobody looks again until the deadline. Each interim response resets the parser, without a limit. Chunk extensions count as progress, however little body there is. A head was already limited to 64 KB.

Now RelayResponseReader refuses an element over 64 KB (the size of the read-ahead, now one constant), more than 64 interim responses, and framing over 128 KB plus 16 bytes a body byte. A chunk of one byte has 5, so that bodies in small chunks pass. The outcome is "broken", which counts as a failure of the endpoint, and the problem of the parser is in the log.

--- a/packages/coordination/src/relay_answer.cpp
+++ b/packages/coordination/src/relay_answer.cpp
@@ -170,7 +170,7 @@
     return ParseStatus::kDone;
   }
   if (step == ParseStatus::kMalformed) {
-    mLastProblem = "malformed answer";
+    mLastProblem = "malformed answer: " + aAttempt.mAnswer->Problem();
   } else if (step == ParseStatus::kDone) {
     mAnswerTrace.mEnd = AnswerEnd::kFramed;
   }
--- a/packages/coordination/src/relay_core.h
+++ b/packages/coordination/src/relay_core.h
@@ -45,8 +45,9 @@
   double mWaitShare = 0.2;
   /// Answers up to this size are read completely before any of it is forwarded.
   std::size_t mMaxBufferedAnswer = 64UL * 1024;
-  /// Bytes read ahead on a connection.
-  std::size_t mReadAhead = 64UL * 1024;
+  /// Bytes read ahead on a connection: no less than a response's longest
+  /// element, which is parsed as a whole.
+  std::size_t mReadAhead = transport::RelayResponseReader::kMaxElementBytes;
   /// Memory that an open connection of a caller may need, including a request
   /// of common size and the connection to its endpoint.
   std::int64_t mBytesPerSession = 64L * 1024;
--- a/packages/transport/include/shuntjunction/transport/relay_message.h
+++ b/packages/transport/include/shuntjunction/transport/relay_message.h
@@ -134,6 +134,10 @@
 class RelayResponseReader
 {
 public:
+  /// Longest head, chunk size with its extensions, or trailer. The caller's
+  /// buffer holds as much, since Put consumes them only when complete.
+  static constexpr std::size_t kMaxElementBytes = 64UL * 1024;
+
   /// @param aIsHeadRequest  the request was a HEAD, so that no body follows
   explicit RelayResponseReader(bool aIsHeadRequest);
   ~RelayResponseReader();
@@ -159,14 +163,24 @@
   /// Moves out the body bytes parsed since the last call.
   std::string TakeBody();
 
+  /// Describes why a message is kMalformed.
+  const std::string& Problem() const { return mProblem; }
+
 private:
   struct Parser;
 
+  ParseStatus Refuse(std::string_view aProblem);
+  /// Counts parsed bytes; whether they are in proportion to the body.
+  bool CountFraming(std::size_t aParsed, std::size_t aOfBody);
   void FillHead();
   void ResetParser();
 
   std::unique_ptr<Parser> mParser;
   RelayResponse mHead;
+  std::string mProblem;
+  std::size_t mFramingBytes = 0; ///< heads, chunk sizes and trailers
+  std::size_t mBodyBytes = 0;
+  int mInterimResponses = 0;
   bool mIsHeadRequest;
   bool mIsHeadReported = false;
   bool mHasBegun = false;
--- a/packages/transport/src/relay_message.cpp
+++ b/packages/transport/src/relay_message.cpp
@@ -14,8 +14,14 @@
 
 namespace {
 
-/// Limit of a response's head, equal to the default limit of a request's.
-constexpr std::uint32_t kMaxResponseHeadBytes = 64U * 1024;
+/// Responses with a status of 1xx that may precede the final one.
+constexpr int kMaxInterimResponses = 64;
+
+/// Bytes of framing that a response may have for each byte of its body, and
+/// those that it may have without a body. A chunk of one byte has five.
+constexpr std::size_t kFramingPerBodyByte = 16;
+constexpr std::size_t kMaxFramingBytes =
+  2 * RelayResponseReader::kMaxElementBytes;
 
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kBodyTooLarge = 413;
@@ -254,7 +260,7 @@
   mParser = std::make_unique<Parser>();
   mParser->mParser.eager(true);
   mParser->mParser.skip(mIsHeadRequest);
-  mParser->mParser.header_limit(kMaxResponseHeadBytes);
+  mParser->mParser.header_limit(kMaxElementBytes);
   mParser->mParser.body_limit(boost::none);
 }
 
@@ -266,15 +272,26 @@
     mHasBegun = true;
     beast::error_code error;
     const auto rest = aBytes.substr(aConsumed);
-    aConsumed +=
+    const auto& message = mParser->mParser.get();
+    const auto before = message.body().size();
+    const auto parsed =
       mParser->mParser.put(asio::buffer(rest.data(), rest.size()), error);
+    aConsumed += parsed;
     if (error && error != http::error::need_more) {
-      return ParseStatus::kMalformed;
+      return Refuse(error.message());
+    }
+    if (error && rest.size() - parsed >= kMaxElementBytes) {
+      return Refuse("a head, a chunk's size or a trailer is too long");
     }
-    const bool isInterim =
-      mParser->mParser.is_header_done() &&
-      mParser->mParser.get().result_int() < kFirstFinalStatus;
+    if (!CountFraming(parsed, message.body().size() - before)) {
+      return Refuse("too much framing for its body");
+    }
+    const bool isInterim = mParser->mParser.is_header_done() &&
+                           message.result_int() < kFirstFinalStatus;
     if (isInterim) {
+      if (++mInterimResponses > kMaxInterimResponses) {
+        return Refuse("too many interim responses");
+      }
       ResetParser();
     } else if (error == http::error::need_more) {
       break;
@@ -292,6 +309,21 @@
   return parser.is_done() ? ParseStatus::kDone : ParseStatus::kNeedMore;
 }
 
+ParseStatus
+RelayResponseReader::Refuse(std::string_view aProblem)
+{
+  mProblem = aProblem;
+  return ParseStatus::kMalformed;
+}
+
+bool
+RelayResponseReader::CountFraming(std::size_t aParsed, std::size_t aOfBody)
+{
+  mFramingBytes += aParsed - aOfBody;
+  mBodyBytes += aOfBody;
+  return mFramingBytes <= kMaxFramingBytes + kFramingPerBodyByte * mBodyBytes;
+}
+
 bool
 RelayResponseReader::FinishAtEof()
 {
