An answer that only trickles, or never is the request's own, is given up

Seen by callers: with a head or a chunk's size that arrives byte by byte, or answers to other requests one after the other, nothing until the deadline.

Cause: SkipForeignAnswer reads on without a limit, and 64 KB of a head take minutes at a byte every 5 ms.

UnusableInput counts bytes, pieces and time of input that can't be used yet. An element (head, chunk size, trailer) that has begun is given up after 3 s if it came in more than 16 pieces; a sound endpoint that stands still in between is awaited, since it sends few pieces. Answers to other requests have the same limit of time, and one of 1 MB. 3 s, 16 pieces and 1 MB are chosen, not measured. An event or a body that trickles is not limited in time.

--- a/packages/coordination/src/relay_answer.cpp
+++ b/packages/coordination/src/relay_answer.cpp
@@ -112,7 +112,9 @@
     aAttempt.mEndpointChoice.mEndpoint->mLastBytesAt = Now();
     const bool isDone = *step == ParseStatus::kDone;
     if (aAttempt.mIsForeign) {
-      SkipForeignAnswer(aAttempt, isDone);
+      if (!SkipForeignAnswer(aAttempt, isDone)) {
+        co_return AttemptOutcome::kBroken;
+      }
       continue;
     }
     if (!aAttempt.mIsHeadEvaluated) {
@@ -151,10 +153,15 @@
   auto& reader = *aAttempt.mConnection.mReader;
   ParseStatus step = ParseStatus::kNeedMore;
   std::size_t consumed = 0;
-  if (!reader.Buffered().empty()) {
+  const auto buffered = reader.Buffered().size();
+  if (buffered > 0) {
     step = aAttempt.mAnswer->Put(reader.Buffered(), consumed);
     reader.Consume(consumed);
   }
+  if (!NoteParsed(aAttempt, buffered, consumed)) {
+    mLastProblem = "answer arrives too slowly";
+    return ParseStatus::kMalformed;
+  }
   if (step == ParseStatus::kNeedMore && consumed == 0) {
     // Anything still buffered is an incomplete element.
     if (!reader.IsClosed()) {
@@ -256,20 +263,41 @@
   }
 }
 
-void
+bool
+RelayRun::NoteParsed(Attempt& aAttempt,
+                     std::size_t aBuffered,
+                     std::size_t aConsumed) const
+{
+  const auto before =
+    std::exchange(aAttempt.mUnparsedBytes, aBuffered - aConsumed);
+  aAttempt.mParsedBytes = aConsumed;
+  if (aConsumed > 0) {
+    aAttempt.mIncomplete.Reset();
+    return true;
+  }
+  return aBuffered == before ||
+         aAttempt.mIncomplete.Add(aBuffered - before, Now());
+}
+
+bool
 RelayRun::SkipForeignAnswer(Attempt& aAttempt, bool aIsDone)
 {
   // This is a late answer to an earlier request; the one to this request may
   // follow.
   aAttempt.mAnswer->TakeBody();
+  if (!aAttempt.mForeign.Add(aAttempt.mParsedBytes, Now())) {
+    mLastProblem = "too much of answers to other requests";
+    return false;
+  }
   if (!aIsDone) {
-    return;
+    return true;
   }
   aAttempt.mIsForeignSkipped = true;
   aAttempt.mAnswer =
     std::make_unique<RelayResponseReader>(mRequest->mMethod == "HEAD");
   aAttempt.mIsHeadEvaluated = false;
   aAttempt.mIsForeign = false;
+  return true;
 }
 
 std::optional<AttemptOutcome>
--- a/packages/coordination/src/relay_attempt.h
+++ b/packages/coordination/src/relay_attempt.h
@@ -8,6 +8,7 @@
 #include "relay_run.h"
 #include "shuntjunction/state/event_splitter.h"
 #include "shuntjunction/state/json_text_checker.h"
+#include "shuntjunction/state/unusable_input.h"
 
 namespace shuntjunction::coordination {
 
@@ -41,8 +42,12 @@
   std::optional<state::EventSplitter> mEvents; ///< set for a stream of events
   /// Set for a JSON body whose end only its connection marks.
   std::unique_ptr<state::JsonTextChecker> mJson;
-  bool mIsForeignSkipped = false; ///< an answer to another request came first
-  bool mIsStreamed = false;       ///< forwarded as it arrives
+  bool mIsForeignSkipped = false;   ///< an answer to another request came first
+  state::UnusableInput mForeign;    ///< answers to other requests
+  state::UnusableInput mIncomplete; ///< a head, chunk size or trailer
+  std::size_t mParsedBytes = 0;     ///< by the last step
+  std::size_t mUnparsedBytes = 0;   ///< left in the buffer by that step
+  bool mIsStreamed = false;         ///< forwarded as it arrives
   bool mHasBegun = false;
   bool mIsUnsettled = false; ///< its request may arrive after the attempt
   state::TimePoint mMaySuspendAt;
--- a/packages/coordination/src/relay_run.h
+++ b/packages/coordination/src/relay_run.h
@@ -346,7 +346,14 @@
   void ApplyNotice(Attempt& aAttempt);
   /// The same for an answer that came while the run was interrupted.
   void ApplyUnreadNotice(Attempt& aAttempt);
-  void SkipForeignAnswer(Attempt& aAttempt, bool aIsDone);
+  /// Drops what was parsed of an answer to another request; returns whether
+  /// the answer to this one is still awaited.
+  bool SkipForeignAnswer(Attempt& aAttempt, bool aIsDone);
+  /// Notes a parser's step; returns whether the rest of what it left may be
+  /// awaited.
+  bool NoteParsed(Attempt& aAttempt,
+                  std::size_t aBuffered,
+                  std::size_t aConsumed) const;
   std::optional<AttemptOutcome> EvaluateHead(Attempt& aAttempt);
   transport::Task<bool> ForwardBody(Attempt& aAttempt, bool aIsDone);
   transport::Task<bool> ForwardBufferedAnswer(Attempt& aAttempt);
