An event without its end is not buffered without limit

Seen by callers: a stream whose event has no blank line, or whose comment has no line end, gave nothing further until the deadline, while the relay kept all of it (EventSplitter::mPending).

Now an event over 1 MB (chosen) makes the attempt broken: a resumable stream continues elsewhere, another is cut. A body without a type and without events is forwarded as it arrives from there on; it was held until its end before. Whole events of any number pass.

--- a/packages/coordination/src/relay_answer.cpp
+++ b/packages/coordination/src/relay_answer.cpp
@@ -120,7 +120,9 @@
     if (!aAttempt.mIsHeadEvaluated) {
       continue;
     }
-    ReceiveBody(aAttempt);
+    if (!ReceiveBody(aAttempt)) {
+      co_return AttemptOutcome::kBroken;
+    }
     if (isDone) {
       const bool isCutOff = co_await IsCutOff(aAttempt);
       if (isCutOff && mInterrupt == RunInterrupt::kNone) {
--- a/packages/coordination/src/relay_answer_end.cpp
+++ b/packages/coordination/src/relay_answer_end.cpp
@@ -26,7 +26,7 @@
   }
 }
 
-void
+bool
 RelayRun::ReceiveBody(Attempt& aAttempt)
 {
   const auto body = aAttempt.mAnswer->TakeBody();
@@ -36,10 +36,22 @@
   }
   if (!aAttempt.mEvents) {
     aAttempt.mBufferedBody += body;
-    return;
+    return true;
   }
   aAttempt.mBufferedBody += aAttempt.mEvents->Put(body);
   mAnswerTrace.mIsInsideEvent = aAttempt.mEvents->IsInsideEvent();
+  if (aAttempt.mEvents->PendingBytes() <= mCore->mLimits.mMaxEventBytes) {
+    return true;
+  }
+  if (IsOfEvents(aAttempt)) {
+    mLastProblem = "event too long";
+    return false;
+  }
+  // A body of another kind, forwarded as it arrives from here on.
+  aAttempt.mBufferedBody += aAttempt.mEvents->TakeRest();
+  aAttempt.mEvents.reset();
+  mAnswerTrace.mIsInsideEvent = false;
+  return true;
 }
 
 bool
--- a/packages/coordination/src/relay_core.h
+++ b/packages/coordination/src/relay_core.h
@@ -45,6 +45,8 @@
   double mWaitShare = 0.2;
   /// Answers up to this size are read completely before any of it is forwarded.
   std::size_t mMaxBufferedAnswer = 64UL * 1024;
+  /// Longest event of a stream, which is forwarded as a whole.
+  std::size_t mMaxEventBytes = 1024UL * 1024;
   /// Bytes read ahead on a connection: no less than a response's longest
   /// element, which is parsed as a whole.
   std::size_t mReadAhead = transport::RelayResponseReader::kMaxElementBytes;
--- a/packages/coordination/src/relay_run.h
+++ b/packages/coordination/src/relay_run.h
@@ -331,8 +331,8 @@
   /// Prepares for a body, as its head describes it.
   void BeginBody(Attempt& aAttempt);
   /// Adds the body bytes that were parsed since the last call to those that may
-  /// be forwarded.
-  void ReceiveBody(Attempt& aAttempt);
+  /// be forwarded; returns false if an event is too long.
+  bool ReceiveBody(Attempt& aAttempt);
   /// Whether a body is known to consist of events: it has their type, or a
   /// whole event came, or it has no type and ends with its connection.
   static bool IsOfEvents(const Attempt& aAttempt);
--- a/packages/state/include/shuntjunction/state/event_splitter.h
+++ b/packages/state/include/shuntjunction/state/event_splitter.h
@@ -37,6 +37,9 @@
     return mHasFields || mLineStart < mPending.size();
   }
 
+  /// Number of bytes that were not returned.
+  std::size_t PendingBytes() const { return mPending.size(); }
+
   /// Whether a whole event had a field that the format defines, which text of
   /// another kind hardly has.
   bool HasEvents() const { return mHasEvents; }
--- a/packages/state/tests/event_splitter_test.cpp
+++ b/packages/state/tests/event_splitter_test.cpp
@@ -85,6 +85,18 @@
   EXPECT_EQ(EventData(": note\nid: 1"), "");
 }
 
+TEST_F(GivenAStreamOfEvents, ThePendingBytesAreThoseOfWhatHasNotEnded)
+{
+  const std::string line(1000, 'x');
+  mSplitter.Put("data: a\n\n");
+  EXPECT_EQ(mSplitter.PendingBytes(), 0U);
+  mSplitter.Put(line);
+  mSplitter.Put("\n" + line);
+  EXPECT_EQ(mSplitter.PendingBytes(), 2001U);
+  mSplitter.Put("\n\n");
+  EXPECT_EQ(mSplitter.PendingBytes(), 0U);
+}
+
 TEST_F(GivenAStreamOfEvents, LineEndsAreUnified)
 {
   EXPECT_EQ(UnifyLineEnds("a\r\nb\rc\nd\r"), "a\nb\nc\nd\n");
