A call's buffer has a limit, and framing does not extend a stream's time

Seen: a store or an engine that sends a chunk's size, extension or trailer without end filled the client's memory for as long as the call may take (5 s and more at the speed of the link); a stream's limit of silence began anew with each piece of framing.

Cause: the Beast buffer had no maximum, and Read set its timer for each piece rather than once.

--- a/packages/transport/src/http_client.cpp
+++ b/packages/transport/src/http_client.cpp
@@ -22,6 +22,10 @@
 constexpr std::size_t kMaxIdleConnections = 16;
 constexpr std::size_t kReadBytes = 16UL * 1024;
 
+/// Limit of what is buffered before it is parsed: a head, or a chunk's size
+/// with its extensions.
+constexpr std::size_t kMaxUnparsedBytes = 64UL * 1024;
+
 /// A connection that was idle longer is not reused. After a network partition
 /// or a peer's restart it may look intact, and a call on it would take its
 /// whole timeout to fail.
@@ -57,7 +61,7 @@
   }
 
   beast::tcp_stream mStream;
-  beast::flat_buffer mBuffer;
+  beast::flat_buffer mBuffer{ kMaxUnparsedBytes };
   state::TimePoint mIdleSince;
 };
 
@@ -114,11 +118,12 @@
 
   Task<Result<std::string>> Read(Millis aTimeout) override
   {
+    // Bytes that add nothing to the body don't extend the time.
+    mConnection->mStream.expires_after(aTimeout);
     while (!mParser.is_done()) {
       auto& body = mParser.get().body();
       body.data = mChunk.data();
       body.size = mChunk.size();
-      mConnection->mStream.expires_after(aTimeout);
       const auto [error, bytes] = co_await http::async_read_some(
         mConnection->mStream, mConnection->mBuffer, mParser, kAsTuple);
       const std::size_t size = mChunk.size() - body.size;
