A peer that has proved nothing can't announce long frames

A frame's memory is allocated when its length arrives, up to 16 MB, also in the handshake and so for anyone who can connect: 16 MB for 2 s a connection. Until the handshake's end a frame now has 64 KB at most; its messages have some hundred bytes. Old processes send nothing longer there.

--- a/packages/transport/include/shuntjunction/transport/frame_channel.h
+++ b/packages/transport/include/shuntjunction/transport/frame_channel.h
@@ -19,6 +19,9 @@
 /// Most bytes queued for sending; beyond it a channel is closed as stalled.
 inline constexpr std::size_t kMaxPendingBytes = 64UL * 1024 * 1024;
 
+/// Longest frame that a peer may send before it has proved the shared secret.
+inline constexpr std::size_t kMaxHandshakeFrameBytes = 64UL * 1024;
+
 /// Time limit for both sides to prove the shared secret.
 inline constexpr state::Millis kHandshakeTimeout{ 2000 };
 
@@ -115,6 +118,7 @@
   std::uint16_t mProtocolVersion = 0;
   ChannelCounters& mCounters;
   std::uint64_t mReceivedBytes = 0;
+  std::size_t mMaxFrameBytes = kMaxHandshakeFrameBytes;
   bool mIsClosedByPeer = false;
   std::deque<std::vector<std::uint8_t>> mQueue;
   std::size_t mPendingBytes = 0;
--- a/packages/transport/src/frame_channel.cpp
+++ b/packages/transport/src/frame_channel.cpp
@@ -120,6 +120,14 @@
     Close();
     co_return tl::unexpected(length.error());
   }
+  if (*length > mMaxFrameBytes) {
+    ++mCounters.mBadFrames;
+    Close();
+    co_return Fail(ErrorCode::kTooLarge,
+                   "frame.receive",
+                   mPeer,
+                   "too long before the handshake's end");
+  }
   std::vector<std::uint8_t> frame(prefix.size() + *length);
   std::copy(prefix.begin(), prefix.end(), frame.begin());
   const auto rest = asio::buffer(frame) + prefix.size();
@@ -230,6 +238,7 @@
       ErrorCode::kUnauthorized, kStep, mPeer, "the peer's proof is wrong");
   }
   mProtocolVersion = hello.mVersion;
+  mMaxFrameBytes = protocol::kMaxFrameBytes;
   mPeerNode = welcome->mNode;
   mPeerConfigVersion = welcome->mConfigVersion;
   co_return Result<void>{};
@@ -268,6 +277,7 @@
     protocol::AcceptorProof(aIdentity.mSecret, challenge, *hello);
   Send(welcome);
   mProtocolVersion = std::min(protocol::kProtocolVersion, hello->mVersion);
+  mMaxFrameBytes = protocol::kMaxFrameBytes;
   mPeerNode = hello->mNode;
   mPeerConfigVersion = hello->mConfigVersion;
   co_return Result<void>{};
--- a/packages/transport/tests/frame_channel_test.cpp
+++ b/packages/transport/tests/frame_channel_test.cpp
@@ -155,6 +155,42 @@
   ExpectOnlyThatPeerClosed("\xff\xff\xff\xff");
 }
 
+// Guards against memory for long frames of peers that have proved nothing.
+TEST_F(WithAMisbehavingPeer, ALongFrameBeforeTheProofClosesOnlyThatPeer)
+{
+  ExpectOnlyThatPeerClosed(std::string("\x00\x00\x10\x00", 4));
+}
+
+class WithAPeerThatTrickles : public GivenAnAcceptor
+{
+protected:
+  /// Sends a frame byte by byte until the acceptor closes the connection;
+  /// returns whether it did before the frame's end.
+  Task<bool> Trickle()
+  {
+    tcp::socket socket(co_await asio::this_coro::executor);
+    co_await socket.async_connect(mAcceptor->local_endpoint(), kAsTuple);
+    const std::string prefix("\x00\xf0\x00\x00", 4);
+    co_await asio::async_write(socket, asio::buffer(prefix), kAsTuple);
+    constexpr int kFrameBytes = 0xf000;
+    for (int i = 0; i < kFrameBytes; ++i) {
+      const auto [error, bytes] =
+        co_await asio::async_write(socket, asio::buffer("x", 1), kAsTuple);
+      if (error) {
+        co_return true;
+      }
+      co_await Sleep(Millis(1));
+    }
+    co_return false;
+  }
+};
+
+TEST_F(WithAPeerThatTrickles, AHandshakeWithoutEndIsClosed)
+{
+  EXPECT_TRUE(Run(Trickle()));
+  ASSERT_EQ(mRefused.size(), 1U);
+}
+
 TEST_F(WithAMisbehavingPeer, RandomBytesCloseOnlyThatPeer)
 {
   ExpectOnlyThatPeerClosed(std::string("\x08\0\0\0noise...", 12));
