--- a/packages/transport/include/shuntjunction/transport/socket_reader.h
+++ b/packages/transport/include/shuntjunction/transport/socket_reader.h
@@ -44,6 +44,15 @@
   /// Drops bytes from the front of the buffer.
   void Consume(std::size_t aBytes);
 
+  /// Number of received bytes that were not consumed, including those that the
+  /// kernel still holds.
+  std::size_t UnreadBytes() const
+  {
+    boost::system::error_code ignored;
+    const auto waiting = mSocket.available(ignored);
+    return Buffered().size() + (ignored ? 0 : waiting);
+  }
+
   /// Whether the connection ended: the peer closed its side, it failed, or
   /// Close was called.
   bool IsClosed() const { return mIsClosed; }
@@ -59,6 +68,12 @@
     mOnClosed = std::move(aCallback);
   }
 
+  /// Sets a callback that runs whenever bytes were received; null for none.
+  void OnReceived(std::function<void()> aCallback)
+  {
+    mOnReceived = std::move(aCallback);
+  }
+
   /// Closes the connection, in order or with a reset.
   void Close(bool aWithReset);
 
@@ -81,6 +96,7 @@
   std::string mBuffer;
   std::size_t mConsumed = 0;
   std::function<void()> mOnClosed;
+  std::function<void()> mOnReceived;
   std::shared_ptr<void> mKeptWhileOpen;
   bool mIsArmed = false;
   bool mIsClosed = false;
