A request that every endpoint refused unrun is refused, not failed

What callers saw: 502 "endpoint refused: 503", instead of 503 with its Retry-After, for a request that no endpoint had run: one was silent when it got the request, resumed and refused it (full), as the other one had.

Cause: an attempt that was given up for silence counted as one that may have run, and the refusal that came from it afterwards did not take that back.

ARefusalAfterTheSilenceIsNoFailure fails on (502) and passes now.

Change: a suspended attempt counts only once it ends without an answer (EndSuspended, also at the deadline); a withdrawn one counts too, which it did not.

--- a/packages/coordination/src/relay_attempt.cpp
+++ b/packages/coordination/src/relay_attempt.cpp
@@ -166,8 +166,9 @@
   } else {
     EndAttempt(*aAttempt, outcome);
   }
-  if (outcome == AttemptOutcome::kBroken ||
-      outcome == AttemptOutcome::kSilent || outcome == AttemptOutcome::kEnded ||
+  // One that is suspended may still answer that it was not run.
+  if (outcome == AttemptOutcome::kBroken || outcome == AttemptOutcome::kEnded ||
+      outcome == AttemptOutcome::kWithdrawn ||
       outcome == AttemptOutcome::kInterrupted) {
     mMayHaveRun = true;
   }
--- a/packages/coordination/src/relay_suspended_attempts.cpp
+++ b/packages/coordination/src/relay_suspended_attempts.cpp
@@ -106,6 +106,7 @@
 void
 RelayRun::EndSuspended()
 {
+  mMayHaveRun = mMayHaveRun || !mSuspended.empty();
   for (const auto& suspended : std::exchange(mSuspended, {})) {
     EndAttempt(*suspended->mAttempt, AttemptOutcome::kSilent);
   }
