A run is not withdrawn for a former endpoint's refusal

What callers saw: 502 for a request whose second endpoint would have answered. Its first endpoint was silent, resumed and refused it unrun.

Cause: the first bytes of a suspended attempt withdrew the attempt in progress, and ended the others, before it was known whether they were an answer.

Change: if what resumed had not begun its answer, the attempt in progress is suspended instead, and ends when an answer begins to be forwarded. If it had, its bytes continue the answer that the caller has, and the others end as before.

Price: a request may stay at two endpoints until the first has sent its head.

--- a/packages/coordination/src/relay_attempt.cpp
+++ b/packages/coordination/src/relay_attempt.cpp
@@ -161,14 +161,18 @@
 {
   const auto outcome = co_await ReadAnswer(*aAttempt);
   mOpenConnection = nullptr;
-  if (outcome == AttemptOutcome::kSilent) {
+  // What the former endpoint sends may be a refusal.
+  const bool isKept =
+    outcome == AttemptOutcome::kSilent ||
+    (outcome == AttemptOutcome::kWithdrawn && !HasRevivedStream());
+  if (isKept) {
     Suspend(std::move(aAttempt));
   } else {
     EndAttempt(*aAttempt, outcome);
   }
   // One that is suspended may still answer that it was not run.
   if (outcome == AttemptOutcome::kBroken || outcome == AttemptOutcome::kEnded ||
-      outcome == AttemptOutcome::kWithdrawn ||
+      (outcome == AttemptOutcome::kWithdrawn && !isKept) ||
       outcome == AttemptOutcome::kInterrupted) {
     mMayHaveRun = true;
   }
--- a/packages/coordination/src/relay_run.h
+++ b/packages/coordination/src/relay_run.h
@@ -275,8 +275,11 @@
   void Suspend(std::unique_ptr<Attempt> aAttempt);
   /// Whether the endpoint of a suspended attempt has sent bytes.
   bool HasRevivedAttempt() const;
+  /// Whether the first of these had begun its answer before it was suspended.
+  bool HasRevivedStream() const;
   /// Takes the suspended attempt whose endpoint has sent bytes, and ends the
-  /// others; if there is none, the latest. @pre  some are suspended
+  /// others if it had begun its answer; if there is none, the latest. @pre
+  /// some are suspended
   std::unique_ptr<SuspendedAttempt> TakeSuspended();
   /// Goes on with an attempt that was suspended.
   transport::Task<AttemptOutcome> Resume(
--- a/packages/coordination/src/relay_suspended_attempts.cpp
+++ b/packages/coordination/src/relay_suspended_attempts.cpp
@@ -65,6 +65,16 @@
     });
 }
 
+bool
+RelayRun::HasRevivedStream() const
+{
+  const auto revived =
+    std::find_if(mSuspended.begin(), mSuspended.end(), [](const auto& aItem) {
+      return aItem->HasRevived();
+    });
+  return revived != mSuspended.end() && (*revived)->mAttempt->mHasBegun;
+}
+
 std::unique_ptr<RelayRun::SuspendedAttempt>
 RelayRun::TakeSuspended()
 {
@@ -74,9 +84,10 @@
     });
   const bool hasRevived = revived != mSuspended.end();
   const auto chosen = hasRevived ? revived : std::prev(mSuspended.end());
+  const bool hasRevivedStream = HasRevivedStream();
   auto taken = std::move(*chosen);
   mSuspended.erase(chosen);
-  if (hasRevived) {
+  if (hasRevivedStream) {
     // Its next events would not follow on those that others were asked for.
     EndSuspended();
   }
