--- a/packages/coordination/src/relay_run.h
+++ b/packages/coordination/src/relay_run.h
@@ -336,8 +336,8 @@
   /// Prepares for a body, as its head describes it.
   void BeginBody(Attempt& aAttempt);
   /// Adds the body bytes that were parsed since the last call to those that may
-  /// be forwarded.
-  void ReceiveBody(Attempt& aAttempt);
+  /// be forwarded; returns false if an event is too long.
+  bool ReceiveBody(Attempt& aAttempt);
   /// Whether a body is known to consist of events: it has their type, or a
   /// whole event came, or it has no type and ends with its connection.
   static bool IsOfEvents(const Attempt& aAttempt);
@@ -351,7 +351,14 @@
   void ApplyNotice(Attempt& aAttempt);
   /// The same for an answer that came while the run was interrupted.
   void ApplyUnreadNotice(Attempt& aAttempt);
-  void SkipForeignAnswer(Attempt& aAttempt, bool aIsDone);
+  /// Drops what was parsed of an answer to another request; returns whether
+  /// the answer to this one is still awaited.
+  bool SkipForeignAnswer(Attempt& aAttempt, bool aIsDone);
+  /// Notes a parser's step; returns whether the rest of what it left may be
+  /// awaited.
+  bool NoteParsed(Attempt& aAttempt,
+                  std::size_t aBuffered,
+                  std::size_t aConsumed) const;
   std::optional<AttemptOutcome> EvaluateHead(Attempt& aAttempt);
   transport::Task<bool> ForwardBody(Attempt& aAttempt, bool aIsDone);
   transport::Task<bool> ForwardBufferedAnswer(Attempt& aAttempt);
