--- a/packages/transport/tests/relay_message_test.cpp
+++ b/packages/transport/tests/relay_message_test.cpp
@@ -129,7 +129,7 @@
 
 TEST_F(GivenALongResponse, AFinalOneFollowsInterimOnes)
 {
-  mFeed.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 27 * 20);
+  mFeed.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 27UL * 20);
   EXPECT_EQ(mFeed.Put("HTTP/1.1 204 No\r\n\r\n"), ParseStatus::kDone);
 }
 
