--- a/packages/coordination/src/relay_run.h
+++ b/packages/coordination/src/relay_run.h
@@ -78,7 +78,7 @@
   state::Millis mLastChunk{ 0 };
 };
 
-/// What a run records of an attempt, apart from its connection.
+/// What a run records of an attempt, without its connection.
 struct AttemptRecord
 {
   AttemptTimes mTimes;
