Relay logs what its retry window holds and how often a repeat was denied

Callers saw more repeats at a service than its budget allows, and nothing but the sum of all sent lines showed which processes had allowed them. Each second in which a window holds repeats, or one was denied, a relay now logs its first requests, its repeats and what the ratio allows; denied repeats are counted. The budgets of a relay move out of its core into a class of their own; what they allow is unchanged.

--- a/packages/coordination/src/relay.cpp
+++ b/packages/coordination/src/relay.cpp
@@ -1,7 +1,6 @@
 #include "shuntjunction/coordination/relay.h"
 
 #include <algorithm>
-#include <cmath>
 #include <random>
 #include <set>
 
@@ -10,7 +9,6 @@
 #include "relay_core.h"
 #include "relay_session.h"
 #include "shuntjunction/state/followed_companions.h"
-#include "shuntjunction/state/retry_pool.h"
 #include "shuntjunction/transport/connect.h"
 #include "shuntjunction/transport/frame_channel.h"
 
@@ -28,6 +26,8 @@
 constexpr Millis kStoppedInterval{ 100 };
 /// Interval at which the use of endpoints' rates is logged.
 constexpr Millis kRatesInterval{ 1000 };
+/// Interval at which the use of retry budgets is logged.
+constexpr Millis kRetryWindowsInterval{ 1000 };
 /// Interval between two reports on a roll-out.
 constexpr Millis kRolloutReportInterval{ 200 };
 /// Interval at which the use of memory is logged while much is reserved.
@@ -90,6 +90,16 @@
   }
 }
 
+/// Logs what retry budgets allowed and denied.
+Task<void>
+LogRetryWindows(std::shared_ptr<Relay::Core> aCore)
+{
+  while (true) {
+    co_await transport::Sleep(kRetryWindowsInterval);
+    aCore->mRetryBudgets.LogWindows();
+  }
+}
+
 /// Logs what this process's memory is used for.
 Task<void>
 LogMemory(std::shared_ptr<Relay::Core> aCore)
@@ -155,6 +165,7 @@
   , mPartCrashes(mDependencies, mCrashes)
   , mShares(mDependencies)
   , mRates(mDependencies, mShares.Directory())
+  , mRetryBudgets(mDependencies, mShares.Directory())
   , mNotices(mDependencies)
   , mRollouts(mDependencies, mShares.Directory(), mEndpoints)
   , mStreams(mDependencies)
@@ -280,21 +291,6 @@
   }
 }
 
-std::shared_ptr<state::WindowBudget>
-Relay::Core::BudgetOf(const std::string& aService)
-{
-  const auto& settings = mDependencies.mSettings.mBounds.mRetries;
-  auto& budget = mBudgets[aService];
-  if (!budget) {
-    budget = std::make_shared<state::WindowBudget>(
-      state::RelayRetryBudget(settings), mDependencies.mClock.Now());
-  }
-  budget->SetSlack(mShares.Directory().HasHosts()
-                     ? 0.0
-                     : std::floor(settings.mSlack / kRelaysWithoutCompanions));
-  return budget;
-}
-
 Relay::Relay(const RelayDependencies& aDependencies)
   : mCore(std::make_shared<Core>(aDependencies))
 {
@@ -316,6 +312,7 @@
   transport::Spawn(mCore->mDependencies.mContext, CloseStaleConnections(mCore));
   transport::Spawn(mCore->mDependencies.mContext, WatchStoppedEndpoints(mCore));
   transport::Spawn(mCore->mDependencies.mContext, LogRates(mCore));
+  transport::Spawn(mCore->mDependencies.mContext, LogRetryWindows(mCore));
   if (mCore->mDependencies.mSettings.mHasRollouts) {
     transport::Spawn(mCore->mDependencies.mContext, ReportRollouts(mCore));
   }
--- a/packages/coordination/src/relay_core.h
+++ b/packages/coordination/src/relay_core.h
@@ -11,6 +11,7 @@
 #include "relay_notices.h"
 #include "relay_part_crashes.h"
 #include "relay_rates.h"
+#include "relay_retry_budgets.h"
 #include "relay_shares.h"
 #include "rollout/relay_rollouts.h"
 #include "streams/relay_streams.h"
@@ -20,7 +21,6 @@
 #include "shuntjunction/state/limit_shares.h"
 #include "shuntjunction/state/overload_guard.h"
 #include "shuntjunction/state/part_record_table.h"
-#include "shuntjunction/state/window_budget.h"
 
 namespace shuntjunction::coordination {
 
@@ -78,10 +78,6 @@
 /// A relay's state.
 struct Relay::Core : public std::enable_shared_from_this<Relay::Core>
 {
-  /// Number of relays up to which a fleet without companions, which has no
-  /// owner of the slack of retries, keeps to it: each has a fixed part.
-  static constexpr double kRelaysWithoutCompanions = 32;
-
   explicit Core(const RelayDependencies& aDependencies);
 
   /// Whether keys may still be accepted as valid.
@@ -122,11 +118,6 @@
     return std::max<double>(mMaxRelays, 1.0) * mRelayCountFactor;
   }
 
-  /// The part of a service's retry budget that is this relay's alone: the ratio
-  /// of its own requests. The slack is shared by all relays, unless no
-  /// companion is listed.
-  std::shared_ptr<state::WindowBudget> BudgetOf(const std::string& aService);
-
   RelayDependencies mDependencies;
   RelayLimits mLimits;
   state::DescriptorBudget mDescriptors;
@@ -135,14 +126,13 @@
   RelayPartCrashes mPartCrashes;
   RelayShares mShares;
   RelayRates mRates;
+  RelayRetryBudgets mRetryBudgets;
   RelayNotices mNotices;
   RelayRollouts mRollouts;
   RelayStreams mStreams;
   state::PartRecordTable mPartRecords;
   state::PrefillRate mPrefillRate;
   state::OverloadGuard mGuard;
-  std::map<std::string, std::shared_ptr<state::WindowBudget>>
-    mBudgets;                   ///< by service
   std::uint32_t mMaxRelays = 0; ///< most that a companion reported; 0: none did
   /// In a large fleet a companion is followed by the relays of its zone at
   /// most, as those that watch the store for it are; in a fleet of several
--- a/packages/coordination/src/relay_retries.cpp
+++ b/packages/coordination/src/relay_retries.cpp
@@ -25,12 +25,13 @@
     ReleaseRetry();
   }
   if (!isRepeat || !mReservedRetry.empty() ||
-      mCore->BudgetOf(mService)->MayRepeat(Now())) {
+      mCore->mRetryBudgets.BudgetOf(mService)->MayRepeat(Now())) {
     co_return true;
   }
   const auto limit =
     state::RetryPoolLimit(mCore->mDependencies.mSettings.mBounds.mRetries);
   if (!limit.IsLimited()) {
+    mCore->mRetryBudgets.NoteDenied(mService);
     co_return false;
   }
   const UsageRequest request{
@@ -49,15 +50,19 @@
         !mReservedRetry.empty()
           ? "granted"
           : (reservation.mAnswered > 0 ? "empty" : "silent") } });
+  if (mReservedRetry.empty()) {
+    mCore->mRetryBudgets.NoteDenied(mService);
+  }
   co_return !mReservedRetry.empty();
 }
 
 bool
 RelayRun::UseRetry()
 {
-  const auto budget = mCore->BudgetOf(mService);
+  const auto budget = mCore->mRetryBudgets.BudgetOf(mService);
   const bool isPooled = !mReservedRetry.empty();
   if (!isPooled && !budget->TryOpen(Now())) {
+    mCore->mRetryBudgets.NoteDenied(mService);
     return false;
   }
   mReservedRetry.clear();
--- a/packages/coordination/src/relay_run.cpp
+++ b/packages/coordination/src/relay_run.cpp
@@ -216,7 +216,7 @@
 Task<void>
 RelayRun::Serve()
 {
-  mCore->BudgetOf(mService)->NoteFirst(Now());
+  mCore->mRetryBudgets.BudgetOf(mService)->NoteFirst(Now());
   mCore->mDependencies.mMetrics.Count(
     "shuntjunction_relay_first_requests_total", { { "service", mService } });
   const bool mayBegin = co_await FindStreamOrigin();
--- a/packages/state/include/shuntjunction/state/window_budget.h
+++ b/packages/state/include/shuntjunction/state/window_budget.h
@@ -16,6 +16,14 @@
   Millis mWindow{ 10000 }; ///< length of the window for both
 };
 
+/// What a WindowBudget counts in its window.
+struct WindowCounts
+{
+  std::uint32_t mFirsts = 0;
+  std::uint32_t mRepeats = 0; ///< including those that are not settled
+  double mAllowed = 0.0;      ///< repeats that the window may hold
+};
+
 /// Allows repeats so that no window of the given length contains too many.
 ///
 /// Counts are kept in slices of the window. A repeat counts as long as any part
@@ -39,6 +47,9 @@
   /// Records a first request.
   void NoteFirst(TimePoint aNow);
 
+  /// What the window that ends now contains.
+  WindowCounts Counts(TimePoint aNow) const;
+
   /// Whether a repeat is allowed.
   bool MayRepeat(TimePoint aNow) const;
 
@@ -70,7 +81,7 @@
 
   WindowBudgetSettings mSettings;
   TimePoint mStart;
-  std::int64_t mOpen = 0; ///< repeats that are not settled
+  std::uint32_t mOpen = 0; ///< repeats that are not settled
   std::array<Slice, kSlices + 1> mSlices{};
 };
 
--- a/packages/state/src/window_budget.cpp
+++ b/packages/state/src/window_budget.cpp
@@ -32,23 +32,31 @@
   ++SliceOf(SliceNumberAt(aNow)).mFirsts;
 }
 
-bool
-WindowBudget::MayRepeat(TimePoint aNow) const
+WindowCounts
+WindowBudget::Counts(TimePoint aNow) const
 {
   const std::int64_t now = SliceNumberAt(aNow);
-  double firsts = 0.0;
-  auto repeats = static_cast<double>(mOpen);
+  WindowCounts counts;
+  counts.mRepeats = mOpen;
   for (const auto& slice : mSlices) {
     const auto age = now - slice.mNumber;
     if (slice.mNumber < 0 || age > static_cast<std::int64_t>(kSlices)) {
       continue;
     }
-    repeats += slice.mRepeats;
+    counts.mRepeats += slice.mRepeats;
     if (age < static_cast<std::int64_t>(kSlices)) {
-      firsts += slice.mFirsts;
+      counts.mFirsts += slice.mFirsts;
     }
   }
-  return repeats + 1.0 <= mSettings.mRatio * firsts + mSettings.mSlack;
+  counts.mAllowed = mSettings.mRatio * counts.mFirsts + mSettings.mSlack;
+  return counts;
+}
+
+bool
+WindowBudget::MayRepeat(TimePoint aNow) const
+{
+  const auto counts = Counts(aNow);
+  return counts.mRepeats + 1.0 <= counts.mAllowed;
 }
 
 bool
