--- a/packages/state/tests/retry_pool_model_test.cpp
+++ b/packages/state/tests/retry_pool_model_test.cpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <random>
 
+#include "repeat_counts.h"
 #include "shuntjunction/state/retry_charge.h"
 #include "shuntjunction/state/retry_pool.h"
 
@@ -47,64 +48,6 @@
   WindowBudgetSettings mBudget{ 0.2, 1040.0, 10s };
 };
 
-/// What all relays did in one step.
-struct StepCount
-{
-  int mFirsts = 0;
-  int mRepeats = 0;
-};
-
-/// Largest number of repeats in any window beyond what the budget allows; not
-/// above 0 while it is kept.
-double
-LargestExcess(const std::vector<StepCount>& aSteps,
-              const WindowBudgetSettings& aBudget)
-{
-  const auto length = static_cast<std::size_t>(aBudget.mWindow / kStep);
-  double firsts = 0;
-  double repeats = 0;
-  double largest = -aBudget.mSlack;
-  for (std::size_t i = 0; i < aSteps.size(); ++i) {
-    firsts += aSteps[i].mFirsts;
-    repeats += aSteps[i].mRepeats;
-    if (i >= length) {
-      firsts -= aSteps[i - length].mFirsts;
-      repeats -= aSteps[i - length].mRepeats;
-    }
-    largest =
-      std::max(largest, repeats - aBudget.mRatio * firsts - aBudget.mSlack);
-  }
-  return largest;
-}
-
-/// The same as the operator counts it: first requests are those of the best of
-/// a window, the one before it, and the one half a window before it.
-double
-LargestCountedExcess(const std::vector<StepCount>& aSteps,
-                     const WindowBudgetSettings& aBudget)
-{
-  const auto length = static_cast<std::size_t>(aBudget.mWindow / kStep);
-  std::vector<double> firsts(1);
-  std::vector<double> repeats(1);
-  for (const auto& step : aSteps) {
-    firsts.push_back(firsts.back() + step.mFirsts);
-    repeats.push_back(repeats.back() + step.mRepeats);
-  }
-  const auto firstsBefore = [&](std::size_t aEnd) {
-    return firsts[aEnd] - firsts[aEnd - std::min(aEnd, length)];
-  };
-  double largest = -aBudget.mSlack;
-  for (std::size_t end = length; end < firsts.size(); ++end) {
-    const double best = std::max({ firstsBefore(end),
-                                   firstsBefore(end - length / 2),
-                                   firstsBefore(end - length) });
-    const double counted = repeats[end] - repeats[end - length];
-    largest =
-      std::max(largest, counted - aBudget.mRatio * best - aBudget.mSlack);
-  }
-  return largest;
-}
-
 class Simulation
 {
 public:
@@ -160,11 +103,14 @@
     mRepeated = 0;
   }
 
-  double Excess() const { return LargestExcess(mSteps, mScenario.mBudget); }
+  double Excess() const
+  {
+    return LargestExcess(mSteps, kStep, mScenario.mBudget);
+  }
 
   double CountedExcess() const
   {
-    return LargestCountedExcess(mSteps, mScenario.mBudget);
+    return LargestCountedExcess(mSteps, kStep, mScenario.mBudget);
   }
 
 private:
