Relays that restart or take callers over no longer earn a retry budget twice

Callers lose nothing by the fault; the endpoints in need do.

Cause: a relay allowed repeats by the first requests of its own last window, and forgot at its end what it had repeated. Its next process, or the relay that took its callers over, earned from the same callers while those repeats were still in the window.

Now first requests earn as far as the window before had as many. What the former process or relay repeated was earned by requests that this one has not counted, so that it has none of its own until those repeats are out of the window. Relays without companions use their part of the slack only from a window after their start, or after an owner was last listed, on: it was used anew by each process, and by the owners in the same window.

--- a/packages/coordination/src/relay_retry_budgets.cpp
+++ b/packages/coordination/src/relay_retry_budgets.cpp
@@ -1,24 +1,17 @@
 #include "relay_retry_budgets.h"
 
-#include <cmath>
+#include <utility>
 
 #include "relay_core.h"
-#include "shuntjunction/state/retry_pool.h"
 
 namespace shuntjunction::coordination {
 
-namespace {
-
-/// Number of relays up to which a fleet without companions, which has no owner
-/// of the slack, keeps to it: each has a fixed part.
-constexpr double kRelaysWithoutCompanions = 32;
-
-} // namespace
-
 RelayRetryBudgets::RelayRetryBudgets(const RelayDependencies& aDependencies,
                                      const state::ShareDirectory& aOwners)
   : mDependencies(aDependencies)
   , mOwners(aOwners)
+  , mFallback(aDependencies.mSettings.mBounds.mRetries,
+              aDependencies.mClock.Now())
 {
 }
 
@@ -39,6 +32,8 @@
 void
 RelayRetryBudgets::LogWindows()
 {
+  // Owners may be lost while no request comes.
+  mFallback.Update(mOwners.HasHosts(), mDependencies.mClock.Now());
   for (auto& [name, service] : mServices) {
     const auto counts = service.mBudget->Counts(mDependencies.mClock.Now());
     if (counts.mRepeats == 0 && service.mDenied == 0) {
@@ -48,6 +43,7 @@
       EventLine(kRelayComponent, "retry-window")
         .Add("service", name)
         .Add("firsts", counts.mFirsts)
+        .Add("former_firsts", counts.mFormerFirsts)
         .Add("repeats", counts.mRepeats)
         .Add("allowed", counts.mAllowed)
         .Add("denied", std::exchange(service.mDenied, 0)));
@@ -57,16 +53,14 @@
 RelayRetryBudgets::Service&
 RelayRetryBudgets::ServiceOf(const std::string& aService)
 {
-  const auto& settings = mDependencies.mSettings.mBounds.mRetries;
+  const auto now = mDependencies.mClock.Now();
   auto& service = mServices[aService];
   if (!service.mBudget) {
     service.mBudget = std::make_shared<state::WindowBudget>(
-      state::RelayRetryBudget(settings), mDependencies.mClock.Now());
+      state::RelayRetryBudget(mDependencies.mSettings.mBounds.mRetries), now);
   }
-  service.mBudget->SetSlack(
-    mOwners.HasHosts()
-      ? 0.0
-      : std::floor(settings.mSlack / kRelaysWithoutCompanions));
+  mFallback.Update(mOwners.HasHosts(), now);
+  service.mBudget->SetSlack(mFallback.Slack(now));
   return service;
 }
 
--- a/packages/coordination/src/relay_retry_budgets.h
+++ b/packages/coordination/src/relay_retry_budgets.h
@@ -8,13 +8,13 @@
 
 #include "shuntjunction/coordination/relay.h"
 #include "shuntjunction/state/limit_shares.h"
-#include "shuntjunction/state/window_budget.h"
+#include "shuntjunction/state/retry_pool.h"
 
 namespace shuntjunction::coordination {
 
 /// The part of each service's retry budget that is this relay's alone: the
 /// ratio of its own requests. The slack is shared by all relays, unless no
-/// companion is listed.
+/// companion has been listed for a window.
 ///
 /// Thread safety: none; owned by the traffic thread.
 class RelayRetryBudgets
@@ -47,6 +47,7 @@
 
   const RelayDependencies& mDependencies;
   const state::ShareDirectory& mOwners;
+  state::FallbackSlack mFallback;
   std::map<std::string, Service> mServices;
 };
 
--- a/packages/state/include/shuntjunction/state/retry_pool.h
+++ b/packages/state/include/shuntjunction/state/retry_pool.h
@@ -25,9 +25,9 @@
 
 /// The budget of a relay's own first requests, without slack.
 ///
-/// Keeps back a part of the ratio: relays repeat at the peaks of their own
-/// requests, which do not coincide, and some requests are counted by them and
-/// not by the operator.
+/// Keeps back a part of the ratio: the windows in which relays repeat the most
+/// do not coincide, and some requests are counted by them and not by the
+/// operator.
 /// Thread safety: pure.
 WindowBudgetSettings
 RelayRetryBudget(const WindowBudgetSettings& aBudget);
@@ -41,4 +41,32 @@
 UsageLimit
 RetryPoolLimit(const WindowBudgetSettings& aBudget);
 
+/// The part of a slack that each process uses while no owner of it is known.
+///
+/// Nothing for one window after the start, and after the owners were last
+/// known: until then the process that ran here before, or the owners, may have
+/// granted the slack in the same window.
+///
+/// Thread safety: none.
+class FallbackSlack
+{
+public:
+  /// Number of processes that may use their part in one window.
+  static constexpr double kMaxProcesses = 32;
+
+  FallbackSlack(const WindowBudgetSettings& aBudget, TimePoint aNow);
+
+  /// Records whether an owner is known.
+  void Update(bool aHasOwners, TimePoint aNow);
+
+  /// Repeats that this process may send in any window; whole ones only.
+  double Slack(TimePoint aNow) const;
+
+private:
+  double mPart;
+  Millis mWindow;
+  bool mHasOwners = false;
+  TimePoint mWithoutOwnersSince;
+};
+
 } // namespace shuntjunction::state
--- a/packages/state/include/shuntjunction/state/window_budget.h
+++ b/packages/state/include/shuntjunction/state/window_budget.h
@@ -20,8 +20,9 @@
 struct WindowCounts
 {
   std::uint32_t mFirsts = 0;
-  std::uint32_t mRepeats = 0; ///< including those that are not settled
-  double mAllowed = 0.0;      ///< repeats that the window may hold
+  std::uint32_t mFormerFirsts = 0; ///< in the window before it
+  std::uint32_t mRepeats = 0;      ///< including those that are not settled
+  double mAllowed = 0.0;           ///< repeats that the window may hold
 };
 
 /// Allows repeats so that no window of the given length contains too many.
@@ -31,6 +32,11 @@
 /// is. Several processes keep a common limit without a slack of their own; see
 /// RetryPoolLimit for one that they share.
 ///
+/// First requests earn repeats up to their number in the window before. Another
+/// process may have repeated requests of the same callers in this window: one
+/// that ran here before, or that handed them over. It earned that from earlier
+/// requests, which this process has not counted.
+///
 /// A repeat that may still be on its way counts in every window until it is
 /// settled, and in those around that time: a stopped machine receives what was
 /// sent to it once it resumes, many seconds late.
@@ -82,7 +88,7 @@
   WindowBudgetSettings mSettings;
   TimePoint mStart;
   std::uint32_t mOpen = 0; ///< repeats that are not settled
-  std::array<Slice, kSlices + 1> mSlices{};
+  std::array<Slice, 2 * kSlices + 1> mSlices{};
 };
 
 } // namespace shuntjunction::state
--- a/packages/state/src/retry_pool.cpp
+++ b/packages/state/src/retry_pool.cpp
@@ -1,5 +1,7 @@
 #include "shuntjunction/state/retry_pool.h"
 
+#include <cmath>
+
 #include "shuntjunction/state/prefix_chain.h"
 
 namespace shuntjunction::state {
@@ -39,4 +41,28 @@
   return { (aBudget.mSlack - burst) / longest.count(), burst };
 }
 
+FallbackSlack::FallbackSlack(const WindowBudgetSettings& aBudget,
+                             TimePoint aNow)
+  : mPart(std::floor(aBudget.mSlack / kMaxProcesses))
+  , mWindow(aBudget.mWindow)
+  , mWithoutOwnersSince(aNow)
+{
+}
+
+void
+FallbackSlack::Update(bool aHasOwners, TimePoint aNow)
+{
+  if (mHasOwners && !aHasOwners) {
+    mWithoutOwnersSince = aNow;
+  }
+  mHasOwners = aHasOwners;
+}
+
+double
+FallbackSlack::Slack(TimePoint aNow) const
+{
+  const bool isFree = !mHasOwners && aNow - mWithoutOwnersSince >= mWindow;
+  return isFree ? mPart : 0.0;
+}
+
 } // namespace shuntjunction::state
--- a/packages/state/src/window_budget.cpp
+++ b/packages/state/src/window_budget.cpp
@@ -1,5 +1,7 @@
 #include "shuntjunction/state/window_budget.h"
 
+#include <algorithm>
+
 namespace shuntjunction::state {
 
 WindowBudget::WindowBudget(const WindowBudgetSettings& aSettings,
@@ -35,20 +37,22 @@
 WindowCounts
 WindowBudget::Counts(TimePoint aNow) const
 {
+  constexpr auto kWindow = static_cast<std::int64_t>(kSlices);
   const std::int64_t now = SliceNumberAt(aNow);
   WindowCounts counts;
   counts.mRepeats = mOpen;
   for (const auto& slice : mSlices) {
     const auto age = now - slice.mNumber;
-    if (slice.mNumber < 0 || age > static_cast<std::int64_t>(kSlices)) {
+    if (slice.mNumber < 0 || age >= 2 * kWindow) {
       continue;
     }
-    counts.mRepeats += slice.mRepeats;
-    if (age < static_cast<std::int64_t>(kSlices)) {
-      counts.mFirsts += slice.mFirsts;
+    if (age <= kWindow) {
+      counts.mRepeats += slice.mRepeats;
     }
+    (age < kWindow ? counts.mFirsts : counts.mFormerFirsts) += slice.mFirsts;
   }
-  counts.mAllowed = mSettings.mRatio * counts.mFirsts + mSettings.mSlack;
+  const auto earning = std::min(counts.mFirsts, counts.mFormerFirsts);
+  counts.mAllowed = mSettings.mRatio * earning + mSettings.mSlack;
   return counts;
 }
 
--- a/packages/state/tests/relay_state_test.cpp
+++ b/packages/state/tests/relay_state_test.cpp
@@ -485,6 +485,46 @@
   }
 }
 
+/// A process whose window holds a hundred first requests.
+class GivenAWindowOfFirsts : public ::testing::Test
+{
+protected:
+  GivenAWindowOfFirsts() { NoteFirsts(); }
+
+  void NoteFirsts()
+  {
+    for (int i = 0; i < 100; ++i) {
+      mBudget.NoteFirst(mClock.Now());
+    }
+  }
+
+  double Allowed() const { return mBudget.Counts(mClock.Now()).mAllowed; }
+
+  ManualClock mClock;
+  WindowBudget mBudget{ { 0.2, 0.0, 10s }, mClock.Now() };
+};
+
+TEST_F(GivenAWindowOfFirsts, TheyEarnNothingIfItIsTheFirst)
+{
+  EXPECT_EQ(Allowed(), 0.0);
+  EXPECT_FALSE(mBudget.MayRepeat(mClock.Now()));
+}
+
+TEST_F(GivenAWindowOfFirsts, TheyEarnUpToTheNumberInTheWindowBefore)
+{
+  mClock.Advance(10s);
+  NoteFirsts();
+  NoteFirsts();
+  EXPECT_DOUBLE_EQ(Allowed(), 20.0);
+  EXPECT_TRUE(mBudget.MayRepeat(mClock.Now()));
+}
+
+TEST_F(GivenAWindowOfFirsts, NothingIsEarnedWithoutRequestsInTheCurrentWindow)
+{
+  mClock.Advance(10s);
+  EXPECT_EQ(Allowed(), 0.0);
+}
+
 TEST(GivenAConfirmation, ItsAgeIsCountedFromTheQuery)
 {
   ManualClock clock;
--- a/packages/state/tests/retry_pool_model_test.cpp
+++ b/packages/state/tests/retry_pool_model_test.cpp
@@ -437,6 +437,54 @@
   EXPECT_GE(limit.mBurst, budget.mSlack / 2);
 }
 
+/// A process that knows no owner of the slack.
+class GivenAFallbackSlack : public ::testing::Test
+{
+protected:
+  double Slack() const { return mSlack.Slack(mClock.Now()); }
+
+  void Update(bool aHasOwners) { mSlack.Update(aHasOwners, mClock.Now()); }
+
+  ManualClock mClock;
+  FallbackSlack mSlack{ { 0.2, 100.0, 10s }, mClock.Now() };
+};
+
+TEST_F(GivenAFallbackSlack, AProcessThatJustStartedHasNone)
+{
+  mClock.Advance(10s - 1ms);
+  EXPECT_EQ(Slack(), 0.0);
+}
+
+TEST_F(GivenAFallbackSlack, AllProcessesTogetherStayWithinTheSlack)
+{
+  mClock.Advance(10s);
+  EXPECT_EQ(Slack(), 3.0);
+  EXPECT_LE(Slack() * FallbackSlack::kMaxProcesses, 100.0);
+}
+
+class ThatIsInUse : public GivenAFallbackSlack
+{
+protected:
+  ThatIsInUse() { mClock.Advance(10s); }
+};
+
+TEST_F(ThatIsInUse, ItEndsWhenOwnersAreKnown)
+{
+  Update(true);
+  EXPECT_EQ(Slack(), 0.0);
+  {
+    SCOPED_TRACE("and begins a window after they are gone");
+    mClock.Advance(60s);
+    Update(true);
+    Update(false);
+    mClock.Advance(9s);
+    Update(false);
+    EXPECT_EQ(Slack(), 0.0);
+    mClock.Advance(1s);
+    EXPECT_GT(Slack(), 0.0);
+  }
+}
+
 TEST(GivenARetryPool, ItIsApartFromATeamOfTheSameName)
 {
   EXPECT_NE(HashOfRetryPool("s"), HashOfTeam("s"));
