A router that starts has no burst and no retries saved

The router's part of a team's limit and its retry budget began full, so that each restart granted a team the burst again, and fifty retries. Both now begin with what their rate earns from the start of the process on. Two tests failed before: a new router granted 120 requests of a limit of 100 a second, and 50 retries without a first attempt. The tests of a router's whole share run on one that has been up for an hour; their bounds are unchanged.

--- a/packages/coordination/src/router.cpp
+++ b/packages/coordination/src/router.cpp
@@ -62,6 +62,7 @@
   , mTable(aSettings.mRouter.mEndpoints)
   , mChooser(
       state::MakeChooser(aSettings.mRouter.mChooser, mTable, mRouters, mRandom))
+  , mLimiter(aClock.Now())
   , mRetries(aSettings.mRouter.mRetry, aClock.Now())
 {
 }
--- a/packages/state/include/shuntjunction/state/retry_budget.h
+++ b/packages/state/include/shuntjunction/state/retry_budget.h
@@ -22,7 +22,6 @@
   RetryBudget(const RetryBudgetSettings& aSettings, TimePoint aNow)
     : mSettings(aSettings)
     , mRefilled(aNow)
-    , mSaved(aSettings.mMax)
   {
   }
 
@@ -55,7 +54,8 @@
 
   RetryBudgetSettings mSettings;
   TimePoint mRefilled;
-  double mSaved;
+  /// Empty at first: the former process may have used what it had saved.
+  double mSaved = 0.0;
 };
 
 } // namespace shuntjunction::state
--- a/packages/state/include/shuntjunction/state/team_limiter.h
+++ b/packages/state/include/shuntjunction/state/team_limiter.h
@@ -14,11 +14,18 @@
 /// A router knows the number of routers and takes an equal fraction, so the
 /// limit holds across all routers without messages. A team whose callers reach
 /// only some of the routers gets less than its limit; limit_shares.h handles
-/// that case.
+/// that case. A router begins without the burst, which its former process may
+/// have granted shortly before.
 /// Thread safety: none; owned by one thread.
 class TeamLimiter
 {
 public:
+  /// @param aStartedAt  when this process started
+  explicit TeamLimiter(TimePoint aStartedAt)
+    : mStartedAt(aStartedAt)
+  {
+  }
+
   /// Takes one request of a team.
   ///
   /// @param aRouters  number of routers that share the limit, at least 1
@@ -29,6 +36,7 @@
               TimePoint aNow);
 
 private:
+  TimePoint mStartedAt;
   std::unordered_map<std::string, UsageBucket> mBuckets;
 };
 
--- a/packages/state/src/team_limiter.cpp
+++ b/packages/state/src/team_limiter.cpp
@@ -17,8 +17,9 @@
     1.0 / static_cast<double>(std::max<std::size_t>(aRouters, 1));
   const UsageLimit part{ aLimit.mPerSecond * share,
                          std::max(1.0, aLimit.mBurst * share) };
-  const auto [found, isNew] =
-    mBuckets.try_emplace(std::string(aTeam), part, part.mBurst, aNow);
+  const std::chrono::duration<double> running = aNow - mStartedAt;
+  const auto [found, isNew] = mBuckets.try_emplace(
+    std::string(aTeam), part, running.count() * part.mPerSecond, aNow);
   auto& bucket = found->second;
   if (bucket.Limit() != part) {
     bucket.SetLimit(part, aNow);
--- a/packages/state/tests/admission_test.cpp
+++ b/packages/state/tests/admission_test.cpp
@@ -309,23 +309,35 @@
   }
 
   ManualClock mClock;
-  TeamLimiter mLimiter;
+  TeamLimiter mLimiter{ mClock.Now() };
   Millis mLastWait{ 0 };
 };
 
-TEST_F(GivenATeamLimit, OneRouterGrantsAllOfIt)
+// A router that was restarted granted its share of the burst again.
+TEST_F(GivenATeamLimit, ARouterThatJustStartedGrantsNoBurst)
+{
+  EXPECT_NEAR(Granted(1000, 1), 100, 2);
+}
+
+class OfRoutersThatRunForLong : public GivenATeamLimit
+{
+protected:
+  OfRoutersThatRunForLong() { mClock.Advance(std::chrono::hours(1)); }
+};
+
+TEST_F(OfRoutersThatRunForLong, OneRouterGrantsAllOfIt)
 {
   EXPECT_NEAR(Granted(1000, 1), 120, 2);
   EXPECT_GT(mLastWait, Millis(0));
   EXPECT_LE(mLastWait, Millis(10));
 }
 
-TEST_F(GivenATeamLimit, EachOfManyRoutersGrantsItsShare)
+TEST_F(OfRoutersThatRunForLong, EachOfManyRoutersGrantsItsShare)
 {
   EXPECT_NEAR(Granted(1000, 4), 30, 2);
 }
 
-TEST_F(GivenATeamLimit, WithoutALimitEverythingIsGranted)
+TEST_F(OfRoutersThatRunForLong, WithoutALimitEverythingIsGranted)
 {
   for (int i = 0; i < 1000; ++i) {
     EXPECT_EQ(mLimiter.Take("u", {}, 1, mClock.Now()), Millis(0));
@@ -350,5 +362,19 @@
   EXPECT_GE(retries, kRequests / 5);
 }
 
+// A router that was restarted had fifty retries again.
+TEST(GivenARetryBudget, AProcessThatJustStartedHasNone)
+{
+  ManualClock clock;
+  RetryBudget budget({ 0.2, 1.0, 50.0 }, clock.Now());
+  EXPECT_FALSE(budget.Spend(clock.Now()));
+  {
+    SCOPED_TRACE("after a second");
+    clock.Advance(std::chrono::seconds(1));
+    EXPECT_TRUE(budget.Spend(clock.Now()));
+    EXPECT_FALSE(budget.Spend(clock.Now()));
+  }
+}
+
 } // namespace
 } // namespace shuntjunction::state
