--- a/packages/state/include/shuntjunction/state/retry_budget.h
+++ b/packages/state/include/shuntjunction/state/retry_budget.h
@@ -22,6 +22,7 @@
   RetryBudget(const RetryBudgetSettings& aSettings, TimePoint aNow)
     : mSettings(aSettings)
     , mRefilled(aNow)
+    , mSaved(aSettings.mMax)
   {
   }
 
@@ -54,8 +55,7 @@
 
   RetryBudgetSettings mSettings;
   TimePoint mRefilled;
-  /// Empty at first: the former process may have used what it had saved.
-  double mSaved = 0.0;
+  double mSaved;
 };
 
 } // namespace shuntjunction::state
