--- a/packages/coordination/src/relay_retry_budgets.h
+++ b/packages/coordination/src/relay_retry_budgets.h
@@ -28,12 +28,12 @@
   /// The budget of a service.
   std::shared_ptr<state::WindowBudget> BudgetOf(const std::string& aService);
 
-  /// Records that a repeat was not sent, since neither this relay's budget nor
-  /// the owners of the slack allowed it.
+  /// Records that neither this relay's budget nor the owners of the slack
+  /// allowed a repeat. A request that goes on waiting may ask again.
   void NoteDenied(const std::string& aService);
 
-  /// Logs the windows of the services that repeated requests, or were denied a
-  /// repeat, since the last call.
+  /// Logs the window of each service that holds repeats, or was denied one
+  /// since the last call.
   void LogWindows();
 
 private:
--- a/packages/state/include/shuntjunction/state/retry_pool.h
+++ b/packages/state/include/shuntjunction/state/retry_pool.h
@@ -25,9 +25,9 @@
 
 /// The budget of a relay's own first requests, without slack.
 ///
-/// Keeps back a part of the ratio: the windows in which relays repeat the most
-/// do not coincide, and some requests are counted by them and not by the
-/// operator.
+/// Keeps back a part of the ratio: relays repeat at the peaks of their own
+/// requests, which do not coincide, and some requests are counted by them and
+/// not by the operator.
 /// Thread safety: pure.
 WindowBudgetSettings
 RelayRetryBudget(const WindowBudgetSettings& aBudget);
@@ -51,9 +51,10 @@
 class FallbackSlack
 {
 public:
-  /// Number of processes that may use their part in one window.
+  /// Number of processes up to which all of them together keep to the slack.
   static constexpr double kMaxProcesses = 32;
 
+  /// @param aNow  when this process started
   FallbackSlack(const WindowBudgetSettings& aBudget, TimePoint aNow);
 
   /// Records whether an owner is known.
--- a/packages/state/include/shuntjunction/state/window_budget.h
+++ b/packages/state/include/shuntjunction/state/window_budget.h
@@ -32,10 +32,10 @@
 /// is. Several processes keep a common limit without a slack of their own; see
 /// RetryPoolLimit for one that they share.
 ///
-/// First requests earn repeats up to their number in the window before. Another
-/// process may have repeated requests of the same callers in this window: one
-/// that ran here before, or that handed them over. It earned that from earlier
-/// requests, which this process has not counted.
+/// Repeats are earned by the first requests of the window or of the one before
+/// it, whichever are fewer. Another process may have repeated requests of the
+/// same callers in this window: one that ran here before, or that handed them
+/// over. It earned that from requests that this process has not counted.
 ///
 /// A repeat that may still be on its way counts in every window until it is
 /// settled, and in those around that time: a stopped machine receives what was
--- a/packages/state/src/window_budget.cpp
+++ b/packages/state/src/window_budget.cpp
@@ -49,7 +49,8 @@
     if (age <= kWindow) {
       counts.mRepeats += slice.mRepeats;
     }
-    (age < kWindow ? counts.mFirsts : counts.mFormerFirsts) += slice.mFirsts;
+    auto& firsts = age < kWindow ? counts.mFirsts : counts.mFormerFirsts;
+    firsts += slice.mFirsts;
   }
   const auto earning = std::min(counts.mFirsts, counts.mFormerFirsts);
   counts.mAllowed = mSettings.mRatio * earning + mSettings.mSlack;
