Relay logs the weights of each request and for how long they were superseded

A line sent named neither the engine's weights nor what the relay believed of their age, so that a request on old weights could not be traced to the belief that allowed it. Now it has weights, newest_weights and superseded_ms, and weights-named the age of the object where another process received it first.

--- a/packages/coordination/src/relay_endpoint_choice.cpp
+++ b/packages/coordination/src/relay_endpoint_choice.cpp
@@ -81,6 +81,12 @@
   {
     return mHistory == nullptr ? 0 : mHistory->Newest();
   }
+  Millis SupersededFor(std::uint64_t aVersion) const
+  {
+    const auto at =
+      mHistory == nullptr ? std::nullopt : mHistory->SupersededAt(aVersion);
+    return at ? std::chrono::duration_cast<Millis>(mNow - *at) : Millis(0);
+  }
 
 private:
   void Add(const RelayEndpointPtr& aEndpoint)
@@ -334,6 +340,8 @@
   }
   if (choice.mWeights != 0) {
     choice.mSalt = SaltOf(aQuery, choice.mWeights);
+    choice.mNewestWeights = list.Newest();
+    choice.mSupersededFor = list.SupersededFor(choice.mWeights);
   }
   if (isPlacedByPart) {
     choice.mPart = part;
--- a/packages/coordination/src/relay_endpoint_choice.h
+++ b/packages/coordination/src/relay_endpoint_choice.h
@@ -51,6 +51,10 @@
   std::string mContinueFrom;
   state::TimePoint mSentAt; ///< set when it is sent
   // State at the time of the choice, for the log.
+  std::uint64_t mNewestWeights = 0; ///< of the model, as far as is known
+  /// Time since the weights were superseded, as far as is known; 0: they are
+  /// the newest.
+  state::Millis mSupersededFor{ 0 };
   std::size_t mCandidates = 0; ///< endpoints that were considered
   /// Tokens to be prefilled there before the request's.
   std::int64_t mWaitingTokens = 0;
--- a/packages/coordination/src/relay_feed_objects.cpp
+++ b/packages/coordination/src/relay_feed_objects.cpp
@@ -194,7 +194,8 @@
   mLog.Write(EventLine(kFeedComponent, "weights-named")
                .Add("model", weights->mModel)
                .Add("weights", weights->mVersion)
-               .Add("revision", aObject.mRevision));
+               .Add("revision", aObject.mRevision)
+               .Add("age_ms", aObject.mAge.count()));
   return true;
 }
 
--- a/packages/coordination/src/relay_run_log.cpp
+++ b/packages/coordination/src/relay_run_log.cpp
@@ -46,7 +46,10 @@
            std::chrono::duration_cast<state::Millis>(age).count());
   }
   if (aChoice.mWeights != 0) {
-    line.Add("waiting_tokens", aChoice.mWaitingTokens)
+    line.Add("weights", aChoice.mWeights)
+      .Add("newest_weights", aChoice.mNewestWeights)
+      .Add("superseded_ms", aChoice.mSupersededFor.count())
+      .Add("waiting_tokens", aChoice.mWaitingTokens)
       .Add("expected_ms", aChoice.mExpected.count())
       .Add("urgency", aChoice.mUrgency)
       .Add("news_age_ms", aChoice.mNewsAge.count())
