Weights age from when they were last confirmed, not from a process's start

Callers of relays that had restarted got answers made on weights that were superseded 13 to 15 s before, beyond the operator's deadline of 10 s.

Cause: the store's objects carry no time, and a process dated a version by when it learned of it. One that started took weights that were superseded long ago for newly superseded and used engines that had missed the announcement for another 8.5 s.

A history now records until when each version was confirmed to be the newest, by the time at which the answered request was sent. What superseded it came later; a version that was never confirmed may have been superseded any time ago, and gets no requests. A relay that starts asks companions for their confirmations, whose ages count from the question, so that it can use engines that wait for their turn. Before the weights are listed no request goes to an engine. The bound is applied to the time at which a request is expected to begin, when the endpoint is chosen and again when it is sent. Mirrored changes and lists that do not exist no longer confirm other lists.

Companions: the load order of a process that starts has only the engines that are left, and is determined when the endpoints are known; an engine that answers and is not listed ends the pause before the list is read, which took up to 2 s.

Protocol version 4 adds WeightsQuery and WeightsReply; peers of version 3 are not asked, and a relay beside them uses engines on the newest weights only until its own confirmations are known.

--- a/packages/coordination/include/shuntjunction/coordination/engine_news.h
+++ b/packages/coordination/include/shuntjunction/coordination/engine_news.h
@@ -71,6 +71,13 @@
   /// @param aStreams  outlives the server
   void SetStreams(state::StreamRegistry& aStreams);
 
+  using WeightsHandler =
+    std::function<std::vector<state::WeightsConfirmation>(const std::string&)>;
+
+  /// Sets what returns until when each version of a model's weights was the
+  /// newest, for relays that ask.
+  void OnWeightsQuery(WeightsHandler aHandler);
+
   /// Sets the handler of relays' reports on roll-outs.
   void OnRolloutReport(
     std::function<void(const state::RolloutReport&)> aHandler);
@@ -227,6 +234,11 @@
     std::string aHost,
     protocol::StreamQuery aQuery);
 
+  /// Asks the companion of a host until when each version of a model's weights
+  /// was the newest; empty likewise.
+  transport::Task<std::optional<std::vector<state::WeightsConfirmation>>>
+  FindWeights(std::string aHost, std::string aModel);
+
   /// Sets the tokens that this relay has queued at an engine; its companion is
   /// informed when the number changed enough.
   ///
--- a/packages/coordination/include/shuntjunction/coordination/mirrored_platform.h
+++ b/packages/coordination/include/shuntjunction/coordination/mirrored_platform.h
@@ -47,6 +47,9 @@
   std::vector<std::string> mPrefixes; ///< prefixes to mirror
   /// Prefix whose watches return on every update, as a confirmation.
   std::string mConfirmed;
+  /// Prefix of the weights; its watches do likewise, so that it is known until
+  /// when a version was the newest.
+  std::string mWeights;
   /// Interval between queries. Changes arrive later by up to this time than
   /// from the store itself; the bounds on key removal and leaving endpoints are
   /// about ten times as long.
--- a/packages/coordination/include/shuntjunction/coordination/relay.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay.h
@@ -78,6 +78,12 @@
     std::string,
     protocol::StreamQuery)>
     mFindStream = {};
+  /// Asks the companion of a host until when each version of a model's weights
+  /// was the newest; if empty, a relay that starts after an announcement uses
+  /// none of the older ones.
+  std::function<transport::Task<std::optional<
+    std::vector<state::WeightsConfirmation>>>(std::string, std::string)>
+    mFindWeights = {};
   /// How current the orders of roll-outs are; null: not known.
   const state::ListFreshness* mRolloutList = nullptr;
   /// Measures this process's memory; null: only reservations bound it.
--- a/packages/coordination/include/shuntjunction/coordination/relay_feed.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay_feed.h
@@ -18,42 +18,19 @@
 #include "shuntjunction/state/relay_config.h"
 #include "shuntjunction/state/request_digest.h"
 #include "shuntjunction/state/rollout/rollout.h"
+#include "shuntjunction/state/weights_history.h"
 
 /// A process's view of the platform's objects.
 namespace shuntjunction::coordination {
 
-/// Versions of a model's weights that were announced since this process
-/// started.
-struct WeightsHistory
+/// Weights of a model, as a process follows them.
+struct ModelWeights
 {
-  /// A version and the time at which it became known.
-  struct VersionRecord
-  {
-    std::uint64_t mVersion = 0;
-    state::TimePoint mLearnedAt; ///< when this process learned of it
-  };
-
-  std::vector<VersionRecord> mVersions; ///< ascending; the last is the newest
+  state::WeightsHistory mHistory;
   /// Ids of the engines in the order in which they load the newest version. The
-  /// order is fixed when the version becomes known, so that no load changes the
-  /// turns of the others.
+  /// order is fixed once the version and engines are known, so that no load
+  /// changes the turns of the others.
   std::vector<std::string> mLoadOrder;
-
-  /// The newest version; 0 when none was announced.
-  std::uint64_t Newest() const
-  {
-    return mVersions.empty() ? 0 : mVersions.back().mVersion;
-  }
-
-  /// When the newest version became known; the clock's epoch when none was
-  /// announced.
-  state::TimePoint NewestLearnedAt() const
-  {
-    return mVersions.empty() ? state::TimePoint() : mVersions.back().mLearnedAt;
-  }
-
-  /// When a version was superseded; empty while it is the newest.
-  std::optional<state::TimePoint> SupersededAt(std::uint64_t aVersion) const;
 };
 
 /// A request that crashed too many endpoints, as the store holds it.
@@ -72,7 +49,10 @@
   std::shared_ptr<const state::RelayConfig> mConfig =
     std::make_shared<const state::RelayConfig>();
   std::vector<state::EndpointInfo> mEndpoints;
-  std::map<std::string, WeightsHistory, std::less<>> mWeights;
+  std::map<std::string, ModelWeights, std::less<>> mWeights;
+  /// Whether the announced weights have been listed; until then, those of any
+  /// engine may be outdated.
+  bool mAreWeightsListed = false;
   QuarantinedRequests mQuarantined;
   /// The newest order of each service; none is listed where roll-outs are not
   /// enabled.
@@ -149,12 +129,20 @@
   /// Follows the store only for this process again.
   void EndWatching();
 
+  /// Watches the list of endpoints again without waiting for the rest of the
+  /// pause, if there is one.
+  void EndListPause() { mListPause.cancel(); }
+
   /// When the configuration was last confirmed; may be called from any thread.
   const state::Freshness& Confirmed() const { return mConfirmed; }
 
   /// How current the list of endpoints is; may be called from any thread.
   const state::ListFreshness& EndpointList() const;
 
+  /// The versions of a model's weights; the newest is confirmed as of the last
+  /// answer about them. Used on the feed's thread.
+  state::WeightsHistory Weights(const std::string& aModel) const;
+
   /// How current the orders of roll-outs are; may be called from any thread.
   const state::ListFreshness& RolloutList() const;
 
@@ -196,7 +184,10 @@
   /// Applies all objects of a topic and passes them to the mirror; returns
   /// whether any of them is new.
   bool ApplyList(Topic& aTopic, const ObjectList& aList);
-  void ApplyChange(Topic& aTopic, const state::RawObject& aChange);
+  /// @param aIsMirrored  another process reported it
+  void ApplyChange(Topic& aTopic,
+                   const state::RawObject& aChange,
+                   bool aIsMirrored);
   /// Re-reads the lists whose watches did not report a change that the store
   /// has.
   void CheckLists();
@@ -224,6 +215,10 @@
   void ApplyEndpoint(const state::RawObject& aObject);
   /// @return whether it is newer than what is known
   bool ApplyWeights(const state::RawObject& aObject);
+  /// Determines the load orders that have no engines yet.
+  void FixLoadOrders();
+  /// Time as of which a topic was last confirmed; empty if it never was.
+  std::optional<state::TimePoint> ConfirmedAt(const Topic& aTopic) const;
   /// Applies the start or end of a quarantine; returns whether it is new.
   bool ApplyQuarantined(const state::RawObject& aObject);
   /// Applies an order of a roll-out, its status, or its removal; returns
@@ -246,6 +241,7 @@
   std::unique_ptr<Topic> mWeightsTopic;
   std::unique_ptr<Topic> mQuarantineTopic;
   std::unique_ptr<Topic> mRolloutTopic;
+  transport::Timer mListPause; ///< see RelayFeedSettings::mListPause
   state::EndpointDirectory mDirectory;
   state::Freshness mConfirmed;
   RelayView mView;
--- a/packages/coordination/include/shuntjunction/coordination/weights_controller.h
+++ b/packages/coordination/include/shuntjunction/coordination/weights_controller.h
@@ -47,8 +47,9 @@
   /// Sets a newer view of the platform's objects.
   void ApplyView(std::shared_ptr<const RelayView> aView);
 
-  /// Sets the engine's newest report.
-  void ApplyReport(const EngineReport& aReport);
+  /// Sets the engine's newest report; returns whether the engine is in the list
+  /// of endpoints.
+  bool ApplyReport(const EngineReport& aReport);
 
 private:
   /// The weights that the engine is to load, and when.
--- a/packages/coordination/src/engine_news_client.cpp
+++ b/packages/coordination/src/engine_news_client.cpp
@@ -274,6 +274,9 @@
       } else if (const auto* reply =
                    std::get_if<protocol::StreamReply>(&*message)) {
         CompleteRequest(reply->mId, *message);
+      } else if (const auto* weights =
+                   std::get_if<protocol::WeightsReply>(&*message)) {
+        CompleteRequest(weights->mId, *message);
       } else if (const auto* step =
                    std::get_if<protocol::RolloutNotice>(&*message)) {
         if (mOnRolloutNotice) {
@@ -589,6 +592,21 @@
   co_return reply ? std::optional(reply->mReply) : std::nullopt;
 }
 
+Task<std::optional<std::vector<state::WeightsConfirmation>>>
+EngineNewsClient::FindWeights(std::string aHost, std::string aModel)
+{
+  auto reply = co_await mShared->RequestFromCompanion<protocol::WeightsReply>(
+    std::move(aHost),
+    [&](std::uint32_t aId) {
+      return protocol::WeightsQuery{ aId, aModel };
+    },
+    protocol::kWeightsProtocolVersion);
+  if (!reply) {
+    co_return std::nullopt;
+  }
+  co_return std::move(reply->mConfirmations);
+}
+
 void
 EngineNewsClient::ReturnPermit(const std::string& aHost,
                                state::LimitHash aEndpoint)
--- a/packages/coordination/src/engine_news_server.cpp
+++ b/packages/coordination/src/engine_news_server.cpp
@@ -134,6 +134,12 @@
         if (mOnRolloutReport) {
           mOnRolloutReport(report->mReport);
         }
+      } else if (const auto* query =
+                   std::get_if<protocol::WeightsQuery>(&*message)) {
+        if (mOnWeightsQuery) {
+          aChannel->Send(protocol::WeightsReply{
+            query->mId, mOnWeightsQuery(query->mModel) });
+        }
       } else if (HandleStreamMessage(*message, *aChannel)) {
         continue;
       } else if (!HandleRateMessage(*message, *aChannel)) {
@@ -446,6 +452,7 @@
   state::EndpointLimits* mLimits = nullptr;
   state::StreamRegistry* mStreams = nullptr;
   std::function<void(const state::RolloutReport&)> mOnRolloutReport;
+  WeightsHandler mOnWeightsQuery;
   transport::ChannelCounters mCounters;
   EngineState mState;
   std::uint32_t mSentQueued = 0;
@@ -488,6 +495,12 @@
   mShared->mStreams = &aStreams;
 }
 
+void
+EngineNewsServer::OnWeightsQuery(WeightsHandler aHandler)
+{
+  mShared->mOnWeightsQuery = std::move(aHandler);
+}
+
 void
 EngineNewsServer::OnRolloutReport(
   std::function<void(const state::RolloutReport&)> aHandler)
--- a/packages/coordination/src/fleet_daemon.cpp
+++ b/packages/coordination/src/fleet_daemon.cpp
@@ -245,6 +245,9 @@
       [this](auto aHost, auto aQuery) {
         return mNewsClient->FindStream(std::move(aHost), std::move(aQuery));
       },
+      [this](auto aHost, auto aModel) {
+        return mNewsClient->FindWeights(std::move(aHost), std::move(aModel));
+      },
       &mFeed.RolloutList(),
       &mMemoryProbe });
     const auto address = mRelay->Start();
@@ -362,6 +365,9 @@
                                               std::random_device{}());
     mNewsServer->SetLimits(*mShares, *mLimits);
     mNewsServer->SetStreams(mStreams);
+    mNewsServer->OnWeightsQuery([this](const auto& aModel) {
+      return mFeed.Weights(aModel).Confirmations(mClock.Now());
+    });
     const auto bound = mNewsServer->Start(*peers);
     if (!bound) {
       return tl::unexpected(bound.error());
@@ -390,7 +396,10 @@
     mPartFollower->Start();
     mEngineMonitor = std::make_unique<EngineMonitor>(
       mControl, *mEngine, *mNewsServer, [this](const auto& aReport) {
-        mWeightsController->ApplyReport(aReport);
+        // An engine that came back may have missed new weights.
+        if (!mWeightsController->ApplyReport(aReport)) {
+          mFeed.EndListPause();
+        }
       });
     mEngineMonitor->Start();
   }
--- a/packages/coordination/src/mirrored_platform.cpp
+++ b/packages/coordination/src/mirrored_platform.cpp
@@ -311,7 +311,8 @@
     result.mRevision = std::max(aAfter, topic.mKnownRevision);
     result.mMirrorFreshness = FreshnessOf(topic);
     const bool isConfirmed =
-      mMirrorResponses != responsesBefore && aPrefix == mSettings.mConfirmed;
+      mMirrorResponses != responsesBefore &&
+      (aPrefix == mSettings.mConfirmed || aPrefix == mSettings.mWeights);
     if (!changes || !changes->empty()) {
       result.mChanges = changes ? std::move(*changes) : result.mChanges;
       break;
--- a/packages/coordination/src/relay.cpp
+++ b/packages/coordination/src/relay.cpp
@@ -169,6 +169,7 @@
   , mNotices(mDependencies)
   , mRollouts(mDependencies, mShares.Directory(), mEndpoints)
   , mStreams(mDependencies)
+  , mWeights(mDependencies, mLimits.mWeightsMargin)
   , mPartRecords(mLimits.mMaxParts)
   , mPrefillRate(mLimits.mFirstToken)
   , mRandom(std::random_device{}())
@@ -338,6 +339,7 @@
     mCore->mView->mEndpoints, mCore->mDependencies.mClock.Now());
   mCore->mRollouts.ApplyView(*mCore->mView);
   mCore->mStreams.ApplyView(*mCore->mView);
+  mCore->mWeights.ApplyView(*mCore->mView, companions);
   for (const auto& endpoint : changes.mRestarted) {
     mCore->NoteRestart(*endpoint);
   }
--- a/packages/coordination/src/relay_attempt.cpp
+++ b/packages/coordination/src/relay_attempt.cpp
@@ -218,6 +218,13 @@
     mLastProblem = "endpoint of another version";
     return tl::unexpected(AttemptOutcome::kLeaving);
   }
+  // A run that goes on from a copy began before.
+  const auto& choice = aAttempt.mEndpointChoice;
+  if (choice.mWeights != 0 && choice.mContinueFrom.empty() &&
+      IsOutdatedAtBegin(*mCore, *endpoint, mCall, choice.mWeights)) {
+    mLastProblem = "weights outdated";
+    return tl::unexpected(AttemptOutcome::kLeaving);
+  }
   // It may have become suspect while the request waited.
   if (!mIsPastBeginning && mTrials.empty() &&
       mCore->mPartCrashes.SuspicionOf(mParts) >=
--- a/packages/coordination/src/relay_core.h
+++ b/packages/coordination/src/relay_core.h
@@ -13,6 +13,7 @@
 #include "relay_rates.h"
 #include "relay_retry_budgets.h"
 #include "relay_shares.h"
+#include "relay_weights.h"
 #include "rollout/relay_rollouts.h"
 #include "streams/relay_streams.h"
 #include "shuntjunction/coordination/relay.h"
@@ -130,6 +131,7 @@
   RelayNotices mNotices;
   RelayRollouts mRollouts;
   RelayStreams mStreams;
+  RelayWeights mWeights;
   state::PartRecordTable mPartRecords;
   state::PrefillRate mPrefillRate;
   state::OverloadGuard mGuard;
--- a/packages/coordination/src/relay_endpoint_choice.cpp
+++ b/packages/coordination/src/relay_endpoint_choice.cpp
@@ -29,18 +29,15 @@
 /// over for others.
 constexpr Millis kRateQueryTimeout{ 1000 };
 
-/// Whether weights were superseded so long ago that no request may begin on
-/// them any more.
-bool
-AreTooOld(const Relay::Core& aCore,
-          const WeightsHistory& aHistory,
-          std::uint64_t aVersion,
-          TimePoint aNow)
+/// Tokens that an engine prefills before a request that is sent now has begun,
+/// if all that waits there goes first.
+std::int64_t
+TokensUntilBegin(const RelayEndpoint& aEndpoint,
+                 const protocol::EngineNews* aNews,
+                 const CallInfo& aCall)
 {
-  const auto superseded = aHistory.SupersededAt(aVersion);
-  const auto limit = aCore.mDependencies.mSettings.mBounds.mOldWeightsDeadline -
-                     aCore.mLimits.mWeightsMargin;
-  return superseded && aNow - *superseded >= limit;
+  const auto reported = aNews == nullptr ? 0 : aNews->mWaiting.Total();
+  return aEndpoint.mWaiting.Total() + reported + aCall.mPromptTokens;
 }
 
 /// The engines of a service as candidates, without those that may not be
@@ -53,10 +50,11 @@
     , mQuery(aQuery)
     , mNow(aCore.mDependencies.mClock.Now())
   {
-    const auto& weights = aCore.mView->mWeights;
-    const auto found = weights.find(aQuery.mCall->mModel);
-    if (!aQuery.mCall->mModel.empty() && found != weights.end()) {
-      mHistory = &found->second;
+    const auto& model = aQuery.mCall->mModel;
+    const auto found = aCore.mView->mWeights.find(model);
+    if (!model.empty() && found != aCore.mView->mWeights.end()) {
+      mHistory = aCore.mWeights.Find(model);
+      mLoadOrder = &found->second.mLoadOrder;
     }
     for (const auto& endpoint : aCore.mEndpoints.Serving(aQuery.mService)) {
       Add(endpoint);
@@ -81,11 +79,11 @@
   {
     return mHistory == nullptr ? 0 : mHistory->Newest();
   }
-  Millis SupersededFor(std::uint64_t aVersion) const
+  /// As state::WeightsHistory::SupersededFor.
+  std::optional<Millis> SupersededFor(std::uint64_t aVersion) const
   {
-    const auto at =
-      mHistory == nullptr ? std::nullopt : mHistory->SupersededAt(aVersion);
-    return at ? std::chrono::duration_cast<Millis>(mNow - *at) : Millis(0);
+    return mHistory == nullptr ? std::nullopt
+                               : mHistory->SupersededFor(aVersion, mNow);
   }
 
 private:
@@ -112,6 +110,9 @@
     RelayCandidate candidate;
     const auto* news = mCore.mEndpoints.FreshNews(*aEndpoint, mNow);
     if (!mQuery.mCall->mModel.empty()) {
+      if (!mCore.mView->mAreWeightsListed) {
+        return;
+      }
       candidate.mVersion =
         news != nullptr && news->mModel == mQuery.mCall->mModel
           ? news->mWeights
@@ -180,7 +181,8 @@
     if (aCandidate.mVersion >= Newest()) {
       return false;
     }
-    if (AreTooOld(mCore, *mHistory, aCandidate.mVersion, mNow)) {
+    if (IsOutdatedAtBegin(
+          mCore, aEndpoint, *mQuery.mCall, aCandidate.mVersion)) {
       return true;
     }
     if (aNews != nullptr) {
@@ -190,7 +192,7 @@
     // processes compute alike.
     const auto& settings = mCore.mDependencies.mSettings;
     const auto turn = state::LoadStartOf(
-      mHistory->mLoadOrder, aEndpoint.mInfo.mId, settings.mLoadSchedule);
+      *mLoadOrder, aEndpoint.mInfo.mId, settings.mLoadSchedule);
     const auto age = mNow - mHistory->NewestLearnedAt();
     return turn && age >= *turn - settings.mLoadSchedule.mDrainLead &&
            age < *turn + mCore.mLimits.mLoadTimeout;
@@ -199,7 +201,8 @@
   Relay::Core& mCore;
   const EndpointQuery& mQuery;
   TimePoint mNow;
-  const WeightsHistory* mHistory = nullptr; ///< null: none was announced
+  const state::WeightsHistory* mHistory = nullptr;      ///< null: none is known
+  const std::vector<std::string>* mLoadOrder = nullptr; ///< of the newest
   std::vector<RelayCandidate> mCandidates;
   std::vector<RelayEndpointPtr> mEndpoints;
   std::map<std::uint64_t, std::vector<std::string>> mHolders; ///< by version
@@ -302,6 +305,23 @@
 
 } // namespace
 
+bool
+IsOutdatedAtBegin(Relay::Core& aCore,
+                  const RelayEndpoint& aEndpoint,
+                  const CallInfo& aCall,
+                  std::uint64_t aVersion)
+{
+  const auto* history = aCore.mWeights.Find(aCall.mModel);
+  if (history == nullptr) {
+    return false;
+  }
+  const auto now = aCore.mDependencies.mClock.Now();
+  const auto* news = aCore.mEndpoints.FreshNews(aEndpoint, now);
+  const auto wait =
+    aCore.mPrefillRate.TimeOf(TokensUntilBegin(aEndpoint, news, aCall));
+  return aCore.mWeights.IsOutdated(*history, aVersion, now + wait);
+}
+
 std::optional<EndpointChoice>
 ChooseEndpoint(Relay::Core& aCore, const EndpointQuery& aQuery)
 {
@@ -447,8 +467,8 @@
 AreWeightsOutdated(Relay::Core& aCore, const EndpointQuery& aQuery)
 {
   const auto& model = aQuery.mCall->mModel;
-  const auto history = aCore.mView->mWeights.find(model);
-  if (model.empty() || history == aCore.mView->mWeights.end()) {
+  const auto* history = aCore.mWeights.Find(model);
+  if (model.empty() || history == nullptr || aCore.mWeights.IsPending(model)) {
     return false;
   }
   const auto now = aCore.mDependencies.mClock.Now();
@@ -456,8 +476,8 @@
   const auto isOutdated = [&](const RelayEndpointPtr& aEndpoint) {
     // A companion that reports has its engine load newer weights.
     return aCore.mEndpoints.FreshNews(*aEndpoint, now) == nullptr &&
-           AreTooOld(
-             aCore, history->second, aEndpoint->mInfo.VersionOf(model), now);
+           aCore.mWeights.IsOutdated(
+             *history, aEndpoint->mInfo.VersionOf(model), now);
   };
   return !serving.empty() &&
          std::all_of(serving.begin(), serving.end(), isOutdated);
--- a/packages/coordination/src/relay_endpoint_choice.h
+++ b/packages/coordination/src/relay_endpoint_choice.h
@@ -25,6 +25,16 @@
   std::optional<std::string_view> mSoftwareVersion;
 };
 
+/// Whether a request that is sent to an engine now may begin there on weights
+/// that were superseded for too long.
+///
+/// @param aVersion  of the engine's weights
+bool
+IsOutdatedAtBegin(Relay::Core& aCore,
+                  const RelayEndpoint& aEndpoint,
+                  const CallInfo& aCall,
+                  std::uint64_t aVersion);
+
 /// A chosen endpoint, and how the request is forwarded to it.
 struct EndpointChoice
 {
@@ -52,9 +62,8 @@
   state::TimePoint mSentAt; ///< set when it is sent
   // State at the time of the choice, for the log.
   std::uint64_t mNewestWeights = 0; ///< of the model, as far as is known
-  /// Time since the weights were superseded, as far as is known; 0: they are
-  /// the newest.
-  state::Millis mSupersededFor{ 0 };
+  /// As state::WeightsHistory::SupersededFor.
+  std::optional<state::Millis> mSupersededFor;
   std::size_t mCandidates = 0; ///< endpoints that were considered
   /// Tokens to be prefilled there before the request's.
   std::int64_t mWaitingTokens = 0;
--- a/packages/coordination/src/relay_feed.cpp
+++ b/packages/coordination/src/relay_feed.cpp
@@ -70,6 +70,7 @@
   , mWeightsTopic(std::make_unique<Topic>())
   , mQuarantineTopic(std::make_unique<Topic>())
   , mRolloutTopic(std::make_unique<Topic>())
+  , mListPause(aContext)
   , mRandom(std::random_device{}())
 {
   DescribeTopics();
@@ -338,7 +339,7 @@
   const auto known = aTopic.mRevision;
   for (const auto& change : answer->mChanges) {
     if (known == after || change.mRevision > known) {
-      ApplyChange(aTopic, change);
+      ApplyChange(aTopic, change, answer->mMirrorFreshness.has_value());
     }
   }
   aTopic.mRevision = std::max(known, answer->mRevision);
@@ -349,7 +350,8 @@
   if (!answer->mChanges.empty()) {
     Publish();
     if (aTopic.mPauseAfterChange > Millis(0)) {
-      co_await transport::Sleep(aTopic.mPauseAfterChange);
+      mListPause.expires_after(aTopic.mPauseAfterChange);
+      co_await mListPause.async_wait(transport::kAsTuple);
     }
   }
   co_return Result<void>{};
@@ -442,6 +444,8 @@
 RelayFeed::Publish()
 {
   mView.mEndpoints = KnownEndpoints();
+  mView.mAreWeightsListed |= mWeightsTopic->mIsListed;
+  FixLoadOrders();
   mOnView(std::make_shared<const RelayView>(mView));
 }
 
--- a/packages/coordination/src/relay_feed_liveness.cpp
+++ b/packages/coordination/src/relay_feed_liveness.cpp
@@ -33,7 +33,8 @@
 {
   aTopic.mFreshness.NoteListRevision(aRevision, aRequestedAt);
   for (auto* other : Topics()) {
-    if (other != &aTopic) {
+    // Revision 0 is that of a list that does not exist.
+    if (other != &aTopic && aRevision != 0) {
       other->mFreshness.NoteStoreRevision(aRevision, aRequestedAt);
     }
   }
@@ -53,10 +54,17 @@
 }
 
 void
-RelayFeed::ApplyChange(Topic& aTopic, const state::RawObject& aChange)
+RelayFeed::ApplyChange(Topic& aTopic,
+                       const state::RawObject& aChange,
+                       bool aIsMirrored)
 {
   mMirror.MergeChange(aChange, mClock.Now());
   aTopic.mApplyChange(aChange);
+  if (aIsMirrored) {
+    // A removal that the other process found by listing again has the revision
+    // of that list, at which another object may have changed.
+    return;
+  }
   for (auto* other : Topics()) {
     if (other != &aTopic) {
       other->mFreshness.NoteOtherRevision(aChange.mRevision);
--- a/packages/coordination/src/relay_feed_objects.cpp
+++ b/packages/coordination/src/relay_feed_objects.cpp
@@ -26,9 +26,6 @@
 
 namespace {
 
-/// Versions of a model that are remembered; older ones are out of use.
-constexpr std::size_t kMaxVersions = 16;
-
 /// Unreadable objects whose last revision is remembered, so that each is logged
 /// once.
 constexpr std::size_t kMaxRefused = 1024;
@@ -42,17 +39,6 @@
 
 } // namespace
 
-std::optional<state::TimePoint>
-WeightsHistory::SupersededAt(std::uint64_t aVersion) const
-{
-  for (const auto& naming : mVersions) {
-    if (naming.mVersion > aVersion) {
-      return naming.mLearnedAt;
-    }
-  }
-  return std::nullopt;
-}
-
 bool
 RelayFeed::ApplyConfig(const RawObject& aObject)
 {
@@ -182,23 +168,60 @@
     return false;
   }
   auto& known = mView.mWeights[weights->mModel];
-  if (weights->mVersion <= known.Newest()) {
+  auto& history = known.mHistory;
+  const auto former = history.Newest();
+  const auto now = mClock.Now();
+  if (!history.Learn(weights->mVersion, now - aObject.mAge)) {
     return false;
   }
-  known.mVersions.push_back({ weights->mVersion, mClock.Now() - aObject.mAge });
-  if (known.mVersions.size() > kMaxVersions) {
-    known.mVersions.erase(known.mVersions.begin());
+  if (const auto confirmed = ConfirmedAt(*mWeightsTopic)) {
+    history.Confirm(former, *confirmed);
   }
   known.mLoadOrder =
     state::WeightLoadSequence(mDirectory.Endpoints(), *weights);
+  const auto supersededFor = history.SupersededFor(former, now);
   mLog.Write(EventLine(kFeedComponent, "weights-named")
                .Add("model", weights->mModel)
                .Add("weights", weights->mVersion)
                .Add("revision", aObject.mRevision)
-               .Add("age_ms", aObject.mAge.count()));
+               .Add("former", former)
+               .Add("superseded_ms", state::LoggedMillis(supersededFor)));
   return true;
 }
 
+std::optional<state::TimePoint>
+RelayFeed::ConfirmedAt(const Topic& aTopic) const
+{
+  const auto now = mClock.Now();
+  const auto age = aTopic.mFreshness.Age(now);
+  return age == state::Millis::max() ? std::nullopt : std::optional(now - age);
+}
+
+state::WeightsHistory
+RelayFeed::Weights(const std::string& aModel) const
+{
+  const auto found = mView.mWeights.find(aModel);
+  if (found == mView.mWeights.end()) {
+    return {};
+  }
+  auto history = found->second.mHistory;
+  if (const auto confirmed = ConfirmedAt(*mWeightsTopic)) {
+    history.Confirm(history.Newest(), *confirmed);
+  }
+  return history;
+}
+
+void
+RelayFeed::FixLoadOrders()
+{
+  for (auto& [model, weights] : mView.mWeights) {
+    if (weights.mLoadOrder.empty()) {
+      weights.mLoadOrder = state::WeightLoadSequence(
+        mDirectory.Endpoints(), { model, weights.mHistory.Newest() });
+    }
+  }
+}
+
 bool
 RelayFeed::ApplyQuarantined(const RawObject& aObject)
 {
@@ -280,7 +303,7 @@
       const auto known =
         weights ? mView.mWeights.find(weights->mModel) : mView.mWeights.end();
       return weights && (known == mView.mWeights.end() ||
-                         known->second.Newest() < weights->mVersion);
+                         known->second.mHistory.Newest() < weights->mVersion);
     });
 }
 
--- a/packages/coordination/src/relay_run_log.cpp
+++ b/packages/coordination/src/relay_run_log.cpp
@@ -48,7 +48,7 @@
   if (aChoice.mWeights != 0) {
     line.Add("weights", aChoice.mWeights)
       .Add("newest_weights", aChoice.mNewestWeights)
-      .Add("superseded_ms", aChoice.mSupersededFor.count())
+      .Add("superseded_ms", state::LoggedMillis(aChoice.mSupersededFor))
       .Add("waiting_tokens", aChoice.mWaitingTokens)
       .Add("expected_ms", aChoice.mExpected.count())
       .Add("urgency", aChoice.mUrgency)
--- a/packages/coordination/src/weights_controller.cpp
+++ b/packages/coordination/src/weights_controller.cpp
@@ -171,12 +171,12 @@
            : reported->mVersion;
 }
 
-void
+bool
 WeightsController::ApplyReport(const EngineReport& aReport)
 {
   const auto* own = OwnEndpoint();
   if (own == nullptr) {
-    return;
+    return false;
   }
   const bool hasChanged =
     !mReport || mReportEndpointId != own->mId ||
@@ -187,6 +187,7 @@
   if (hasChanged) {
     mWake.cancel();
   }
+  return true;
 }
 
 std::optional<WeightsController::Task>
@@ -201,13 +202,15 @@
     if (entry == mView->mWeights.end()) {
       continue;
     }
-    const auto& history = entry->second;
+    const auto& history = entry->second.mHistory;
     const LatestWeights weights{ loaded.mName, history.Newest() };
     if (KnownVersion(*own, loaded) >= weights.mVersion) {
       continue;
     }
-    const auto delay = state::LoadStartOf(
-      history.mLoadOrder, own->mId, mDependencies.mSettings.mLoadSchedule);
+    const auto delay =
+      state::LoadStartOf(entry->second.mLoadOrder,
+                         own->mId,
+                         mDependencies.mSettings.mLoadSchedule);
     return Task{ own->mId,
                  weights,
                  history.NewestLearnedAt() + delay.value_or(Millis(0)) };
--- a/packages/coordination/src/zone_mirror.cpp
+++ b/packages/coordination/src/zone_mirror.cpp
@@ -74,6 +74,7 @@
                      aCodec.WeightsPrefix(),
                      aCodec.QuarantinePrefix() };
   zone.mConfirmed = aCodec.ConfigPrefix();
+  zone.mWeights = aCodec.WeightsPrefix();
   if (aSettings.mRole == FleetRole::kCompanion) {
     zone.mStart.mLookPause = kCompanionLookPause;
   }
--- a/packages/coordination/tests/engine_news_test.cpp
+++ b/packages/coordination/tests/engine_news_test.cpp
@@ -494,4 +494,26 @@
   EXPECT_EQ(grant->mAmount, 3U);
 }
 
+TEST_F(GivenMoreCompanionsThanARelayFollows, AnyCompanionCanBeAskedForWeights)
+{
+  const auto host = HostOf(Engine(0));
+  Add(host).mServer.OnWeightsQuery([](const std::string& aModel) {
+    return std::vector<state::WeightsConfirmation>{ { aModel == "m" ? 1U : 0U,
+                                                      Millis(700) } };
+  });
+  std::optional<std::vector<state::WeightsConfirmation>> confirmations;
+  transport::Spawn(
+    mContext,
+    [](EngineNewsClient& aRelay,
+       std::string aHost,
+       std::optional<std::vector<state::WeightsConfirmation>>& aConfirmations)
+      -> transport::Task<void> {
+      aConfirmations = co_await aRelay.FindWeights(std::move(aHost), "m");
+    }(*mRelay, host, confirmations));
+  Await([&] { return confirmations.has_value(); });
+  const state::WeightsConfirmation expected{ 1, Millis(700) };
+  ASSERT_EQ(confirmations->size(), 1U);
+  EXPECT_EQ(confirmations->front(), expected);
+}
+
 } // namespace shuntjunction::coordination
--- a/packages/protocol/include/shuntjunction/protocol/messages.h
+++ b/packages/protocol/include/shuntjunction/protocol/messages.h
@@ -18,12 +18,13 @@
 #include "shuntjunction/state/rollout/rollout.h"
 #include "shuntjunction/state/rollout/rollout_evidence.h"
 #include "shuntjunction/state/streams/stream_origin.h"
+#include "shuntjunction/state/weights_history.h"
 
 /// Messages between shuntjunction's own processes.
 namespace shuntjunction::protocol {
 
 /// Protocol version that this build speaks.
-inline constexpr std::uint16_t kProtocolVersion = 3;
+inline constexpr std::uint16_t kProtocolVersion = 4;
 
 /// Protocol version from which a peer understands messages about roll-outs.
 inline constexpr std::uint16_t kRolloutProtocolVersion = 2;
@@ -31,6 +32,9 @@
 /// Protocol version from which a peer understands messages about streams.
 inline constexpr std::uint16_t kStreamProtocolVersion = 3;
 
+/// Protocol version from which a peer understands messages about weights.
+inline constexpr std::uint16_t kWeightsProtocolVersion = 4;
+
 /// Oldest protocol version that it accepts from a peer.
 inline constexpr std::uint16_t kMinProtocolVersion = 1;
 
@@ -390,6 +394,21 @@
   state::OriginReply mReply;
 };
 
+/// Asks a companion until when each version of a model's weights was the
+/// newest.
+struct WeightsQuery
+{
+  std::uint32_t mId = 0; ///< repeated in the WeightsReply
+  std::string mModel;
+};
+
+/// Reply to a WeightsQuery; the ages count up to it.
+struct WeightsReply
+{
+  std::uint32_t mId = 0;
+  std::vector<state::WeightsConfirmation> mConfirmations;
+};
+
 /// Any message.
 using Message = std::variant<Challenge,
                              Hello,
@@ -423,6 +442,8 @@
                              RolloutNotice,
                              StreamRecord,
                              StreamQuery,
-                             StreamReply>;
+                             StreamReply,
+                             WeightsQuery,
+                             WeightsReply>;
 
 } // namespace shuntjunction::protocol
--- a/packages/protocol/src/codec.cpp
+++ b/packages/protocol/src/codec.cpp
@@ -12,7 +12,7 @@
 constexpr std::size_t kSmallBuffer = 256;
 
 /// Names of the messages, in the order of the Message variant.
-constexpr std::array<std::string_view, 33> kMessageNames{
+constexpr std::array<std::string_view, 35> kMessageNames{
   "challenge",      "hello",          "welcome",          "probe",
   "probe-reply",    "submit",         "started",          "tokens",
   "finished",       "refused",        "failed",           "cancel",
@@ -21,7 +21,7 @@
   "limit-ask",      "limit-grant",    "limit-return",     "rate-report",
   "rate-news",      "place-ask",      "place-grant",      "place-return",
   "rollout-report", "rollout-notice", "stream-record",    "stream-query",
-  "stream-reply"
+  "stream-reply",   "weights-query",  "weights-reply"
 };
 static_assert(std::variant_size_v<Message> == kMessageNames.size());
 static_assert(static_cast<std::size_t>(wire::Body::MAX) ==
--- a/packages/protocol/src/codec_pack.cpp
+++ b/packages/protocol/src/codec_pack.cpp
@@ -523,6 +523,26 @@
     .Union();
 }
 
+Offset<void>
+Pack(FlatBufferBuilder& aBuilder, const WeightsQuery& aMessage)
+{
+  const auto model = aBuilder.CreateString(aMessage.mModel);
+  return wire::CreateWeightsQuery(aBuilder, aMessage.mId, model).Union();
+}
+
+Offset<void>
+Pack(FlatBufferBuilder& aBuilder, const WeightsReply& aMessage)
+{
+  std::vector<Offset<wire::WeightsConfirmation>> confirmations;
+  for (const auto& confirmation : aMessage.mConfirmations) {
+    confirmations.push_back(wire::CreateWeightsConfirmation(
+      aBuilder, confirmation.mVersion, ToWireMillis(confirmation.mAge)));
+  }
+  return wire::CreateWeightsReply(
+           aBuilder, aMessage.mId, aBuilder.CreateVector(confirmations))
+    .Union();
+}
+
 } // namespace
 
 Offset<void>
--- a/packages/protocol/src/codec_unpack.cpp
+++ b/packages/protocol/src/codec_unpack.cpp
@@ -493,6 +493,26 @@
   return reply;
 }
 
+WeightsQuery
+Unpack(const wire::WeightsQuery& aWire)
+{
+  return { aWire.id(), TextOf(aWire.model()) };
+}
+
+WeightsReply
+Unpack(const wire::WeightsReply& aWire)
+{
+  WeightsReply reply;
+  reply.mId = aWire.id();
+  if (const auto* confirmations = aWire.confirmations()) {
+    for (const auto* confirmation : *confirmations) {
+      reply.mConfirmations.push_back(
+        { confirmation->version(), state::Millis(confirmation->age_ms()) });
+    }
+  }
+  return reply;
+}
+
 } // namespace
 
 std::optional<Message>
@@ -565,6 +585,10 @@
       return Unpack(*aFrame.body_as_StreamQuery());
     case wire::Body::StreamReply:
       return Unpack(*aFrame.body_as_StreamReply());
+    case wire::Body::WeightsQuery:
+      return Unpack(*aFrame.body_as_WeightsQuery());
+    case wire::Body::WeightsReply:
+      return Unpack(*aFrame.body_as_WeightsReply());
     case wire::Body::NONE:
       break;
   }
--- a/packages/protocol/tests/codec_test.cpp
+++ b/packages/protocol/tests/codec_test.cpp
@@ -237,6 +237,20 @@
   EXPECT_FALSE(RoundTrip(StreamReply{}).mReply.mOnlyVersion);
 }
 
+TEST(GivenMessages, ConfirmationsOfWeightsAreDecodedUnchanged)
+{
+  const auto query = RoundTrip(WeightsQuery{ 6, "model" });
+  EXPECT_EQ(query.mId, 6U);
+  EXPECT_EQ(query.mModel, "model");
+  const std::vector<state::WeightsConfirmation> confirmations{
+    { 1ULL << 40, state::Millis(9000) }, { 7, state::Millis(0) }
+  };
+  const auto reply = RoundTrip(WeightsReply{ 6, confirmations });
+  EXPECT_EQ(reply.mId, 6U);
+  EXPECT_EQ(reply.mConfirmations, confirmations);
+  EXPECT_TRUE(RoundTrip(WeightsReply{}).mConfirmations.empty());
+}
+
 // At 400 relays, 5,600 requests per second and 600 companions a relay writes 14
 // records a second to two companions each; a companion holds 19 a second. Of
 // the 6,000 bytes of control a second and node that is a quarter.
--- a/packages/state/include/shuntjunction/state/load_schedule.h
+++ b/packages/state/include/shuntjunction/state/load_schedule.h
@@ -28,8 +28,9 @@
   Millis mInitialDelay{ 250 };
 };
 
-/// Ids of a model's engines that are not leaving, in the order in which they
-/// load a version.
+/// Ids of a model's engines that have older weights and are not leaving, in the
+/// order in which they load a version. For a process that starts amid the
+/// loads, the order consists of those that are left.
 ///
 /// Engines that missed the previous version go first, so that none is skipped
 /// forever while versions follow each other quickly.
--- a/packages/state/src/load_schedule.cpp
+++ b/packages/state/src/load_schedule.cpp
@@ -24,7 +24,7 @@
   std::vector<Rank> ranks;
   for (const auto& endpoint : aEndpoints) {
     const auto version = endpoint.VersionOf(aWeights.mModel);
-    if (version != 0 && !endpoint.mIsLeaving) {
+    if (version != 0 && version < aWeights.mVersion && !endpoint.mIsLeaving) {
       ranks.push_back({ version + 1 >= aWeights.mVersion,
                         PlacementHash(endpoint.mId, key),
                         endpoint.mId });
--- a/packages/state/tests/relay_state_test.cpp
+++ b/packages/state/tests/relay_state_test.cpp
@@ -186,6 +186,17 @@
   EXPECT_FALSE(LoadStartOf(order, "e4", mSettings).has_value());
 }
 
+// A process that starts amid the loads waited for the turns of all engines.
+TEST_F(GivenEngines, ThoseThatHaveLoadedAreNotScheduled)
+{
+  for (std::size_t i = 0; i < 4; ++i) {
+    mEngines[i].mModels.front().mVersion = 3;
+  }
+  const auto order = WeightLoadSequence(mEngines, { "m", 3 });
+  EXPECT_EQ(order.size(), 5U);
+  EXPECT_FALSE(LoadStartOf(order, "e0", mSettings).has_value());
+}
+
 class GivenCandidates : public ::testing::Test
 {
 protected:
