Companions pass questions about weights on to other relays

In a small fleet a companion seldom gets an answer of the store, so that what it confirms of the weights may be 20 s old, and a relay that restarted right after an announcement could use only the engines that had loaded. Relays confirm the weights each second: a companion that is asked passes the question on to up to four of them, at most each 50 ms, and has their replies in a later round. Their ages count from its own question.

Evidence: ACompanionPassesTheQuestionOnToOtherRelays.

--- a/packages/coordination/include/shuntjunction/coordination/engine_news.h
+++ b/packages/coordination/include/shuntjunction/coordination/engine_news.h
@@ -37,6 +37,11 @@
   kStore,  ///< the part store, reported by a few companions
 };
 
+/// Returns until when each version of a model's weights was the newest, as far
+/// as a process knows.
+using WeightsQueryHandler =
+  std::function<std::vector<state::WeightsConfirmation>(const std::string&)>;
+
 /// Sends an engine's status to all connected relays and forwards what one of
 /// them reports to the others.
 ///
@@ -71,12 +76,16 @@
   /// @param aStreams  outlives the server
   void SetStreams(state::StreamRegistry& aStreams);
 
-  using WeightsHandler =
-    std::function<std::vector<state::WeightsConfirmation>(const std::string&)>;
-
   /// Sets what returns until when each version of a model's weights was the
-  /// newest, for relays that ask.
-  void OnWeightsQuery(WeightsHandler aHandler);
+  /// newest, for relays that ask. The question is passed on to some of the
+  /// other relays.
+  void OnWeightsQuery(WeightsQueryHandler aHandler);
+
+  /// Sets the handler of their replies: a version of a model was still the
+  /// newest at a time.
+  void OnWeightsConfirmed(
+    std::function<void(const std::string&, std::uint64_t, state::TimePoint)>
+      aHandler);
 
   /// Sets the handler of relays' reports on roll-outs.
   void OnRolloutReport(
@@ -234,6 +243,9 @@
     std::string aHost,
     protocol::StreamQuery aQuery);
 
+  /// Sets what answers companions' questions about weights.
+  void OnWeightsQuery(WeightsQueryHandler aHandler);
+
   /// Asks the companion of a host until when each version of a model's weights
   /// was the newest; empty likewise.
   transport::Task<std::optional<std::vector<state::WeightsConfirmation>>>
--- a/packages/coordination/include/shuntjunction/coordination/relay.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay.h
@@ -107,6 +107,11 @@
   /// Applies a newer view of the platform's objects.
   void ApplyView(std::shared_ptr<const RelayView> aView);
 
+  /// Until when each version of a model's weights was the newest, as far as
+  /// this relay knows.
+  std::vector<state::WeightsConfirmation> ConfirmWeights(
+    const std::string& aModel) const;
+
   /// Applies a status update of an engine's companion.
   void ApplyNews(const protocol::EngineNews& aNews);
 
--- a/packages/coordination/include/shuntjunction/coordination/relay_feed.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay_feed.h
@@ -143,6 +143,12 @@
   /// answer about them. Used on the feed's thread.
   state::WeightsHistory Weights(const std::string& aModel) const;
 
+  /// Records that another process knows a version of a model's weights to have
+  /// been the newest at a time. Used on the feed's thread.
+  void ConfirmWeights(const std::string& aModel,
+                      std::uint64_t aVersion,
+                      state::TimePoint aAt);
+
   /// How current the orders of roll-outs are; may be called from any thread.
   const state::ListFreshness& RolloutList() const;
 
--- a/packages/coordination/src/engine_news_client.cpp
+++ b/packages/coordination/src/engine_news_client.cpp
@@ -277,6 +277,12 @@
       } else if (const auto* weights =
                    std::get_if<protocol::WeightsReply>(&*message)) {
         CompleteRequest(weights->mId, *message);
+      } else if (const auto* query =
+                   std::get_if<protocol::WeightsQuery>(&*message)) {
+        if (mOnWeightsQuery) {
+          aChannel->Send(protocol::WeightsReply{
+            query->mId, mOnWeightsQuery(query->mModel) });
+        }
       } else if (const auto* step =
                    std::get_if<protocol::RolloutNotice>(&*message)) {
         if (mOnRolloutNotice) {
@@ -402,6 +408,7 @@
   ConnectionEndHandler mOnConnectionEnd;
   ConnectionEndHandler mOnUnfollowed;
   RolloutNoticeHandler mOnRolloutNotice;
+  WeightsQueryHandler mOnWeightsQuery;
   transport::ChannelCounters mCounters;
   state::RandomSource mRandom{ std::random_device{}() };
   std::map<std::string, std::shared_ptr<CompanionLink>> mLinks; ///< by host
@@ -592,6 +599,12 @@
   co_return reply ? std::optional(reply->mReply) : std::nullopt;
 }
 
+void
+EngineNewsClient::OnWeightsQuery(WeightsQueryHandler aHandler)
+{
+  mShared->mOnWeightsQuery = std::move(aHandler);
+}
+
 Task<std::optional<std::vector<state::WeightsConfirmation>>>
 EngineNewsClient::FindWeights(std::string aHost, std::string aModel)
 {
--- a/packages/coordination/src/engine_news_server.cpp
+++ b/packages/coordination/src/engine_news_server.cpp
@@ -43,6 +43,12 @@
 constexpr std::int64_t kRelaysAtMinChange = 25;
 constexpr std::int64_t kMaxTokenChange = 16000;
 
+/// Relays to which a question about weights is passed on, the shortest time
+/// between two of them, and those that are remembered.
+constexpr std::size_t kRelaysPerQuestion = 4;
+constexpr Millis kWeightsQuestionInterval{ 50 };
+constexpr std::size_t kMaxWeightsQuestions = 64;
+
 /// Crashes of the same moment are sent to the relays together: each relay sees
 /// some of the requests that ran there.
 constexpr Millis kCrashBatchDelay{ 10 };
@@ -69,6 +75,13 @@
     state::IncarnationTracker mEndpointIncarnation;
   };
 
+  /// A question about a model's weights that was passed on.
+  struct WeightsQuestion
+  {
+    std::string mModel;
+    state::TimePoint mAskedAt;
+  };
+
   Shared(asio::io_context& aContext,
          transport::ChannelIdentity aIdentity,
          const state::Clock& aClock,
@@ -134,12 +147,8 @@
         if (mOnRolloutReport) {
           mOnRolloutReport(report->mReport);
         }
-      } else if (const auto* query =
-                   std::get_if<protocol::WeightsQuery>(&*message)) {
-        if (mOnWeightsQuery) {
-          aChannel->Send(protocol::WeightsReply{
-            query->mId, mOnWeightsQuery(query->mModel) });
-        }
+      } else if (HandleWeightsMessage(*message, *aChannel)) {
+        continue;
       } else if (HandleStreamMessage(*message, *aChannel)) {
         continue;
       } else if (!HandleRateMessage(*message, *aChannel)) {
@@ -186,6 +195,58 @@
     return true;
   }
 
+  /// Handles a message about weights; false for any other.
+  bool HandleWeightsMessage(const protocol::Message& aMessage,
+                            FrameChannel& aChannel)
+  {
+    if (const auto* query = std::get_if<protocol::WeightsQuery>(&aMessage)) {
+      if (mOnWeightsQuery) {
+        aChannel.Send(
+          protocol::WeightsReply{ query->mId, mOnWeightsQuery(query->mModel) });
+        AskRelaysAboutWeights(query->mModel, aChannel);
+      }
+      return true;
+    }
+    const auto* reply = std::get_if<protocol::WeightsReply>(&aMessage);
+    if (reply == nullptr) {
+      return false;
+    }
+    const auto found = mWeightsQuestions.find(reply->mId);
+    if (found != mWeightsQuestions.end() && mOnWeightsConfirmed) {
+      for (const auto& confirmation : reply->mConfirmations) {
+        mOnWeightsConfirmed(found->second.mModel,
+                            confirmation.mVersion,
+                            found->second.mAskedAt - confirmation.mAge);
+      }
+    }
+    return true;
+  }
+
+  /// Asks relays other than the one that asked. They confirm the weights each
+  /// second, a companion in a small fleet only when something changes.
+  void AskRelaysAboutWeights(const std::string& aModel,
+                             const FrameChannel& aAsking)
+  {
+    const auto now = mClock.Now();
+    if (now - mLastWeightsQuestionAt < kWeightsQuestionInterval) {
+      return;
+    }
+    mLastWeightsQuestionAt = now;
+    std::size_t asked = 0;
+    for (const auto& [channel, waiting] : mChannels) {
+      if (channel.get() == &aAsking || asked == kRelaysPerQuestion ||
+          channel->ProtocolVersion() < protocol::kWeightsProtocolVersion) {
+        continue;
+      }
+      mWeightsQuestions[++mLastWeightsQuestion] = { aModel, now };
+      channel->Send(protocol::WeightsQuery{ mLastWeightsQuestion, aModel });
+      ++asked;
+    }
+    while (mWeightsQuestions.size() > kMaxWeightsQuestions) {
+      mWeightsQuestions.erase(mWeightsQuestions.begin());
+    }
+  }
+
   /// Handles a message about a stream; false for any other.
   bool HandleStreamMessage(const protocol::Message& aMessage,
                            FrameChannel& aChannel)
@@ -452,7 +513,13 @@
   state::EndpointLimits* mLimits = nullptr;
   state::StreamRegistry* mStreams = nullptr;
   std::function<void(const state::RolloutReport&)> mOnRolloutReport;
-  WeightsHandler mOnWeightsQuery;
+  WeightsQueryHandler mOnWeightsQuery;
+  std::function<void(const std::string&, std::uint64_t, state::TimePoint)>
+    mOnWeightsConfirmed;
+  /// Questions to relays, by their ids.
+  std::map<std::uint32_t, WeightsQuestion> mWeightsQuestions;
+  std::uint32_t mLastWeightsQuestion = 0;
+  state::TimePoint mLastWeightsQuestionAt;
   transport::ChannelCounters mCounters;
   EngineState mState;
   std::uint32_t mSentQueued = 0;
@@ -496,11 +563,19 @@
 }
 
 void
-EngineNewsServer::OnWeightsQuery(WeightsHandler aHandler)
+EngineNewsServer::OnWeightsQuery(WeightsQueryHandler aHandler)
 {
   mShared->mOnWeightsQuery = std::move(aHandler);
 }
 
+void
+EngineNewsServer::OnWeightsConfirmed(
+  std::function<void(const std::string&, std::uint64_t, state::TimePoint)>
+    aHandler)
+{
+  mShared->mOnWeightsConfirmed = std::move(aHandler);
+}
+
 void
 EngineNewsServer::OnRolloutReport(
   std::function<void(const state::RolloutReport&)> aHandler)
--- a/packages/coordination/src/fleet_daemon.cpp
+++ b/packages/coordination/src/fleet_daemon.cpp
@@ -278,6 +278,8 @@
       [this](const state::RolloutNotice& aNotice) {
         mRelay->ApplyRolloutNotice(aNotice);
       });
+    mNewsClient->OnWeightsQuery(
+      [this](const auto& aModel) { return mRelay->ConfirmWeights(aModel); });
     return Serve(
       mReadiness, mSettings.mReadiness, mSettings.mReadinessPath, [this] {
         return mRelay->IsReady() ? PlainAnswer(200, "ready\n")
@@ -368,6 +370,10 @@
     mNewsServer->OnWeightsQuery([this](const auto& aModel) {
       return mFeed.Weights(aModel).Confirmations(mClock.Now());
     });
+    mNewsServer->OnWeightsConfirmed(
+      [this](const auto& aModel, auto aVersion, auto aAt) {
+        mFeed.ConfirmWeights(aModel, aVersion, aAt);
+      });
     const auto bound = mNewsServer->Start(*peers);
     if (!bound) {
       return tl::unexpected(bound.error());
--- a/packages/coordination/src/relay.cpp
+++ b/packages/coordination/src/relay.cpp
@@ -353,6 +353,15 @@
   }
 }
 
+std::vector<state::WeightsConfirmation>
+Relay::ConfirmWeights(const std::string& aModel) const
+{
+  const auto* history = mCore->mWeights.Find(aModel);
+  return history == nullptr
+           ? std::vector<state::WeightsConfirmation>{}
+           : history->Confirmations(mCore->mDependencies.mClock.Now());
+}
+
 void
 Relay::ApplyNews(const protocol::EngineNews& aNews)
 {
--- a/packages/coordination/src/relay_feed_objects.cpp
+++ b/packages/coordination/src/relay_feed_objects.cpp
@@ -211,6 +211,17 @@
   return history;
 }
 
+void
+RelayFeed::ConfirmWeights(const std::string& aModel,
+                          std::uint64_t aVersion,
+                          state::TimePoint aAt)
+{
+  const auto found = mView.mWeights.find(aModel);
+  if (found != mView.mWeights.end()) {
+    found->second.mHistory.Confirm(aVersion, aAt);
+  }
+}
+
 void
 RelayFeed::FixLoadOrders()
 {
--- a/packages/coordination/src/relay_weights.cpp
+++ b/packages/coordination/src/relay_weights.cpp
@@ -17,12 +17,11 @@
 constexpr std::size_t kHostsPerRound = 3;
 
 /// Interval between two rounds.
-constexpr Millis kRoundInterval{ 250 };
+constexpr Millis kRoundInterval{ 150 };
 
-/// Answers and rounds after which no companion is asked about a version any
-/// more.
-constexpr int kMaxAnswers = 3;
-constexpr int kMaxRounds = 12;
+/// Rounds after which no companion is asked about a version any more. They pass
+/// the questions on to other relays, whose replies they have in a later round.
+constexpr int kMaxRounds = 6;
 
 /// Time for which requests wait for an answer: a relay that has just started
 /// has no connection yet.
@@ -66,7 +65,6 @@
     std::uint64_t mAskedVersion = 0; ///< newest version of the rounds
     TimePoint mAskedAt;              ///< when they began
     int mRounds = 0;
-    int mAnswers = 0;
   };
 
   Shared(const RelayDependencies& aDependencies, Millis aMargin)
@@ -96,10 +94,9 @@
   {
     const auto now = Now();
     const auto versions = mListedVersions.find(aModel);
-    const bool isAnswered =
-      aState.mAskedVersion == aState.mHistory.Newest() &&
-      (aState.mAnswers >= kMaxAnswers || aState.mRounds >= kMaxRounds);
-    return !isAnswered && mDependencies.mFindWeights && !mHosts.empty() &&
+    const bool isAsked = aState.mAskedVersion == aState.mHistory.Newest() &&
+                         aState.mRounds >= kMaxRounds;
+    return !isAsked && mDependencies.mFindWeights && !mHosts.empty() &&
            versions != mListedVersions.end() &&
            now - aState.mHistory.NewestLearnedAt() < Limit() &&
            std::any_of(
@@ -137,7 +134,6 @@
       aState.mAskedVersion = newest;
       aState.mAskedAt = Now();
       aState.mRounds = 0;
-      aState.mAnswers = 0;
       mNextHost = 0;
     }
     ++aState.mRounds;
@@ -162,7 +158,6 @@
       state.mHistory.Confirm(confirmation.mVersion,
                              askedAt - confirmation.mAge);
     }
-    ++state.mAnswers;
   }
 
   /// A copy: a round may end after the relay.
--- a/packages/coordination/tests/engine_news_test.cpp
+++ b/packages/coordination/tests/engine_news_test.cpp
@@ -516,4 +516,42 @@
   EXPECT_EQ(confirmations->front(), expected);
 }
 
+// In a small fleet a companion seldom gets an answer of the store.
+TEST_F(GivenMoreCompanionsThanARelayFollows,
+       ACompanionPassesTheQuestionOnToOtherRelays)
+{
+  const auto host = HostOf(Engine(0));
+  auto& companion = Add(host).mServer;
+  companion.OnWeightsQuery([](const std::string&) {
+    return std::vector<state::WeightsConfirmation>{};
+  });
+  state::WeightsHistory confirmed;
+  companion.OnWeightsConfirmed(
+    [&](const std::string& aModel, std::uint64_t aVersion, auto aAt) {
+      EXPECT_EQ(aModel, "m");
+      confirmed.Confirm(aVersion, aAt);
+    });
+  auto other = NewRelay("relay-2");
+  other->OnWeightsQuery([](const std::string&) {
+    return std::vector<state::WeightsConfirmation>{ { 1, Millis(700) } };
+  });
+  other->SetWaiting(Engine(0), Waiting(5000), {});
+  Await([&] {
+    const auto& news = mNews["relay-2"];
+    return std::any_of(news.begin(), news.end(), [&](const auto& aNews) {
+      return aNews.mEndpoint == host;
+    });
+  });
+  const auto askedAt = mClock.Now();
+  transport::Spawn(
+    mContext,
+    [](EngineNewsClient& aRelay, std::string aHost) -> transport::Task<void> {
+      co_await aRelay.FindWeights(std::move(aHost), "m");
+    }(*mRelay, host));
+  Await([&] { return !confirmed.Confirmations(askedAt).empty(); });
+  confirmed.Learn(2, askedAt);
+  EXPECT_LE(confirmed.SupersededFor(1, askedAt), Millis(700));
+  other->Follow({});
+}
+
 } // namespace shuntjunction::coordination
