A relay that starts does not take an old completion of a roll-out for a new one

Callers: after a roll-out was completed, a relay sends nothing to other versions for 30 s. A relay that started any time later did so again, and sent all requests of the service to the endpoints of the target version, also while another version replaced it without an order and few of them were left.

Cause: the 30 s count from when the relay learned of the step, which for a relay that starts is its own start. The order stays in the store.

Evidence: ACompletionLongBeforeTheStartRestrictsNothing failed before: all of 40 requests went to the target version, an hour after the order.

Change: where a relay learns of an order that is completed already, the completion counts as no later than the outcome was due, by the start of the order that its status holds in wall time. Deciders use that time already. A completion just before the start still applies (ACompletionShortlyBeforeTheStartApplies, which passed before too). Without a start in the status nothing changes; no message or object changes.

Not covered: a relay that was cut off during the completion still counts from when it learned of it, at most 30 s too long. A completion that was decided late, after an outage of all companions beyond its time, lets a relay that starts right after it end the filter too early. A wall clock that is ahead shortens the filter of a relay that starts by as much.

--- a/packages/coordination/src/rollout/relay_rollouts.cpp
+++ b/packages/coordination/src/rollout/relay_rollouts.cpp
@@ -40,6 +40,23 @@
   return stored > known || (stored == known && aKnown.IsRunning());
 }
 
+/// Corrects the time of a completion that a relay learns of with its order, as
+/// after a start: it happened when the outcome was due at the latest.
+void
+DateCompletion(Rollout& aRollout, const state::Clock& aClock)
+{
+  const auto& status = aRollout.mStatus;
+  const bool isDated = status && status->mState == RolloutState::kCompleted &&
+                       status->mStartedAtMillis != 0;
+  if (!isDated) {
+    return;
+  }
+  const Millis sinceOrder(aClock.WallMillis() - status->mStartedAtMillis);
+  const auto sinceDue = sinceOrder - aRollout.mOrder.mWithin;
+  aRollout.mStepLearnedAt =
+    std::min(aRollout.mStepLearnedAt, aClock.Now() - sinceDue);
+}
+
 } // namespace
 
 /// One order as this relay carries it out.
@@ -97,6 +114,7 @@
       const auto& bounds = mDependencies.mSettings.mBounds.mRollouts;
       order = std::make_shared<Order>(
         Order{ rollout, state::RolloutExposure(bounds), {}, {}, {} });
+      DateCompletion(order->mRollout, mDependencies.mClock);
       order->mReport.mService = service;
       order->mReport.mOrderId = rollout.mOrder.mId;
       order->mReport.mRelay = mDependencies.mSettings.mName;
