A relay applies a stored quarantine that was renewed

Callers: a request that crashes each endpoint that runs it was sent again by a relay that had missed the reports of its latest crash, for instance because it was cut off or had restarted, though the store held its quarantine.

Cause: RelayCrashes::ApplyQuarantined took an entry for known if it had seen one for the same request before, whatever its time. Expired entries are deleted only after another quarantine was written, two at a time, so that a renewal usually replaces the entry under its key. A relay that starts and finds an expired entry did not apply it, yet ignored its renewal as well.

Ruled out: the writer. It replaces an entry that ends more than a minute earlier, and the feed hands on its new time.

Evidence: AStoredQuarantineMayBeRenewed failed before: the request got 200 in place of 503, and one endpoint crashed.

Why it works: an entry counts as new if it ends later than the one that was known. An unchanged one is not applied again, so that a request that completed since stays released: AnUnchangedEntryIsAppliedOnce, which passed before too.

--- a/packages/coordination/src/relay_crashes.cpp
+++ b/packages/coordination/src/relay_crashes.cpp
@@ -103,9 +103,11 @@
   std::vector<RequestDigest> released;
   const auto wall = mDependencies.mClock.WallMillis();
   for (const auto& [request, entry] : aQuarantined) {
-    const bool isKnown = mStoredQuarantines.contains(request);
+    const auto known = mStoredQuarantines.find(request);
+    const bool isNew = known == mStoredQuarantines.end() ||
+                       known->second.mUntilMillis < entry.mUntilMillis;
     const Millis left{ entry.mUntilMillis - wall };
-    if (!isKnown && left > Millis(0) &&
+    if (isNew && left > Millis(0) &&
         mTracker.Quarantine(request, Now(), left)) {
       BeginQuarantine(request, "store");
     }
