--- a/packages/coordination/src/relay_weights.cpp
+++ b/packages/coordination/src/relay_weights.cpp
@@ -33,9 +33,10 @@
            const std::map<std::string, std::string>& aZoneByHost,
            const std::string& aOwnZone)
 {
+  const auto watchers = state::SelectZoneWatchers(aEndpoints, aOwnZone, {});
   std::vector<std::string> hosts;
-  for (const auto& engine :
-       state::SelectZoneWatchers(aEndpoints, aOwnZone, {})) {
+  hosts.reserve(watchers.size());
+  for (const auto& engine : watchers) {
     hosts.push_back(state::ParseAddress(engine)->mHost);
   }
   const auto append = [&](bool aIsOwnZone) {
--- a/packages/protocol/src/codec_pack.cpp
+++ b/packages/protocol/src/codec_pack.cpp
@@ -534,6 +534,7 @@
 Pack(FlatBufferBuilder& aBuilder, const WeightsReply& aMessage)
 {
   std::vector<Offset<wire::WeightsConfirmation>> confirmations;
+  confirmations.reserve(aMessage.mConfirmations.size());
   for (const auto& confirmation : aMessage.mConfirmations) {
     confirmations.push_back(wire::CreateWeightsConfirmation(
       aBuilder, confirmation.mVersion, ToWireMillis(confirmation.mAge)));
--- a/packages/protocol/src/codec_unpack.cpp
+++ b/packages/protocol/src/codec_unpack.cpp
@@ -505,6 +505,7 @@
   WeightsReply reply;
   reply.mId = aWire.id();
   if (const auto* confirmations = aWire.confirmations()) {
+    reply.mConfirmations.reserve(confirmations->size());
     for (const auto* confirmation : *confirmations) {
       reply.mConfirmations.push_back(
         { confirmation->version(), state::Millis(confirmation->age_ms()) });
--- a/packages/state/src/weights_history.cpp
+++ b/packages/state/src/weights_history.cpp
@@ -63,6 +63,7 @@
 WeightsHistory::Confirmations(TimePoint aNow) const
 {
   std::vector<WeightsConfirmation> confirmations;
+  confirmations.reserve(mConfirmed.size());
   for (const auto& [version, at] : mConfirmed) {
     confirmations.push_back({ version, std::chrono::ceil<Millis>(aNow - at) });
   }
--- a/packages/state/tests/weights_history_test.cpp
+++ b/packages/state/tests/weights_history_test.cpp
@@ -132,6 +132,7 @@
   std::vector<Millis> Excesses() const
   {
     std::vector<Millis> excesses;
+    excesses.reserve(kProcesses);
     for (const auto& process : mProcesses) {
       for (std::uint64_t version = 1; version < process.mHistory.Newest();
            ++version) {
