--- a/packages/coordination/src/engine_news_server.cpp
+++ b/packages/coordination/src/engine_news_server.cpp
@@ -147,9 +147,8 @@
         if (mOnRolloutReport) {
           mOnRolloutReport(report->mReport);
         }
-      } else if (HandleWeightsMessage(*message, *aChannel)) {
-        continue;
-      } else if (HandleStreamMessage(*message, *aChannel)) {
+      } else if (HandleWeightsMessage(*message, *aChannel) ||
+                 HandleStreamMessage(*message, *aChannel)) {
         continue;
       } else if (!HandleRateMessage(*message, *aChannel)) {
         co_return;
