--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -12,6 +12,7 @@
 import socket
 import struct
 import subprocess
+import sys
 import tempfile
 import time
 import urllib.parse
@@ -42,6 +43,10 @@
     """The case could not be set up."""
 
 
+# A case that is stopped still ends what it started.
+signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+
+
 # HTTP/1.1
 
 async def read_message(reader):
