An announced length takes no memory before its bytes arrive

Cause: Beast's string_body reserves the whole Content-Length when the head is complete, and answers have no limit. The exception leaves the coroutine, which ends the process. Ruled out: unbounded buffering (seven bytes of body follow the head) and an overflow of a counter (the process ends with bad_alloc; the same length as a chunk's size, which is never reserved, gives a 502).

Change: the parser of answers reads into a buffer that grows with the bytes that arrive. A length that is meant still passes whole.

--- a/packages/transport/src/relay_message.cpp
+++ b/packages/transport/src/relay_message.cpp
@@ -4,6 +4,7 @@
 #include <array>
 
 #include <boost/asio/buffer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
 namespace shuntjunction::transport {
@@ -243,7 +244,11 @@
 
 struct RelayResponseReader::Parser
 {
-  http::response_parser<http::string_body> mParser;
+  // Grows with the bytes that arrive; string_body reserves the whole
+  // Content-Length, which may exceed the memory, when the head is complete.
+  using Body = http::basic_dynamic_body<beast::flat_buffer>;
+
+  http::response_parser<Body> mParser;
 };
 
 RelayResponseReader::RelayResponseReader(bool aIsHeadRequest)
@@ -358,7 +363,9 @@
 std::string
 RelayResponseReader::TakeBody()
 {
-  return std::exchange(mParser->mParser.get().body(), {});
+  const auto body = std::exchange(mParser->mParser.get().body(), {});
+  const auto bytes = body.data();
+  return { static_cast<const char*>(bytes.data()), bytes.size() };
 }
 
 } // namespace shuntjunction::transport
--- a/packages/transport/tests/relay_message_test.cpp
+++ b/packages/transport/tests/relay_message_test.cpp
@@ -2,7 +2,8 @@
 
 #include <gtest/gtest.h>
 
-// Tests responses without end: each parser state stops at a bounded size.
+// Tests responses without end, and announced lengths: each parser state stops
+// at a bounded size.
 
 namespace shuntjunction::transport {
 namespace {
@@ -133,5 +134,45 @@
   EXPECT_EQ(mFeed.Put("HTTP/1.1 204 No\r\n\r\n"), ParseStatus::kDone);
 }
 
+/// A response whose head announces more than any memory holds.
+class GivenAHugeLength : public ::testing::TestWithParam<const char*>
+{
+protected:
+  ParseStatus PutHead()
+  {
+    return mFeed.Put("HTTP/1.1 200 OK\r\nContent-Length: " +
+                     std::string(GetParam()) + "\r\n\r\n{\"ok\":");
+  }
+
+  Feed mFeed;
+};
+
+// Guards against memory that is reserved for bytes that never arrive.
+TEST_P(GivenAHugeLength, ItIsReadAsFarAsItArrives)
+{
+  EXPECT_EQ(PutHead(), ParseStatus::kHead);
+  EXPECT_EQ(mFeed.Reader().Head().mLength, std::stoull(GetParam()));
+  EXPECT_EQ(mFeed.Repeat(std::string(4096, 'x'), 50000000),
+            ParseStatus::kNeedMore);
+  {
+    SCOPED_TRACE("the peer closes before the announced end");
+    EXPECT_FALSE(mFeed.Reader().FinishAtEof());
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Lengths,
+                         GivenAHugeLength,
+                         ::testing::Values("1000000000000",
+                                           "9223372036854775807",
+                                           "18446744073709551615"));
+
+TEST(GivenALengthBeyond64Bits, ItIsRefused)
+{
+  Feed feed;
+  EXPECT_EQ(feed.Put("HTTP/1.1 200 OK\r\n"
+                     "Content-Length: 18446744073709551616\r\n\r\n"),
+            ParseStatus::kMalformed);
+}
+
 } // namespace
 } // namespace shuntjunction::transport
