--- a/packages/transport/include/shuntjunction/transport/frame_channel.h
+++ b/packages/transport/include/shuntjunction/transport/frame_channel.h
@@ -107,6 +107,9 @@
   template<typename T>
   Task<state::Result<T>> Expect(std::string_view aStep);
   Task<void> WriteQueued();
+  /// Reads the rest of a frame; its memory grows with the bytes that arrive.
+  Task<boost::system::error_code> ReadRest(std::vector<std::uint8_t>& aFrame,
+                                           std::size_t aBytes);
   /// Reads until a buffer is full; counts the bytes as they come.
   Task<boost::system::error_code> ReadFull(asio::mutable_buffer aBuffer);
 
--- a/packages/transport/src/frame_channel.cpp
+++ b/packages/transport/src/frame_channel.cpp
@@ -1,5 +1,6 @@
 #include "shuntjunction/transport/frame_channel.h"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -20,6 +21,10 @@
 
 namespace {
 
+/// Bytes of a frame for which memory is taken at once; the rest follows as they
+/// arrive.
+constexpr std::size_t kFrameStepBytes = 64UL * 1024;
+
 /// Pause after a failed accept.
 constexpr state::Millis kAcceptPause{ 100 };
 
@@ -128,10 +133,8 @@
                    mPeer,
                    "too long before the handshake's end");
   }
-  std::vector<std::uint8_t> frame(prefix.size() + *length);
-  std::copy(prefix.begin(), prefix.end(), frame.begin());
-  const auto rest = asio::buffer(frame) + prefix.size();
-  const auto frameError = co_await ReadFull(rest);
+  std::vector<std::uint8_t> frame(prefix.begin(), prefix.end());
+  const auto frameError = co_await ReadRest(frame, *length);
   if (frameError) {
     mIsClosedByPeer = frameError == asio::error::eof ||
                       frameError == asio::error::connection_reset;
@@ -151,6 +154,22 @@
   co_return message;
 }
 
+Task<boost::system::error_code>
+FrameChannel::ReadRest(std::vector<std::uint8_t>& aFrame, std::size_t aBytes)
+{
+  while (aBytes > 0) {
+    const auto before = aFrame.size();
+    const auto step = std::min(aBytes, kFrameStepBytes);
+    aFrame.resize(before + step);
+    const auto error = co_await ReadFull(asio::buffer(aFrame) + before);
+    if (error) {
+      co_return error;
+    }
+    aBytes -= step;
+  }
+  co_return boost::system::error_code();
+}
+
 Task<boost::system::error_code>
 FrameChannel::ReadFull(asio::mutable_buffer aBuffer)
 {
--- a/packages/transport/tests/frame_channel_test.cpp
+++ b/packages/transport/tests/frame_channel_test.cpp
@@ -1,9 +1,17 @@
 // Channels: both sides prove the secret, messages arrive in order, and a peer
 // that violates the protocol affects only its own connection.
 
+#include <fstream>
+
+#include <unistd.h>
+
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
+#include "shuntjunction/protocol/codec.h"
+#include "shuntjunction/state/digest.h"
+
 #include "shuntjunction/transport/run_task.h"
 #include "shuntjunction/transport/frame_channel.h"
 #include "shuntjunction/transport/mailbox.h"
@@ -161,6 +169,78 @@
   ExpectOnlyThatPeerClosed(std::string("\x00\x00\x10\x00", 4));
 }
 
+class WithPeersThatAnnounceLongFrames : public GivenAnAcceptor
+{
+protected:
+  using SocketPtr = std::shared_ptr<tcp::socket>;
+
+  static Task<std::optional<Message>> ReadFrame(SocketPtr aSocket)
+  {
+    std::array<std::uint8_t, protocol::kLengthBytes> prefix{};
+    co_await asio::async_read(*aSocket, asio::buffer(prefix), kAsTuple);
+    const auto length = protocol::DecodeLength(prefix, "acceptor");
+    if (!length) {
+      co_return std::nullopt;
+    }
+    std::vector<std::uint8_t> frame(prefix.begin(), prefix.end());
+    frame.resize(prefix.size() + *length);
+    co_await asio::async_read(
+      *aSocket, asio::buffer(frame) + prefix.size(), kAsTuple);
+    auto message = protocol::Decode(frame, "acceptor");
+    if (!message) {
+      co_return std::nullopt;
+    }
+    co_return std::move(*message);
+  }
+
+  /// Performs the handshake, then announces a frame and sends nothing of it.
+  Task<SocketPtr> Announce(std::string aPrefix)
+  {
+    const auto socket =
+      std::make_shared<tcp::socket>(co_await asio::this_coro::executor);
+    co_await socket->async_connect(mAcceptor->local_endpoint(), kAsTuple);
+    const auto challenge = co_await ReadFrame(socket);
+    protocol::Hello hello;
+    hello.mVersion = protocol::kProtocolVersion;
+    hello.mNode = "connector";
+    hello.mNonce = state::RandomNonce();
+    hello.mProof = protocol::ConnectorProof(
+      kSecret, std::get<protocol::Challenge>(challenge.value()), hello);
+    const auto frame = protocol::Encode(hello);
+    co_await asio::async_write(*socket, asio::buffer(frame), kAsTuple);
+    co_await ReadFrame(socket);
+    co_await asio::async_write(*socket, asio::buffer(aPrefix), kAsTuple);
+    co_return socket;
+  }
+
+  /// Memory of this process that is in use, in bytes.
+  static std::size_t ResidentBytes()
+  {
+    std::ifstream file("/proc/self/statm");
+    std::size_t total = 0;
+    std::size_t resident = 0;
+    file >> total >> resident;
+    return resident * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+  }
+};
+
+// Guards against memory for frames of which nothing has arrived.
+TEST_F(WithPeersThatAnnounceLongFrames, TheyTakeNoMemoryBeforeTheyArrive)
+{
+  constexpr int kPeers = 16;
+  constexpr std::size_t kMaxBytes = 64UL * 1024 * 1024;
+  const std::string longest("\x00\x00\x00\x01", 4); // kMaxFrameBytes
+  const auto before = ResidentBytes();
+  std::vector<SocketPtr> sockets;
+  for (int i = 0; i < kPeers; ++i) {
+    sockets.push_back(Run(Announce(longest)));
+  }
+  // Its answer shows that the announcements before it were read.
+  const auto channel = Run(Connect(kSecret));
+  ASSERT_TRUE(channel.has_value());
+  EXPECT_LT(ResidentBytes() - before, kMaxBytes);
+}
+
 class WithAPeerThatTrickles : public GivenAnAcceptor
 {
 protected:
