A caller's time limit in seconds does not overflow

x-stainless-timeout was multiplied by 1,000 before it was bounded. A limit beyond some 9e15 s overflowed, and the request's time had passed at once.

Change: it is bounded in seconds. Found by reading for the class of numbers that a peer names; the test was not run on the former code.

--- a/packages/coordination/src/request_intake.cpp
+++ b/packages/coordination/src/request_intake.cpp
@@ -68,7 +68,9 @@
   }
   const auto seconds = aRequest.Field("x-stainless-timeout");
   if (!seconds.empty() && read(seconds) > 0) {
-    return std::min(kMaxDeadline, Millis(1000 * read(seconds)));
+    constexpr auto kMaxSeconds =
+      std::chrono::duration_cast<std::chrono::seconds>(kMaxDeadline);
+    return std::min(kMaxSeconds, std::chrono::seconds(read(seconds)));
   }
   return std::nullopt;
 }
--- a/tests/callers_test.cpp
+++ b/tests/callers_test.cpp
@@ -90,6 +90,17 @@
   ExpectError(Send("router-1", model), 400, "unknown_template");
 }
 
+// Guards against a time limit that overflows and has passed at once.
+TEST_F(GivenACaller, ATimeLimitBeyondAnyIsTheLongest)
+{
+  for (const char* field : { "x-request-timeout-ms", "x-stainless-timeout" }) {
+    SCOPED_TRACE(field);
+    auto chat = Chat(kGood);
+    chat.mFields = { { field, "9223372036854775807" } };
+    EXPECT_EQ(Send("router-1", chat).mStatus, 200U);
+  }
+}
+
 TEST_F(GivenACaller, AnOversizedHeaderIsRefusedAndAffectsNoOthers)
 {
   auto request = Chat(kGood);
