Confirmations reach the traffic thread with the view that they confirm

Cause: the thread that follows the store confirmed the configuration in an atomic that the traffic thread reads at once, while the configuration itself waited behind that thread's handlers. The log of one such request: config 28 read at 48.412, sent at 48.416 by config 21, believed to be 19 ms old. Ruled out: a wrong time of the confirmation (it counts from the question, by a clock that counts pauses), and a check before the pause (such a request was sent before it).

Change: a view carries as of when its parts were current; where only that changes, it goes to the traffic thread by the same queue. Keys, the age of the endpoint list (by which a stream's only version is trusted) and that of roll-outs' orders come this way; nothing else is read across threads. The configuration that a process reads once at its start is confirmed as of its source, no longer as of the question.

--- a/packages/coordination/include/shuntjunction/coordination/relay.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay.h
@@ -22,8 +22,6 @@
   const FleetSettings& mSettings;
   const RelayCodec& mCodec;
   const state::Clock& mClock;
-  const state::Freshness& mConfigConfirmed;
-  const state::ListFreshness& mEndpointList;
   EventLog& mLog;
   Metrics& mMetrics;
   /// Tells the other relays that the engine at an address prefills a part; if
@@ -84,8 +82,6 @@
   std::function<transport::Task<std::optional<
     std::vector<state::WeightsConfirmation>>>(std::string, std::string)>
     mFindWeights = {};
-  /// How current the orders of roll-outs are; null: not known.
-  const state::ListFreshness* mRolloutList = nullptr;
   /// Measures this process's memory; null: only reservations bound it.
   MemoryProbe* mMemoryProbe = nullptr;
 };
@@ -107,6 +103,9 @@
   /// Applies a newer view of the platform's objects.
   void ApplyView(std::shared_ptr<const RelayView> aView);
 
+  /// Applies newer confirmations of the view that was applied last.
+  void Confirm(const ViewFreshness& aFreshness);
+
   /// Until when each version of a model's weights was the newest, as far as
   /// this relay knows.
   std::vector<state::WeightsConfirmation> ConfirmWeights(
--- a/packages/coordination/include/shuntjunction/coordination/relay_feed.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay_feed.h
@@ -12,6 +12,7 @@
 #include "shuntjunction/coordination/event_log.h"
 #include "shuntjunction/coordination/platform.h"
 #include "shuntjunction/coordination/relay_codec.h"
+#include "shuntjunction/coordination/view_freshness.h"
 #include "shuntjunction/state/endpoint_directory.h"
 #include "shuntjunction/state/list_freshness.h"
 #include "shuntjunction/state/object_mirror.h"
@@ -57,6 +58,8 @@
   /// The newest order of each service; none is listed where roll-outs are not
   /// enabled.
   std::map<std::string, state::Rollout, std::less<>> mRollouts;
+  /// As of when all of this was current when the view was made.
+  ViewFreshness mFreshness;
 };
 
 /// Zones of the companions, one beside each engine, by their hosts.
@@ -93,15 +96,19 @@
 /// Keeps a view of configuration, endpoints and announced weights current.
 ///
 /// The configuration never goes back to an older version within a process.
-/// Thread safety: none; used on the thread of its context, except Confirmed,
-/// EndpointList and RefusedObjects.
+/// Thread safety: none; used on the thread of its context, except Confirmed and
+/// RefusedObjects.
 class RelayFeed
 {
 public:
   using Handler = std::function<void(std::shared_ptr<const RelayView>)>;
+  using FreshnessHandler = std::function<void(const ViewFreshness&)>;
 
   /// @param aMirror  receives all that the store reports, for other processes
   /// @param aOnView  called on the feed's thread with each new view
+  /// @param aOnConfirmed  called on the feed's thread when the latest view was
+  ///                      confirmed, unless empty; whoever hands both on to
+  ///                      another thread keeps their order
   /// All references must outlive the feed.
   RelayFeed(transport::asio::io_context& aContext,
             const RelayFeedSettings& aSettings,
@@ -110,7 +117,8 @@
             const state::Clock& aClock,
             EventLog& aLog,
             state::ObjectMirror& aMirror,
-            Handler aOnView);
+            Handler aOnView,
+            FreshnessHandler aOnConfirmed = {});
   ~RelayFeed();
   RelayFeed(const RelayFeed&) = delete;
   RelayFeed& operator=(const RelayFeed&) = delete;
@@ -133,12 +141,10 @@
   /// pause, if there is one.
   void EndListPause() { mListPause.cancel(); }
 
-  /// When the configuration was last confirmed; may be called from any thread.
+  /// When the configuration was last confirmed; may be called from any thread,
+  /// but is ahead of views that are on their way to another.
   const state::Freshness& Confirmed() const { return mConfirmed; }
 
-  /// How current the list of endpoints is; may be called from any thread.
-  const state::ListFreshness& EndpointList() const;
-
   /// The versions of a model's weights; the newest is confirmed as of the last
   /// answer about them. Used on the feed's thread.
   state::WeightsHistory Weights(const std::string& aModel) const;
@@ -149,7 +155,7 @@
                       std::uint64_t aVersion,
                       state::TimePoint aAt);
 
-  /// How current the orders of roll-outs are; may be called from any thread.
+  /// How current the orders of roll-outs are. Used on the feed's thread.
   const state::ListFreshness& RolloutList() const;
 
   /// Number of objects that could not be read, counted once per revision; may
@@ -233,6 +239,9 @@
   /// @return whether it brought anything new
   bool ApplyEndpointList(const std::vector<state::RawObject>& aObjects);
   void Publish();
+  /// Reports that the latest view was confirmed.
+  void PublishFreshness();
+  ViewFreshness CurrentFreshness() const;
 
   transport::asio::io_context& mContext;
   RelayFeedSettings mSettings;
@@ -242,6 +251,7 @@
   EventLog& mLog;
   state::ObjectMirror& mMirror;
   Handler mOnView;
+  FreshnessHandler mOnConfirmed;
   std::unique_ptr<Topic> mConfigTopic;
   std::unique_ptr<Topic> mEndpointTopic;
   std::unique_ptr<Topic> mWeightsTopic;
--- a/packages/coordination/src/fleet_daemon.cpp
+++ b/packages/coordination/src/fleet_daemon.cpp
@@ -90,7 +90,8 @@
             mZoneMirror.Mirror(),
             [this](std::shared_ptr<const RelayView> aView) {
               ApplyView(std::move(aView));
-            })
+            },
+            [this](const ViewFreshness& aFreshness) { Confirm(aFreshness); })
   {
   }
 
@@ -203,8 +204,6 @@
       mSettings,
       mAdapter.mRelayCodec,
       mClock,
-      mFeed.Confirmed(),
-      mFeed.EndpointList(),
       mLog,
       mMetrics,
       [this](const auto& aAddress, const auto& aReading) {
@@ -248,7 +247,6 @@
       [this](auto aHost, auto aModel) {
         return mNewsClient->FindWeights(std::move(aHost), std::move(aModel));
       },
-      &mFeed.RolloutList(),
       &mMemoryProbe });
     const auto address = mRelay->Start();
     if (!address) {
@@ -484,13 +482,33 @@
       const bool wasReady = mRelay->IsReady();
       mNewsClient->Follow(view->mEndpoints);
       mRelay->ApplyView(std::move(view));
-      if (!wasReady && mRelay->IsReady()) {
-        mLog.Write(EventLine(kComponent, "ready"));
-        mStart.Note(state::StartPhase::kReady);
-      }
+      NoteReadiness(wasReady);
     });
   }
 
+  /// On the control thread: the view distributed last was confirmed. The
+  /// traffic thread handles both in this order.
+  void Confirm(const ViewFreshness& aFreshness)
+  {
+    if (!mRelay) {
+      return;
+    }
+    asio::post(mTraffic, [this, aFreshness] {
+      const bool wasReady = mRelay->IsReady();
+      mRelay->Confirm(aFreshness);
+      NoteReadiness(wasReady);
+    });
+  }
+
+  /// On the traffic thread: notes that the relay has become ready.
+  void NoteReadiness(bool aWasReady)
+  {
+    if (!aWasReady && mRelay->IsReady()) {
+      mLog.Write(EventLine(kComponent, "ready"));
+      mStart.Note(state::StartPhase::kReady);
+    }
+  }
+
   void UpdateCompanions(const std::vector<state::EndpointInfo>& aEndpoints)
   {
     std::vector<std::string> hosts;
--- a/packages/coordination/src/relay.cpp
+++ b/packages/coordination/src/relay.cpp
@@ -167,8 +167,8 @@
   , mRates(mDependencies, mShares.Directory())
   , mRetryBudgets(mDependencies, mShares.Directory())
   , mNotices(mDependencies)
-  , mRollouts(mDependencies, mShares.Directory(), mEndpoints)
-  , mStreams(mDependencies)
+  , mRollouts(mDependencies, mFreshness, mShares.Directory(), mEndpoints)
+  , mStreams(mDependencies, mFreshness)
   , mWeights(mDependencies, mLimits.mWeightsMargin)
   , mPartRecords(mLimits.mMaxParts)
   , mPrefillRate(mLimits.mFirstToken)
@@ -199,8 +199,7 @@
 bool
 Relay::Core::AreKeysFresh() const
 {
-  const auto age =
-    mDependencies.mConfigConfirmed.Age(mDependencies.mClock.Now());
+  const auto age = AgeOf(mFreshness.mConfig, mDependencies.mClock.Now());
   return age < mDependencies.mSettings.mBounds.mKeyRevocationDeadline -
                  mLimits.mFreshnessMargin;
 }
@@ -328,6 +327,7 @@
 Relay::ApplyView(std::shared_ptr<const RelayView> aView)
 {
   mCore->mView = std::move(aView);
+  Confirm(mCore->mView->mFreshness);
   for (const auto& released :
        mCore->mCrashes.ApplyQuarantined(mCore->mView->mQuarantined)) {
     mCore->mPartCrashes.Release(released);
@@ -353,6 +353,12 @@
   }
 }
 
+void
+Relay::Confirm(const ViewFreshness& aFreshness)
+{
+  mCore->mFreshness = aFreshness;
+}
+
 std::vector<state::WeightsConfirmation>
 Relay::ConfirmWeights(const std::string& aModel) const
 {
@@ -441,9 +447,11 @@
   mCore->mPartCrashes.SetGauges();
   auto& metrics = mCore->mDependencies.mMetrics;
   const auto now = mCore->mDependencies.mClock.Now();
-  const auto age = mCore->mDependencies.mConfigConfirmed.IsKnown()
-                     ? mCore->mDependencies.mConfigConfirmed.Age(now)
-                     : Millis(-1);
+  const auto& fresh = mCore->mFreshness;
+  const auto ageOrUnknown = [now](ConfirmedAt aConfirmed) {
+    return aConfirmed ? static_cast<double>(AgeOf(aConfirmed, now).count())
+                      : -1;
+  };
   metrics.Set("shuntjunction_relay_ready", IsReady() ? 1 : 0);
   metrics.Set("shuntjunction_relay_active", static_cast<double>(Active()));
   metrics.Set("shuntjunction_relay_connections",
@@ -485,15 +493,13 @@
                 state::Obstacle::kCooldown, now)));
   metrics.Set("shuntjunction_relay_config_version",
               static_cast<double>(mCore->mView->mConfig->Version()));
-  metrics.Set("shuntjunction_relay_config_age_ms",
-              static_cast<double>(age.count()));
-  const auto& list = mCore->mDependencies.mEndpointList;
+  metrics.Set("shuntjunction_relay_config_age_ms", ageOrUnknown(fresh.mConfig));
   metrics.Set("shuntjunction_relay_list_age_ms",
-              list.IsKnown() ? static_cast<double>(list.Age(now).count()) : -1);
+              ageOrUnknown(fresh.mEndpoints));
   metrics.Set("shuntjunction_relay_list_revision",
-              static_cast<double>(list.Known()));
+              static_cast<double>(fresh.mEndpointsRevision));
   metrics.Set("shuntjunction_relay_store_revision",
-              static_cast<double>(list.Store()));
+              static_cast<double>(fresh.mStoreRevision));
   metrics.Set("shuntjunction_relay_former_words",
               static_cast<double>(mCore->mEndpoints.StaleReports()));
   metrics.Set("shuntjunction_relay_endpoints",
--- a/packages/coordination/src/relay_core.h
+++ b/packages/coordination/src/relay_core.h
@@ -120,6 +120,7 @@
   }
 
   RelayDependencies mDependencies;
+  ViewFreshness mFreshness; ///< of mView
   RelayLimits mLimits;
   state::DescriptorBudget mDescriptors;
   RelayEndpoints mEndpoints;
--- a/packages/coordination/src/relay_feed.cpp
+++ b/packages/coordination/src/relay_feed.cpp
@@ -56,7 +56,8 @@
                      const state::Clock& aClock,
                      EventLog& aLog,
                      state::ObjectMirror& aMirror,
-                     Handler aOnView)
+                     Handler aOnView,
+                     FreshnessHandler aOnConfirmed)
   : mContext(aContext)
   , mSettings(aSettings)
   , mPlatform(aPlatform)
@@ -65,6 +66,7 @@
   , mLog(aLog)
   , mMirror(aMirror)
   , mOnView(std::move(aOnView))
+  , mOnConfirmed(std::move(aOnConfirmed))
   , mConfigTopic(std::make_unique<Topic>())
   , mEndpointTopic(std::make_unique<Topic>())
   , mWeightsTopic(std::make_unique<Topic>())
@@ -157,12 +159,6 @@
   return mRolloutTopic->mFreshness;
 }
 
-const state::ListFreshness&
-RelayFeed::EndpointList() const
-{
-  return mEndpointTopic->mFreshness;
-}
-
 void
 RelayFeed::Start()
 {
@@ -202,13 +198,13 @@
 Task<void>
 RelayFeed::ReadConfigOnce()
 {
-  const auto askedAt = mClock.Now();
+  const auto requestedAt = mClock.Now();
   const auto list = co_await mPlatform.List(mConfigTopic->mPrefix);
   if (!list || mConfigTopic->mIsFollowed) {
     co_return;
   }
   ApplyList(*mConfigTopic, *list);
-  mConfirmed.Confirm(askedAt);
+  mConfirmed.Confirm(NoteSource(list->mMirrorFreshness, requestedAt));
   Publish();
 }
 
@@ -347,7 +343,9 @@
     mConfirmed.Confirm(askedAt);
   }
   NoteRevision(aTopic, answer->mRevision, askedAt);
-  if (!answer->mChanges.empty()) {
+  if (answer->mChanges.empty()) {
+    PublishFreshness();
+  } else {
     Publish();
     if (aTopic.mPauseAfterChange > Millis(0)) {
       mListPause.expires_after(aTopic.mPauseAfterChange);
@@ -445,8 +443,28 @@
 {
   mView.mEndpoints = KnownEndpoints();
   mView.mAreWeightsListed |= mWeightsTopic->mIsListed;
+  mView.mFreshness = CurrentFreshness();
   FixLoadOrders();
   mOnView(std::make_shared<const RelayView>(mView));
 }
 
+void
+RelayFeed::PublishFreshness()
+{
+  if (mOnConfirmed) {
+    mOnConfirmed(CurrentFreshness());
+  }
+}
+
+ViewFreshness
+RelayFeed::CurrentFreshness() const
+{
+  const auto& endpoints = mEndpointTopic->mFreshness;
+  return { mConfirmed.At(),
+           endpoints.At(),
+           mRolloutTopic->mFreshness.At(),
+           endpoints.Known(),
+           endpoints.Store() };
+}
+
 } // namespace shuntjunction::coordination
--- a/packages/coordination/src/relay_feed_liveness.cpp
+++ b/packages/coordination/src/relay_feed_liveness.cpp
@@ -133,6 +133,7 @@
   aTopic.mFreshness.NoteListRevision(list->mRevision, askedAt);
   UpdateMirror();
   if (!isNews) {
+    PublishFreshness();
     co_return;
   }
   mLog.Write(EventLine(kFeedComponent, "watch-dead")
--- a/packages/coordination/src/relay_feed_objects.cpp
+++ b/packages/coordination/src/relay_feed_objects.cpp
@@ -192,9 +192,7 @@
 std::optional<state::TimePoint>
 RelayFeed::ConfirmedAt(const Topic& aTopic) const
 {
-  const auto now = mClock.Now();
-  const auto age = aTopic.mFreshness.Age(now);
-  return age == state::Millis::max() ? std::nullopt : std::optional(now - age);
+  return aTopic.mFreshness.At();
 }
 
 state::WeightsHistory
--- a/packages/coordination/src/relay_run_log.cpp
+++ b/packages/coordination/src/relay_run_log.cpp
@@ -37,7 +37,7 @@
     .Add("running", aChoice.mEndpoint->mRunning)
     .Add("candidates", aChoice.mCandidates)
     .Add("listed", aChoice.mEndpoint->mInfo.mRevision)
-    .Add("list_age_ms", mCore->mDependencies.mEndpointList.Age(Now()).count())
+    .Add("list_age_ms", AgeOf(mCore->mFreshness.mEndpoints, Now()).count())
     .Add("ms", SinceArrival().count());
   if (mRetryCharge) {
     const auto age = Now() - mRetryCharge->GrantedAt();
@@ -174,7 +174,7 @@
 RelayRun::LogOutcome(std::string_view aOutcome, std::string_view aReason)
 {
   auto& dependencies = mCore->mDependencies;
-  const auto age = dependencies.mConfigConfirmed.Age(Now());
+  const auto age = AgeOf(mCore->mFreshness.mConfig, Now());
   EventLine line(kRelayComponent, "request", mCall.mRequestId);
   line.Add("outcome", aOutcome)
     .Add("reason", aReason)
--- a/packages/coordination/src/rollout/relay_rollouts.cpp
+++ b/packages/coordination/src/rollout/relay_rollouts.cpp
@@ -93,9 +93,11 @@
 }
 
 RelayRollouts::RelayRollouts(const RelayDependencies& aDependencies,
+                             const ViewFreshness& aFreshness,
                              const state::ShareDirectory& aOwners,
                              const RelayEndpoints& aEndpoints)
   : mDependencies(aDependencies)
+  , mFreshness(aFreshness)
   , mOwners(aOwners)
   , mEndpoints(aEndpoints)
   , mStart(state::RandomSource{ std::random_device{}() }())
@@ -178,11 +180,8 @@
 Millis
 RelayRollouts::ConfirmedAge(const Order& aOrder) const
 {
-  const auto* list = mDependencies.mRolloutList;
-  const auto noticeAge = NoticeAge(aOrder);
-  return list == nullptr
-           ? noticeAge
-           : std::min(noticeAge, list->Age(mDependencies.mClock.Now()));
+  return std::min(NoticeAge(aOrder),
+                  AgeOf(mFreshness.mRollouts, mDependencies.mClock.Now()));
 }
 
 bool
--- a/packages/coordination/src/rollout/relay_rollouts.h
+++ b/packages/coordination/src/rollout/relay_rollouts.h
@@ -35,6 +35,7 @@
 public:
   /// @param aDependencies, aOwners, aEndpoints  outlive this object
   RelayRollouts(const RelayDependencies& aDependencies,
+                const ViewFreshness& aFreshness,
                 const state::ShareDirectory& aOwners,
                 const RelayEndpoints& aEndpoints);
 
@@ -103,6 +104,7 @@
   void SetGauges(const Order& aOrder) const;
 
   const RelayDependencies& mDependencies;
+  const ViewFreshness& mFreshness; ///< of the view applied last
   const state::ShareDirectory& mOwners;
   const RelayEndpoints& mEndpoints;
   std::uint64_t mStart; ///< identifies this run of the process
--- a/packages/coordination/src/streams/relay_streams.cpp
+++ b/packages/coordination/src/streams/relay_streams.cpp
@@ -73,8 +73,10 @@
     std::vector<state::OriginReply> mReplies;
   };
 
-  explicit Shared(const RelayDependencies& aDependencies)
+  Shared(const RelayDependencies& aDependencies,
+         const ViewFreshness& aFreshness)
     : mDependencies(aDependencies)
+    , mFreshness(aFreshness)
   {
   }
 
@@ -91,7 +93,7 @@
   /// that serves already.
   std::optional<std::string> CurrentOnlyVersion(const StreamKey& aStream) const
   {
-    const auto age = mDependencies.mEndpointList.Age(Now());
+    const auto age = AgeOf(mFreshness.mEndpoints, Now());
     return age < kMaxListAge ? OnlyVersion(aStream) : std::nullopt;
   }
 
@@ -181,13 +183,15 @@
   }
 
   const RelayDependencies& mDependencies;
+  const ViewFreshness& mFreshness;
   state::ListedVersions mVersions;
   state::StreamHolders mHolders{ {} };
   std::map<StreamHash, OwnRecord> mOwn;
 };
 
-RelayStreams::RelayStreams(const RelayDependencies& aDependencies)
-  : mShared(std::make_shared<Shared>(aDependencies))
+RelayStreams::RelayStreams(const RelayDependencies& aDependencies,
+                           const ViewFreshness& aFreshness)
+  : mShared(std::make_shared<Shared>(aDependencies, aFreshness))
 {
 }
 
--- a/packages/coordination/src/streams/relay_streams.h
+++ b/packages/coordination/src/streams/relay_streams.h
@@ -34,7 +34,9 @@
 {
 public:
   /// @param aDependencies  outlives this object
-  explicit RelayStreams(const RelayDependencies& aDependencies);
+  /// @param aFreshness  of the view applied last; likewise
+  RelayStreams(const RelayDependencies& aDependencies,
+               const ViewFreshness& aFreshness);
   ~RelayStreams();
   RelayStreams(const RelayStreams&) = delete;
   RelayStreams& operator=(const RelayStreams&) = delete;
--- a/packages/state/include/shuntjunction/state/freshness.h
+++ b/packages/state/include/shuntjunction/state/freshness.h
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <optional>
 
 #include "shuntjunction/state/clock.h"
 
@@ -53,6 +54,15 @@
   /// Whether the state was ever confirmed.
   bool IsKnown() const { return mConfirmed.load() != kNever; }
 
+  /// Time of the confirming request; empty if there was none.
+  std::optional<TimePoint> At() const
+  {
+    const auto confirmed = mConfirmed.load();
+    return confirmed == kNever
+             ? std::nullopt
+             : std::optional(TimePoint{ TimePoint::duration(confirmed) });
+  }
+
   /// Time since the confirming request; Millis::max() if there was none.
   Millis Age(TimePoint aNow) const
   {
--- a/packages/state/include/shuntjunction/state/list_freshness.h
+++ b/packages/state/include/shuntjunction/state/list_freshness.h
@@ -40,6 +40,10 @@
   /// Highest known revision of the store.
   std::uint64_t Store() const { return mStore; }
 
+  /// Time of the request whose response last confirmed the list; empty if there
+  /// was none.
+  std::optional<TimePoint> At() const { return mConfirmed.At(); }
+
   /// Time since the request whose response last confirmed the list;
   /// Millis::max() if there was none.
   Millis Age(TimePoint aNow) const { return mConfirmed.Age(aNow); }
