A call that fails between two that are answered is no outage

Cause: a watch that the store cut counted as an outage, after which removed entries are kept for two seconds, as they may only have expired, and until the next look at intervals of 500 ms. The log: regained 75 ms after the cut, the removal read at 40.642, the last request sent at 42.84, the entry dropped at 42.958. Ruled out: a late removal, and a choice before it.

Change: an outage lasts from the first failed call to the next answer, and only one that is as long as the shortest lifetime of an entry (min_ttl_ms) lets entries expire. Calls that timed out count from when they were made, others from when they failed. A kept entry is dropped when its grace ends.

The tests of an outage began it by one failed call; they now begin it by calls that fail for that time, with the same bounds.

--- a/packages/coordination/include/shuntjunction/coordination/platform.h
+++ b/packages/coordination/include/shuntjunction/coordination/platform.h
@@ -19,8 +19,9 @@
 {
   /// The data includes every change made in the platform up to this time.
   state::TimePoint mAsOf;
-  /// When a call to the platform last failed in that process.
-  std::optional<state::TimePoint> mTroubleAt;
+  /// Until when the last outage lasted in which entries may have expired, as
+  /// that process saw it.
+  std::optional<state::TimePoint> mOutageAt;
 };
 
 /// Objects as of a platform revision.
--- a/packages/coordination/include/shuntjunction/coordination/relay_feed.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay_feed.h
@@ -80,6 +80,8 @@
   state::Millis mListPause{ 150 };
   state::Millis mFirstPause{ 100 }; ///< after a failed call
   state::Millis mLongestPause{ 600 };
+  /// Shortest time after which the store drops an entry that is not renewed.
+  state::Millis mShortestEntryLifetime{ state::kShortestEntryLifetime };
   bool mWatchesConfig = true;
   /// Whether quarantined requests are followed, as relays do.
   bool mFollowsQuarantine = false;
@@ -207,7 +209,14 @@
   transport::Task<void> RereadList(Topic& aTopic);
   void NoteCallFailure(Topic& aTopic,
                        const state::Error& aError,
-                       std::int64_t aWaitedMillis);
+                       state::Millis aWaited);
+  /// Records that a call failed; returns whether it belongs to an outage in
+  /// which entries may have expired.
+  ///
+  /// @param aSince  see EndpointDirectory::NoteFailure
+  bool NoteStoreFailure(state::TimePoint aSince);
+  /// Records that a call was answered, before its answer is applied.
+  void NoteStoreAnswer();
   std::int64_t MillisSince(state::TimePoint aTime) const;
   void NoteSuccess(Topic& aTopic);
   /// Cancels the calls that have waited since before the last failure: a store
@@ -258,11 +267,15 @@
   std::unique_ptr<Topic> mQuarantineTopic;
   std::unique_ptr<Topic> mRolloutTopic;
   transport::Timer mListPause; ///< see RelayFeedSettings::mListPause
+  transport::Timer mExpiryTimer;
+  state::TimePoint mExpiryDue; ///< when entries are next looked at
   state::EndpointDirectory mDirectory;
   state::Freshness mConfirmed;
   RelayView mView;
   bool mIsWatching = false;        ///< see BeginWatching
   state::TimePoint mLastFailureAt; ///< time of the last failed call
+  /// Until when an outage lasted that another process reported.
+  state::TimePoint mMirroredOutageAt;
   /// Objects whose latest revision could not be read, with that revision.
   std::map<std::string, std::uint64_t, std::less<>> mRefused;
   std::atomic<std::uint64_t> mRefusedObjects{ 0 };
--- a/packages/coordination/include/shuntjunction/coordination/relay_settings.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay_settings.h
@@ -2,6 +2,7 @@
 
 #include <string>
 
+#include "shuntjunction/state/endpoint_directory.h"
 #include "shuntjunction/state/load_schedule.h"
 #include "shuntjunction/state/relay_choice.h"
 #include "shuntjunction/state/rollout/rollout_exposure.h"
@@ -65,7 +66,9 @@
   /// Shared secret by which processes authenticate each other.
   std::string mSecret;
   std::string mPlatform; ///< address of the store
-  std::string mEngine;   ///< companion: address of the engine beside it
+  /// Shortest time after which the store drops an entry that is not renewed.
+  state::Millis mShortestEntryLifetime{ state::kShortestEntryLifetime };
+  std::string mEngine; ///< companion: address of the engine beside it
   /// Memory limit of this process.
   std::int64_t mMemoryBytes = 256L * 1024 * 1024;
   /// File descriptors that this process may hold.
--- a/packages/coordination/src/fleet_daemon.cpp
+++ b/packages/coordination/src/fleet_daemon.cpp
@@ -81,17 +81,18 @@
                   mClock,
                   mLog,
                   [this](auto aPhase) { mStart.Note(aPhase); })
-    , mFeed(mControl,
-            FeedSettings(aSettings),
-            mZoneMirror.Store(),
-            aAdapter.mStoreCodec,
-            mClock,
-            mLog,
-            mZoneMirror.Mirror(),
-            [this](std::shared_ptr<const RelayView> aView) {
-              ApplyView(std::move(aView));
-            },
-            [this](const ViewFreshness& aFreshness) { Confirm(aFreshness); })
+    , mFeed(
+        mControl,
+        FeedSettings(aSettings),
+        mZoneMirror.Store(),
+        aAdapter.mStoreCodec,
+        mClock,
+        mLog,
+        mZoneMirror.Mirror(),
+        [this](std::shared_ptr<const RelayView> aView) {
+          ApplyView(std::move(aView));
+        },
+        [this](const ViewFreshness& aFreshness) { Confirm(aFreshness); })
   {
   }
 
@@ -174,6 +175,7 @@
     feed.mWatchesConfig = aSettings.mRole == FleetRole::kRelay;
     feed.mFollowsQuarantine = feed.mWatchesConfig;
     feed.mFollowsRollouts = aSettings.mHasRollouts;
+    feed.mShortestEntryLifetime = aSettings.mShortestEntryLifetime;
     feed.mListPause = aSettings.mRole == FleetRole::kRelay
                         ? kRelayListInterval
                         : kCompanionListInterval;
--- a/packages/coordination/src/mirrored_platform.cpp
+++ b/packages/coordination/src/mirrored_platform.cpp
@@ -242,7 +242,7 @@
 MirrorFreshness
 MirroredPlatform::FreshnessOf(const MirroredTopic& aTopic) const
 {
-  return { aTopic.mAsOf, mMirror.LastPlatformFailure() };
+  return { aTopic.mAsOf, mMirror.LastOutage() };
 }
 
 // Platform calls.
--- a/packages/coordination/src/relay_feed.cpp
+++ b/packages/coordination/src/relay_feed.cpp
@@ -15,12 +15,15 @@
 using state::Millis;
 using state::RawObject;
 using state::Result;
+using transport::kAsTuple;
 using transport::Task;
 
 namespace {
 
-/// Interval at which lapsed entries are looked for.
+/// Longest and shortest interval at which expired entries are looked for. An
+/// entry is dropped when its grace period ends, not at the next interval.
 constexpr Millis kExpiryInterval{ 500 };
+constexpr Millis kMinExpiryInterval{ 5 };
 
 /// Wait of a watch that only probes whether the store is back: it answers at
 /// once.
@@ -73,6 +76,8 @@
   , mQuarantineTopic(std::make_unique<Topic>())
   , mRolloutTopic(std::make_unique<Topic>())
   , mListPause(aContext)
+  , mExpiryTimer(aContext)
+  , mDirectory(aSettings.mShortestEntryLifetime)
   , mRandom(std::random_device{}())
 {
   DescribeTopics();
@@ -203,6 +208,7 @@
   if (!list || mConfigTopic->mIsFollowed) {
     co_return;
   }
+  NoteStoreAnswer();
   ApplyList(*mConfigTopic, *list);
   mConfirmed.Confirm(NoteSource(list->mMirrorFreshness, requestedAt));
   Publish();
@@ -270,7 +276,7 @@
     if (aTopic.mIsAbandoned) {
       continue;
     }
-    NoteCallFailure(aTopic, done.error(), waited);
+    NoteCallFailure(aTopic, done.error(), Millis(waited));
     aTopic.mPause = std::clamp(
       aTopic.mPause * 2, mSettings.mFirstPause, mSettings.mLongestPause);
     co_await transport::Sleep(state::JitteredPause(aTopic.mPause, mRandom));
@@ -287,10 +293,12 @@
 Task<Result<void>>
 RelayFeed::ListOnce(Topic& aTopic)
 {
+  aTopic.mAllowedWait = Millis(0);
   const auto list = co_await mPlatform.List(aTopic.mPrefix);
   if (!list) {
     co_return tl::unexpected(list.error());
   }
+  NoteStoreAnswer();
   const auto requestedAt = *std::exchange(aTopic.mRequestedAt, std::nullopt);
   const auto askedAt = NoteSource(list->mMirrorFreshness, requestedAt);
   aTopic.mIsListed = true;
@@ -315,11 +323,13 @@
 RelayFeed::WatchOnce(Topic& aTopic)
 {
   const Millis wait = IsProbing(aTopic) ? kProbeWait : aTopic.mWait;
+  aTopic.mAllowedWait = wait;
   const auto after = aTopic.mRevision;
   const auto answer = co_await mPlatform.Watch(aTopic.mPrefix, after, wait);
   if (!answer) {
     co_return tl::unexpected(answer.error());
   }
+  NoteStoreAnswer();
   if (answer->mIsGap) {
     aTopic.mIsListed = false;
     mLog.Write(EventLine(kFeedComponent, "watch-gap")
@@ -349,7 +359,7 @@
     Publish();
     if (aTopic.mPauseAfterChange > Millis(0)) {
       mListPause.expires_after(aTopic.mPauseAfterChange);
-      co_await mListPause.async_wait(transport::kAsTuple);
+      co_await mListPause.async_wait(kAsTuple);
     }
   }
   co_return Result<void>{};
@@ -364,11 +374,12 @@
   }
   // Each answer gives the age anew, so the time computed from it varies by a
   // few milliseconds.
-  const bool isNew = aSource->mTroubleAt &&
-                     *aSource->mTroubleAt > mLastFailureAt + kMinFailureGap;
+  const bool isNew = aSource->mOutageAt &&
+                     *aSource->mOutageAt > mMirroredOutageAt + kMinFailureGap;
   if (isNew) {
-    mLastFailureAt = *aSource->mTroubleAt;
-    mDirectory.NoteOutage(mLastFailureAt);
+    mMirroredOutageAt = *aSource->mOutageAt;
+    mLastFailureAt = std::max(mLastFailureAt, mMirroredOutageAt);
+    mDirectory.NoteOutage(mMirroredOutageAt);
   }
   return aSource->mAsOf;
 }
@@ -396,20 +407,20 @@
 }
 
 void
-RelayFeed::NoteCallFailure(Topic& aTopic,
-                           const Error& aError,
-                           std::int64_t aWaitedMillis)
+RelayFeed::NoteCallFailure(Topic& aTopic, const Error& aError, Millis aWaited)
 {
-  mLastFailureAt = mClock.Now();
-  mDirectory.NoteOutage(mLastFailureAt);
-  mMirror.NotePlatformFailure(mLastFailureAt);
+  const auto now = mClock.Now();
+  // A wait that the store itself ended says nothing about the time before.
+  const bool isCut = aWaited < aTopic.mAllowedWait;
+  const bool isOutage = NoteStoreFailure(isCut ? now : now - aWaited);
   if (std::exchange(aTopic.mIsLost, true)) {
     return;
   }
   mLog.Write(EventLine(kFeedComponent, "platform-lost")
                .Add("objects", aTopic.mPrefix)
                .Add("revision", aTopic.mRevision)
-               .Add("waited_ms", aWaitedMillis)
+               .Add("waited_ms", aWaited.count())
+               .Add("outage", isOutage)
                .Add("error", aError.Describe()));
 }
 
@@ -417,7 +428,6 @@
 RelayFeed::NoteSuccess(Topic& aTopic)
 {
   aTopic.mPause = Millis(0);
-  mDirectory.NoteAnswer(mClock.Now());
   if (!std::exchange(aTopic.mIsLost, false)) {
     return;
   }
@@ -427,12 +437,38 @@
   AbandonOldCalls();
 }
 
+bool
+RelayFeed::NoteStoreFailure(state::TimePoint aSince)
+{
+  mLastFailureAt = mClock.Now();
+  const bool isOutage = mDirectory.NoteFailure(aSince, mLastFailureAt);
+  if (isOutage) {
+    mMirror.NoteOutage(mLastFailureAt);
+  }
+  return isOutage;
+}
+
+void
+RelayFeed::NoteStoreAnswer()
+{
+  const auto now = mClock.Now();
+  if (mDirectory.NoteAnswer(now)) {
+    mMirror.NoteOutage(now);
+  }
+}
+
 Task<void>
 RelayFeed::ExpireEndpoints()
 {
   while (true) {
-    co_await transport::Sleep(kExpiryInterval);
-    if (mDirectory.Expire(mClock.Now())) {
+    const auto now = mClock.Now();
+    mExpiryDue =
+      std::clamp(mDirectory.NextRemoval(now).value_or(now + kExpiryInterval),
+                 now + kMinExpiryInterval,
+                 now + kExpiryInterval);
+    mExpiryTimer.expires_after(mExpiryDue - now);
+    const auto [error] = co_await mExpiryTimer.async_wait(kAsTuple);
+    if (!error && mDirectory.Expire(mClock.Now())) {
       Publish();
     }
   }
@@ -441,6 +477,10 @@
 void
 RelayFeed::Publish()
 {
+  const auto removal = mDirectory.NextRemoval(mClock.Now());
+  if (removal && *removal < mExpiryDue) {
+    mExpiryTimer.cancel();
+  }
   mView.mEndpoints = KnownEndpoints();
   mView.mAreWeightsListed |= mWeightsTopic->mIsListed;
   mView.mFreshness = CurrentFreshness();
--- a/packages/coordination/src/relay_feed_liveness.cpp
+++ b/packages/coordination/src/relay_feed_liveness.cpp
@@ -117,13 +117,13 @@
   const auto list = co_await mPlatform.List(aTopic.mPrefix);
   if (!list) {
     // The next answer that shows a change triggers another attempt.
-    mLastFailureAt = mClock.Now();
-    mDirectory.NoteOutage(mLastFailureAt);
+    NoteStoreFailure(askedAt);
     mLog.Write(EventLine(kFeedComponent, "list-unread")
                  .Add("objects", aTopic.mPrefix)
                  .Add("error", list.error().Describe()));
     co_return;
   }
+  NoteStoreAnswer();
   if (list->mRevision <= aTopic.mRevision) {
     co_return;
   }
--- a/packages/coordination/src/relay_feed_topic.h
+++ b/packages/coordination/src/relay_feed_topic.h
@@ -36,6 +36,8 @@
   bool mIsBeingChecked = false;
   /// When the pending call was made; empty while there is none.
   std::optional<state::TimePoint> mRequestedAt;
+  /// For which the store may leave the pending call unanswered.
+  state::Millis mAllowedWait{ 0 };
   bool mIsAbandoned = false; ///< that call was cancelled by this process itself
   state::Millis mPause{ 0 };
 };
--- a/packages/state/include/shuntjunction/state/object_mirror.h
+++ b/packages/state/include/shuntjunction/state/object_mirror.h
@@ -41,7 +41,7 @@
   std::uint64_t mEpoch = 0;    ///< of the mirror; sequences count within it
   std::uint64_t mSequence = 0; ///< to request the next update from
   bool mIsWhole = false;
-  std::optional<Millis> mPlatformFailureAge; ///< since the last failure
+  std::optional<Millis> mOutageAge; ///< since the last outage
   Millis mChangesAge{ 0 }; ///< of mChanges, whose ages count up to then
   std::vector<TopicStatus> mTopics;
   std::vector<RawObject> mChanges; ///< deleted objects have no value
@@ -89,14 +89,13 @@
                    std::uint64_t aKnownRevision,
                    TimePoint aAsOf);
 
-  /// Records that the platform failed this process.
-  void NotePlatformFailure(TimePoint aAt) { mLastPlatformFailure = aAt; }
+  /// Records an outage of the platform in which entries may have expired.
+  ///
+  /// @param aAt  until when it lasted, or has lasted so far
+  void NoteOutage(TimePoint aAt) { mLastOutage = aAt; }
 
-  /// When the platform last failed; empty when it never did.
-  std::optional<TimePoint> LastPlatformFailure() const
-  {
-    return mLastPlatformFailure;
-  }
+  /// Until when the last such outage lasted; empty if there was none.
+  std::optional<TimePoint> LastOutage() const { return mLastOutage; }
 
   /// The update for another mirror that has received everything up to a
   /// sequence of an epoch.
@@ -147,7 +146,7 @@
   std::map<std::string, Entry, std::less<>> mObjects;
   std::deque<Entry> mChanges;
   std::map<std::string, MirroredTopic, std::less<>> mTopics; ///< by prefix
-  std::optional<TimePoint> mLastPlatformFailure;
+  std::optional<TimePoint> mLastOutage;
 };
 
 } // namespace shuntjunction::state
--- a/packages/state/src/endpoint_directory.cpp
+++ b/packages/state/src/endpoint_directory.cpp
@@ -82,48 +82,99 @@
   if (found == mEntries.end() || found->second.mIsExpired) {
     return false;
   }
-  if (found->second.mInfo.mIsLeaving || !IsInGracePeriod(aNow)) {
+  const auto grace = GraceOf(aNow);
+  if (found->second.mInfo.mIsLeaving || !grace) {
     mEntries.erase(found);
   } else {
     found->second.mIsExpired = true;
-    found->second.mRemoveAt = mLastOutage + kExpiredEntryGrace;
+    found->second.mRemoveAt = *grace;
   }
   return true;
 }
 
-void
-EndpointDirectory::NoteOutage(TimePoint aNow)
+bool
+EndpointDirectory::NoteFailure(TimePoint aSince, TimePoint aNow)
 {
-  const auto silence =
-    std::max(aNow - mLastContact, TimePoint::duration::zero());
-  mHadOutage = true;
-  mLastOutage = std::max(mLastOutage, aNow);
-  mLastContact = std::max(mLastContact, aNow);
-  for (auto& [id, entry] : mEntries) {
-    if (entry.mIsExpired) {
-      entry.mRemoveAt += silence;
-    }
+  // A call that waited for long does not count against answers to others.
+  const auto since = std::max(aSince, mLastAnswer);
+  mAwaySince = std::min(mAwaySince.value_or(since), since);
+  return IsAway(aNow);
+}
+
+bool
+EndpointDirectory::NoteAnswer(TimePoint aNow)
+{
+  const bool isEnd = IsAway(aNow);
+  if (isEnd) {
+    ExtendGrace(aNow - *mAwaySince);
+    mLastOutage = aNow;
   }
+  mAwaySince.reset();
+  mLastAnswer = aNow;
+  return isEnd;
 }
 
 void
-EndpointDirectory::NoteAnswer(TimePoint aNow)
+EndpointDirectory::NoteOutage(TimePoint aUntil)
 {
-  mLastContact = aNow;
+  if (mLastOutage && aUntil <= *mLastOutage) {
+    return;
+  }
+  // When it began is not known; it may be the one reported before.
+  const TimePoint::duration shortest = mShortestLifetime;
+  ExtendGrace(mLastOutage ? std::min(aUntil - *mLastOutage, shortest)
+                          : shortest);
+  mLastOutage = aUntil;
 }
 
 bool
-EndpointDirectory::IsInGracePeriod(TimePoint aNow) const
+EndpointDirectory::IsAway(TimePoint aNow) const
 {
-  return mHadOutage && aNow < mLastOutage + kExpiredEntryGrace;
+  return mAwaySince && aNow - *mAwaySince >= mShortestLifetime;
+}
+
+std::optional<TimePoint>
+EndpointDirectory::GraceOf(TimePoint aNow) const
+{
+  const bool isAfterOutage =
+    mLastOutage && aNow < *mLastOutage + kExpiredEntryGrace;
+  return isAfterOutage ? std::optional(*mLastOutage + kExpiredEntryGrace)
+                       : std::nullopt;
+}
+
+void
+EndpointDirectory::ExtendGrace(TimePoint::duration aTime)
+{
+  for (auto& [id, entry] : mEntries) {
+    if (entry.mIsExpired) {
+      entry.mRemoveAt += aTime;
+    }
+  }
+}
+
+std::optional<TimePoint>
+EndpointDirectory::NextRemoval(TimePoint aNow) const
+{
+  std::optional<TimePoint> next;
+  if (IsAway(aNow)) {
+    return next;
+  }
+  for (const auto& [id, entry] : mEntries) {
+    if (entry.mIsExpired) {
+      next = std::min(next.value_or(entry.mRemoveAt), entry.mRemoveAt);
+    }
+  }
+  return next;
 }
 
 bool
 EndpointDirectory::Expire(TimePoint aNow)
 {
+  // Grace periods stand still while the store is away.
+  const auto counted = IsAway(aNow) ? *mAwaySince : aNow;
   bool isChanged =
     std::erase_if(mEntries, [&](const auto& aItem) {
-      return aItem.second.mIsExpired && aNow >= aItem.second.mRemoveAt;
+      return aItem.second.mIsExpired && counted >= aItem.second.mRemoveAt;
     }) > 0;
   for (auto& [id, entry] : mEntries) {
     if (entry.mFormerEntry && entry.mEndpointIncarnation.PromoteEarlier(aNow)) {
--- a/packages/state/src/object_mirror.cpp
+++ b/packages/state/src/object_mirror.cpp
@@ -78,8 +78,8 @@
                               { "sequence", aUpdate.mSequence },
                               { "whole", aUpdate.mIsWhole },
                               { "topics", std::move(topics) } };
-  if (aUpdate.mPlatformFailureAge) {
-    update["trouble_age_ms"] = aUpdate.mPlatformFailureAge->count();
+  if (aUpdate.mOutageAge) {
+    update["trouble_age_ms"] = aUpdate.mOutageAge->count();
   }
   if (aUpdate.mChangesAge > Millis(0)) {
     update["changes_age_ms"] = aUpdate.mChangesAge.count();
@@ -120,7 +120,7 @@
     update.mChanges.push_back(std::move(object));
   });
   if (reader.Find("trouble_age_ms") != nullptr) {
-    update.mPlatformFailureAge = ReadAge(reader, "trouble_age_ms");
+    update.mOutageAge = ReadAge(reader, "trouble_age_ms");
   }
   if (const auto done = reader.Finish(); !done) {
     Error error = done.error();
@@ -245,8 +245,8 @@
     update.mTopics.push_back(
       { prefix, topic.mKnownRevision, Millis(AgeOf(topic.mAsOf, aNow)) });
   }
-  if (mLastPlatformFailure) {
-    update.mPlatformFailureAge = Millis(AgeOf(*mLastPlatformFailure, aNow));
+  if (mLastOutage) {
+    update.mOutageAge = Millis(AgeOf(*mLastOutage, aNow));
   }
   return update;
 }
@@ -292,8 +292,8 @@
   for (const auto& change : aUpdate.mChanges) {
     MergeChange(change, aNow);
   }
-  if (aUpdate.mPlatformFailureAge) {
-    mLastPlatformFailure = aNow - *aUpdate.mPlatformFailureAge;
+  if (aUpdate.mOutageAge) {
+    mLastOutage = aNow - *aUpdate.mOutageAge;
   }
 }
 
--- a/packages/state/tests/object_mirror_test.cpp
+++ b/packages/state/tests/object_mirror_test.cpp
@@ -178,13 +178,13 @@
 TEST_F(ThatAnotherMirrorQueries, EachStatusKeepsItsAge)
 {
   Change({ "e/c", 12, "3" });
-  mMirror.NotePlatformFailure(Now());
+  mMirror.NoteOutage(Now());
   mClock.Advance(700ms);
   ApplyUpdate(RequestUpdate(7, mSequence));
   mClock.Advance(50ms);
   EXPECT_EQ(mOther.ChangesAfter("e/", 10, Now())->at(0).mAge, 750ms);
   EXPECT_EQ(Now() - mOther.Topic("e/")->mAsOf, 750ms);
-  EXPECT_EQ(Now() - *mOther.LastPlatformFailure(), 750ms);
+  EXPECT_EQ(Now() - *mOther.LastOutage(), 750ms);
 }
 
 TEST(GivenAnUpdate, InvalidInputIsRejected)
--- a/packages/state/tests/relay_state_test.cpp
+++ b/packages/state/tests/relay_state_test.cpp
@@ -68,6 +68,109 @@
   EXPECT_EQ(IdsOf(mDirectory), Ids{ "b" });
 }
 
+class WhoseStoreFailsACall : public GivenADirectory
+{
+protected:
+  /// A call that fails and is answered when it is repeated.
+  void Fail(Millis aTime)
+  {
+    mDirectory.NoteFailure(mClock.Now(), mClock.Now());
+    mClock.Advance(aTime);
+    mDirectory.NoteAnswer(mClock.Now());
+  }
+
+  /// Whether an entry that is removed now is kept.
+  bool IsKept()
+  {
+    mDirectory.Remove("a", mClock.Now());
+    return IdsOf(mDirectory).size() == 2;
+  }
+};
+
+// Guards against requests to endpoints that left, after a watch was cut.
+TEST_F(WhoseStoreFailsACall, ARemovedEntryIsDroppedAtOnce)
+{
+  Fail(100ms);
+  EXPECT_FALSE(IsKept());
+}
+
+TEST_F(WhoseStoreFailsACall, SoItIsWhenSeveralFailOneAfterTheOther)
+{
+  for (int i = 0; i < 10; ++i) {
+    Fail(kShortestEntryLifetime - 1ms);
+  }
+  EXPECT_FALSE(IsKept());
+}
+
+TEST_F(WhoseStoreFailsACall, AnEntryIsKeptOnceItMayHaveExpiredMeanwhile)
+{
+  Fail(kShortestEntryLifetime);
+  EXPECT_TRUE(IsKept());
+}
+
+TEST_F(WhoseStoreFailsACall, ACallThatTimedOutCountsFromWhenItWasMade)
+{
+  mClock.Advance(kShortestEntryLifetime);
+  EXPECT_TRUE(mDirectory.NoteFailure(mClock.Now() - kShortestEntryLifetime,
+                                     mClock.Now()));
+  mDirectory.NoteAnswer(mClock.Now());
+  EXPECT_TRUE(IsKept());
+}
+
+TEST_F(WhoseStoreFailsACall, ALongWaitDoesNotCountFromBeforeTheLastAnswer)
+{
+  mClock.Advance(20s);
+  mDirectory.NoteAnswer(mClock.Now());
+  mClock.Advance(100ms);
+  EXPECT_FALSE(mDirectory.NoteFailure(mClock.Now() - 20s, mClock.Now()));
+  mDirectory.NoteAnswer(mClock.Now());
+  EXPECT_FALSE(IsKept());
+}
+
+TEST_F(WhoseStoreFailsACall, OneDuringTheGraceOfAnEntryDoesNotExtendIt)
+{
+  Fail(kShortestEntryLifetime);
+  ASSERT_TRUE(IsKept());
+  EXPECT_EQ(mDirectory.NextRemoval(mClock.Now()),
+            mClock.Now() + kExpiredEntryGrace);
+  mClock.Advance(900ms);
+  Fail(100ms);
+  mClock.Advance(kExpiredEntryGrace - 1000ms);
+  EXPECT_TRUE(mDirectory.Expire(mClock.Now()));
+  EXPECT_EQ(IdsOf(mDirectory), Ids{ "b" });
+}
+
+class WhoseSourceReportsAnOutage : public WhoseStoreFailsACall
+{
+protected:
+  WhoseSourceReportsAnOutage() { mDirectory.NoteOutage(mClock.Now()); }
+};
+
+TEST_F(WhoseSourceReportsAnOutage, AnEntryIsKeptForAsLongAsTheOutageLasts)
+{
+  ASSERT_TRUE(IsKept());
+  for (int i = 0; i < 20; ++i) {
+    mClock.Advance(500ms);
+    mDirectory.NoteAnswer(mClock.Now());
+    mDirectory.NoteOutage(mClock.Now());
+    mDirectory.Expire(mClock.Now());
+  }
+  EXPECT_EQ(IdsOf(mDirectory), (Ids{ "a", "b" }));
+  mClock.Advance(kExpiredEntryGrace);
+  EXPECT_TRUE(mDirectory.Expire(mClock.Now()));
+}
+
+TEST_F(WhoseSourceReportsAnOutage, OutagesFarApartDoNotKeepItForever)
+{
+  ASSERT_TRUE(IsKept());
+  for (int i = 0; i < 4; ++i) {
+    mClock.Advance(1900ms);
+    mDirectory.NoteOutage(mClock.Now());
+    mDirectory.Expire(mClock.Now());
+  }
+  EXPECT_EQ(IdsOf(mDirectory), Ids{ "b" });
+}
+
 TEST_F(GivenADirectory, ARestartedEndpointReplacesItsFormerEntry)
 {
   mDirectory.Put(Endpoint("c", "1:1", 9), mClock.Now());
@@ -80,7 +183,12 @@
 class WhoseListWasUnavailable : public GivenADirectory
 {
 protected:
-  WhoseListWasUnavailable() { mDirectory.NoteOutage(mClock.Now()); }
+  WhoseListWasUnavailable()
+  {
+    mDirectory.NoteFailure(mClock.Now(), mClock.Now());
+    mClock.Advance(kShortestEntryLifetime);
+    EXPECT_TRUE(mDirectory.NoteAnswer(mClock.Now()));
+  }
 };
 
 TEST_F(WhoseListWasUnavailable, AnExpiredEntryStaysUntilTheGraceHasPassed)
@@ -115,7 +223,7 @@
     mClock.Advance(400ms);
     mDirectory.NoteAnswer(mClock.Now());
     mClock.Advance(100ms);
-    mDirectory.NoteOutage(mClock.Now());
+    mDirectory.NoteFailure(mClock.Now(), mClock.Now());
     mDirectory.Expire(mClock.Now());
   }
   EXPECT_EQ(IdsOf(mDirectory), Ids{ "b" });
@@ -126,10 +234,11 @@
   mDirectory.Remove("a", mClock.Now());
   for (int i = 0; i < 10; ++i) {
     mClock.Advance(1s);
-    mDirectory.NoteOutage(mClock.Now());
+    mDirectory.NoteFailure(mClock.Now(), mClock.Now());
     mDirectory.Expire(mClock.Now());
   }
   EXPECT_EQ(IdsOf(mDirectory), (Ids{ "a", "b" }));
+  EXPECT_FALSE(mDirectory.NextRemoval(mClock.Now()));
   mDirectory.NoteAnswer(mClock.Now());
   mClock.Advance(kExpiredEntryGrace);
   mDirectory.Expire(mClock.Now());
