A stream is resumed only at a version that somebody has followed for its life

Reported by another operator: after all relays were killed while one version replaced another, streams were taken up with 200 and joined from two versions (ORDER).

Cause: a stream that begins while one version is listed has no record. A relay that starts asks companions for the versions that they have seen; those that restarted too, or began with the new servers, have seen the new one only, and were believed. Without companions the relay believed its own list.

Change: a companion's reply reports whether it has followed the list for as long as a stream may last, and one of those that agree must have; a relay without companions must have itself. Meanwhile a relay has records written, so that streams which begin after a restart go on. A reply without the new field counts as that of a companion that has just started.

The model of stream records excused this state; the excuse is gone, and its checker finds restarted companions that are trusted.

--- a/packages/coordination/src/streams/relay_streams.cpp
+++ b/packages/coordination/src/streams/relay_streams.cpp
@@ -97,6 +97,16 @@
     return age < kMaxListAge ? OnlyVersion(aStream) : std::nullopt;
   }
 
+  /// The same, if this relay has followed the list for as long as the stream
+  /// may last: one that started meanwhile did not see a version that was
+  /// removed.
+  std::optional<std::string> KnownOnlyVersion(const StreamKey& aStream) const
+  {
+    return mVersions.HasFollowedFor(aStream.mLifetime, Now())
+             ? CurrentOnlyVersion(aStream)
+             : std::nullopt;
+  }
+
   /// Remembers a record of this relay. Beyond the limit any other is forgotten.
   OwnRecord& Remember(const StreamKey& aStream, const std::string& aVersion)
   {
@@ -222,7 +232,7 @@
 {
   const auto shared = mShared;
   auto& own = shared->Remember(aStream, aVersion);
-  if (shared->CurrentOnlyVersion(aStream)) {
+  if (shared->KnownOnlyVersion(aStream)) {
     co_return;
   }
   const auto pending = shared->Write(own);
@@ -240,15 +250,10 @@
   if (own != shared->mOwn.end() && own->second.mUntil > shared->Now()) {
     co_return StreamLookup{ StreamKnowledge::kKnown, own->second.mVersion };
   }
-  const auto hosts = shared->mHolders.ForReading(aStream.mStream);
-  const auto only = shared->CurrentOnlyVersion(aStream);
-  // A relay that just started has not seen which versions were listed before.
-  const bool isHistoryKnown =
-    hosts.empty() ||
-    shared->mVersions.HasFollowedFor(aStream.mLifetime, shared->Now());
-  if (only && isHistoryKnown) {
+  if (const auto only = shared->KnownOnlyVersion(aStream)) {
     co_return StreamLookup{ StreamKnowledge::kKnown, *only };
   }
+  const auto hosts = shared->mHolders.ForReading(aStream.mStream);
   state::OriginEvidence evidence;
   if (dependencies.mFindStream && !hosts.empty()) {
     const auto pending = std::make_shared<Shared::PendingReplies>(
--- a/packages/protocol/src/codec_pack.cpp
+++ b/packages/protocol/src/codec_pack.cpp
@@ -519,7 +519,8 @@
            static_cast<std::uint8_t>(reply.mLookup.mKnowledge),
            version,
            reply.mOnlyVersion.has_value(),
-           only)
+           only,
+           reply.mIsHistoryKnown)
     .Union();
 }
 
--- a/packages/protocol/src/codec_unpack.cpp
+++ b/packages/protocol/src/codec_unpack.cpp
@@ -490,6 +490,7 @@
   if (aWire.has_only()) {
     reply.mReply.mOnlyVersion = TextOf(aWire.only_version());
   }
+  reply.mReply.mIsHistoryKnown = aWire.is_history_known();
   return reply;
 }
 
--- a/packages/protocol/tests/codec_test.cpp
+++ b/packages/protocol/tests/codec_test.cpp
@@ -230,10 +230,11 @@
   EXPECT_EQ(query.mStream, 7U);
   EXPECT_EQ(query.mService, "service");
   const auto reply = RoundTrip(
-    StreamReply{ 5, { { state::StreamKnowledge::kKnown, "v1" }, "v2" } });
+    StreamReply{ 5, { { state::StreamKnowledge::kKnown, "v1" }, "v2", true } });
   EXPECT_EQ(reply.mReply.mLookup.mVersion, "v1");
   EXPECT_EQ(reply.mReply.mLookup.mKnowledge, state::StreamKnowledge::kKnown);
   EXPECT_EQ(reply.mReply.mOnlyVersion, "v2");
+  EXPECT_TRUE(reply.mReply.mIsHistoryKnown);
   EXPECT_FALSE(RoundTrip(StreamReply{}).mReply.mOnlyVersion);
 }
 
--- a/packages/state/include/shuntjunction/state/streams/stream_origin.h
+++ b/packages/state/include/shuntjunction/state/streams/stream_origin.h
@@ -16,6 +16,9 @@
   /// The one version of the stream's service for as long as a stream may last,
   /// as the companion's list shows; empty: there were several.
   std::optional<std::string> mOnlyVersion;
+  /// Whether it has followed the list for that long; otherwise it may not have
+  /// seen a version that was removed.
+  bool mIsHistoryKnown = false;
 };
 
 /// What a relay has learned of the origin of a stream.
@@ -29,8 +32,10 @@
 /// Version at which a stream began.
 ///
 /// Without a record it is known only where the relay and all companions that
-/// replied have had one and the same version listed, and one did reply: the
-/// relay's own list may be outdated.
+/// replied have had one and the same version listed, and one of these has
+/// followed the list for as long as a stream may last: the relay's own list may
+/// be outdated, and processes that started meanwhile did not see what the
+/// stream began with.
 /// Thread safety: pure.
 StreamLookup
 JudgeOrigin(const OriginEvidence& aEvidence);
--- a/packages/state/include/shuntjunction/state/streams/stream_registry.h
+++ b/packages/state/include/shuntjunction/state/streams/stream_registry.h
@@ -38,7 +38,8 @@
                    TimePoint aNow) const
   {
     return { mRecords.Find(aStream, aNow),
-             mVersions.OnlyVersion(aService, aLifetime, aNow) };
+             mVersions.OnlyVersion(aService, aLifetime, aNow),
+             mVersions.HasFollowedFor(aLifetime, aNow) };
   }
 
   /// Number of records that are held.
--- a/packages/state/src/streams/stream_origin.cpp
+++ b/packages/state/src/streams/stream_origin.cpp
@@ -24,8 +24,12 @@
     return judged;
   }
   const auto& replies = aEvidence.mReplies;
+  const bool isHistoryKnown =
+    std::any_of(replies.begin(), replies.end(), [](const auto& aReply) {
+      return aReply.mIsHistoryKnown;
+    });
   const bool isAgreed =
-    aEvidence.mOnlyVersion && !replies.empty() &&
+    aEvidence.mOnlyVersion && isHistoryKnown &&
     std::all_of(replies.begin(), replies.end(), [&](const auto& aReply) {
       return aReply.mOnlyVersion == aEvidence.mOnlyVersion;
     });
--- a/packages/state/tests/streams/stream_records_model_test.cpp
+++ b/packages/state/tests/streams/stream_records_model_test.cpp
@@ -81,6 +81,7 @@
   bool mGuesses = false;       ///< an unknown origin is any listed version
   bool mTrustsOwnList = false; ///< however short it was followed
   bool mTrustsOutdatedList = false;
+  bool mTrustsRestartedCompanions = false;
 };
 
 class Model
@@ -212,7 +213,9 @@
                               kVersions[static_cast<std::size_t>(
                                 aWorld.mOrigin)] }
               : StreamLookup{},
-            companion.mSight.OnlyVersion() });
+            companion.mSight.OnlyVersion(),
+            !companion.mSight.mHasRestarted ||
+              mMutation.mTrustsRestartedCompanions });
       }
     }
     auto found = JudgeOrigin(evidence);
@@ -223,19 +226,6 @@
     return found;
   }
 
-  /// Whether the relay and all companions that reply were restarted within the
-  /// life of the stream: none of them knows which versions were listed before.
-  static bool IsHistoryLost(const World& aWorld, unsigned aReached)
-  {
-    bool isLost = aWorld.mSecond.mHasRestarted;
-    for (unsigned i = 0; i < 2; ++i) {
-      const bool isReached = (aReached & (1U << i)) != 0;
-      isLost =
-        isLost && (!isReached || aWorld.mCompanions[i].mSight.mHasRestarted);
-    }
-    return isLost;
-  }
-
   void Check(const World& aWorld)
   {
     if (aWorld.mOrigin < 0) {
@@ -243,9 +233,6 @@
     }
     const bool isFresh = aWorld.mSecond.mNow == aWorld.mListing;
     for (unsigned reached = 0; reached < 4; ++reached) {
-      if (IsHistoryLost(aWorld, reached)) {
-        continue;
-      }
       const auto found = Find(aWorld, reached, isFresh);
       const bool isKnown = found.mKnowledge == StreamKnowledge::kKnown;
       const auto origin = static_cast<std::size_t>(aWorld.mOrigin);
@@ -291,6 +278,11 @@
   EXPECT_GT(Model({ .mTrustsOwnList = true }).Explore(), 0);
 }
 
+TEST(TheModelOfStreamRecords, TheCheckerFindsRestartedCompanionsThatAreTrusted)
+{
+  EXPECT_GT(Model({ .mTrustsRestartedCompanions = true }).Explore(), 0);
+}
+
 TEST(TheModelOfStreamRecords, TheCheckerFindsAnOutdatedListThatIsTrusted)
 {
   EXPECT_GT(Model({ .mTrustsOutdatedList = true }).Explore(), 0);
--- a/packages/state/tests/streams/stream_records_test.cpp
+++ b/packages/state/tests/streams/stream_records_test.cpp
@@ -3,6 +3,7 @@
 #include "shuntjunction/state/streams/listed_versions.h"
 #include "shuntjunction/state/streams/stream_holders.h"
 #include "shuntjunction/state/streams/stream_records.h"
+#include "shuntjunction/state/streams/stream_registry.h"
 
 // Tests which software version a stream is known to have begun at.
 
@@ -73,6 +74,30 @@
   EXPECT_EQ(OnlyVersion(Millis(61000)), "v2");
 }
 
+class GivenACompanionThatStarted : public ::testing::Test
+{
+protected:
+  /// What a relay takes for the origin of a stream if only this companion
+  /// replies, at a time after the companion's start.
+  StreamLookup Judge(Millis aAfter)
+  {
+    OriginEvidence evidence;
+    evidence.mOnlyVersion = "v2";
+    evidence.mReplies = { mRegistry.Find(
+      1, "s", Millis(10000), kStart + aAfter) };
+    return JudgeOrigin(evidence);
+  }
+
+  StreamRegistry mRegistry{ StreamRecordSettings{} };
+};
+
+TEST_F(GivenACompanionThatStarted, ItKnowsTheVersionsOnceNoEarlierStreamIsLeft)
+{
+  mRegistry.Update({ Endpoint("10.0.0.1", "a", "v2") }, kStart);
+  EXPECT_EQ(Judge(Millis(9999)).mKnowledge, StreamKnowledge::kUnknown);
+  EXPECT_EQ(Judge(Millis(10000)).mVersion, "v2");
+}
+
 class GivenRecords : public ::testing::Test
 {
 protected:
