Tests: answers that end in their head

Reported by another operator: replicas that stopped within an answer's head and closed gave callers a 200 with an empty body, framed as whole. That can not happen here: only a complete head is evaluated, by the relay and by the client of the store and of engines.

--- a/packages/transport/tests/http_client_test.cpp
+++ b/packages/transport/tests/http_client_test.cpp
@@ -158,5 +158,43 @@
   ExpectClosed();
 }
 
+/// A server that closes within the head of its response.
+class GivenAServerThatStopsInTheHead : public GivenAServerThatSendsWithoutEnd
+{
+protected:
+  /// Calls a function for each beginning of a head that is sent and followed by
+  /// an orderly close.
+  void ForEachBeginning(const std::function<void()>& aExchange)
+  {
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: a/b\r\n"
+                             "Content-Length: 0\r\n\r\n";
+    for (std::size_t at = 0; at < head.size(); ++at) {
+      SCOPED_TRACE("cut at " + std::to_string(at));
+      mAcceptor = *Listen(mContext, { "127.0.0.1", 0 });
+      const auto serve = [](GivenAServerThatStopsInTheHead* aSelf,
+                            std::string aText) -> Task<void> {
+        auto [error, socket] =
+          co_await aSelf->mAcceptor->async_accept(kAsTuple);
+        std::string request;
+        co_await asio::async_read_until(
+          socket, asio::dynamic_buffer(request), "\r\n\r\n", kAsTuple);
+        co_await asio::async_write(socket, asio::buffer(aText), kAsTuple);
+      };
+      Spawn(mContext, serve(this, head.substr(0, at)));
+      aExchange();
+    }
+  }
+};
+
+TEST_F(GivenAServerThatStopsInTheHead, ACallFails)
+{
+  ForEachBeginning([this] { EXPECT_TRUE(FailsToSend()); });
+}
+
+TEST_F(GivenAServerThatStopsInTheHead, AStreamFails)
+{
+  ForEachBeginning([this] { EXPECT_TRUE(FailsToRead()); });
+}
+
 } // namespace
 } // namespace shuntjunction::transport
