--- a/packages/transport/include/shuntjunction/transport/http_client.h
+++ b/packages/transport/include/shuntjunction/transport/http_client.h
@@ -102,8 +102,9 @@
   /// Sends a request and reads the complete response.
   ///
   /// @return kUnavailable when no connection could be opened, so that nothing
-  ///         was sent; kTimeout when the request may have been sent and its
-  ///         effect is unknown
+  ///         was sent; kTooLarge when it was answered by more than
+  ///         aMaxResponseBytes; kTimeout when the request may have been sent
+  ///         and its effect is unknown
   Task<state::Result<HttpResponse>> Send(HttpRequest aRequest,
                                          CallTimeouts aTimeouts);
 
--- a/packages/transport/src/http_client.cpp
+++ b/packages/transport/src/http_client.cpp
@@ -212,7 +212,8 @@
     const auto [readError, read] = co_await http::async_read_some(
       stream, aConnection->mBuffer, parser, kAsTuple);
     if (readError) {
-      co_return Fail(ErrorCode::kTimeout,
+      const bool isTooLarge = readError == http::error::body_limit;
+      co_return Fail(isTooLarge ? ErrorCode::kTooLarge : ErrorCode::kTimeout,
                      "http.receive",
                      mAddress.Text(),
                      readError.message());
--- a/packages/transport/tests/http_client_test.cpp
+++ b/packages/transport/tests/http_client_test.cpp
@@ -158,6 +158,23 @@
   ExpectClosed();
 }
 
+// Guards against a response that is too large taken for none.
+TEST_F(GivenAServerThatSendsWithoutEnd, AResponseBeyondTheLimitIsTooLarge)
+{
+  for (const auto& head : { std::string("HTTP/1.1 200 OK\r\n"
+                                        "Content-Length: 1048577\r\n\r\n"),
+                            kChunkedHead + std::string("100001\r\n") }) {
+    SCOPED_TRACE(head);
+    mSent = 0;
+    Serve({ "", head, std::string(4096, 'x') });
+    HttpClient client(LocalAddress(*mAcceptor), 1 << 20);
+    const HttpRequest request;
+    const auto response = RunTask(mContext, client.Send(request, Millis(5000)));
+    ASSERT_FALSE(response.has_value());
+    EXPECT_EQ(response.error().mCode, state::ErrorCode::kTooLarge);
+  }
+}
+
 /// A server that closes within the head of its response.
 class GivenAServerThatStopsInTheHead : public GivenAServerThatSendsWithoutEnd
 {
