Streams that their callers don't name are resumed as before

Callers that don't name the request that began their stream can't be found in any record, so that nothing but the list tells.

Change: for these the list and the companions' agreement are enough, as before.

--- a/packages/coordination/src/streams/relay_stream_origin.cpp
+++ b/packages/coordination/src/streams/relay_stream_origin.cpp
@@ -22,11 +22,14 @@
 StreamKey
 RelayRun::KeyOfStream() const
 {
+  const bool isNamed =
+    mCall.mResumeAfter.empty() || !mCall.mResumedRequestId.empty();
   const auto& began = mCall.mResumedRequestId.empty() ? mCall.mRequestId
                                                       : mCall.mResumedRequestId;
   return { mService,
            state::PlacementHash(began),
-           mRoute->mTimeout + kResumeTime };
+           mRoute->mTimeout + kResumeTime,
+           isNamed };
 }
 
 Task<bool>
--- a/packages/coordination/src/streams/relay_streams.cpp
+++ b/packages/coordination/src/streams/relay_streams.cpp
@@ -171,6 +171,7 @@
       co_await mDependencies.mFindStream(std::move(aHost), query);
     if (reply) {
       aPending->mReplies.push_back(*reply);
+      aPending->mReplies.back().mIsHistoryKnown |= !aStream.mIsNamed;
     }
     aPending->NoteReply(reply &&
                         reply->mLookup.mKnowledge != StreamKnowledge::kUnknown);
@@ -254,6 +255,10 @@
     co_return StreamLookup{ StreamKnowledge::kKnown, *only };
   }
   const auto hosts = shared->mHolders.ForReading(aStream.mStream);
+  const auto current = shared->CurrentOnlyVersion(aStream);
+  if (current && hosts.empty() && !aStream.mIsNamed) {
+    co_return StreamLookup{ StreamKnowledge::kKnown, *current };
+  }
   state::OriginEvidence evidence;
   if (dependencies.mFindStream && !hosts.empty()) {
     const auto pending = std::make_shared<Shared::PendingReplies>(
--- a/packages/coordination/src/streams/relay_streams.h
+++ b/packages/coordination/src/streams/relay_streams.h
@@ -22,6 +22,9 @@
   std::string mService;
   state::StreamHash mStream = 0;
   state::Millis mLifetime{ 0 }; ///< for which it may be resumed
+  /// Whether a caller that resumes it names the request that began it. If not,
+  /// no record can be found, and only the versions that were listed tell.
+  bool mIsNamed = true;
 };
 
 /// Records at which software version streams began, here and at companions, and
