Streams are resumed by a stored history of their service's versions

Cause: what began a stream was known to processes only, and callers that do not name it are in no record. The same held for an outage: a process that missed changes still counted as one that had followed the list.

Change: the store holds the versions at which streams of a service may have begun. Without a record, and where no process has followed the list for that long, a stream is resumed only if the history has no other version than the list. After an outage, a history of the store that was gone or a dead watch a process counts as one that follows the list since then, and reads the history again.

The model of stream records has the history; its checker finds streams that begin before their version is recorded, and versions that are removed too early.

--- a/packages/coordination/include/shuntjunction/coordination/relay.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay.h
@@ -11,6 +11,7 @@
 #include "shuntjunction/coordination/relay_settings.h"
 #include "shuntjunction/protocol/messages.h"
 #include "shuntjunction/state/rollout/rollout_evidence.h"
+#include "shuntjunction/state/streams/version_history.h"
 
 /// Accepts callers' requests and forwards each to an endpoint of its route.
 namespace shuntjunction::coordination {
@@ -106,6 +107,14 @@
   /// Applies newer confirmations of the view that was applied last.
   void Confirm(const ViewFreshness& aFreshness);
 
+  /// Applies the history of a service's software versions, as the store holds
+  /// it.
+  ///
+  /// @pre  it was read after the list of the view that was applied last
+  void ApplyVersionHistory(
+    const std::string& aService,
+    const std::optional<state::VersionHistory>& aHistory);
+
   /// Until when each version of a model's weights was the newest, as far as
   /// this relay knows.
   std::vector<state::WeightsConfirmation> ConfirmWeights(
--- a/packages/coordination/include/shuntjunction/coordination/relay_codec.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay_codec.h
@@ -12,6 +12,7 @@
 #include "shuntjunction/state/request_digest.h"
 #include "shuntjunction/state/rollout/rollout.h"
 #include "shuntjunction/state/streams/run_end.h"
+#include "shuntjunction/state/streams/version_history.h"
 #include "shuntjunction/transport/relay_message.h"
 
 /// Encoding of a platform's requests, answers and objects.
@@ -174,6 +175,18 @@
   virtual std::string WriteRolloutStatus(
     const state::RolloutStatus& aStatus) const = 0;
 
+  /// Prefix of the histories of software versions, each named by its service.
+  virtual std::string VersionHistoryPrefix() const = 0;
+
+  /// Encodes the history of a service.
+  virtual std::string WriteVersionHistory(
+    const state::VersionHistory& aHistory) const = 0;
+
+  /// Reads the history of a service.
+  virtual state::Result<state::VersionHistory> ReadVersionHistory(
+    std::string_view aKey,
+    std::string_view aText) const = 0;
+
   /// Encodes the object that states until when a request is quarantined, in
   /// Unix milliseconds.
   virtual std::string WriteQuarantine(std::int64_t aUntilMillis) const = 0;
--- a/packages/coordination/include/shuntjunction/coordination/relay_feed.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay_feed.h
@@ -217,6 +217,8 @@
   bool NoteStoreFailure(state::TimePoint aSince);
   /// Records that a call was answered, before its answer is applied.
   void NoteStoreAnswer();
+  /// Records that an answer about a kind of objects was applied.
+  void NoteFollowed(const Topic& aTopic);
   std::int64_t MillisSince(state::TimePoint aTime) const;
   void NoteSuccess(Topic& aTopic);
   /// Cancels the calls that have waited since before the last failure: a store
@@ -272,7 +274,11 @@
   state::EndpointDirectory mDirectory;
   state::Freshness mConfirmed;
   RelayView mView;
-  bool mIsWatching = false;        ///< see BeginWatching
+  bool mIsWatching = false; ///< see BeginWatching
+  /// Whether changes of the endpoints may have been missed since the last
+  /// answer about them.
+  bool mHasEndpointGap = true;
+  std::optional<state::TimePoint> mEndpointsSince; ///< see ViewFreshness
   state::TimePoint mLastFailureAt; ///< time of the last failed call
   /// Until when an outage lasted that another process reported.
   state::TimePoint mMirroredOutageAt;
--- a/packages/coordination/include/shuntjunction/coordination/relay_settings.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay_settings.h
@@ -68,6 +68,8 @@
   std::string mPlatform; ///< address of the store
   /// Shortest time after which the store drops an entry that is not renewed.
   state::Millis mShortestEntryLifetime{ state::kShortestEntryLifetime };
+  /// Whether the whole system starts for the first time.
+  bool mIsFirstStart = false;
   std::string mEngine; ///< companion: address of the engine beside it
   /// Memory limit of this process.
   std::int64_t mMemoryBytes = 256L * 1024 * 1024;
--- a/packages/coordination/include/shuntjunction/coordination/view_freshness.h
+++ b/packages/coordination/include/shuntjunction/coordination/view_freshness.h
@@ -32,6 +32,9 @@
   ConfirmedAt mConfig;
   ConfirmedAt mEndpoints;
   ConfirmedAt mRollouts;
+  /// Since when no change of the endpoints was missed, neither in an outage of
+  /// the store nor because its history was gone; empty: none was read.
+  ConfirmedAt mEndpointsSince;
   std::uint64_t mEndpointsRevision = 0; ///< up to which endpoints are known
   std::uint64_t mStoreRevision = 0;     ///< highest known of the store
 };
--- a/packages/coordination/src/fleet_daemon.cpp
+++ b/packages/coordination/src/fleet_daemon.cpp
@@ -18,6 +18,7 @@
 #include "shuntjunction/coordination/quarantine_writer.h"
 #include "shuntjunction/coordination/relay.h"
 #include "shuntjunction/coordination/rollout_controller.h"
+#include "shuntjunction/coordination/version_history_writer.h"
 #include "shuntjunction/coordination/weights_controller.h"
 #include "shuntjunction/coordination/zone_mirror.h"
 
@@ -201,6 +202,19 @@
     mQuarantineWriter =
       std::make_unique<QuarantineWriter>(QuarantineWriterDependencies{
         mControl, mZoneMirror.Store(), mAdapter.mStoreCodec, mClock, mLog });
+    mVersionHistory =
+      std::make_unique<VersionHistoryWriter>(VersionHistoryWriterDependencies{
+        mControl,
+        mZoneMirror.Store(),
+        mAdapter.mStoreCodec,
+        mClock,
+        mLog,
+        mSettings.mIsFirstStart,
+        [this](const auto& aService, const auto& aHistory) {
+          asio::post(mTraffic, [this, service = aService, history = aHistory] {
+            mRelay->ApplyVersionHistory(service, history);
+          });
+        } });
     mRelay = std::make_unique<Relay>(RelayDependencies{
       mTraffic,
       mSettings,
@@ -472,6 +486,7 @@
     if (mWeightsController) {
       UpdateCompanions(aView->mEndpoints);
       mStreams.Update(aView->mEndpoints, mClock.Now());
+      Confirm(aView->mFreshness);
       mStoreReporter->ApplyView(aView);
       if (mRolloutController) {
         mRolloutController->ApplyView(aView);
@@ -480,12 +495,14 @@
       return;
     }
     mQuarantineWriter->ApplyView(aView);
-    asio::post(mTraffic, [this, view = std::move(aView)]() mutable {
+    asio::post(mTraffic, [this, view = aView]() mutable {
       const bool wasReady = mRelay->IsReady();
       mNewsClient->Follow(view->mEndpoints);
       mRelay->ApplyView(std::move(view));
       NoteReadiness(wasReady);
     });
+    // Histories that it reads reach the traffic thread after the view.
+    mVersionHistory->ApplyView(std::move(aView));
   }
 
   /// On the control thread: the view distributed last was confirmed. The
@@ -493,6 +510,9 @@
   void Confirm(const ViewFreshness& aFreshness)
   {
     if (!mRelay) {
+      if (aFreshness.mEndpointsSince) {
+        mStreams.FollowSince(*aFreshness.mEndpointsSince);
+      }
       return;
     }
     asio::post(mTraffic, [this, aFreshness] {
@@ -500,6 +520,7 @@
       mRelay->Confirm(aFreshness);
       NoteReadiness(wasReady);
     });
+    mVersionHistory->Confirm(aFreshness);
   }
 
   /// On the traffic thread: notes that the relay has become ready.
@@ -605,6 +626,7 @@
   ZoneMirror mZoneMirror;
   RelayFeed mFeed;
   std::unique_ptr<QuarantineWriter> mQuarantineWriter;
+  std::unique_ptr<VersionHistoryWriter> mVersionHistory;
   std::unique_ptr<Relay> mRelay;
   std::unique_ptr<EngineNewsClient> mNewsClient;
   std::unique_ptr<state::LimitShares> mShares;
--- a/packages/coordination/src/relay.cpp
+++ b/packages/coordination/src/relay.cpp
@@ -357,6 +357,14 @@
 Relay::Confirm(const ViewFreshness& aFreshness)
 {
   mCore->mFreshness = aFreshness;
+  mCore->mStreams.ApplyFreshness();
+}
+
+void
+Relay::ApplyVersionHistory(const std::string& aService,
+                           const std::optional<state::VersionHistory>& aHistory)
+{
+  mCore->mStreams.ApplyHistory(aService, aHistory);
 }
 
 std::vector<state::WeightsConfirmation>
--- a/packages/coordination/src/relay_feed.cpp
+++ b/packages/coordination/src/relay_feed.cpp
@@ -308,6 +308,7 @@
   if (aTopic.mConfirmsConfig) {
     mConfirmed.Confirm(askedAt);
   }
+  NoteFollowed(aTopic);
   NoteRevision(aTopic, list->mRevision, askedAt);
   mLog.Write(EventLine(kFeedComponent, "list-read")
                .Add("objects", aTopic.mPrefix)
@@ -332,6 +333,7 @@
   NoteStoreAnswer();
   if (answer->mIsGap) {
     aTopic.mIsListed = false;
+    mHasEndpointGap |= &aTopic == mEndpointTopic.get();
     mLog.Write(EventLine(kFeedComponent, "watch-gap")
                  .Add("objects", aTopic.mPrefix)
                  .Add("revision", aTopic.mRevision));
@@ -352,6 +354,7 @@
   if (aTopic.mConfirmsConfig) {
     mConfirmed.Confirm(askedAt);
   }
+  NoteFollowed(aTopic);
   NoteRevision(aTopic, answer->mRevision, askedAt);
   if (answer->mChanges.empty()) {
     PublishFreshness();
@@ -380,6 +383,7 @@
     mMirroredOutageAt = *aSource->mOutageAt;
     mLastFailureAt = std::max(mLastFailureAt, mMirroredOutageAt);
     mDirectory.NoteOutage(mMirroredOutageAt);
+    mHasEndpointGap = true;
   }
   return aSource->mAsOf;
 }
@@ -454,6 +458,16 @@
   const auto now = mClock.Now();
   if (mDirectory.NoteAnswer(now)) {
     mMirror.NoteOutage(now);
+    mHasEndpointGap = true;
+  }
+}
+
+void
+RelayFeed::NoteFollowed(const Topic& aTopic)
+{
+  if (&aTopic == mEndpointTopic.get() &&
+      std::exchange(mHasEndpointGap, false)) {
+    mEndpointsSince = mClock.Now();
   }
 }
 
@@ -500,11 +514,8 @@
 RelayFeed::CurrentFreshness() const
 {
   const auto& endpoints = mEndpointTopic->mFreshness;
-  return { mConfirmed.At(),
-           endpoints.At(),
-           mRolloutTopic->mFreshness.At(),
-           endpoints.Known(),
-           endpoints.Store() };
+  return { mConfirmed.At(), endpoints.At(),    mRolloutTopic->mFreshness.At(),
+           mEndpointsSince, endpoints.Known(), endpoints.Store() };
 }
 
 } // namespace shuntjunction::coordination
--- a/packages/coordination/src/relay_feed_liveness.cpp
+++ b/packages/coordination/src/relay_feed_liveness.cpp
@@ -130,6 +130,8 @@
   askedAt = NoteSource(list->mMirrorFreshness, askedAt);
   const auto before = aTopic.mRevision;
   const bool isNews = ApplyList(aTopic, *list);
+  mHasEndpointGap |= isNews && &aTopic == mEndpointTopic.get();
+  NoteFollowed(aTopic);
   aTopic.mFreshness.NoteListRevision(list->mRevision, askedAt);
   UpdateMirror();
   if (!isNews) {
--- a/packages/coordination/src/streams/relay_stream_origin.cpp
+++ b/packages/coordination/src/streams/relay_stream_origin.cpp
@@ -12,24 +12,14 @@
 using state::StreamKnowledge;
 using transport::Task;
 
-namespace {
-
-/// From the end of a request until its caller has resumed its stream.
-constexpr Millis kResumeTime{ 10000 };
-
-} // namespace
-
 StreamKey
 RelayRun::KeyOfStream() const
 {
-  const bool isNamed =
-    mCall.mResumeAfter.empty() || !mCall.mResumedRequestId.empty();
   const auto& began = mCall.mResumedRequestId.empty() ? mCall.mRequestId
                                                       : mCall.mResumedRequestId;
   return { mService,
            state::PlacementHash(began),
-           mRoute->mTimeout + kResumeTime,
-           isNamed };
+           mRoute->mTimeout + state::kStreamResumeTime };
 }
 
 Task<bool>
--- a/packages/coordination/src/streams/relay_streams.cpp
+++ b/packages/coordination/src/streams/relay_streams.cpp
@@ -1,6 +1,7 @@
 #include "streams/relay_streams.h"
 
 #include <algorithm>
+#include <list>
 
 namespace shuntjunction::coordination {
 
@@ -107,6 +108,43 @@
              : std::nullopt;
   }
 
+  /// The one version of a service's stored history; empty: it has several, or
+  /// was not read.
+  std::optional<std::string> StoredVersion(const std::string& aService) const
+  {
+    const auto found = mHistories.find(aService);
+    return found == mHistories.end() ? std::nullopt
+                                     : state::OnlyVersionOf(found->second);
+  }
+
+  /// Whether the stored history and a current list have one version alone.
+  bool HasOnlyStoredVersion(const StreamKey& aStream) const
+  {
+    const auto current = CurrentOnlyVersion(aStream);
+    return current && current == StoredVersion(aStream.mService);
+  }
+
+  /// Whether a version is missing in the stored history of its service.
+  bool IsUnrecorded(const std::string& aService,
+                    const std::string& aVersion) const
+  {
+    const auto found = mHistories.find(aService);
+    return found != mHistories.end() && !found->second.contains(aVersion);
+  }
+
+  /// Waits until a version is in the stored history, but not beyond a time.
+  Task<void> AwaitRecorded(std::string aService,
+                           std::string aVersion,
+                           TimePoint aUntil)
+  {
+    while (IsUnrecorded(aService, aVersion) && Now() < aUntil) {
+      const auto timer = mHistoryWaiters.emplace(
+        mHistoryWaiters.end(), mDependencies.mContext, aUntil - Now());
+      co_await timer->async_wait(transport::kAsTuple);
+      mHistoryWaiters.erase(timer);
+    }
+  }
+
   /// Remembers a record of this relay. Beyond the limit any other is forgotten.
   OwnRecord& Remember(const StreamKey& aStream, const std::string& aVersion)
   {
@@ -171,7 +209,6 @@
       co_await mDependencies.mFindStream(std::move(aHost), query);
     if (reply) {
       aPending->mReplies.push_back(*reply);
-      aPending->mReplies.back().mIsHistoryKnown |= !aStream.mIsNamed;
     }
     aPending->NoteReply(reply &&
                         reply->mLookup.mKnowledge != StreamKnowledge::kUnknown);
@@ -198,6 +235,10 @@
   state::ListedVersions mVersions;
   state::StreamHolders mHolders{ {} };
   std::map<StreamHash, OwnRecord> mOwn;
+  /// Stored histories that were read since the last gap in the list.
+  std::map<std::string, state::VersionHistory, std::less<>> mHistories;
+  ConfirmedAt mFollowedSince;
+  std::list<transport::Timer> mHistoryWaiters;
 };
 
 RelayStreams::RelayStreams(const RelayDependencies& aDependencies,
@@ -222,6 +263,32 @@
   }
 }
 
+void
+RelayStreams::ApplyFreshness()
+{
+  const auto since = mShared->mFreshness.mEndpointsSince;
+  if (!since || since == mShared->mFollowedSince) {
+    return;
+  }
+  mShared->mFollowedSince = since;
+  mShared->mVersions.FollowSince(*since);
+  mShared->mHistories.clear();
+}
+
+void
+RelayStreams::ApplyHistory(const std::string& aService,
+                           const std::optional<state::VersionHistory>& aHistory)
+{
+  if (aHistory) {
+    mShared->mHistories[aService] = *aHistory;
+  } else {
+    mShared->mHistories.erase(aService);
+  }
+  for (auto& timer : mShared->mHistoryWaiters) {
+    timer.cancel();
+  }
+}
+
 void
 RelayStreams::HandleHolderLost(const std::string& aHost)
 {
@@ -233,13 +300,16 @@
 {
   const auto shared = mShared;
   auto& own = shared->Remember(aStream, aVersion);
-  if (shared->KnownOnlyVersion(aStream)) {
+  if (shared->KnownOnlyVersion(aStream) ||
+      shared->HasOnlyStoredVersion(aStream)) {
     co_return;
   }
+  const auto until = shared->Now() + kRecordTimeout;
   const auto pending = shared->Write(own);
   if (pending) {
     co_await pending->Wait();
   }
+  co_await shared->AwaitRecorded(aStream.mService, aVersion, until);
 }
 
 Task<StreamLookup>
@@ -255,10 +325,6 @@
     co_return StreamLookup{ StreamKnowledge::kKnown, *only };
   }
   const auto hosts = shared->mHolders.ForReading(aStream.mStream);
-  const auto current = shared->CurrentOnlyVersion(aStream);
-  if (current && hosts.empty() && !aStream.mIsNamed) {
-    co_return StreamLookup{ StreamKnowledge::kKnown, *current };
-  }
   state::OriginEvidence evidence;
   if (dependencies.mFindStream && !hosts.empty()) {
     const auto pending = std::make_shared<Shared::PendingReplies>(
@@ -272,6 +338,7 @@
     evidence.mReplies = pending->mReplies;
   }
   evidence.mOnlyVersion = shared->CurrentOnlyVersion(aStream);
+  evidence.mStoredVersion = shared->StoredVersion(aStream.mService);
   co_return state::JudgeOrigin(evidence);
 }
 
--- a/packages/coordination/src/streams/relay_streams.h
+++ b/packages/coordination/src/streams/relay_streams.h
@@ -22,16 +22,15 @@
   std::string mService;
   state::StreamHash mStream = 0;
   state::Millis mLifetime{ 0 }; ///< for which it may be resumed
-  /// Whether a caller that resumes it names the request that began it. If not,
-  /// no record can be found, and only the versions that were listed tell.
-  bool mIsNamed = true;
 };
 
 /// Records at which software version streams began, here and at companions, and
 /// finds it again.
 ///
 /// Companions hold records only while a service has, or lately had, endpoints
-/// of several versions.
+/// of several versions. Callers that do not name the request which began their
+/// stream are in no record; for them, and after a restart of all, the stored
+/// history of the versions tells whether there was only one.
 /// Thread safety: none; owned by the traffic thread.
 class RelayStreams
 {
@@ -48,12 +47,21 @@
   /// appears, companions get the records of its streams that they do not have.
   void ApplyView(const RelayView& aView);
 
+  /// Applies the freshness of the view: after a gap in the list, what was
+  /// known of the versions before is not used.
+  void ApplyFreshness();
+
+  /// Applies the stored history of a service's versions; empty: there is none.
+  void ApplyHistory(const std::string& aService,
+                    const std::optional<state::VersionHistory>& aHistory);
+
   /// Has companions hold again, after a moment, the records that the one of a
   /// host held: it may be about to restart.
   void HandleHolderLost(const std::string& aHost);
 
   /// Records the version of a stream whose first event is about to be
-  /// forwarded; waits for a companion to hold it, if need be, and not for long.
+  /// forwarded; waits for a companion to hold it and for the version to be in
+  /// the stored history, if need be, and not for long.
   transport::Task<void> Record(StreamKey aStream, std::string aVersion);
 
   /// Finds the version at which a stream began; waits for companions only where
--- a/packages/state/include/shuntjunction/state/streams/listed_versions.h
+++ b/packages/state/include/shuntjunction/state/streams/listed_versions.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <set>
@@ -22,6 +23,12 @@
   /// Applies a list of endpoints.
   void Update(const std::vector<EndpointInfo>& aEndpoints, TimePoint aNow);
 
+  /// Notes that changes before a time may have been missed.
+  void FollowSince(TimePoint aTime)
+  {
+    mFollowedSince = std::max(mFollowedSince.value_or(aTime), aTime);
+  }
+
   /// The one version that a service's endpoints had for a time; empty if they
   /// had several, or if none is listed. This process may have run for less.
   ///
@@ -30,7 +37,14 @@
                                          Millis aTime,
                                          TimePoint aNow) const;
 
-  /// Whether lists were applied for a time.
+  /// The versions that a service's endpoints have, or had within a time.
+  ///
+  /// @param aTime  until now
+  std::set<std::string> Recent(std::string_view aService,
+                               Millis aTime,
+                               TimePoint aNow) const;
+
+  /// Whether lists were applied for a time without a gap.
   ///
   /// @param aTime  until now
   bool HasFollowedFor(Millis aTime, TimePoint aNow) const
--- a/packages/state/include/shuntjunction/state/streams/stream_origin.h
+++ b/packages/state/include/shuntjunction/state/streams/stream_origin.h
@@ -26,16 +26,19 @@
 {
   /// As OriginReply::mOnlyVersion, by the relay's own list.
   std::optional<std::string> mOnlyVersion;
+  /// The one version of the service's history in the platform's store; empty:
+  /// it has several, or was not read.
+  std::optional<std::string> mStoredVersion;
   std::vector<OriginReply> mReplies;
 };
 
 /// Version at which a stream began.
 ///
 /// Without a record it is known only where the relay and all companions that
-/// replied have had one and the same version listed, and one of these has
-/// followed the list for as long as a stream may last: the relay's own list may
-/// be outdated, and processes that started meanwhile did not see what the
-/// stream began with.
+/// replied have had one and the same version listed, and either one of these
+/// has followed the list for as long as a stream may last, or the stored
+/// history has no other version: the relay's own list may be outdated, and
+/// processes that started meanwhile did not see what the stream began with.
 /// Thread safety: pure.
 StreamLookup
 JudgeOrigin(const OriginEvidence& aEvidence);
--- a/packages/state/include/shuntjunction/state/streams/stream_registry.h
+++ b/packages/state/include/shuntjunction/state/streams/stream_registry.h
@@ -23,6 +23,9 @@
     mVersions.Update(aEndpoints, aNow);
   }
 
+  /// Notes that changes of the list before a time may have been missed.
+  void FollowSince(TimePoint aTime) { mVersions.FollowSince(aTime); }
+
   /// Holds a record for its lifetime.
   void Note(const StreamRecord& aRecord, TimePoint aNow)
   {
--- a/packages/state/src/streams/listed_versions.cpp
+++ b/packages/state/src/streams/listed_versions.cpp
@@ -56,4 +56,22 @@
                   : std::optional(*found->second.mListed.begin());
 }
 
+std::set<std::string>
+ListedVersions::Recent(std::string_view aService,
+                       Millis aTime,
+                       TimePoint aNow) const
+{
+  const auto found = mServices.find(aService);
+  if (found == mServices.end()) {
+    return {};
+  }
+  auto recent = found->second.mListed;
+  for (const auto& [version, removedAt] : found->second.mRemoved) {
+    if (aNow - removedAt < aTime) {
+      recent.insert(version);
+    }
+  }
+  return recent;
+}
+
 } // namespace shuntjunction::state
--- a/packages/state/tests/streams/stream_records_model_test.cpp
+++ b/packages/state/tests/streams/stream_records_model_test.cpp
@@ -7,9 +7,9 @@
 
 #include "shuntjunction/state/streams/stream_origin.h"
 
-// Explores all states of one stream, its record at two companions, and a relay
-// at which its caller resumes it, while processes restart, messages are lost
-// and a version replaces another.
+// Explores all states of one stream, its record at two companions, the stored
+// history of versions, and a relay at which its caller resumes it, while
+// processes restart, messages are lost and a version replaces another.
 
 namespace shuntjunction::state {
 namespace {
@@ -24,6 +24,16 @@
 
 constexpr std::array<const char*, 2> kVersions{ "v1", "v2" };
 
+/// A set of versions, one bit each; 0: no history is stored, or was read.
+using Versions = std::uint8_t;
+
+Versions
+VersionsOf(Listing aListing)
+{
+  constexpr std::array<Versions, 3> kListed{ 1, 3, 2 };
+  return kListed[static_cast<std::size_t>(aListing)];
+}
+
 /// What a process has seen of the list since its start.
 struct Sight
 {
@@ -71,6 +81,8 @@
   std::array<Companion, 2> mCompanions;
   int mOrigin = -1; ///< index of its version; -1: it has not begun
   bool mIsFirstAlive = true;
+  Versions mStored = 0; ///< the history in the store
+  Versions mRead = 0;   ///< as the second relay read it since its start
 
   auto operator<=>(const World&) const = default;
 };
@@ -82,6 +94,8 @@
   bool mTrustsOwnList = false; ///< however short it was followed
   bool mTrustsOutdatedList = false;
   bool mTrustsRestartedCompanions = false;
+  bool mBeginsUnrecorded = false; ///< at a version that is not in the history
+  bool mForgetsTooEarly = false;  ///< versions that are not listed any more
 };
 
 class Model
@@ -149,7 +163,18 @@
       });
     }
     add([](World& aNext) { aNext.mSecond.Learn(aNext.mListing); });
-    add([](World& aNext) { aNext.mSecond.Restart(aNext.mListing); });
+    add([](World& aNext) {
+      aNext.mSecond.Restart(aNext.mListing);
+      aNext.mRead = 0;
+    });
+    add([this](World& aNext) {
+      const auto listed = VersionsOf(aNext.mSecond.mNow);
+      aNext.mStored |= listed;
+      if (mMutation.mForgetsTooEarly) {
+        aNext.mStored = listed;
+      }
+    });
+    add([](World& aNext) { aNext.mRead = aNext.mStored; });
     for (unsigned i = 0; i < 2; ++i) {
       add([i](World& aNext) {
         aNext.mCompanions[i].mSight.Learn(aNext.mListing);
@@ -171,6 +196,9 @@
     auto killed = aWorld;
     killed.mIsFirstAlive = false;
     aNext.push_back(killed);
+    auto stored = aWorld;
+    stored.mStored |= VersionsOf(stored.mFirst.mNow);
+    aNext.push_back(stored);
     // Any of the writes may be lost.
     for (unsigned reached = 0; reached < 4; ++reached) {
       auto learned = aWorld;
@@ -180,7 +208,9 @@
       }
       aNext.push_back(learned);
       for (int version = 0; version < 2 && aWorld.mOrigin < 0; ++version) {
-        if (Has(aWorld.mFirst.mNow, version) && Has(aWorld.mListing, version)) {
+        const bool isRecorded = (aWorld.mStored & (1U << version)) != 0;
+        if (Has(aWorld.mFirst.mNow, version) && Has(aWorld.mListing, version) &&
+            (isRecorded || mMutation.mBeginsUnrecorded)) {
           auto begun = aWorld;
           begun.mOrigin = version;
           if (!begun.mFirst.OnlyVersion()) {
@@ -192,6 +222,14 @@
     }
   }
 
+  static std::optional<std::string> StoredVersion(Versions aRead)
+  {
+    if (aRead != 1 && aRead != 2) {
+      return std::nullopt;
+    }
+    return kVersions[aRead - 1U];
+  }
+
   /// What the second relay learns if it reaches some of the companions.
   StreamLookup Find(const World& aWorld, unsigned aReached, bool aIsFresh) const
   {
@@ -203,7 +241,7 @@
     if (only && isHistoryKnown) {
       return { StreamKnowledge::kKnown, *only };
     }
-    OriginEvidence evidence{ only, {} };
+    OriginEvidence evidence{ only, StoredVersion(aWorld.mRead), {} };
     for (unsigned i = 0; i < 2; ++i) {
       const auto& companion = aWorld.mCompanions[i];
       if ((aReached & (1U << i)) != 0) {
@@ -283,6 +321,16 @@
   EXPECT_GT(Model({ .mTrustsRestartedCompanions = true }).Explore(), 0);
 }
 
+TEST(TheModelOfStreamRecords, TheCheckerFindsAVersionThatIsNotRecorded)
+{
+  EXPECT_GT(Model({ .mBeginsUnrecorded = true }).Explore(), 0);
+}
+
+TEST(TheModelOfStreamRecords, TheCheckerFindsAVersionThatIsForgottenTooEarly)
+{
+  EXPECT_GT(Model({ .mForgetsTooEarly = true }).Explore(), 0);
+}
+
 TEST(TheModelOfStreamRecords, TheCheckerFindsAnOutdatedListThatIsTrusted)
 {
   EXPECT_GT(Model({ .mTrustsOutdatedList = true }).Explore(), 0);
--- a/packages/state/tests/streams/stream_records_test.cpp
+++ b/packages/state/tests/streams/stream_records_test.cpp
@@ -4,6 +4,7 @@
 #include "shuntjunction/state/streams/stream_holders.h"
 #include "shuntjunction/state/streams/stream_records.h"
 #include "shuntjunction/state/streams/stream_registry.h"
+#include "shuntjunction/state/streams/version_history.h"
 
 // Tests which software version a stream is known to have begun at.
 
@@ -98,6 +99,33 @@
   EXPECT_EQ(Judge(Millis(10000)).mVersion, "v2");
 }
 
+class AfterARestartOfAllProcesses : public ::testing::Test
+{
+protected:
+  AfterARestartOfAllProcesses()
+  {
+    mEvidence.mOnlyVersion = "v2";
+    mEvidence.mReplies = { { {}, "v2", false } };
+  }
+
+  StreamKnowledge Judge(const VersionHistory& aHistory)
+  {
+    mEvidence.mStoredVersion = OnlyVersionOf(aHistory);
+    return JudgeOrigin(mEvidence).mKnowledge;
+  }
+
+  OriginEvidence mEvidence;
+};
+
+// Guards against a version that left before any of them started.
+TEST_F(AfterARestartOfAllProcesses, TheStoredHistoryTellsWhetherThereWasAnother)
+{
+  EXPECT_EQ(Judge({ { "v2", 5 } }), StreamKnowledge::kKnown);
+  EXPECT_EQ(Judge({ { "v1", 5 }, { "v2", 9 } }), StreamKnowledge::kUnknown);
+  EXPECT_EQ(Judge({ { "v1", 5 } }), StreamKnowledge::kUnknown);
+  EXPECT_EQ(Judge({}), StreamKnowledge::kUnknown);
+}
+
 class GivenRecords : public ::testing::Test
 {
 protected:
