Resumed streams wait until a relay that starts has read the versions

Change: such a request waits for both, for 500 ms at most, and is decided as soon as they are there.

StreamsWaitUntilItWasRead guards it.

--- a/packages/coordination/src/streams/relay_streams.cpp
+++ b/packages/coordination/src/streams/relay_streams.cpp
@@ -20,6 +20,10 @@
 /// Longer than a companion takes that has to be connected first.
 constexpr Millis kFindTimeout{ 250 };
 
+/// Within this time a relay that starts has read the list and the history of
+/// versions; callers resume streams as soon as it listens.
+constexpr Millis kStartTime{ 500 };
+
 /// A companion that restarts is connected again within this time.
 constexpr Millis kRenewalDelay{ 1500 };
 
@@ -113,8 +117,9 @@
   std::optional<std::string> StoredVersion(const std::string& aService) const
   {
     const auto found = mHistories.find(aService);
-    return found == mHistories.end() ? std::nullopt
-                                     : state::OnlyVersionOf(found->second);
+    return found == mHistories.end() || !found->second
+             ? std::nullopt
+             : state::OnlyVersionOf(*found->second);
   }
 
   /// Whether the stored history and a current list have one version alone.
@@ -129,7 +134,8 @@
                     const std::string& aVersion) const
   {
     const auto found = mHistories.find(aService);
-    return found != mHistories.end() && !found->second.contains(aVersion);
+    return found != mHistories.end() && found->second &&
+           !found->second->contains(aVersion);
   }
 
   /// Waits until a version is in the stored history, but not beyond a time.
@@ -138,10 +144,31 @@
                            TimePoint aUntil)
   {
     while (IsUnrecorded(aService, aVersion) && Now() < aUntil) {
-      const auto timer = mHistoryWaiters.emplace(
-        mHistoryWaiters.end(), mDependencies.mContext, aUntil - Now());
-      co_await timer->async_wait(transport::kAsTuple);
-      mHistoryWaiters.erase(timer);
+      co_await AwaitUpdate(aUntil);
+    }
+  }
+
+  /// Whether the list has not been read since this relay started, or the
+  /// history that decides about a stream not since the last gap in the list.
+  bool IsReading(const StreamKey& aStream) const
+  {
+    return !mFreshness.mEndpoints || (CurrentOnlyVersion(aStream) &&
+                                      !mHistories.contains(aStream.mService));
+  }
+
+  /// Waits until a view or history is applied, but not beyond a time.
+  Task<void> AwaitUpdate(TimePoint aUntil)
+  {
+    const auto timer =
+      mWaiters.emplace(mWaiters.end(), mDependencies.mContext, aUntil - Now());
+    co_await timer->async_wait(transport::kAsTuple);
+    mWaiters.erase(timer);
+  }
+
+  void WakeWaiters()
+  {
+    for (auto& timer : mWaiters) {
+      timer.cancel();
     }
   }
 
@@ -235,10 +262,12 @@
   state::ListedVersions mVersions;
   state::StreamHolders mHolders{ {} };
   std::map<StreamHash, OwnRecord> mOwn;
-  /// Stored histories that were read since the last gap in the list.
-  std::map<std::string, state::VersionHistory, std::less<>> mHistories;
+  /// Stored histories that were read since the last gap in the list; empty:
+  /// none is stored.
+  std::map<std::string, std::optional<state::VersionHistory>, std::less<>>
+    mHistories;
   ConfirmedAt mFollowedSince;
-  std::list<transport::Timer> mHistoryWaiters;
+  std::list<transport::Timer> mWaiters;
 };
 
 RelayStreams::RelayStreams(const RelayDependencies& aDependencies,
@@ -261,6 +290,7 @@
       mShared->Write(own);
     }
   }
+  mShared->WakeWaiters();
 }
 
 void
@@ -279,14 +309,8 @@
 RelayStreams::ApplyHistory(const std::string& aService,
                            const std::optional<state::VersionHistory>& aHistory)
 {
-  if (aHistory) {
-    mShared->mHistories[aService] = *aHistory;
-  } else {
-    mShared->mHistories.erase(aService);
-  }
-  for (auto& timer : mShared->mHistoryWaiters) {
-    timer.cancel();
-  }
+  mShared->mHistories[aService] = aHistory;
+  mShared->WakeWaiters();
 }
 
 void
@@ -321,6 +345,10 @@
   if (own != shared->mOwn.end() && own->second.mUntil > shared->Now()) {
     co_return StreamLookup{ StreamKnowledge::kKnown, own->second.mVersion };
   }
+  const auto until = shared->Now() + kStartTime;
+  while (!shared->mFreshness.mEndpoints && shared->Now() < until) {
+    co_await shared->AwaitUpdate(until);
+  }
   if (const auto only = shared->KnownOnlyVersion(aStream)) {
     co_return StreamLookup{ StreamKnowledge::kKnown, *only };
   }
@@ -337,9 +365,17 @@
     co_await pending->Wait();
     evidence.mReplies = pending->mReplies;
   }
-  evidence.mOnlyVersion = shared->CurrentOnlyVersion(aStream);
-  evidence.mStoredVersion = shared->StoredVersion(aStream.mService);
-  co_return state::JudgeOrigin(evidence);
+  while (true) {
+    evidence.mOnlyVersion = shared->CurrentOnlyVersion(aStream);
+    evidence.mStoredVersion = shared->StoredVersion(aStream.mService);
+    const auto judged = state::JudgeOrigin(evidence);
+    const bool mayChange = judged.mKnowledge == StreamKnowledge::kUnknown &&
+                           shared->IsReading(aStream) && shared->Now() < until;
+    if (!mayChange) {
+      co_return judged;
+    }
+    co_await shared->AwaitUpdate(until);
+  }
 }
 
 } // namespace shuntjunction::coordination
