--- a/packages/transport/tests/frame_channel_test.cpp
+++ b/packages/transport/tests/frame_channel_test.cpp
@@ -232,6 +232,7 @@
   const std::string longest("\x00\x00\x00\x01", 4); // kMaxFrameBytes
   const auto before = ResidentBytes();
   std::vector<SocketPtr> sockets;
+  sockets.reserve(kPeers);
   for (int i = 0; i < kPeers; ++i) {
     sockets.push_back(Run(Announce(longest)));
   }
