--- a/packages/coordination/src/streams/relay_streams.h
+++ b/packages/coordination/src/streams/relay_streams.h
@@ -29,8 +29,8 @@
 ///
 /// Companions hold records only while a service has, or lately had, endpoints
 /// of several versions. Callers that do not name the request which began their
-/// stream are in no record; for them, and after a restart of all, the stored
-/// history of the versions tells whether there was only one.
+/// stream are in no record. For them, and after a restart of all processes, the
+/// stored version history shows whether there was only one version.
 /// Thread safety: none; owned by the traffic thread.
 class RelayStreams
 {
--- a/packages/state/include/shuntjunction/state/streams/version_history.h
+++ b/packages/state/include/shuntjunction/state/streams/version_history.h
@@ -26,8 +26,8 @@
 
 /// Every version at which a stream may have begun that can still be resumed.
 ///
-/// Each with a platform revision at which a process had it listed: who has not
-/// had it listed since then removes it.
+/// Each with a platform revision at which a process had it listed. Only a
+/// process whose list is at least as new may remove it.
 using VersionHistory = std::map<std::string, std::uint64_t>;
 
 /// The only version of a history; empty if it has several, or none.
