--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -556,6 +556,7 @@
         super().__init__(host, 0)
         self.store, self.record = store, record
         self.service, self.zone = service, zone
+        self.work_s = 0.02
         self.ran = []  # (id of the request, bytes of its body)
 
     def start(self):
@@ -585,11 +586,17 @@
             self.record.write(
                 f"replica {self.id} runs {request_id}, a body of {len(request.body)} bytes"
             )
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(self.work_s)
             writer.write(answer(200, fields, b"done"))
         await writer.drain()
         return True
 
+    def crash(self):
+        """Its entry lapses after three heartbeats."""
+        self.record.write(f"replica {self.id} crashes")
+        asyncio.get_running_loop().call_later(3.6, self.store.remove, "servers", self.id)
+        self.close()
+
 
 # Clients.
 
@@ -604,10 +611,10 @@
         host, _, port = self.front.partition(":")
         self.reader, self.writer = await asyncio.open_connection(host, int(port))
 
-    async def send(self, request_id, path, body):
+    async def send(self, request_id, path, body, method="POST"):
         """Sends a request; returns the status of its answer."""
         head = (
-            f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\n"
+            f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n"
             f"X-Shuntjunction-Attempt-Id: {request_id}\r\n"
             f"X-Shuntjunction-Deadline-Ms: 3000\r\nContent-Length: {len(body)}\r\n\r\n"
         )
