--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -271,6 +271,8 @@
     def __init__(self, request_id, made_by):
         self.id = request_id
         self.made_by = made_by
+        self.is_first = len(made_by) == 1  # it does not go on from an event
+        self.has_begun = False
 
     @property
     def events(self):
@@ -382,7 +384,7 @@
         elif request.path == "/healthz":
             writer.write(answer(200, {"X-Shuntjunction-Replica-Id": self.id}))
         else:
-            return await self.work(request, writer)
+            return await self.work(request, reader, writer)
         await writer.drain()
         return True
 
@@ -462,7 +464,7 @@
             },
         )
 
-    async def work(self, request, writer):
+    async def work(self, request, reader, writer):
         expected = request.field("X-Shuntjunction-Expect-Version")
         if self.is_for_another(request) or (expected and int(expected) != self.version):
             self.record.write(
@@ -511,11 +513,20 @@
         await writer.drain()
         backup = request.field("X-Shuntjunction-Kv-Backup")
         copying = asyncio.ensure_future(self.copy(run, backup)) if backup else None
+        # It drops the request when its connection closes.
+        closing = asyncio.ensure_future(reader.read(1))
+        making = asyncio.ensure_future(self.make_events(request, run, first, writer))
         try:
-            await self.make_events(request, run, first, writer)
+            await asyncio.wait([closing, making], return_when=asyncio.FIRST_COMPLETED)
+            if not making.done():
+                self.record.write(f"replica {self.id} drops {request_id}: it was closed")
+                return False
+            making.result()
         finally:
-            if copying:
-                copying.cancel()
+            tasks = [task for task in (closing, making, copying) if task]
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
             if self.runs.get(request_id) is run:
                 del self.runs[request_id]
         if backup in self.fleet:
@@ -526,7 +537,7 @@
         tokens = int(request.field("X-Shuntjunction-Token-Counts").split(",")[1])
         version = self.version
         for number in range(first, tokens + 1):
-            await asyncio.sleep(self.gap_s)
+            await self.before_event(number, run)
             event = ""
             if self.version != version:
                 version = self.version
@@ -540,6 +551,9 @@
         await writer.drain()
         self.record.write(f"replica {self.id} has run {run.id} to its end")
 
+    async def before_event(self, number, run):
+        await asyncio.sleep(self.gap_s)
+
     async def copy(self, run, address):
         """Copies the run's memory as it grows, some times a second."""
         while True:
