--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -937,11 +937,14 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def play():
+        # A script that is stopped ends its processes.
+        stopped = asyncio.current_task().cancel
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stopped)
         return await asyncio.wait_for(case(trouble), limit_s)
 
     try:
         breaches = asyncio.run(play())
-    except (Unusable, asyncio.TimeoutError, OSError) as error:
+    except (Unusable, asyncio.CancelledError, asyncio.TimeoutError, OSError) as error:
         print(f"could not run: {type(error).__name__} {error}")
         return UNUSABLE
     for breach in breaches:
