Streams keep their position over attempts that bring no event

Callers got events 1 to 3 twice, followed by a proper end: a stream that continued from a copy, and whose second engine was lost before its first whole event, began anew.

Cause: the id of the last event was copied from the parser of the current answer whenever anything of it had been read; the parser of a new answer has none before its first whole event. Ruled out by the log and the engines' record: a copy without events, an id that was lost with the first engine (the second request carries it).

Change: the position in a stream is the run's, and the parser of each answer starts from it. It says whether its id names the last event forwarded. Where it does not (an event without an id, an id that was reset, a body of another kind) the stream is cut instead of repeated. An answer of another kind, such as 204, no longer counts as the rest of a stream. The time of the first token is observed once a request.

--- a/packages/coordination/src/continuation/relay_continuation.cpp
+++ b/packages/coordination/src/continuation/relay_continuation.cpp
@@ -79,7 +79,8 @@
 {
   const bool isLost =
     aOutcome == AttemptOutcome::kBroken || aOutcome == AttemptOutcome::kEnded;
-  if (!isLost || !mCopy || mInterrupt != RunInterrupt::kNone) {
+  if (!isLost || !mCopy || mInterrupt != RunInterrupt::kNone ||
+      !mPosition.mIsExact) {
     return false;
   }
   if (mCore->mCrashes.Crashes(mDigest) > kMaxCrashesOfContinued) {
--- a/packages/coordination/src/relay_answer.cpp
+++ b/packages/coordination/src/relay_answer.cpp
@@ -320,7 +320,7 @@
   const bool isUsable = isOurs && !facts.mIsEncoded &&
                         !ImpliesNotRun(head.mStatus) &&
                         (facts.mIsSigned || !IsSuccess(head.mStatus)) &&
-                        (!mIsHeadForwarded || IsSuccess(head.mStatus));
+                        (!mIsHeadForwarded || MayContinue(head));
   if (!isUsable) {
     mLastProblem = "unusable answer: " + std::to_string(head.mStatus);
     return AttemptOutcome::kBroken;
@@ -331,17 +331,26 @@
   return std::nullopt;
 }
 
+bool
+RelayRun::MayContinue(const RelayResponse& aHead) const
+{
+  // An answer of another kind, such as 204, would end the stream as complete.
+  return aHead.mStatus == mAnswerStatus && HasEventType(aHead);
+}
+
 void
 RelayRun::HandleAnswerBegun(const Attempt& aAttempt)
 {
   const auto& choice = aAttempt.mEndpointChoice;
   constexpr double kMillisPerSecond = 1000.0;
-  mCore->mDependencies.mMetrics.Observe(
-    RequestMetric::kFirstToken,
-    mTeam != nullptr ? mTeam->mName : "",
-    mRoute->mUrgency == 0 ? state::Priority::kUrgent
-                          : state::Priority::kOrdinary,
-    static_cast<double>(SinceArrival().count()) / kMillisPerSecond);
+  if (!mIsHeadForwarded) {
+    mCore->mDependencies.mMetrics.Observe(
+      RequestMetric::kFirstToken,
+      mTeam != nullptr ? mTeam->mName : "",
+      mRoute->mUrgency == 0 ? state::Priority::kUrgent
+                            : state::Priority::kOrdinary,
+      static_cast<double>(SinceArrival().count()) / kMillisPerSecond);
+  }
   RemoveWaiting(choice);
   if (choice.mWeights != 0 && choice.mContinueFrom.empty()) {
     mCore->mPrefillRate.Note(choice.mWaitingTokens + choice.mPrefillTokens,
@@ -454,8 +463,10 @@
 RelayRun::ForwardStreamChunk(Attempt& aAttempt, bool aIsDone)
 {
   std::string body = std::exchange(aAttempt.mBufferedBody, {});
-  if (aAttempt.mEvents) {
-    mLastEventId = aAttempt.mEvents->LastEventId();
+  if (!aAttempt.mEvents) {
+    mPosition.mIsExact = mPosition.mIsExact && body.empty();
+  } else {
+    mPosition = aAttempt.mEvents->Position();
     if (!body.empty()) {
       co_await RecordStreamOrigin(aAttempt);
     }
--- a/packages/coordination/src/relay_answer_end.cpp
+++ b/packages/coordination/src/relay_answer_end.cpp
@@ -10,15 +10,20 @@
 using transport::BodyFraming;
 using transport::Task;
 
+bool
+RelayRun::HasEventType(const transport::RelayResponse& aHead)
+{
+  const auto type = transport::MediaType(aHead.Field("Content-Type"));
+  return type.empty() || transport::IsSameName(type, "text/event-stream");
+}
+
 void
 RelayRun::BeginBody(Attempt& aAttempt)
 {
   const auto& head = aAttempt.mAnswer->Head();
   const auto type = transport::MediaType(head.Field("Content-Type"));
-  const bool isOfEvents =
-    type.empty() || transport::IsSameName(type, "text/event-stream");
-  if (aAttempt.mIsStreamed && isOfEvents) {
-    aAttempt.mEvents.emplace();
+  if (aAttempt.mIsStreamed && HasEventType(head)) {
+    aAttempt.mEvents.emplace(mPosition);
   }
   if (head.mFraming == BodyFraming::kConnection &&
       transport::IsJsonType(type)) {
--- a/packages/coordination/src/relay_attempt.cpp
+++ b/packages/coordination/src/relay_attempt.cpp
@@ -349,7 +349,7 @@
   handOver.mRequestId = mCall.mRequestId;
   handOver.mTimeLeft = std::chrono::duration_cast<Millis>(mDeadline - Now());
   handOver.mEndpointId = aChoice.mEndpoint->mInfo.mId;
-  handOver.mResumeAfter = mLastEventId;
+  handOver.mResumeAfter = mPosition.mLastEventId;
   if (mTeam != nullptr) {
     handOver.mTeam = mTeam->mName;
   }
--- a/packages/coordination/src/relay_run.cpp
+++ b/packages/coordination/src/relay_run.cpp
@@ -443,7 +443,8 @@
   }
   // A stream that was forwarded in part may be resumed at another endpoint.
   const bool isResumable = mRoute->mKind == RouteKind::kStream &&
-                           mRoute->mIsResumable && !mLastEventId.empty();
+                           mRoute->mIsResumable && mPosition.mIsExact &&
+                           !mPosition.mLastEventId.empty();
   if (mIsHeadForwarded && !isResumable) {
     return false;
   }
--- a/packages/coordination/src/relay_run.h
+++ b/packages/coordination/src/relay_run.h
@@ -6,6 +6,7 @@
 #include "continuation/stream_copy.h"
 #include "relay_endpoint_choice.h"
 #include "relay_core.h"
+#include "shuntjunction/state/event_splitter.h"
 #include "shuntjunction/state/request_digest.h"
 
 namespace shuntjunction::coordination {
@@ -333,6 +334,10 @@
   transport::Task<AttemptOutcome> ReadAnswer(Attempt& aAttempt);
   /// Parses the received bytes; empty when more are needed first.
   std::optional<transport::ParseStatus> ReadBuffered(Attempt& aAttempt);
+  /// Whether a body may consist of events by the type in its head.
+  static bool HasEventType(const transport::RelayResponse& aHead);
+  /// Whether an answer may continue the stream whose head was forwarded.
+  bool MayContinue(const transport::RelayResponse& aHead) const;
   /// Prepares for a body, as its head describes it.
   void BeginBody(Attempt& aAttempt);
   /// Adds the body bytes that were parsed since the last call to those that may
@@ -427,7 +432,7 @@
   bool mIsAnswerCut = false;
   std::string mSavedFailure; ///< ready to send to the caller
   unsigned mSavedFailureStatus = 0;
-  std::string mLastEventId;                  ///< of the last event forwarded
+  state::StreamPosition mPosition;           ///< after the last event forwarded
   std::optional<StreamOrigin> mStreamOrigin; ///< set by the first event
   /// Of the endpoint that made the last event.
   std::string mLastSoftwareVersion;
--- a/packages/state/include/shuntjunction/state/event_splitter.h
+++ b/packages/state/include/shuntjunction/state/event_splitter.h
@@ -9,15 +9,37 @@
 /// Server-sent events in a stream of bytes.
 namespace shuntjunction::state {
 
+/// How far a receiver has got in a stream of events.
+struct StreamPosition
+{
+  /// Id that the receiver would resume after; empty: none, or an event reset
+  /// it.
+  std::string mLastEventId;
+  /// Whether nothing follows what the id names, so that a stream that resumes
+  /// there neither repeats nor omits an event.
+  bool mIsExact = true;
+
+  bool operator==(const StreamPosition&) const = default;
+};
+
 /// Splits a stream at the ends of its events, and reads their ids.
 ///
 /// Source: HTML Living Standard, 9.2.6. A line ends with LF, CR LF or CR; an
-/// event ends with an empty line.
+/// event ends with an empty line. The id of the last event outlasts a
+/// connection.
 ///
 /// Thread safety: none.
 class EventSplitter
 {
 public:
+  EventSplitter() = default;
+
+  /// @param aStart  position after the events that came on former connections
+  explicit EventSplitter(StreamPosition aStart)
+    : mPosition(std::move(aStart))
+  {
+  }
+
   /// Adds bytes of the stream.
   ///
   /// @return the bytes up to the last end of an event or of a comment between
@@ -44,8 +66,8 @@
   /// another kind hardly has.
   bool HasEvents() const { return mHasEvents; }
 
-  /// Id of the last whole event that has one; empty if there is none.
-  const std::string& LastEventId() const { return mLastEventId; }
+  /// Position after the last whole event.
+  const StreamPosition& Position() const { return mPosition; }
 
 private:
   void EndLine(std::string_view aLine);
@@ -54,10 +76,11 @@
   std::size_t mLineStart = 0;  ///< of the current line in mPending
   bool mHasFields = false;     ///< the current event has a line
   bool mHasKnownField = false; ///< one of these is defined by the format
+  bool mHasData = false;       ///< one of these is data
   bool mHasEvents = false;
   bool mIsAfterCr = false;        ///< the last byte was a CR
   std::optional<std::string> mId; ///< of the current event
-  std::string mLastEventId;
+  StreamPosition mPosition;
 };
 
 /// A text with LF as the only line end, in place of CR LF and CR.
--- a/packages/state/src/event_splitter.cpp
+++ b/packages/state/src/event_splitter.cpp
@@ -12,8 +12,9 @@
 constexpr char kCr = '\r';
 constexpr std::string_view kLineEnds = "\r\n";
 constexpr std::string_view kIdName = "id";
+constexpr std::string_view kDataName = "data";
 constexpr std::array<std::string_view, 4> kFieldNames{ kIdName,
-                                                       "data",
+                                                       kDataName,
                                                        "event",
                                                        "retry" };
 
@@ -55,8 +56,12 @@
   if (aLine.empty()) {
     mHasFields = false;
     mHasEvents = mHasEvents || std::exchange(mHasKnownField, false);
+    const bool hasData = std::exchange(mHasData, false);
     if (mId) {
-      mLastEventId = *std::exchange(mId, std::nullopt);
+      mPosition.mLastEventId = *std::exchange(mId, std::nullopt);
+      mPosition.mIsExact = !mPosition.mLastEventId.empty();
+    } else if (hasData) {
+      mPosition.mIsExact = false;
     }
     return;
   }
@@ -69,6 +74,7 @@
   mHasKnownField =
     mHasKnownField || std::find(kFieldNames.begin(), kFieldNames.end(), name) !=
                         kFieldNames.end();
+  mHasData = mHasData || name == kDataName;
   if (name != kIdName) {
     return;
   }
--- a/packages/state/tests/event_splitter_test.cpp
+++ b/packages/state/tests/event_splitter_test.cpp
@@ -37,7 +37,7 @@
     const std::string first = WithLineEnds("id: 7\ndata: a\n\n", end);
     EXPECT_EQ(splitter.Put(first + WithLineEnds("data: b\n", end)), first);
     EXPECT_TRUE(splitter.IsInsideEvent());
-    EXPECT_EQ(splitter.LastEventId(), "7");
+    EXPECT_EQ(splitter.Position().mLastEventId, "7");
     EXPECT_EQ(splitter.Put(end), WithLineEnds("data: b\n\n", end));
     EXPECT_FALSE(splitter.IsInsideEvent());
   }
@@ -54,21 +54,53 @@
 TEST_F(GivenAStreamOfEvents, TheIdOfAnIncompleteEventDoesNotCount)
 {
   mSplitter.Put("id: 1\n\nid: 2\n");
-  EXPECT_EQ(mSplitter.LastEventId(), "1");
+  EXPECT_EQ(mSplitter.Position().mLastEventId, "1");
 }
 
 TEST_F(GivenAStreamOfEvents, AnEventWithoutAnIdKeepsTheLast)
 {
   mSplitter.Put("id:1\n\ndata: x\n\nid: \0\n\n"sv);
-  EXPECT_EQ(mSplitter.LastEventId(), "1");
+  EXPECT_EQ(mSplitter.Position().mLastEventId, "1");
   mSplitter.Put("id\n\n");
-  EXPECT_EQ(mSplitter.LastEventId(), "");
+  EXPECT_EQ(mSplitter.Position().mLastEventId, "");
+}
+
+TEST_F(GivenAStreamOfEvents, AFurtherConnectionStartsAfterTheLastEvent)
+{
+  mSplitter.Put("id: 1\ndata: x\n\nid: 2\nda");
+  EventSplitter next(mSplitter.Position());
+  for (const std::string_view part : { "", ": comment\n", "id: 2\ndata: y" }) {
+    SCOPED_TRACE(part);
+    next.Put(part);
+    EXPECT_EQ(next.Position(), (StreamPosition{ "1", true }));
+  }
+  next.Put("\n\n");
+  EXPECT_EQ(next.Position(), (StreamPosition{ "2", true }));
+}
+
+TEST_F(GivenAStreamOfEvents, AnEventThatNoIdNamesMakesThePositionInexact)
+{
+  EXPECT_TRUE(mSplitter.Position().mIsExact);
+  mSplitter.Put("id: 1\ndata: x\n\nretry: 100\n\nevent: ping\n\n");
+  EXPECT_TRUE(mSplitter.Position().mIsExact);
+  {
+    SCOPED_TRACE("data without an id");
+    mSplitter.Put("data: y\n\n");
+    EXPECT_FALSE(mSplitter.Position().mIsExact);
+    mSplitter.Put("id: 2\ndata: z\n\n");
+    EXPECT_TRUE(mSplitter.Position().mIsExact);
+  }
+  {
+    SCOPED_TRACE("an id that is reset");
+    mSplitter.Put("id:\ndata: z\n\n");
+    EXPECT_EQ(mSplitter.Position(), (StreamPosition{ "", false }));
+  }
 }
 
 TEST_F(GivenAStreamOfEvents, DataThatLooksLikeAnIdIsNone)
 {
   mSplitter.Put("id: 1\ndata: x id: 5\nidle: 6\n\n");
-  EXPECT_EQ(mSplitter.LastEventId(), "1");
+  EXPECT_EQ(mSplitter.Position().mLastEventId, "1");
 }
 
 TEST_F(GivenAStreamOfEvents, ATextWithoutKnownFieldsHoldsNoEvents)
@@ -127,7 +159,7 @@
   }
   RC_ASSERT(received == expected);
   RC_ASSERT(parts.IsInsideEvent() == whole.IsInsideEvent());
-  RC_ASSERT(parts.LastEventId() == whole.LastEventId());
+  RC_ASSERT(parts.Position() == whole.Position());
 }
 
 RC_GTEST_PROP(GeneratedEventStreams, WhatIsReturnedEndsOutsideOfEvents, ())
