A copy is not used once its run's engine may have changed its weights

Callers' streams went on at an engine with weights 1, on memory that was built under versions 1 and 2.

Cause: a copy was judged by the weights with which its run began. The engine of the run may load newer ones under it; the log shows the order .8 s and the announcement 1.3 s before the stream was continued. Ruled out: an engine of the copy with other weights (it ran the request, which expects version 1).

Change: a copy knows its run. It is discarded once the stream itself, a report of the engine's companion, the list or an announcement of newer weights shows that they may have changed; the log says which. An engine with other weights is not named as the source of a part of prompts, since what it reads anew under a former salt is of its own weights; that path has no test of its own.

Not to continue is always allowed and costs a stream.

--- a/packages/coordination/include/shuntjunction/coordination/relay_codec.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay_codec.h
@@ -107,6 +107,11 @@
   virtual AnswerInfo ReadAnswer(
     const transport::RelayResponse& aAnswer) const = 0;
 
+  /// Reads the latest version of weights that whole events of a stream name;
+  /// empty if they name none.
+  virtual std::optional<std::uint64_t> ReadEventWeights(
+    std::string_view aEvents) const = 0;
+
   /// Text of the request that queries an endpoint for its runs.
   virtual std::string RunsQuery(const state::EndpointInfo& aEndpoint) const = 0;
 
--- a/packages/coordination/src/continuation/relay_continuation.cpp
+++ b/packages/coordination/src/continuation/relay_continuation.cpp
@@ -91,7 +91,52 @@
                              state::PartSuspicion::kRestricted) {
     return false;
   }
-  return IsOfOrigin(*mCopy->Endpoint()) && mCopy->IsUsable(*mCore, Now());
+  return mCopy->ChangeOfWeights(*mCore) == WeightsChange::kNone &&
+         IsOfOrigin(*mCopy->Endpoint()) && mCopy->IsUsable(*mCore, Now());
+}
+
+void
+RelayRun::NoteWeightsOfHead(const Attempt& aAttempt)
+{
+  if (mCopy && aAttempt.mAnswerInfo.mWeights) {
+    mCopy->NoteWeights(*aAttempt.mAnswerInfo.mWeights);
+  }
+}
+
+void
+RelayRun::NoteWeightsOfEvents(std::string_view aEvents)
+{
+  if (!mCopy) {
+    return;
+  }
+  const auto weights = mCore->mDependencies.mCodec.ReadEventWeights(aEvents);
+  if (weights) {
+    mCopy->NoteWeights(*weights);
+  }
+}
+
+void
+RelayRun::NoteDiscardedCopy(const EndpointChoice& aChoice,
+                            AttemptOutcome aOutcome)
+{
+  const bool isLost =
+    aOutcome == AttemptOutcome::kBroken || aOutcome == AttemptOutcome::kEnded;
+  const auto change =
+    isLost && mCopy ? mCopy->ChangeOfWeights(*mCore) : WeightsChange::kNone;
+  if (change == WeightsChange::kNone) {
+    return;
+  }
+  const auto name = kWeightsChangeNames.Name(change);
+  mCore->mDependencies.mLog.Write(
+    EventLine(kRelayComponent, "copy-discarded", mCall.mRequestId)
+      .Add("endpoint", aChoice.mEndpoint->mInfo.mId)
+      .Add("copy", mCopy->Endpoint()->mInfo.mId)
+      .Add("weights", mCopy->Weights())
+      .Add("weights_change", name)
+      .Add("ms", SinceArrival().count()));
+  mCore->mDependencies.mMetrics.Count(
+    "shuntjunction_relay_copies_discarded_total",
+    { { "service", mService }, { "weights_change", std::string(name) } });
 }
 
 bool
@@ -229,6 +274,7 @@
       co_await CheckForCrash(choice);
     }
   }
+  NoteDiscardedCopy(choice, outcome);
   co_return outcome;
 }
 
--- a/packages/coordination/src/relay_answer.cpp
+++ b/packages/coordination/src/relay_answer.cpp
@@ -327,6 +327,7 @@
   }
   aAttempt.mIsStreamed =
     mRoute->mKind == RouteKind::kStream && IsSuccess(head.mStatus);
+  NoteWeightsOfHead(aAttempt);
   BeginBody(aAttempt);
   return std::nullopt;
 }
@@ -467,6 +468,7 @@
     mPosition.mIsExact = mPosition.mIsExact && body.empty();
   } else {
     mPosition = aAttempt.mEvents->Position();
+    NoteWeightsOfEvents(body);
     if (!body.empty()) {
       co_await RecordStreamOrigin(aAttempt);
     }
--- a/packages/coordination/src/relay_endpoint_choice.cpp
+++ b/packages/coordination/src/relay_endpoint_choice.cpp
@@ -243,12 +243,32 @@
   return nearest;
 }
 
+/// Whether an engine may have built a part of aChoice under other weights.
+///
+/// One that loads weights under its runs reads the prompts of those that it
+/// preempts anew, under the salt of the former weights.
+bool
+MayHoldOtherWeights(const Relay::Core& aCore,
+                    const RelayEndpoint& aEndpoint,
+                    const std::string& aModel,
+                    std::uint64_t aWeights)
+{
+  const auto now = aCore.mDependencies.mClock.Now();
+  const auto* news = aCore.mEndpoints.FreshNews(aEndpoint, now);
+  const bool isOfModel = news != nullptr && news->mModel == aModel;
+  const auto version =
+    isOfModel ? news->mWeights : aEndpoint.mInfo.VersionOf(aModel);
+  return version != aWeights;
+}
+
 /// The engine from which a part is fetched; null if no other engine holds it.
 ///
 /// In a fleet of several regions it is the nearest one: a move between regions
 /// takes ten times as long as one within a zone.
 RelayEndpointPtr
-EngineHoldingPart(Relay::Core& aCore, const EndpointChoice& aChoice)
+EngineHoldingPart(Relay::Core& aCore,
+                  const std::string& aModel,
+                  const EndpointChoice& aChoice)
 {
   const auto& topology = aCore.mDependencies.mSettings.mTopology;
   const auto& zone = aChoice.mEndpoint->mInfo.mZone;
@@ -263,6 +283,7 @@
     const auto endpoint = aCore.mEndpoints.Find(holder);
     if (endpoint && endpoint != aChoice.mEndpoint &&
         aCore.mRollouts.MayUse(endpoint->mInfo) &&
+        !MayHoldOtherWeights(aCore, *endpoint, aModel, aChoice.mWeights) &&
         (!nearest || distanceOf(endpoint) < distanceOf(nearest))) {
       nearest = endpoint;
     }
@@ -276,7 +297,9 @@
 /// prefilled within a few milliseconds are neither transferred nor waited for:
 /// they were queued for up to 2 s behind large ones and delayed others in turn.
 void
-SetPartLocations(Relay::Core& aCore, EndpointChoice& aChoice)
+SetPartLocations(Relay::Core& aCore,
+                 const std::string& aModel,
+                 EndpointChoice& aChoice)
 {
   const auto now = aCore.mDependencies.mClock.Now();
   const auto& topology = aCore.mDependencies.mSettings.mTopology;
@@ -293,7 +316,7 @@
   }
   // A source without the part costs a millisecond, so one is always named.
   aChoice.mPartSource = holding == nullptr ? ownStore : holding->mAddress;
-  const auto engine = EngineHoldingPart(aCore, aChoice);
+  const auto engine = EngineHoldingPart(aCore, aModel, aChoice);
   const bool isStoreNearer = engine && holding != nullptr &&
                              topology.HasSeveralRegions() &&
                              topology.Between(holding->mZone, zone) <
@@ -366,7 +389,7 @@
   if (isPlacedByPart) {
     choice.mPart = part;
     choice.mPartName = state::PartName(choice.mSalt, part);
-    SetPartLocations(aCore, choice);
+    SetPartLocations(aCore, aQuery.mCall->mModel, choice);
   }
   choice.mPrefillTokens = PrefillTokens(aCore, aQuery, choice);
   choice.mExpected =
--- a/packages/coordination/src/relay_run.h
+++ b/packages/coordination/src/relay_run.h
@@ -315,6 +315,13 @@
   transport::Task<AttemptOutcome> ContinueFromCopy(EndpointChoice aChoice,
                                                    AttemptOutcome aOutcome);
   EndpointChoice ChoiceOfCopy(const StreamCopy& aCopy) const;
+  /// Records the weights that the answer to a copied run names.
+  void NoteWeightsOfHead(const Attempt& aAttempt);
+  void NoteWeightsOfEvents(std::string_view aEvents);
+  /// Logs that a lost stream is not continued because its engine may have
+  /// changed its weights.
+  void NoteDiscardedCopy(const EndpointChoice& aChoice,
+                         AttemptOutcome aOutcome);
   void CountContinued(AttemptOutcome aOutcome);
 
   // The software version of a stream.
