Crashes of one moment don't quarantine what runs unharmed elsewhere

A route whose requests are alike was refused for an hour by all relays after three of ten endpoints had crashed at the same moment.

Cause: many sightings of one event counted as independent ones. The log shows three crashes within 4 ms and the quarantine with the third, while the same content ran at seven other endpoints, where it was broken off.

Change: if the crashes are within half a second and the same content works at other endpoints since before the first, its quarantine is deferred. Nothing more of it is sent, and the runs go on; one that completes clears it, a further crash quarantines it. All three ways into a quarantine go through this. A crash counts from when its run was lost; one from before a completion doesn't count when its report comes later; a relay deletes what it recorded in the store once the content is cleared.

A poison request that crashes endpoints one after the other is stopped after three as before (unchanged tests). Relays of the former release quarantine as before and leave their records in the store; messages are unchanged.

--- a/packages/coordination/include/shuntjunction/coordination/quarantine_writer.h
+++ b/packages/coordination/include/shuntjunction/coordination/quarantine_writer.h
@@ -40,6 +40,10 @@
   void StoreQuarantine(const state::RequestDigest& aRequest,
                        state::Millis aDuration);
 
+  /// Starts deleting the entry of a request that proved harmless, also one that
+  /// is being written.
+  void DeleteQuarantine(const state::RequestDigest& aRequest);
+
   /// Sets a newer view, from which expired entries are found.
   void ApplyView(std::shared_ptr<const RelayView> aView);
 
--- a/packages/coordination/include/shuntjunction/coordination/relay.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay.h
@@ -85,6 +85,9 @@
     mFindWeights = {};
   /// Measures this process's memory; null: only reservations bound it.
   MemoryProbe* mMemoryProbe = nullptr;
+  /// Deletes a quarantine that this relay recorded in the platform's store, or
+  /// that the store was seen to hold; if empty, it stays until it expires.
+  std::function<void(const state::RequestDigest&)> mDeleteQuarantine = {};
 };
 
 /// The relay of one process.
--- a/packages/coordination/src/crash_memory.cpp
+++ b/packages/coordination/src/crash_memory.cpp
@@ -19,9 +19,10 @@
   CrashReports news;
   for (const auto& update : aReports.mUpdates) {
     const auto& report = update.mReport.mReport;
+    const auto at = aNow - update.mReport.mAge;
     const bool isNew = update.mIsCleared
-                         ? !mRequests.Clear(report.mRequest).empty()
-                         : mRequests.Note(report, aNow - update.mReport.mAge);
+                         ? !mRequests.Clear(report.mRequest, at).empty()
+                         : mRequests.Note(report, at);
     if (isNew) {
       news.mUpdates.push_back(update);
     }
--- a/packages/coordination/src/fleet_daemon.cpp
+++ b/packages/coordination/src/fleet_daemon.cpp
@@ -263,7 +263,12 @@
       [this](auto aHost, auto aModel) {
         return mNewsClient->FindWeights(std::move(aHost), std::move(aModel));
       },
-      &mMemoryProbe });
+      &mMemoryProbe,
+      [this](const auto& aRequest) {
+        asio::post(mControl, [this, request = aRequest] {
+          mQuarantineWriter->DeleteQuarantine(request);
+        });
+      } });
     const auto address = mRelay->Start();
     if (!address) {
       return tl::unexpected(address.error());
--- a/packages/coordination/src/quarantine_writer.cpp
+++ b/packages/coordination/src/quarantine_writer.cpp
@@ -21,6 +21,9 @@
 constexpr Millis kFirstPause{ 200 };
 constexpr Millis kMaxPause{ 5000 };
 
+/// Time after which an entry that can't be deleted is left to expire.
+constexpr Millis kMaxDeleteTime{ std::chrono::minutes(10) };
+
 /// Maximum number of entries that wait for the store. For entries beyond it, a
 /// restarted relay has to see three crashes again.
 constexpr std::size_t kMaxPending = 256;
@@ -42,7 +45,8 @@
   {
     const auto self = shared_from_this();
     Millis pause = kFirstPause;
-    while (mDependencies.mClock.WallMillis() < aUntil) {
+    while (mDependencies.mClock.WallMillis() < aUntil &&
+           !mDeleting.contains(aRequest)) {
       const auto written = co_await Write(aRequest, aUntil);
       if (written) {
         mDependencies.mLog.Write(EventLine(kComponent, "quarantine-kept")
@@ -60,6 +64,38 @@
     mPending.erase(aRequest);
   }
 
+  Task<void> DeleteQuarantine(RequestDigest aRequest)
+  {
+    const auto self = shared_from_this();
+    const auto key = mDependencies.mCodec.QuarantinePrefix() + aRequest.Text();
+    const auto giveUpAt = mDependencies.mClock.Now() + kMaxDeleteTime;
+    Millis pause = kFirstPause;
+    while (mDependencies.mClock.Now() < giveUpAt) {
+      // A write that was under way may take effect after a delete.
+      const bool isWritten = mPending.contains(aRequest);
+      if (!isWritten && co_await Delete(key)) {
+        mDependencies.mLog.Write(EventLine(kComponent, "quarantine-deleted")
+                                   .Add("content", aRequest.Text()));
+        break;
+      }
+      co_await transport::Sleep(state::JitteredPause(pause, mRandom));
+      pause = std::min(pause * 2, kMaxPause);
+    }
+    mDeleting.erase(aRequest);
+  }
+
+  /// Deletes an entry; returns whether it is gone.
+  Task<bool> Delete(const std::string& aKey)
+  {
+    const auto existing = co_await mDependencies.mPlatform.Read(aKey);
+    if (!existing || !*existing) {
+      co_return existing.has_value();
+    }
+    const auto deleted =
+      co_await mDependencies.mPlatform.Delete(aKey, (*existing)->mRevision);
+    co_return deleted.has_value();
+  }
+
   /// Writes an entry; replaces an existing one that expires more than a minute
   /// earlier.
   Task<Result<void>> Write(RequestDigest aRequest, std::int64_t aUntil)
@@ -124,6 +160,7 @@
   QuarantineWriterDependencies mDependencies;
   std::shared_ptr<const RelayView> mView;
   std::set<RequestDigest> mPending;
+  std::set<RequestDigest> mDeleting;
   state::RandomSource mRandom{ std::random_device{}() };
 };
 
@@ -150,6 +187,17 @@
                    shared.StoreQuarantine(aRequest, until));
 }
 
+void
+QuarantineWriter::DeleteQuarantine(const RequestDigest& aRequest)
+{
+  auto& shared = *mShared;
+  if (shared.mDeleting.size() < kMaxPending &&
+      shared.mDeleting.insert(aRequest).second) {
+    transport::Spawn(shared.mDependencies.mContext,
+                     shared.DeleteQuarantine(aRequest));
+  }
+}
+
 void
 QuarantineWriter::ApplyView(std::shared_ptr<const RelayView> aView)
 {
--- a/packages/coordination/src/relay.cpp
+++ b/packages/coordination/src/relay.cpp
@@ -237,7 +237,7 @@
 {
   for (const auto& broken : std::exchange(aEndpoint.mBrokenRequests, {})) {
     if (mDependencies.mClock.Now() - broken.mAt < mLimits.mRestartDetection) {
-      mCrashes.NoteCrash(broken.mRequest, aEndpoint);
+      mCrashes.NoteCrash(broken.mRequest, aEndpoint, broken.mAt);
       mPartCrashes.NoteCrash(
         broken.mParts, aEndpoint, broken.mIsTrial, broken.mAt);
     }
--- a/packages/coordination/src/relay_attempt.cpp
+++ b/packages/coordination/src/relay_attempt.cpp
@@ -148,6 +148,7 @@
   mTriedEndpoints.push_back(endpoint.mInfo.mId);
   mCore->mRollouts.NoteSent(endpoint.mInfo);
   Send(*attempt, std::move(*clearance));
+  NoteRunning(*attempt);
   mTimes.mSent = SinceArrival();
   endpoint.mBusy.insert(attempt->mConnection.mReader);
   const std::int64_t runs = attempt->mEndpointChoice.mWeights != 0 ? 1 : 0;
@@ -156,10 +157,19 @@
   co_return co_await CompleteAttempt(std::move(attempt));
 }
 
+void
+RelayRun::NoteRunning(const Attempt& aAttempt)
+{
+  auto& running = mRunningEntry.value()->second;
+  running.mEndpoint = aAttempt.mEndpointChoice.mEndpoint->mNameHash;
+  running.mSentAt = aAttempt.mEndpointChoice.mSentAt;
+}
+
 Task<AttemptOutcome>
 RelayRun::CompleteAttempt(std::unique_ptr<Attempt> aAttempt)
 {
   const auto outcome = co_await ReadAnswer(*aAttempt);
+  mRunningEntry.value()->second.mEndpoint = 0;
   mOpenConnection = nullptr;
   if (outcome == AttemptOutcome::kSilent ||
       outcome == AttemptOutcome::kWithdrawn) {
--- a/packages/coordination/src/relay_crashes.cpp
+++ b/packages/coordination/src/relay_crashes.cpp
@@ -1,5 +1,6 @@
 #include "relay_crashes.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "relay_core.h"
@@ -27,6 +28,12 @@
 
 constexpr Millis kCheckPollInterval{ 5 };
 
+/// Longest time for which a quarantine is deferred. Runs that go on for so long
+/// after the others crashed are not the cause.
+constexpr Millis kMaxDeferral{ 3000 };
+
+constexpr Millis kDeferralPollInterval{ 15 };
+
 /// A process that crashes has closed all its sockets within this time, even on
 /// a busy machine; no request waits for it.
 constexpr Millis kRecheckDelay{ 250 };
@@ -42,16 +49,17 @@
 RelayCrashes::Running::iterator
 RelayCrashes::Begin(const RequestDigest& aRequest, std::function<void()> aEnd)
 {
-  return mRunning.emplace(aRequest, std::move(aEnd));
+  return mRunning.emplace(aRequest, RunningRequest{ std::move(aEnd) });
 }
 
 void
 RelayCrashes::NoteCrash(const RequestDigest& aRequest,
-                        const RelayEndpoint& aEndpoint)
+                        const RelayEndpoint& aEndpoint,
+                        state::TimePoint aAt)
 {
   const CrashReport report{ aRequest, aEndpoint.mNameHash };
   const bool wasFree = QuarantineLeft(aRequest) == Millis(0);
-  if (!mTracker.Note(report, Now())) {
+  if (!mTracker.Note(report, aAt)) {
     return;
   }
   if (mOwnCrashes.size() >= mTracker.Settings().mMaxRequests) {
@@ -64,9 +72,10 @@
                              .Add("crashes", Crashes(aRequest)));
   mDependencies.mMetrics.Count("shuntjunction_relay_crash_reports_total",
                                { { "service", aEndpoint.mInfo.mService } });
-  QueueReport(report, false);
+  QueueReport(report, aAt, false);
+  NoteFurtherCrash(report, aAt);
   if (wasFree && QuarantineLeft(aRequest) > Millis(0)) {
-    BeginQuarantine(aRequest, "own");
+    Judge(aRequest, "own");
   }
 }
 
@@ -74,8 +83,14 @@
 RelayCrashes::NoteCompleted(const RequestDigest& aRequest)
 {
   mOwnCrashes.erase(aRequest);
-  for (const auto& report : mTracker.Clear(aRequest)) {
-    QueueReport(report, true);
+  Dismiss(aRequest, "completed");
+  for (const auto& report : mTracker.Clear(aRequest, Now())) {
+    QueueReport(report, Now(), true);
+  }
+  // Another relay may have recorded it.
+  if (mOwnQuarantines.contains(aRequest) ||
+      mStoredQuarantines.contains(aRequest)) {
+    DeleteStored(aRequest);
   }
 }
 
@@ -86,13 +101,20 @@
     const auto& report = word.mReport.mReport;
     if (word.mIsCleared) {
       mOwnCrashes.erase(report.mRequest);
-      mTracker.Clear(report.mRequest);
+      Dismiss(report.mRequest, "completed elsewhere");
+      mTracker.Clear(report.mRequest, Now() - word.mReport.mAge);
+      if (mOwnQuarantines.contains(report.mRequest)) {
+        DeleteStored(report.mRequest);
+      }
       continue;
     }
+    const auto at = Now() - word.mReport.mAge;
     const bool wasFree = QuarantineLeft(report.mRequest) == Millis(0);
-    mTracker.Note(report, Now() - word.mReport.mAge);
+    if (mTracker.Note(report, at)) {
+      NoteFurtherCrash(report, at);
+    }
     if (wasFree && QuarantineLeft(report.mRequest) > Millis(0)) {
-      BeginQuarantine(report.mRequest, "relays");
+      Judge(report.mRequest, "relays");
     }
   }
 }
@@ -109,19 +131,23 @@
     const Millis left{ entry.mUntilMillis - wall };
     if (isNew && left > Millis(0) &&
         mTracker.Quarantine(request, Now(), left)) {
-      BeginQuarantine(request, "store");
+      Judge(request, "store");
     }
   }
-  for (const auto& [request, entry] : mStoredQuarantines) {
+  for (const auto& [request, entry] :
+       std::exchange(mStoredQuarantines, aQuarantined)) {
     // Entries that have expired are deleted by relays.
     if (!aQuarantined.contains(request) && entry.mUntilMillis > wall) {
       mDependencies.mLog.Write(
         EventLine(kRelayComponent, "released").Add("content", request.Text()));
+      mOwnQuarantines.erase(request);
       NoteCompleted(request);
       released.push_back(request);
     }
   }
-  mStoredQuarantines = aQuarantined;
+  std::erase_if(mOwnQuarantines, [&](const auto& aRequest) {
+    return QuarantineLeft(aRequest) == Millis(0);
+  });
   return released;
 }
 
@@ -146,6 +172,104 @@
                              static_cast<double>(mTracker.Quarantined(Now())));
 }
 
+void
+RelayCrashes::Judge(const RequestDigest& aRequest, std::string_view aSource)
+{
+  const auto moment = mTracker.CommonMoment(aRequest, Now());
+  if (!moment) {
+    BeginQuarantine(aRequest, aSource);
+    return;
+  }
+  const auto crashed = mTracker.CrashedEndpoints(aRequest);
+  const Deferral deferral{ *moment,
+                           Now() + kMaxDeferral,
+                           std::string(aSource),
+                           { crashed.begin(), crashed.end() } };
+  if (!RunsUnharmed(aRequest, deferral)) {
+    BeginQuarantine(aRequest, aSource);
+    return;
+  }
+  mDependencies.mLog.Write(EventLine(kRelayComponent, "quarantine-deferred")
+                             .Add("content", aRequest.Text())
+                             .Add("source", aSource)
+                             .Add("crashes", Crashes(aRequest)));
+  mDependencies.mMetrics.Count(
+    "shuntjunction_relay_deferred_quarantines_total");
+  mDeferred.insert_or_assign(aRequest, deferral);
+  transport::Spawn(mDependencies.mContext, AwaitRuns(aRequest));
+}
+
+void
+RelayCrashes::NoteFurtherCrash(const CrashReport& aReport, state::TimePoint aAt)
+{
+  const auto found = mDeferred.find(aReport.mRequest);
+  if (found == mDeferred.end()) {
+    return;
+  }
+  auto& deferral = found->second;
+  deferral.mCrashed.insert(aReport.mEndpoint);
+  if (aAt - deferral.mMoment >= mTracker.Settings().mMoment) {
+    const auto source = deferral.mSource;
+    mDeferred.erase(found);
+    BeginQuarantine(aReport.mRequest, source);
+  }
+}
+
+bool
+RelayCrashes::RunsUnharmed(const RequestDigest& aRequest,
+                           const Deferral& aDeferral) const
+{
+  const auto [first, last] = mRunning.equal_range(aRequest);
+  return std::any_of(first, last, [&](const auto& aItem) {
+    const auto& running = aItem.second;
+    return running.mEndpoint != 0 && running.mSentAt < aDeferral.mMoment &&
+           !aDeferral.mCrashed.contains(running.mEndpoint);
+  });
+}
+
+Task<void>
+RelayCrashes::AwaitRuns(RequestDigest aRequest)
+{
+  while (true) {
+    const auto found = mDeferred.find(aRequest);
+    if (found == mDeferred.end()) {
+      co_return;
+    }
+    const auto& deferral = found->second;
+    if (!RunsUnharmed(aRequest, deferral)) {
+      const auto source = deferral.mSource;
+      mDeferred.erase(found);
+      BeginQuarantine(aRequest, source);
+      co_return;
+    }
+    if (Now() >= deferral.mUntil) {
+      Dismiss(aRequest, "runs go on");
+      mTracker.Release(aRequest);
+      co_return;
+    }
+    co_await transport::Sleep(kDeferralPollInterval);
+  }
+}
+
+void
+RelayCrashes::Dismiss(const RequestDigest& aRequest, std::string_view aReason)
+{
+  if (mDeferred.erase(aRequest) != 0) {
+    mDependencies.mLog.Write(EventLine(kRelayComponent, "quarantine-dismissed")
+                               .Add("content", aRequest.Text())
+                               .Add("reason", aReason));
+  }
+}
+
+void
+RelayCrashes::DeleteStored(const RequestDigest& aRequest)
+{
+  mOwnQuarantines.erase(aRequest);
+  if (mDependencies.mDeleteQuarantine) {
+    mDependencies.mDeleteQuarantine(aRequest);
+  }
+}
+
 void
 RelayCrashes::BeginQuarantine(const RequestDigest& aRequest,
                               std::string_view aSource)
@@ -158,23 +282,27 @@
                              .Add("left_ms", left.count()));
   // Only relays that saw a crash record it, three at most, not every relay.
   if (mOwnCrashes.erase(aRequest) != 0 && mDependencies.mStoreQuarantine) {
+    mOwnQuarantines.insert(aRequest);
     mDependencies.mStoreQuarantine(aRequest, left);
   }
   const auto [first, last] = mRunning.equal_range(aRequest);
   for (auto running = first; running != last; ++running) {
-    running->second();
+    running->second.mEnd();
   }
 }
 
 void
-RelayCrashes::QueueReport(const CrashReport& aReport, bool aIsCleared)
+RelayCrashes::QueueReport(const CrashReport& aReport,
+                          state::TimePoint aAt,
+                          bool aIsCleared)
 {
   if (!mDependencies.mSendCrashReports) {
     return;
   }
   const bool isFirst = mPendingReports.empty();
   mPendingReports[aReport.mEndpoint].mUpdates.push_back(
-    { { aReport, Millis(0) }, aIsCleared });
+    { { aReport, std::chrono::duration_cast<Millis>(Now() - aAt) },
+      aIsCleared });
   if (isFirst) {
     transport::Spawn(mDependencies.mContext, FlushSoon());
   }
--- a/packages/coordination/src/relay_run.cpp
+++ b/packages/coordination/src/relay_run.cpp
@@ -79,7 +79,7 @@
     mService = SelectService();
     ArmDeadline();
     mCaller.OnClosed([this] { Interrupt(RunInterrupt::kCallerGone); });
-    const auto running = mCore->mCrashes.Begin(
+    mRunningEntry = mCore->mCrashes.Begin(
       mDigest, [this] { Interrupt(RunInterrupt::kQuarantined); });
     auto waiting =
       mCore->mPartCrashes.Begin(mParts, [this] { EndIfPartIsQuarantined(); });
@@ -89,7 +89,8 @@
     ReleaseUsage();
     ReleaseRetry();
     ReturnPermit();
-    mCore->mCrashes.End(running);
+    mCore->mCrashes.End(*mRunningEntry);
+    mRunningEntry.reset();
     mCaller.OnClosed(nullptr);
     mDeadlineTimer->cancel();
   }
@@ -466,13 +467,16 @@
 RelayRun::CheckForCrash(const EndpointChoice& aChoice)
 {
   const auto endpoint = aChoice.mEndpoint;
+  mLostAt = Now();
   if (co_await HasCrashed(mCore, endpoint)) {
     ++mCrashes;
     NoteCrash(*endpoint);
   } else {
     auto& brokenOff = endpoint->mBrokenRequests;
-    brokenOff.push_back(
-      { mDigest, Now(), mIsPastBeginning ? RequestParts{} : mParts, mIsTrial });
+    brokenOff.push_back({ mDigest,
+                          mLostAt,
+                          mIsPastBeginning ? RequestParts{} : mParts,
+                          mIsTrial });
     if (brokenOff.size() > mCore->mLimits.mMaxBrokenRequests) {
       brokenOff.erase(brokenOff.begin());
     }
--- a/packages/coordination/src/relay_run.h
+++ b/packages/coordination/src/relay_run.h
@@ -14,6 +14,9 @@
 /// Reason for refusing a request under which endpoints crash.
 inline constexpr std::string_view kQuarantinedReason = "quarantined";
 
+/// The same while its quarantine is deferred.
+inline constexpr std::string_view kSuspectedReason = "crash-suspect";
+
 /// Retry-After of a refused caller.
 inline constexpr state::Millis kRetrySoon{ 100 };
 
@@ -226,6 +229,8 @@
   /// attempt.
   transport::Task<AttemptOutcome> CompleteAttempt(
     std::unique_ptr<Attempt> aAttempt);
+  /// Records where the request runs.
+  void NoteRunning(const Attempt& aAttempt);
   /// Closes the connection of an attempt that was sent, and settles its counts.
   void EndAttempt(Attempt& aAttempt, AttemptOutcome aOutcome);
   transport::Task<AttemptOutcome> Connect(Attempt& aAttempt);
@@ -413,6 +418,9 @@
   const state::TeamRule* mTeam = nullptr;
   std::string mService;
   state::RequestDigest mDigest; ///< of the request as its caller sent it
+  /// Its entry among the running requests; set while it is served.
+  std::optional<RelayCrashes::Running::iterator> mRunningEntry;
+  state::TimePoint mLostAt; ///< when the latest attempt was lost
   RequestParts mParts;
   /// Parts of which this request is the relay's trial.
   std::vector<state::RequestDigest> mTrials;
--- a/packages/coordination/src/relay_run_parts.cpp
+++ b/packages/coordination/src/relay_run_parts.cpp
@@ -29,7 +29,8 @@
   mParts = SharedPartsOf(mCall,
                          mTeam != nullptr ? mTeam->mName : std::string(),
                          mTeam != nullptr && mTeam->mIsIsolated);
-  return QuarantineLeft() > Millis(0);
+  // While that is not decided, the request waits before its first attempt.
+  return !mCore->mCrashes.IsDeferred(mDigest) && QuarantineLeft() > Millis(0);
 }
 
 Millis
@@ -56,6 +57,15 @@
   const auto relays = static_cast<std::size_t>(mCore->Relays());
   const auto until = std::min(mDeadline, Now() + mRoute->mObjective);
   while (mInterrupt == RunInterrupt::kNone) {
+    if (mCore->mCrashes.IsDeferred(mDigest)) {
+      if (Now() >= until) {
+        mLastProblem = kSuspectedReason;
+        mRetryAfter = kRetrySoon;
+        break;
+      }
+      co_await transport::Sleep(kPollInterval);
+      continue;
+    }
     if (const auto left = QuarantineLeft(); left > Millis(0)) {
       mLastProblem = kQuarantinedReason;
       mRetryAfter = left;
@@ -105,7 +115,7 @@
 void
 RelayRun::NoteCrash(const RelayEndpoint& aEndpoint)
 {
-  mCore->mCrashes.NoteCrash(mDigest, aEndpoint);
+  mCore->mCrashes.NoteCrash(mDigest, aEndpoint, mLostAt);
   if (!mIsPastBeginning) {
     mCore->mPartCrashes.NoteCrash(mParts, aEndpoint, mIsTrial, Now());
   }
--- a/packages/coordination/src/relay_suspended_attempts.cpp
+++ b/packages/coordination/src/relay_suspended_attempts.cpp
@@ -95,6 +95,7 @@
   const auto reader = attempt->mConnection.mReader;
   reader->OnReceived(nullptr);
   mOpenConnection = reader;
+  NoteRunning(*attempt);
   LogResumed(*attempt, hasRevived);
   const auto endpoint = attempt->mEndpointChoice.mEndpoint;
   const int suspects = attempt->mEndpointChoice.mIsCrashSuspect ? 1 : 0;
--- a/packages/state/include/shuntjunction/state/crash_tracker.h
+++ b/packages/state/include/shuntjunction/state/crash_tracker.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "shuntjunction/state/clock.h"
@@ -21,6 +22,9 @@
   /// same crash: several relays see it, and a restart takes at least a few
   /// seconds.
   Millis mDuplicateWindow{ 2000 };
+  /// Crashes at several endpoints that are closer together than this may have
+  /// one cause. Relays notice a crash within 350 ms.
+  Millis mMoment{ 500 };
   /// A request with no crash for this long is no longer suspected: callers that
   /// retry do so within minutes.
   Millis mSuspicionPeriod{ std::chrono::minutes(10) };
@@ -65,11 +69,13 @@
   /// @return whether the crash was not yet known for this request
   bool Note(const CrashReport& aReport, TimePoint aAt);
 
-  /// Clears a request that completed on an endpoint.
+  /// Clears a request that completed on an endpoint. Reports of earlier crashes
+  /// that arrive later don't count.
   ///
+  /// @param aAt  when it completed
   /// @return the reports that were dropped, so that other processes can drop
   /// them too
-  std::vector<CrashReport> Clear(const RequestDigest& aRequest);
+  std::vector<CrashReport> Clear(const RequestDigest& aRequest, TimePoint aAt);
 
   /// Quarantines a request for some time, regardless of its known crashes.
   ///
@@ -78,6 +84,19 @@
                   TimePoint aNow,
                   Millis aDuration);
 
+  /// Withdraws the quarantine of a request whose crashes seem to have another
+  /// cause; a single further crash quarantines it.
+  void Release(const RequestDigest& aRequest);
+
+  /// Time of the first crash if all that quarantined a request came at the same
+  /// moment; empty if they did not, or if it is not quarantined by crashes.
+  std::optional<TimePoint> CommonMoment(const RequestDigest& aRequest,
+                                        TimePoint aNow) const;
+
+  /// Endpoints that crashed while a request ran there.
+  std::vector<std::uint64_t> CrashedEndpoints(
+    const RequestDigest& aRequest) const;
+
   /// Number of known crashes during a request.
   int Crashes(const RequestDigest& aRequest, TimePoint aNow) const;
 
@@ -89,7 +108,7 @@
   std::vector<AgedCrashReport> Reports(TimePoint aNow) const;
 
   /// Number of tracked requests, and how many of them are quarantined.
-  std::size_t Suspects() const { return mRequests.size(); }
+  std::size_t Suspects() const;
   std::size_t Quarantined(TimePoint aNow) const;
 
   const CrashTrackerSettings& Settings() const { return mSettings; }
@@ -107,6 +126,7 @@
     std::vector<Crash> mCrashes; ///< latest, up to mQuarantineThreshold
     TimePoint mLatest;
     TimePoint mQuarantinedUntil;
+    std::optional<TimePoint> mClearedAt;
   };
 
   bool IsForgotten(const Record& aRecord, TimePoint aNow) const;
--- a/packages/state/src/crash_tracker.cpp
+++ b/packages/state/src/crash_tracker.cpp
@@ -18,6 +18,9 @@
 CrashTracker::Note(const CrashReport& aReport, TimePoint aAt)
 {
   auto& record = RecordOf(aReport.mRequest, aAt);
+  if (record.mClearedAt && aAt <= *record.mClearedAt) {
+    return false;
+  }
   const auto isSame = [&](const Crash& aCrash) {
     const auto apart = std::max(aAt, aCrash.mAt) - std::min(aAt, aCrash.mAt);
     return aCrash.mEndpoint == aReport.mEndpoint &&
@@ -43,17 +46,22 @@
 }
 
 std::vector<CrashReport>
-CrashTracker::Clear(const RequestDigest& aRequest)
+CrashTracker::Clear(const RequestDigest& aRequest, TimePoint aAt)
 {
   std::vector<CrashReport> known;
   const auto found = mRequests.find(aRequest);
   if (found == mRequests.end()) {
     return known;
   }
-  for (const auto& crash : found->second.mCrashes) {
+  auto& record = found->second;
+  for (const auto& crash : record.mCrashes) {
     known.push_back({ aRequest, crash.mEndpoint });
   }
-  mRequests.erase(found);
+  record.mCrashes.clear();
+  record.mQuarantinedUntil = {};
+  record.mLatest = std::max(record.mLatest, aAt);
+  record.mClearedAt =
+    record.mClearedAt ? std::max(*record.mClearedAt, aAt) : aAt;
   return known;
 }
 
@@ -71,6 +79,52 @@
   return isNew;
 }
 
+void
+CrashTracker::Release(const RequestDigest& aRequest)
+{
+  const auto found = mRequests.find(aRequest);
+  if (found == mRequests.end()) {
+    return;
+  }
+  const auto allowed =
+    static_cast<std::size_t>(mSettings.mQuarantineThreshold) - 1;
+  auto& crashes = found->second.mCrashes;
+  crashes.resize(std::min(crashes.size(), allowed));
+  found->second.mQuarantinedUntil = {};
+}
+
+std::optional<TimePoint>
+CrashTracker::CommonMoment(const RequestDigest& aRequest, TimePoint aNow) const
+{
+  const auto found = mRequests.find(aRequest);
+  const auto threshold =
+    static_cast<std::size_t>(mSettings.mQuarantineThreshold);
+  if (found == mRequests.end() || found->second.mCrashes.size() < threshold ||
+      found->second.mQuarantinedUntil <= aNow) {
+    return std::nullopt;
+  }
+  const auto& crashes = found->second.mCrashes;
+  const auto [first, last] = std::minmax_element(
+    crashes.begin(), crashes.end(), [](const auto& aOne, const auto& aTwo) {
+      return aOne.mAt < aTwo.mAt;
+    });
+  return last->mAt - first->mAt < mSettings.mMoment ? std::optional(first->mAt)
+                                                    : std::nullopt;
+}
+
+std::vector<std::uint64_t>
+CrashTracker::CrashedEndpoints(const RequestDigest& aRequest) const
+{
+  std::vector<std::uint64_t> endpoints;
+  const auto found = mRequests.find(aRequest);
+  if (found != mRequests.end()) {
+    for (const auto& crash : found->second.mCrashes) {
+      endpoints.push_back(crash.mEndpoint);
+    }
+  }
+  return endpoints;
+}
+
 int
 CrashTracker::Crashes(const RequestDigest& aRequest, TimePoint aNow) const
 {
@@ -118,6 +172,15 @@
   return reports;
 }
 
+std::size_t
+CrashTracker::Suspects() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(mRequests.begin(), mRequests.end(), [](const auto& aItem) {
+      return !aItem.second.mCrashes.empty();
+    }));
+}
+
 std::size_t
 CrashTracker::Quarantined(TimePoint aNow) const
 {
