A list that may lack a version decides no stream before companions are asked

Another operator's report: while replicas of a new version joined, a relay that was cut off for less than a second had streams of that version go on at the former one.

Cause: a relay that had followed the list for long answered by its own list up to an age of 3 s, before it asked anybody.

Change: companions are always asked, and a record decides. The own list counts if all companions that were asked have replied, since the other relay would have had the stream recorded; otherwise a list of a time after the request is awaited for up to half a second. The model explores outdated lists; it shows what is left: a record that reached none of its companions.

Cost: a resumed stream waits for the replies of companions (nothing else asks them). In calm, with one version, streams go on as before.

--- a/packages/coordination/src/streams/relay_streams.cpp
+++ b/packages/coordination/src/streams/relay_streams.cpp
@@ -24,6 +24,9 @@
 /// versions; callers resume streams as soon as it listens.
 constexpr Millis kStartTime{ 500 };
 
+/// Interval at which a request that waits for a newer list checks its age.
+constexpr Millis kListCheckInterval{ 50 };
+
 /// A companion that restarts is connected again within this time.
 constexpr Millis kRenewalDelay{ 1500 };
 
@@ -148,6 +151,13 @@
     }
   }
 
+  /// Whether the list is of a time or later, so that it shows whatever served
+  /// before that.
+  bool IsListedSince(TimePoint aTime) const
+  {
+    return mFreshness.mEndpoints && *mFreshness.mEndpoints >= aTime;
+  }
+
   /// Whether the list has not been read since this relay started, or the
   /// history that decides about a stream not since the last gap in the list.
   bool IsReading(const StreamKey& aStream) const
@@ -345,13 +355,11 @@
   if (own != shared->mOwn.end() && own->second.mUntil > shared->Now()) {
     co_return StreamLookup{ StreamKnowledge::kKnown, own->second.mVersion };
   }
-  const auto until = shared->Now() + kStartTime;
+  const auto askedAt = shared->Now();
+  const auto until = askedAt + kStartTime;
   while (!shared->mFreshness.mEndpoints && shared->Now() < until) {
     co_await shared->AwaitUpdate(until);
   }
-  if (const auto only = shared->KnownOnlyVersion(aStream)) {
-    co_return StreamLookup{ StreamKnowledge::kKnown, *only };
-  }
   const auto hosts = shared->mHolders.ForReading(aStream.mStream);
   state::OriginEvidence evidence;
   if (dependencies.mFindStream && !hosts.empty()) {
@@ -365,16 +373,25 @@
     co_await pending->Wait();
     evidence.mReplies = pending->mReplies;
   }
+  // A version may have begun to serve since the list was read. Then another
+  // relay had the stream recorded, and some companion that did not reply may
+  // hold the record.
+  const bool haveAllReplied = evidence.mReplies.size() == hosts.size();
   while (true) {
-    evidence.mOnlyVersion = shared->CurrentOnlyVersion(aStream);
+    const auto only = shared->CurrentOnlyVersion(aStream);
+    const bool isShown = haveAllReplied || shared->IsListedSince(askedAt);
+    evidence.mOnlyVersion = isShown ? only : std::nullopt;
+    evidence.mIsHistoryKnown = shared->KnownOnlyVersion(aStream).has_value();
     evidence.mStoredVersion = shared->StoredVersion(aStream.mService);
     const auto judged = state::JudgeOrigin(evidence);
+    const bool isAwaited = shared->IsReading(aStream) || (only && !isShown);
     const bool mayChange = judged.mKnowledge == StreamKnowledge::kUnknown &&
-                           shared->IsReading(aStream) && shared->Now() < until;
+                           isAwaited && shared->Now() < until;
     if (!mayChange) {
       co_return judged;
     }
-    co_await shared->AwaitUpdate(until);
+    co_await shared->AwaitUpdate(
+      std::min(until, shared->Now() + kListCheckInterval));
   }
 }
 
--- a/packages/state/include/shuntjunction/state/streams/stream_origin.h
+++ b/packages/state/include/shuntjunction/state/streams/stream_origin.h
@@ -30,6 +30,8 @@
   /// it has several, or was not read.
   std::optional<std::string> mStoredVersion;
   std::vector<OriginReply> mReplies;
+  /// As OriginReply::mIsHistoryKnown, of the relay's own list.
+  bool mIsHistoryKnown = false;
 };
 
 /// Version at which a stream began.
--- a/packages/state/src/streams/stream_origin.cpp
+++ b/packages/state/src/streams/stream_origin.cpp
@@ -25,6 +25,7 @@
   }
   const auto& replies = aEvidence.mReplies;
   const bool isHistoryKnown =
+    aEvidence.mIsHistoryKnown ||
     aEvidence.mStoredVersion == aEvidence.mOnlyVersion ||
     std::any_of(replies.begin(), replies.end(), [](const auto& aReply) {
       return aReply.mIsHistoryKnown;
--- a/packages/state/tests/streams/stream_records_model_test.cpp
+++ b/packages/state/tests/streams/stream_records_model_test.cpp
@@ -96,6 +96,9 @@
   bool mTrustsRestartedCompanions = false;
   bool mBeginsUnrecorded = false; ///< at a version that is not in the history
   bool mForgetsTooEarly = false;  ///< versions that are not listed any more
+  /// An outdated list is trusted once all companions have replied.
+  bool mTrustsRepliesOfAll = false;
+  bool mLosesNoWrites = false; ///< each record reaches its companions
 };
 
 class Model
@@ -200,7 +203,8 @@
     stored.mStored |= VersionsOf(stored.mFirst.mNow);
     aNext.push_back(stored);
     // Any of the writes may be lost.
-    for (unsigned reached = 0; reached < 4; ++reached) {
+    const unsigned fewest = mMutation.mLosesNoWrites ? 3 : 0;
+    for (unsigned reached = fewest; reached < 4; ++reached) {
       auto learned = aWorld;
       learned.mFirst.Learn(learned.mListing);
       if (learned.mOrigin >= 0 && !learned.mFirst.OnlyVersion()) {
@@ -233,15 +237,14 @@
   /// What the second relay learns if it reaches some of the companions.
   StreamLookup Find(const World& aWorld, unsigned aReached, bool aIsFresh) const
   {
-    const auto only = aIsFresh || mMutation.mTrustsOutdatedList
-                        ? aWorld.mSecond.OnlyVersion()
-                        : std::nullopt;
+    const bool isTrusted = aIsFresh || mMutation.mTrustsOutdatedList ||
+                           (mMutation.mTrustsRepliesOfAll && aReached == 3);
+    const auto only = isTrusted ? aWorld.mSecond.OnlyVersion() : std::nullopt;
     const bool isHistoryKnown =
       !aWorld.mSecond.mHasRestarted || mMutation.mTrustsOwnList;
-    if (only && isHistoryKnown) {
-      return { StreamKnowledge::kKnown, *only };
-    }
-    OriginEvidence evidence{ only, StoredVersion(aWorld.mRead), {} };
+    OriginEvidence evidence{
+      only, StoredVersion(aWorld.mRead), {}, isHistoryKnown
+    };
     for (unsigned i = 0; i < 2; ++i) {
       const auto& companion = aWorld.mCompanions[i];
       if ((aReached & (1U << i)) != 0) {
@@ -336,5 +339,17 @@
   EXPECT_GT(Model({ .mTrustsOutdatedList = true }).Explore(), 0);
 }
 
+TEST(TheModelOfStreamRecords, WhereNoRecordIsLostRepliesMakeUpForAnOutdatedList)
+{
+  EXPECT_EQ(
+    Model({ .mTrustsRepliesOfAll = true, .mLosesNoWrites = true }).Explore(),
+    0);
+}
+
+TEST(TheModelOfStreamRecords, TheCheckerFindsALostRecordBesideAnOutdatedList)
+{
+  EXPECT_GT(Model({ .mTrustsRepliesOfAll = true }).Explore(), 0);
+}
+
 } // namespace
 } // namespace shuntjunction::state
