Requests that run when a relay exits get an answer

New requests are refused from 3 s on here, as tests show. But what had been read before and waited (for an endpoint, a permit, a retry) could be sent up to the forced end, and what ran then was cut with its connection.

Daemon::FinishStop, for processes on the project's own path, is unchanged.

--- a/packages/coordination/include/shuntjunction/coordination/relay.h
+++ b/packages/coordination/include/shuntjunction/coordination/relay.h
@@ -158,6 +158,13 @@
   /// Refuses new requests and closes idle connections.
   void RefuseNew();
 
+  /// Refuses the requests that run at no endpoint: those that would be sent
+  /// from now on may not end in time.
+  void EndUnsentRequests();
+
+  /// Answers all requests whose answers have not begun, and cuts the others.
+  void EndRequests();
+
   /// Number of requests being served.
   std::size_t Active() const;
 
--- a/packages/coordination/src/fleet_daemon.cpp
+++ b/packages/coordination/src/fleet_daemon.cpp
@@ -53,10 +53,18 @@
 /// finish within the grace period.
 constexpr Millis kRefuseAfter{ 3000 };
 
-/// Fraction of the grace period after which the process exits, even if requests
-/// are running.
+/// Fraction of the grace period after which no request is sent any more. The
+/// rest of the time is longer than most requests take.
+constexpr double kLastSendShare = 0.7;
+
+/// Fraction of the grace period after which requests that are running are
+/// ended.
 constexpr double kForcedStopShare = 0.94;
 
+/// Fraction of the grace period after which the process exits, even if an
+/// answer is still being written.
+constexpr double kLastAnswerShare = 0.97;
+
 /// Interval at which a stopping process checks whether its connections have
 /// closed.
 constexpr Millis kStopPollInterval{ 25 };
@@ -608,9 +616,18 @@
       if (mClock.Now() >= startedAt + kRefuseAfter) {
         mRelay->RefuseNew();
       }
+      if (mClock.Now() >= after(kLastSendShare)) {
+        mRelay->EndUnsentRequests();
+      }
+      co_await transport::Sleep(kStopPollInterval);
+    }
+    const auto ended = mRelay->Active();
+    mRelay->EndRequests();
+    while (mRelay->Active() > 0 && mClock.Now() < after(kLastAnswerShare)) {
       co_await transport::Sleep(kStopPollInterval);
     }
     mLog.Write(EventLine(kComponent, "stopped")
+                 .Add("ended", ended)
                  .Add("cut", mRelay->Active())
                  .Add("connections", mRelay->Connections()));
     mTraffic.stop();
--- a/packages/coordination/src/relay.cpp
+++ b/packages/coordination/src/relay.cpp
@@ -204,6 +204,15 @@
                  mLimits.mFreshnessMargin;
 }
 
+void
+Relay::Core::EndRequests(bool aOnlyUnsent)
+{
+  // What is interrupted only wakes up later, so that no session ends here.
+  for (auto* session : mSessions) {
+    session->EndRequest(aOnlyUnsent);
+  }
+}
+
 void
 Relay::Core::CloseIdleSessions()
 {
@@ -534,6 +543,18 @@
   mCore->CloseIdleSessions();
 }
 
+void
+Relay::EndUnsentRequests()
+{
+  mCore->EndRequests(true);
+}
+
+void
+Relay::EndRequests()
+{
+  mCore->EndRequests(false);
+}
+
 std::size_t
 Relay::Active() const
 {
--- a/packages/coordination/src/relay_core.h
+++ b/packages/coordination/src/relay_core.h
@@ -91,6 +91,9 @@
   /// Closes connections on which no request has begun.
   void CloseIdleSessions();
 
+  /// Ends requests because the process exits, see RelaySession::EndRequest.
+  void EndRequests(bool aOnlyUnsent);
+
   /// Applies the number of relays that a companion reports; a smaller one than
   /// before changes nothing.
   void UpdateRelayCount(std::uint32_t aRelays);
--- a/packages/coordination/src/relay_reply.cpp
+++ b/packages/coordination/src/relay_reply.cpp
@@ -30,8 +30,10 @@
     LogOutcome("caller-gone", mLastProblem);
     co_return;
   }
-  const bool isLate = mInterrupt == RunInterrupt::kDeadline;
-  std::string reason = isLate ? "deadline" : mLastProblem;
+  const bool isLate = mInterrupt == RunInterrupt::kDeadline ||
+                      mInterrupt == RunInterrupt::kStopping;
+  std::string reason =
+    mInterrupt == RunInterrupt::kDeadline ? "deadline" : mLastProblem;
   const auto quarantine = QuarantineLeft();
   if (quarantine > Millis(0)) {
     reason = kQuarantinedReason;
--- a/packages/coordination/src/relay_run.cpp
+++ b/packages/coordination/src/relay_run.cpp
@@ -74,7 +74,7 @@
   } else if (IsQuarantined()) {
     co_await Refuse(kUnavailable, kQuarantinedReason, QuarantineLeft());
   } else if (mCore->mIsRefusing) {
-    co_await Refuse(kUnavailable, "stopping", Millis(0));
+    co_await Refuse(kUnavailable, kStoppingReason, Millis(0));
   } else {
     mService = SelectService();
     ArmDeadline();
@@ -206,6 +206,25 @@
   EndSuspended();
 }
 
+void
+RelayRun::EndForStop()
+{
+  if (mInterrupt == RunInterrupt::kNone) {
+    mLastProblem = kStoppingReason;
+    mRetryAfter = Millis(0);
+    Interrupt(RunInterrupt::kStopping);
+  }
+}
+
+void
+RelayRun::EndIfUnsent()
+{
+  const bool isSent = mRunningEntry && (*mRunningEntry)->second.mEndpoint != 0;
+  if (!isSent && mSuspended.empty()) {
+    EndForStop();
+  }
+}
+
 Millis
 RelayRun::SinceArrival() const
 {
--- a/packages/coordination/src/relay_run.h
+++ b/packages/coordination/src/relay_run.h
@@ -17,6 +17,9 @@
 /// The same while its quarantine is deferred.
 inline constexpr std::string_view kSuspectedReason = "crash-suspect";
 
+/// Reason for refusing a request because this relay stops.
+inline constexpr std::string_view kStoppingReason = "stopping";
+
 /// Retry-After of a refused caller.
 inline constexpr state::Millis kRetrySoon{ 100 };
 
@@ -34,6 +37,7 @@
   kCallerGone,
   kDeadline,
   kQuarantined, ///< endpoints crashed under the same request elsewhere
+  kStopping,    ///< the relay is about to exit
 };
 
 /// Outcome of one attempt at an endpoint.
@@ -119,6 +123,14 @@
   /// Runs to the end; returns whether the caller's connection may be kept.
   transport::Task<bool> Run();
 
+  /// Ends the run because the relay stops: the caller gets an answer, unless
+  /// one was forwarded in part.
+  void EndForStop();
+
+  /// The same if the request runs nowhere: it can't be expected to end in time
+  /// if it is sent now.
+  void EndIfUnsent();
+
   /// Whether an answer was forwarded in part and could not be completed.
   ///
   /// @pre  Run has ended
--- a/packages/coordination/src/relay_session.cpp
+++ b/packages/coordination/src/relay_session.cpp
@@ -93,6 +93,19 @@
   }
 }
 
+void
+RelaySession::EndRequest(bool aOnlyUnsent)
+{
+  if (mRun == nullptr) {
+    return;
+  }
+  if (aOnlyUnsent) {
+    mRun->EndIfUnsent();
+  } else {
+    mRun->EndForStop();
+  }
+}
+
 Task<bool>
 RelaySession::ServeOne()
 {
@@ -105,7 +118,9 @@
   mCore->mBodyBytes += request->mBody.size();
   const auto bytes = request->mBody.size();
   RelayRun run(mCore, *mReader, request, mCore->mDependencies.mClock.Now());
+  mRun = &run;
   const bool keepsConnection = co_await run.Run();
+  mRun = nullptr;
   mEnd = run.IsAnswerCut() ? SessionEnd::kCut : SessionEnd::kAnswered;
   mCore->mBodyBytes -= bytes;
   --mCore->mActive;
--- a/packages/coordination/src/relay_session.h
+++ b/packages/coordination/src/relay_session.h
@@ -21,6 +21,8 @@
   { "idle", "answered", "refused", "cut", "by-caller" }
 };
 
+class RelayRun;
+
 /// Reads requests from a connection and serves each.
 ///
 /// Thread safety: none; used on the relay's thread.
@@ -38,6 +40,11 @@
   /// Closes the connection if no byte of a request has arrived.
   void CloseIfIdle();
 
+  /// Ends the request that is being served, see RelayRun::EndForStop.
+  ///
+  /// @param aOnlyUnsent  only if it runs nowhere
+  void EndRequest(bool aOnlyUnsent);
+
 private:
   transport::Task<bool> ServeOne();
 
@@ -71,6 +78,7 @@
   std::uint64_t mRequests = 0; ///< that were read completely
   SessionEnd mEnd = SessionEnd::kIdle;
   bool mIsIdle = true;
+  RelayRun* mRun = nullptr; ///< the request that is being served
   bool mIsClosed = false;
 };
 
