Limits apply as they are when a request arrives

On kept connections proper requests got 413 by limits that had been replaced seconds before.

Cause: a session read the limits when it began to wait for its next request.

Change: it waits for the first bytes of a request and reads the limits then.

Evidence: ARequestIsJudgedByTheLimitsInForceWhenItArrives fails on the former code.

--- a/packages/coordination/src/relay_session.cpp
+++ b/packages/coordination/src/relay_session.cpp
@@ -132,9 +132,34 @@
   co_return keepsConnection;
 }
 
+Task<bool>
+RelaySession::AwaitRequest()
+{
+  const auto& clock = mCore->mDependencies.mClock;
+  const auto since = clock.Now();
+  while (mReader->Buffered().empty()) {
+    const auto& limits = mCore->mView->mConfig->Rules().mLimits;
+    const auto until = since + limits.mIdleTimeout;
+    if (mReader->IsClosed()) {
+      mEnd = SessionEnd::kByCaller;
+      co_return false;
+    }
+    if (clock.Now() >= until) {
+      co_return false;
+    }
+    co_await mReader->Wait(until);
+  }
+  mIsIdle = false;
+  co_return true;
+}
+
 Task<std::shared_ptr<RelayRequest>>
 RelaySession::ReadRequest()
 {
+  if (!co_await AwaitRequest()) {
+    co_return nullptr;
+  }
+  // They may have changed while the connection was idle.
   const auto limits = mCore->mView->mConfig->Rules().mLimits;
   RelayRequestReader reader(limits.mHeaderBytes, limits.mBodyBytes);
   const bool isComplete = co_await ReadFullRequest(reader, limits);
@@ -149,14 +174,11 @@
                               const state::CallerLimits& aLimits)
 {
   const auto& clock = mCore->mDependencies.mClock;
-  TimePoint until = clock.Now() + aLimits.mIdleTimeout;
+  const TimePoint until = clock.Now() + aLimits.mHeaderTimeout;
   bool isContinued = false;
   while (true) {
     const auto bytes = mReader->Buffered();
     if (!bytes.empty()) {
-      if (std::exchange(mIsIdle, false)) {
-        until = clock.Now() + aLimits.mHeaderTimeout;
-      }
       std::size_t consumed = 0;
       const auto step = aRequest.Put(bytes, consumed);
       mReader->Consume(consumed);
@@ -185,9 +207,7 @@
       co_return false;
     }
     if (clock.Now() >= until) {
-      if (!mIsIdle) {
-        co_await RefuseUnread(kTooSlow, "the request took too long to arrive");
-      }
+      co_await RefuseUnread(kTooSlow, "the request took too long to arrive");
       co_return false;
     }
     co_await mReader->Wait(until);
--- a/packages/coordination/src/relay_session.h
+++ b/packages/coordination/src/relay_session.h
@@ -48,6 +48,9 @@
 private:
   transport::Task<bool> ServeOne();
 
+  /// Waits for the first bytes of a request; false when none will come.
+  transport::Task<bool> AwaitRequest();
+
   /// Reads the next request; null when there is none or it was refused.
   transport::Task<std::shared_ptr<transport::RelayRequest>> ReadRequest();
 
