An engine that responds with an error is not reported as down

A resumable stream went on at a second engine while the first, which failed its reports with 500 and was reached by all, still worked on it.

Cause: a monitor counted any failed report like a refused connection. The relay takes the report that an engine doesn't respond, together with a silence of its bytes, for a machine that has stopped.

Change: only a call without a response counts. The errors of an engine's control calls say which it was.

Evidence: ItIsNotDownWhileItResponds fails on the former code.

--- a/packages/coordination/include/shuntjunction/coordination/engine_control.h
+++ b/packages/coordination/include/shuntjunction/coordination/engine_control.h
@@ -73,8 +73,9 @@
 /// The control interface of an engine.
 ///
 /// Thread safety: none; used on one thread.
-/// Errors: kUnavailable if the call had no effect, kTimeout if its effect is
-/// unknown.
+/// Errors: kUnavailable if the engine was not reached, so that the call had no
+/// effect, kTimeout if its effect is unknown, any other if the engine responded
+/// with something else than was asked for.
 class EngineControl
 {
 public:
--- a/packages/coordination/src/engine_monitor.cpp
+++ b/packages/coordination/src/engine_monitor.cpp
@@ -14,10 +14,18 @@
 /// Delay after a failed report.
 constexpr Millis kRetryInterval{ 50 };
 
-/// Consecutive failed reports after which the engine counts as down. A refused
-/// connection fails at once, so that this takes little time.
+/// Consecutive reports without a response after which the engine counts as
+/// down. A refused connection fails at once, so that this takes little time.
 constexpr int kFailuresUntilDown = 3;
 
+/// Whether a call failed though the engine responded.
+bool
+HasResponded(const state::Error& aError)
+{
+  return aError.mCode != state::ErrorCode::kUnavailable &&
+         aError.mCode != state::ErrorCode::kTimeout;
+}
+
 } // namespace
 
 EngineMonitor::EngineMonitor(transport::asio::io_context& aContext,
@@ -53,8 +61,10 @@
       co_await transport::Sleep(kPollInterval);
       continue;
     }
-    if (++failures >= kFailuresUntilDown) {
-      mNews.SetDown(true);
+    // One that fails its reports may still be running requests.
+    failures = HasResponded(report.error()) ? 0 : failures + 1;
+    if (failures == 0 || failures >= kFailuresUntilDown) {
+      mNews.SetDown(failures != 0);
     }
     co_await transport::Sleep(kRetryInterval);
   }
--- a/packages/coordination/tests/engine_news_test.cpp
+++ b/packages/coordination/tests/engine_news_test.cpp
@@ -7,6 +7,7 @@
 
 #include <gtest/gtest.h>
 
+#include "shuntjunction/coordination/engine_monitor.h"
 #include "shuntjunction/state/zone_watchers.h"
 
 // What companions report to relays, and relays to each other.
@@ -19,6 +20,7 @@
 using protocol::EngineNews;
 using protocol::PartReading;
 using state::Millis;
+using transport::Task;
 
 /// A relay that follows the companion.
 struct Listener
@@ -165,6 +167,77 @@
   }
 }
 
+namespace {
+
+/// An engine whose reports fail with an error.
+class EngineWithoutReports final : public EngineControl
+{
+public:
+  explicit EngineWithoutReports(state::ErrorCode aError)
+    : mError(aError)
+  {
+  }
+
+  void SetNoticeHandler(NoticeHandler) override {}
+
+  Task<state::Result<EngineReport>> Report() override
+  {
+    ++mReports;
+    co_return state::Fail(mError, "engine.report", "", "");
+  }
+  Task<state::Result<PartChanges>> Changes(std::uint64_t, Millis) override
+  {
+    co_return state::Fail(mError, "engine.changes", "", "");
+  }
+  Task<state::Result<OrderOutcome>> Order(LoadOrder) override
+  {
+    co_return state::Fail(mError, "engine.order", "", "");
+  }
+
+  int Reports() const { return mReports; }
+
+private:
+  state::ErrorCode mError;
+  int mReports = 0;
+};
+
+} // namespace
+
+class WhoseEngineFailsItsReports : public GivenACompanionAndTwoRelays
+{
+protected:
+  /// Monitors an engine until it has failed some reports.
+  void Monitor(state::ErrorCode aError)
+  {
+    constexpr int kReports = 6;
+    mEngine = std::make_unique<EngineWithoutReports>(aError);
+    mMonitor = std::make_unique<EngineMonitor>(
+      mContext, *mEngine, mServer, [](const auto&) {});
+    mMonitor->Start();
+    Await([&] { return mEngine->Reports() >= kReports; });
+  }
+
+  std::unique_ptr<EngineWithoutReports> mEngine;
+  std::unique_ptr<EngineMonitor> mMonitor;
+};
+
+// Guards against a second run of a request that its engine still works on.
+TEST_F(WhoseEngineFailsItsReports, ItIsNotDownWhileItResponds)
+{
+  Monitor(state::ErrorCode::kProtocol);
+  for (const auto& news : mOne.mNews) {
+    EXPECT_NE(news.mPhase, protocol::EnginePhase::kDown);
+  }
+}
+
+TEST_F(WhoseEngineFailsItsReports, ItIsDownWhenItDoesNotRespond)
+{
+  Monitor(state::ErrorCode::kUnavailable);
+  Await([this] {
+    return mOne.mNews.back().mPhase == protocol::EnginePhase::kDown;
+  });
+}
+
 class OfWhichOneSawACrash : public GivenACompanionAndTwoRelays
 {
 protected:
