A deferred quarantine also holds attempts that were under way

A request that had been let pass before the third crash could still be sent while its connection was opened. The check at the choice is repeated at the send; the request then waits like the others.

--- a/packages/coordination/src/relay_attempt.cpp
+++ b/packages/coordination/src/relay_attempt.cpp
@@ -242,6 +242,10 @@
     mLastProblem = "part restricted";
     return tl::unexpected(AttemptOutcome::kLeaving);
   }
+  if (mCore->mCrashes.IsDeferred(mDigest)) {
+    mLastProblem = kSuspectedReason;
+    return tl::unexpected(AttemptOutcome::kLeaving);
+  }
   if (const auto reason = ReasonToWithhold(); !reason.empty()) {
     mLastProblem = reason;
     return tl::unexpected(AttemptOutcome::kWithheld);
