--- a/packages/coordination/src/relay_endpoint_choice.cpp
+++ b/packages/coordination/src/relay_endpoint_choice.cpp
@@ -243,7 +243,7 @@
   return nearest;
 }
 
-/// Whether an engine may have built a part of aChoice under other weights.
+/// Whether an engine may have built a part under other weights than aWeights.
 ///
 /// One that loads weights under its runs reads the prompts of those that it
 /// preempts anew, under the salt of the former weights.
