An answer that is reset during the upload is not taken for a whole one

Callers saw: a replica answered a long upload with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written; the caller got that part with a Content-Length of its size.

Cause: the kernel reports the failure of a connection to one call. The request was written with async_write beside the SocketReader, whose error was dropped; the read that followed ended in order, which completes such an answer.

Evidence: on plain sockets, send returns the reset, recv the part and then an end without an error; in the other order recv returns the reset. The relay's log of such answers has end "closed". Ruled out: the parser (the same answer to an upload that the sockets hold is a 502) and the check for a crashed endpoint (the endpoint goes on listening).

Change: SocketReader::Write makes its calls on the socket as the reads do and records what it sees; HasReachedEof is false after a write that saw the connection fail. A broken pipe is no failure: the kernel returns it if the reset came after the peer's orderly end.

--- a/packages/coordination/src/continuation/runs_query.cpp
+++ b/packages/coordination/src/continuation/runs_query.cpp
@@ -1,7 +1,5 @@
 #include "continuation/runs_query.h"
 
-#include <boost/asio/write.hpp>
-
 #include "shuntjunction/transport/connect.h"
 
 namespace shuntjunction::coordination {
@@ -38,9 +36,9 @@
   const auto& clock = aCore->mDependencies.mClock;
   const auto until = clock.Now() + kReplyTimeout;
   const std::string text = codec.RunsQuery(aEndpoint->mInfo);
-  const auto [error, sent] = co_await asio::async_write(
-    aConnection->Socket(), asio::buffer(text), transport::kAsTuple);
-  if (error) {
+  const transport::SocketReader::WriteBuffers buffers{ asio::buffer(text) };
+  const bool isSent = co_await aConnection->Write(buffers);
+  if (!isSent) {
     co_return RunsReply{};
   }
   transport::RelayResponseReader reader(false);
--- a/packages/coordination/src/relay_attempt.cpp
+++ b/packages/coordination/src/relay_attempt.cpp
@@ -1,10 +1,7 @@
 #include "relay_attempt.h"
 
-#include <array>
 #include <utility>
 
-#include <boost/asio/write.hpp>
-
 #include "shuntjunction/transport/connect.h"
 
 namespace shuntjunction::coordination {
@@ -21,16 +18,12 @@
 WriteRequest(std::shared_ptr<SocketReader> aConnection,
              std::shared_ptr<OutgoingRequest> aSending)
 {
-  const std::array<asio::const_buffer, 2> buffers{
+  const SocketReader::WriteBuffers buffers{
     asio::buffer(aSending->mHead), asio::buffer(aSending->mRequest->mBody)
   };
-  const auto [error, bytes] = co_await asio::async_write(
-    aConnection->Socket(), buffers, transport::kAsTuple);
-  if (!error) {
-    aSending->mIsDone = true;
-  }
-  // An endpoint that answers early may close its side. Its answer still counts,
-  // so only the reading side decides.
+  // An endpoint that answers early may close its side in order. Its answer
+  // still counts, so only the reading side decides.
+  aSending->mIsDone = co_await aConnection->Write(buffers);
 }
 
 /// Whether a caller's header field is forwarded to an endpoint.
--- a/packages/transport/include/shuntjunction/transport/socket_reader.h
+++ b/packages/transport/include/shuntjunction/transport/socket_reader.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include <array>
 #include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
 
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
 #include "shuntjunction/transport/task.h"
@@ -59,8 +61,18 @@
 
   /// Whether the peer closed its side in order, rather than the connection
   /// failing.
+  ///
+  /// @pre  writes that overlapped with reading were made by Write
   bool HasReachedEof() const { return mHasReachedEof; }
 
+  /// Two parts of what is written, which one segment may carry together.
+  using WriteBuffers = std::array<asio::const_buffer, 2>;
+
+  /// Writes all bytes; returns whether that succeeded.
+  ///
+  /// @pre  the buffers stay valid, and nothing else is written meanwhile
+  Task<bool> Write(WriteBuffers aBuffers);
+
   /// Sets a callback that runs once when the peer closes its side or the
   /// connection fails; null for none.
   void OnClosed(std::function<void()> aCallback)
@@ -89,6 +101,7 @@
   void Arm();
   void ReadAvailable(const boost::system::error_code& aError);
   void MarkClosed(const boost::system::error_code& aError);
+  void NoteWriteError(const boost::system::error_code& aError);
 
   asio::ip::tcp::socket mSocket;
   Timer mSignal;
@@ -101,6 +114,7 @@
   bool mIsArmed = false;
   bool mIsClosed = false;
   bool mHasReachedEof = false;
+  bool mHasFailed = false; ///< a write has seen the connection fail
 };
 
 /// Sets whether closing the socket sends a reset to the peer, which also
--- a/packages/transport/src/socket_reader.cpp
+++ b/packages/transport/src/socket_reader.cpp
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <array>
 
+#include <boost/beast/core/buffers_prefix.hpp>
+#include <boost/beast/core/buffers_suffix.hpp>
+
 namespace shuntjunction::transport {
 
 using tcp = asio::ip::tcp;
@@ -10,6 +13,8 @@
 namespace {
 
 constexpr std::size_t kReadBytes = 32UL * 1024;
+/// Bytes of a write after which the thread's other work has its turn.
+constexpr std::size_t kWriteBytes = 64UL * 1024;
 /// Largest empty buffer that a connection keeps; there may be thousands of
 /// connections that are idle.
 constexpr std::size_t kKeptBytes = 1024;
@@ -125,11 +130,46 @@
   }
 }
 
+Task<bool>
+SocketReader::Write(WriteBuffers aBuffers)
+{
+  const auto self = shared_from_this();
+  boost::beast::buffers_suffix<WriteBuffers> rest(aBuffers);
+  while (asio::buffer_size(rest) > 0) {
+    // Not async_write: its error would be known here only after reads that
+    // already lack it.
+    boost::system::error_code error;
+    rest.consume(mSocket.write_some(
+      boost::beast::buffers_prefix(kWriteBytes, rest), error));
+    if (error && error != asio::error::would_block) {
+      NoteWriteError(error);
+      co_return false;
+    }
+    if (asio::buffer_size(rest) > 0) {
+      const auto [waitError] =
+        co_await mSocket.async_wait(tcp::socket::wait_write, kAsTuple);
+      if (waitError) {
+        co_return false;
+      }
+    }
+  }
+  co_return true;
+}
+
+void
+SocketReader::NoteWriteError(const boost::system::error_code& aError)
+{
+  // The kernel reports the failure of a connection to one call; later reads end
+  // as after an orderly close. A reset that follows the peer's orderly close is
+  // reported as a broken pipe: all that it sent has arrived.
+  mHasFailed = aError != asio::error::broken_pipe;
+}
+
 void
 SocketReader::MarkClosed(const boost::system::error_code& aError)
 {
   mIsClosed = true;
-  mHasReachedEof = aError == asio::error::eof;
+  mHasReachedEof = aError == asio::error::eof && !mHasFailed;
   if (mOnClosed) {
     std::exchange(mOnClosed, nullptr)();
   }
