Bytes after an answer without a valid status are not served as the answer

Callers saw: a replica answered with the status 000; what came after it on the connection reached the caller as its 200, or the caller got 504 at its deadline.

Cause: RelayResponseReader took each status below 200 for an interim response and began anew after it, also after a 101 that nobody had requested and after interim responses with a body. HttpClient, which reads the store, the engines and the backends, knew no interim responses, and kept connections with bytes left over.

Evidence: a stand-in that sends nothing, a body, an answer in the same piece or an answer 50 ms later after each of nine heads; exactly the heads below 200 are followed by a second answer. Ruled out: answers to other requests (the id is that of the request) and a connection that is used again.

HttpClient skips up to 64 interim responses and closes connections with bytes left over.

--- a/packages/transport/src/http_client.cpp
+++ b/packages/transport/src/http_client.cpp
@@ -5,6 +5,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "response_kind.h"
 #include "shuntjunction/transport/connect.h"
 
 namespace shuntjunction::transport {
@@ -50,6 +51,16 @@
   return request;
 }
 
+/// Error of a response after which its connection can't be used.
+tl::unexpected<state::Error>
+InvalidResponse(std::string_view aStep, std::string_view aPeer)
+{
+  return Fail(ErrorCode::kTimeout,
+              aStep,
+              aPeer,
+              "invalid status, or too many interim responses");
+}
+
 } // namespace
 
 /// One connection to the address.
@@ -77,7 +88,7 @@
     , mCancel(std::move(aCancel))
     , mChunk(kReadBytes, '\0')
   {
-    mParser.body_limit(boost::none);
+    ResetParser();
     if (mCancel) {
       mCancel->Attach(
         [connection = mConnection.get()] { connection->mStream.close(); });
@@ -97,35 +108,45 @@
   Task<Result<void>> ReadHeader(Millis aTimeout)
   {
     mConnection->mStream.expires_after(aTimeout);
-    const auto [error, bytes] = co_await http::async_read_header(
-      mConnection->mStream, mConnection->mBuffer, mParser, kAsTuple);
-    if (error) {
-      co_return Fail(
-        ErrorCode::kTimeout, "http.header", mPeer, error.message());
+    for (int interim = 0; interim <= kMaxInterimResponses; ++interim) {
+      const auto [error, bytes] = co_await http::async_read_header(
+        mConnection->mStream, mConnection->mBuffer, *mParser, kAsTuple);
+      if (error) {
+        co_return Fail(
+          ErrorCode::kTimeout, "http.header", mPeer, error.message());
+      }
+      const auto kind = KindOf(mParser->get());
+      if (kind == ResponseKind::kFinal) {
+        co_return Result<void>{};
+      }
+      if (kind == ResponseKind::kInvalid) {
+        break;
+      }
+      ResetParser();
     }
-    co_return Result<void>{};
+    co_return InvalidResponse("http.header", mPeer);
   }
 
-  unsigned Status() const override { return mParser.get().result_int(); }
+  unsigned Status() const override { return mParser->get().result_int(); }
 
   std::string Field(std::string_view aName) const override
   {
-    const auto value = mParser.get()[aName];
+    const auto value = mParser->get()[aName];
     return { value.data(), value.size() };
   }
 
-  bool EndsWithConnection() const override { return mParser.need_eof(); }
+  bool EndsWithConnection() const override { return mParser->need_eof(); }
 
   Task<Result<std::string>> Read(Millis aTimeout) override
   {
     // Bytes that add nothing to the body don't extend the time.
     mConnection->mStream.expires_after(aTimeout);
-    while (!mParser.is_done()) {
-      auto& body = mParser.get().body();
+    while (!mParser->is_done()) {
+      auto& body = mParser->get().body();
       body.data = mChunk.data();
       body.size = mChunk.size();
       const auto [error, bytes] = co_await http::async_read_some(
-        mConnection->mStream, mConnection->mBuffer, mParser, kAsTuple);
+        mConnection->mStream, mConnection->mBuffer, *mParser, kAsTuple);
       const std::size_t size = mChunk.size() - body.size;
       if (error && error != http::error::need_buffer) {
         co_return Fail(
@@ -139,10 +160,16 @@
   }
 
 private:
+  void ResetParser()
+  {
+    mParser.emplace();
+    mParser->body_limit(boost::none);
+  }
+
   std::unique_ptr<Connection> mConnection;
   std::string mPeer;
   std::shared_ptr<CancelHandle> mCancel;
-  http::response_parser<http::buffer_body> mParser;
+  std::optional<http::response_parser<http::buffer_body>> mParser;
   std::string mChunk;
 };
 
@@ -205,12 +232,16 @@
     co_return Fail(
       ErrorCode::kTimeout, "http.send", mAddress.Text(), sendError.message());
   }
-  http::response_parser<http::string_body> parser;
-  parser.body_limit(mMaxResponseBytes);
+  std::optional<http::response_parser<http::string_body>> parser;
+  int interim = 0;
   // Not eager: a chunk is reported without waiting for the next one.
-  while (!parser.is_done()) {
+  while (!parser || !parser->is_done()) {
+    if (!parser) {
+      parser.emplace();
+      parser->body_limit(mMaxResponseBytes);
+    }
     const auto [readError, read] = co_await http::async_read_some(
-      stream, aConnection->mBuffer, parser, kAsTuple);
+      stream, aConnection->mBuffer, *parser, kAsTuple);
     if (readError) {
       const bool isTooLarge = readError == http::error::body_limit;
       co_return Fail(isTooLarge ? ErrorCode::kTooLarge : ErrorCode::kTimeout,
@@ -219,9 +250,20 @@
                      readError.message());
     }
     expireAfter(aTimeouts.mSilence);
+    const auto kind =
+      parser->is_header_done() ? KindOf(parser->get()) : ResponseKind::kFinal;
+    if (kind == ResponseKind::kInvalid || interim > kMaxInterimResponses) {
+      co_return InvalidResponse("http.receive", mAddress.Text());
+    }
+    if (kind == ResponseKind::kInterim) {
+      ++interim;
+      parser.reset();
+    }
   }
-  const bool isKeptAlive = parser.keep_alive();
-  auto message = parser.release();
+  // Surplus bytes belong to no call.
+  const bool isReusable =
+    parser->keep_alive() && aConnection->mBuffer.size() == 0;
+  auto message = parser->release();
   HttpResponse response;
   response.mStatus = message.result_int();
   response.mContentType = std::string(message[http::field::content_type]);
@@ -230,7 +272,7 @@
       { std::string(field.name_string()), std::string(field.value()) });
   }
   response.mBody = std::move(message.body());
-  if (isKeptAlive && mIdle.size() < kMaxIdleConnections) {
+  if (isReusable && mIdle.size() < kMaxIdleConnections) {
     aConnection->mIdleSince = state::BootClock::now();
     mIdle.push_back(std::move(aConnection));
   }
--- a/packages/transport/src/relay_message.cpp
+++ b/packages/transport/src/relay_message.cpp
@@ -7,6 +7,8 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include "response_kind.h"
+
 namespace shuntjunction::transport {
 
 namespace asio = boost::asio;
@@ -15,9 +17,6 @@
 
 namespace {
 
-/// Responses with a status of 1xx that may precede the final one.
-constexpr int kMaxInterimResponses = 64;
-
 /// Bytes of framing that a response may have for each byte of its body, and
 /// those that it may have without a body. A chunk of one byte has five.
 constexpr std::size_t kFramingPerBodyByte = 16;
@@ -27,7 +26,6 @@
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kBodyTooLarge = 413;
 constexpr unsigned kHeadTooLarge = 431;
-constexpr unsigned kFirstFinalStatus = 200;
 constexpr unsigned kVersion11 = 11;
 constexpr unsigned kVersion10 = 10;
 
@@ -291,9 +289,12 @@
     if (!CountFraming(parsed, message.body().size() - before)) {
       return Refuse("too much framing for its body");
     }
-    const bool isInterim = mParser->mParser.is_header_done() &&
-                           message.result_int() < kFirstFinalStatus;
-    if (isInterim) {
+    const auto kind = mParser->mParser.is_header_done() ? KindOf(message)
+                                                        : ResponseKind::kFinal;
+    if (kind == ResponseKind::kInvalid) {
+      return Refuse("invalid status, or an interim response with a body");
+    }
+    if (kind == ResponseKind::kInterim) {
       if (++mInterimResponses > kMaxInterimResponses) {
         return Refuse("too many interim responses");
       }
