A line that begins with a blank is not joined to the field before it

Callers saw: an answer in whose head a name was preceded by a blank or a tab came as a 200, with that line as a part of the field before it; in the test, of the replica's signature.

Cause: the parser replaces a folded line by a blank, as HTTP/1.0 allowed. A gateway may do that or answer 502 (RFC 9112, 5.2).

Evidence: 25 invalid names and eight invalid values in five places of an answer, five requests each: all are refused but a leading blank or tab in a line that is not the first. Those are already handled and only get their test.

Change: a head with a folded line is refused.

Measured: two of the ten cases of relay_field_names_test failed on the former code, 20 of 20 requests with such a line in each; all pass.

--- a/packages/transport/src/relay_message.cpp
+++ b/packages/transport/src/relay_message.cpp
@@ -66,6 +66,16 @@
   }
 }
 
+/// Whether a line of the head at the front of some bytes continues the one
+/// before it. The parser would join them, as if that field had been sent so.
+bool
+HasFoldedLine(std::string_view aBytes)
+{
+  const auto head = aBytes.substr(0, aBytes.find("\r\n\r\n"));
+  return head.find("\r\n ") != std::string_view::npos ||
+         head.find("\r\n\t") != std::string_view::npos;
+}
+
 template<typename Parser>
 BodyFraming
 FramingOf(const Parser& aParser)
@@ -277,6 +287,7 @@
     const auto rest = aBytes.substr(aConsumed);
     const auto& message = mParser->mParser.get();
     const auto before = message.body().size();
+    const bool wasHeaderDone = mParser->mParser.is_header_done();
     const auto parsed =
       mParser->mParser.put(asio::buffer(rest.data(), rest.size()), error);
     aConsumed += parsed;
@@ -289,8 +300,12 @@
     if (!CountFraming(parsed, message.body().size() - before)) {
       return Refuse("too much framing for its body");
     }
-    const auto kind = mParser->mParser.is_header_done() ? KindOf(message)
-                                                        : ResponseKind::kFinal;
+    const bool isHeaderDone = mParser->mParser.is_header_done();
+    // A head is parsed only when it is complete, and then at once.
+    if (isHeaderDone && !wasHeaderDone && HasFoldedLine(rest)) {
+      return Refuse("a folded line in the head");
+    }
+    const auto kind = isHeaderDone ? KindOf(message) : ResponseKind::kFinal;
     if (kind == ResponseKind::kInvalid) {
       return Refuse("invalid status, or an interim response with a body");
     }
