Trailers that arrive with their answer are not forwarded in its head

Callers saw: nothing that was reported. In a test of ours a field of an answer's trailers reached the caller in the head, and a signature that stood only there made the answer count as signed.

Cause: the parser adds trailers to the fields of the message, and was told to parse all that had arrived before the head was copied.

Evidence: the same trailer is dropped if it arrives after the body.

Change: a head is parsed alone and copied before the parser goes on.

Measured: both tests of GivenAnAnswerWithTrailers failed without the change and pass; 301 tests of answers and 79 of the transport pass.

--- a/packages/transport/include/shuntjunction/transport/relay_message.h
+++ b/packages/transport/include/shuntjunction/transport/relay_message.h
@@ -52,7 +52,7 @@
 {
   unsigned mStatus = 0;
   std::string mReason;
-  std::vector<HttpField> mFields;
+  std::vector<HttpField> mFields; ///< without trailers
   std::optional<std::uint64_t>
     mLength; ///< of the body; empty: chunked or until the connection ends
   bool mIsChunked = false;
@@ -172,6 +172,8 @@
   ParseStatus Refuse(std::string_view aProblem);
   /// Counts parsed bytes; whether they are in proportion to the body.
   bool CountFraming(std::size_t aParsed, std::size_t aOfBody);
+  /// Evaluates the head at the front of some bytes; whether it is valid.
+  bool TakeHead(std::string_view aBytes);
   void FillHead();
   void ResetParser();
 
--- a/packages/transport/src/relay_message.cpp
+++ b/packages/transport/src/relay_message.cpp
@@ -271,7 +271,8 @@
 RelayResponseReader::ResetParser()
 {
   mParser = std::make_unique<Parser>();
-  mParser->mParser.eager(true);
+  // Stops after the head, to which the parser adds the trailers.
+  mParser->mParser.eager(false);
   mParser->mParser.skip(mIsHeadRequest);
   mParser->mParser.header_limit(kMaxElementBytes);
   mParser->mParser.body_limit(boost::none);
@@ -300,21 +301,11 @@
     if (!CountFraming(parsed, message.body().size() - before)) {
       return Refuse("too much framing for its body");
     }
-    const bool isHeaderDone = mParser->mParser.is_header_done();
-    // A head is parsed only when it is complete, and then at once.
-    if (isHeaderDone && !wasHeaderDone && HasFoldedLine(rest)) {
-      return Refuse("a folded line in the head");
-    }
-    const auto kind = isHeaderDone ? KindOf(message) : ResponseKind::kFinal;
-    if (kind == ResponseKind::kInvalid) {
-      return Refuse("invalid status, or an interim response with a body");
+    const bool isHeadNew = !wasHeaderDone && mParser->mParser.is_header_done();
+    if (isHeadNew && !TakeHead(rest)) {
+      return ParseStatus::kMalformed;
     }
-    if (kind == ResponseKind::kInterim) {
-      if (++mInterimResponses > kMaxInterimResponses) {
-        return Refuse("too many interim responses");
-      }
-      ResetParser();
-    } else if (error == http::error::need_more) {
+    if (error == http::error::need_more) {
       break;
     }
   }
@@ -324,7 +315,6 @@
   }
   if (!mIsHeadReported) {
     mIsHeadReported = true;
-    FillHead();
     return parser.is_done() ? ParseStatus::kDone : ParseStatus::kHead;
   }
   return parser.is_done() ? ParseStatus::kDone : ParseStatus::kNeedMore;
@@ -337,6 +327,31 @@
   return ParseStatus::kMalformed;
 }
 
+bool
+RelayResponseReader::TakeHead(std::string_view aBytes)
+{
+  if (HasFoldedLine(aBytes)) {
+    mProblem = "a folded line in the head";
+    return false;
+  }
+  const auto kind = KindOf(mParser->mParser.get());
+  if (kind == ResponseKind::kInvalid) {
+    mProblem = "invalid status, or an interim response with a body";
+    return false;
+  }
+  if (kind == ResponseKind::kInterim) {
+    if (++mInterimResponses > kMaxInterimResponses) {
+      mProblem = "too many interim responses";
+      return false;
+    }
+    ResetParser();
+    return true;
+  }
+  FillHead();
+  mParser->mParser.eager(true);
+  return true;
+}
+
 bool
 RelayResponseReader::CountFraming(std::size_t aParsed, std::size_t aOfBody)
 {
