An object of the store that no parser accepts is refused alone

Callers saw (other operators): one odd entry among the replicas', and processes that followed the list no longer. Here: an entry that is nested more than 512 deep or holds a number with an exponent of 40 digits hid the whole list and its watch for as long as it was there.

Cause: a response with many writers' objects was parsed as one document, whose depth and numbers each writer chooses; after the error it was asked for again.

Evidence: a stand-in whose list holds an entry nested 600 deep: platform-lost with "not a JSON object", again and again. Ruled out: an object that is refused with its list (none is logged), and the stack (no process ends).

--- a/packages/state/tests/object_mirror_test.cpp
+++ b/packages/state/tests/object_mirror_test.cpp
@@ -163,6 +163,20 @@
   EXPECT_TRUE(RequestUpdate(7, mSequence).mChanges.empty());
 }
 
+// Guards against an update that is lost by the value of one object.
+TEST_F(ThatAnotherMirrorQueries, ItReceivesAValueThatNoParserAccepts)
+{
+  const std::string nested =
+    std::string(400000, '[') + "\xff" + std::string(400000, ']');
+  Change({ "e/c", 13, nested });
+  Change({ "e/d", 14, "1e" + std::string(40, '9') });
+  Change({ "e/e", 15, "3" });
+  ApplyUpdate(RequestUpdate(7, mSequence));
+  EXPECT_EQ(KeysOf(mOther.List("e/", Now())),
+            (Keys{ "e/a", "e/b", "e/c", "e/d", "e/e" }));
+  EXPECT_EQ(mOther.List("e/c", Now()).front().mValue, nested);
+}
+
 TEST_F(ThatAnotherMirrorQueries, AfterAnotherEpochItReceivesAll)
 {
   EXPECT_TRUE(RequestUpdate(6, mSequence).mIsWhole);
