--- a/packages/state/include/shuntjunction/state/json_splitter.h
+++ b/packages/state/include/shuntjunction/state/json_splitter.h
@@ -24,7 +24,7 @@
 ///
 /// Thread safety: pure.
 /// @return kInvalidArgument if the text is no object, or its members can't be
-///         told apart
+///         separated
 Result<std::vector<JsonMember>>
 SplitJsonObject(std::string_view aText);
 
--- a/packages/state/tests/json_splitter_test.cpp
+++ b/packages/state/tests/json_splitter_test.cpp
@@ -36,8 +36,8 @@
   ASSERT_EQ(members->size(), 4U);
   EXPECT_EQ(members->front().mKey, "a");
   EXPECT_EQ(MemberText(*members, "a"), "1");
-  EXPECT_EQ(MemberText(*members, "b"), "\"x,}]\"");
-  EXPECT_EQ(MemberText(*members, "c"), "{\"d\":[1,{}]}");
+  EXPECT_EQ(MemberText(*members, "b"), R"("x,}]")");
+  EXPECT_EQ(MemberText(*members, "c"), R"({"d":[1,{}]})");
   EXPECT_EQ(MemberText(*members, "e"), "null");
 }
 
@@ -63,7 +63,7 @@
   for (const auto& value : { Nested(1000000),
                              "1e" + std::string(40, '9'),
                              std::string(300, '1') }) {
-    const std::string text = "{\"a\":" + value + ",\"b\":2}";
+    const std::string text = R"({"a":)" + value + R"(,"b":2})";
     const auto members = SplitJsonObject(text);
     ASSERT_TRUE(members.has_value());
     EXPECT_EQ(MemberText(*members, "a"), value);
@@ -73,11 +73,11 @@
 
 TEST(GivenAnArray, ItsItemsAreFoundInOrder)
 {
-  const std::string text = "[1, \"]\" ,[[]],{\"a\":[]},true]";
+  const std::string text = R"([1, "]" ,[[]],{"a":[]},true])";
   const auto items = SplitJsonArray(text);
   ASSERT_TRUE(items.has_value());
   const std::vector<std::string_view> expected{
-    "1", "\"]\"", "[[]]", "{\"a\":[]}", "true"
+    "1", R"("]")", "[[]]", R"({"a":[]})", "true"
   };
   EXPECT_EQ(*items, expected);
   EXPECT_TRUE(SplitJsonArray("[]")->empty());
@@ -90,19 +90,19 @@
                             "1",
                             "{",
                             "{]",
-                            "{\"a\"}",
-                            "{\"a\":}",
-                            "{\"a\":1",
-                            "{\"a\":1,}",
-                            "{\"a\" 1}",
-                            "{\"a\":1 \"b\":2}",
+                            R"({"a"})",
+                            R"({"a":})",
+                            R"({"a":1)",
+                            R"({"a":1,})",
+                            R"({"a" 1})",
+                            R"({"a":1 "b":2})",
                             "{a:1}",
-                            "{\"a:1}",
-                            "{\"a\":\"x}",
-                            "{\"a\":[1}",
-                            "{\"a\":\"\\",
-                            "{\"a\":1}}",
-                            "{\"a\":1} x" }) {
+                            R"({"a:1})",
+                            R"({"a":"x})",
+                            R"({"a":[1})",
+                            R"({"a":"\)",
+                            R"({"a":1}})",
+                            R"({"a":1} x)" }) {
     EXPECT_FALSE(SplitJsonObject(text).has_value()) << text;
   }
 }
@@ -110,7 +110,7 @@
 TEST(GivenOtherText, NoArrayIsFound)
 {
   for (const char* text :
-       { "", "{}", "[", "[1", "[1,]", "[,1]", "[1 2]", "[1]]", "[\"a]" }) {
+       { "", "{}", "[", "[1", "[1,]", "[,1]", "[1 2]", "[1]]", R"(["a])" }) {
     EXPECT_FALSE(SplitJsonArray(text).has_value()) << text;
   }
 }
--- a/packages/transport/include/shuntjunction/transport/socket_reader.h
+++ b/packages/transport/include/shuntjunction/transport/socket_reader.h
@@ -68,7 +68,7 @@
   /// Two parts of what is written, which one segment may carry together.
   using WriteBuffers = std::array<asio::const_buffer, 2>;
 
-  /// Writes all bytes; returns whether that succeeded.
+  /// Writes all bytes; returns false if the connection failed or was closed.
   ///
   /// @pre  the buffers stay valid, and nothing else is written meanwhile
   Task<bool> Write(WriteBuffers aBuffers);
--- a/packages/transport/src/http_client.cpp
+++ b/packages/transport/src/http_client.cpp
@@ -115,7 +115,7 @@
         co_return Fail(
           ErrorCode::kTimeout, "http.header", mPeer, error.message());
       }
-      const auto kind = KindOf(mParser->get());
+      const auto kind = ResponseKindOf(mParser->get());
       if (kind == ResponseKind::kFinal) {
         co_return Result<void>{};
       }
@@ -250,8 +250,8 @@
                      readError.message());
     }
     expireAfter(aTimeouts.mSilence);
-    const auto kind =
-      parser->is_header_done() ? KindOf(parser->get()) : ResponseKind::kFinal;
+    const auto kind = parser->is_header_done() ? ResponseKindOf(parser->get())
+                                               : ResponseKind::kFinal;
     if (kind == ResponseKind::kInvalid || interim > kMaxInterimResponses) {
       co_return InvalidResponse("http.receive", mAddress.Text());
     }
--- a/packages/transport/src/relay_message.cpp
+++ b/packages/transport/src/relay_message.cpp
@@ -334,7 +334,7 @@
     mProblem = "a folded line in the head";
     return false;
   }
-  const auto kind = KindOf(mParser->mParser.get());
+  const auto kind = ResponseKindOf(mParser->mParser.get());
   if (kind == ResponseKind::kInvalid) {
     mProblem = "invalid status, or an interim response with a body";
     return false;
--- a/packages/transport/src/response_kind.cpp
+++ b/packages/transport/src/response_kind.cpp
@@ -22,7 +22,7 @@
 } // namespace
 
 ResponseKind
-KindOf(const http::response_header<>& aHead)
+ResponseKindOf(const http::response_header<>& aHead)
 {
   const auto status = aHead.result_int();
   if (status >= kFirstFinalStatus) {
--- a/packages/transport/src/response_kind.h
+++ b/packages/transport/src/response_kind.h
@@ -24,6 +24,6 @@
 /// protocol that was not requested (7.8), and an interim response with a body
 /// (RFC 9112, 6.1 and 6.2).
 ResponseKind
-KindOf(const boost::beast::http::response_header<>& aHead);
+ResponseKindOf(const boost::beast::http::response_header<>& aHead);
 
 } // namespace shuntjunction::transport
