--- a/packages/state/include/shuntjunction/state/json_splitter.h
+++ b/packages/state/include/shuntjunction/state/json_splitter.h
@@ -8,9 +8,8 @@
 
 /// Splits JSON text into its parts without parsing them.
 ///
-/// Of each part only the extent is determined: it may be nested to any depth
-/// and hold any number, and a parser that refuses it refuses nothing else.
-/// Splitting takes no memory for the nesting.
+/// Of each part only the extent is determined, which takes no memory for its
+/// nesting: a part that a parser refuses does not affect the others.
 namespace shuntjunction::state {
 
 /// A member of an object.
@@ -23,16 +22,16 @@
 /// Members of an object, in order.
 ///
 /// Thread safety: pure.
-/// @return kInvalidArgument if the text is no object, or its members can't be
-///         separated
+/// @return kInvalidArgument if the text is no object, or the end of a member is
+///         not found
 Result<std::vector<JsonMember>>
 SplitJsonObject(std::string_view aText);
 
 /// Texts of an array's items, in order.
 ///
 /// Thread safety: pure.
-/// @return kInvalidArgument if the text is no array, or its items can't be told
-///         apart
+/// @return kInvalidArgument if the text is no array, or the end of an item is
+///         not found
 Result<std::vector<std::string_view>>
 SplitJsonArray(std::string_view aText);
 
--- a/packages/transport/src/response_kind.h
+++ b/packages/transport/src/response_kind.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// Private to transport: what the head of a response says about what follows it.
+// Private to transport: whether a response is final, by its head.
 
 #include <cstdint>
 
