--- a/packages/transport/include/shuntjunction/transport/http_types.h
+++ b/packages/transport/include/shuntjunction/transport/http_types.h
@@ -30,7 +30,8 @@
   /// Target without the query.
   std::string_view Path() const;
 
-  /// Value of a query parameter, not decoded; empty when absent.
+  /// Value of a query parameter, decoded as that of a form; empty when absent
+  /// or when the target is invalid.
   std::string Query(std::string_view aName) const;
 };
 
--- a/packages/transport/src/http_types.cpp
+++ b/packages/transport/src/http_types.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/beast/core/string.hpp>
 
+#include "shuntjunction/transport/request_target.h"
+
 namespace shuntjunction::transport {
 
 std::string_view
@@ -28,20 +30,12 @@
 std::string
 HttpRequest::Query(std::string_view aName) const
 {
-  const std::size_t queryStart = mTarget.find('?');
-  if (queryStart == std::string::npos) {
+  const auto target = ParseRequestTarget(mTarget);
+  if (!target) {
     return {};
   }
-  std::string_view rest = std::string_view(mTarget).substr(queryStart + 1);
-  while (!rest.empty()) {
-    const std::string_view pair = rest.substr(0, rest.find('&'));
-    const std::size_t equals = pair.find('=');
-    if (pair.substr(0, equals) == aName && equals != std::string_view::npos) {
-      return std::string(pair.substr(equals + 1));
-    }
-    rest.remove_prefix(std::min(rest.size(), pair.size() + 1));
-  }
-  return {};
+  const auto found = target->mQuery.find(aName);
+  return found == target->mQuery.end() ? std::string() : found->second;
 }
 
 std::string_view
