Names that no header field can carry add no fields to requests

Callers saw: requests to the address of an entry whose name holds CR LF and a field carried that field as one of their own.

Cause: names from JSON, which hold any character, were appended to heads as they are: an entry's name, a team's, an event's id, a part store's address.

Ruled out: fields of callers and answers, which Beast refuses.

Change: IsFieldValue says what a field carries unchanged.

--- a/packages/coordination/src/relay_run.cpp
+++ b/packages/coordination/src/relay_run.cpp
@@ -2,8 +2,9 @@
 
 #include <random>
 
-#include "shuntjunction/state/prefix_chain.h"
+#include "shuntjunction/state/field_value.h"
 #include "shuntjunction/state/jittered_pause.h"
+#include "shuntjunction/state/prefix_chain.h"
 
 namespace shuntjunction::coordination {
 
@@ -18,6 +19,7 @@
 
 constexpr unsigned kUnauthorized = 401;
 constexpr unsigned kNoRoute = 404;
+constexpr unsigned kInternalError = 500;
 constexpr unsigned kUnavailable = 503;
 constexpr unsigned kFirstServerError = 500;
 
@@ -71,6 +73,9 @@
     co_await Refuse(kUnavailable, "stale-keys", kRetryElsewhere);
   } else if (!FindTeam()) {
     co_await Refuse(kUnauthorized, "unknown-key");
+  } else if (mTeam != nullptr && !state::IsFieldValue(mTeam->mName)) {
+    // Without its name, an endpoint would take the request for another team's.
+    co_await Refuse(kInternalError, "invalid-team-name");
   } else if (IsQuarantined()) {
     co_await Refuse(kUnavailable, kQuarantinedReason, QuarantineLeft());
   } else if (mCore->mIsRefusing) {
--- a/packages/state/src/event_splitter.cpp
+++ b/packages/state/src/event_splitter.cpp
@@ -4,6 +4,8 @@
 #include <array>
 #include <utility>
 
+#include "shuntjunction/state/field_value.h"
+
 namespace shuntjunction::state {
 
 namespace {
@@ -59,7 +61,9 @@
     const bool hasData = std::exchange(mHasData, false);
     if (mId) {
       mPosition.mLastEventId = *std::exchange(mId, std::nullopt);
-      mPosition.mIsExact = !mPosition.mLastEventId.empty();
+      // Only an id that a request can carry names a position to go on from.
+      mPosition.mIsExact =
+        !mPosition.mLastEventId.empty() && IsFieldValue(mPosition.mLastEventId);
     } else if (hasData) {
       mPosition.mIsExact = false;
     }
--- a/packages/state/tests/event_splitter_test.cpp
+++ b/packages/state/tests/event_splitter_test.cpp
@@ -97,6 +97,18 @@
   }
 }
 
+// Guards against a stream that is resumed at an id which its request can't
+// carry.
+TEST_F(GivenAStreamOfEvents, AnIdThatNoFieldCarriesMakesThePositionInexact)
+{
+  for (const char* id : { "1\x01", "\x7f", " 1", "1 ", "1\t" }) {
+    mSplitter.Put("id: " + std::string(id) + "\ndata: x\n\n");
+    EXPECT_FALSE(mSplitter.Position().mIsExact) << id;
+    mSplitter.Put("id: a b\ndata: x\n\n");
+    EXPECT_TRUE(mSplitter.Position().mIsExact) << id;
+  }
+}
+
 TEST_F(GivenAStreamOfEvents, DataThatLooksLikeAnIdIsNone)
 {
   mSplitter.Put("id: 1\ndata: x id: 5\nidle: 6\n\n");
--- a/packages/transport/include/shuntjunction/transport/request_target.h
+++ b/packages/transport/include/shuntjunction/transport/request_target.h
@@ -8,8 +8,7 @@
 
 #include "shuntjunction/state/error.h"
 
-/// Encoding of request targets whose parts are any text, and the checks of what
-/// a request's head can carry.
+/// Encoding of request targets whose parts are any text.
 namespace shuntjunction::transport {
 
 /// Encodes a text as one segment of a path (RFC 3986, 3.3).
@@ -51,11 +50,4 @@
 bool
 IsSendableTarget(std::string_view aTarget);
 
-/// Whether a field can carry a text unchanged: it has no control characters
-/// but tabs, and no blanks at its ends, which receivers remove (RFC 9110, 5.5).
-///
-/// Thread safety: may be called from any thread.
-bool
-IsFieldValue(std::string_view aText);
-
 } // namespace shuntjunction::transport
--- a/packages/transport/src/http_client.cpp
+++ b/packages/transport/src/http_client.cpp
@@ -6,7 +6,9 @@
 #include <boost/beast/http.hpp>
 
 #include "response_kind.h"
+#include "shuntjunction/state/field_value.h"
 #include "shuntjunction/transport/connect.h"
+#include "shuntjunction/transport/request_target.h"
 
 namespace shuntjunction::transport {
 
@@ -51,6 +53,27 @@
   return request;
 }
 
+/// Checks that the head of a request is read as it is meant: text of other
+/// writers in it could end a line and begin a field or a request of its own.
+Result<void>
+CheckHead(const HttpRequest& aRequest, const std::string& aPeer)
+{
+  const auto& fields = aRequest.mFields;
+  const bool isValid =
+    IsSendableTarget(aRequest.mTarget) &&
+    state::IsFieldValue(aRequest.mContentType) &&
+    std::all_of(fields.begin(), fields.end(), [](const auto& aField) {
+      return state::IsFieldValue(aField.mValue);
+    });
+  if (!isValid) {
+    return Fail(ErrorCode::kInvalidArgument,
+                "http.send",
+                aPeer,
+                "the target or a field has characters that it can't carry");
+  }
+  return {};
+}
+
 /// Error of a response after which its connection can't be used.
 tl::unexpected<state::Error>
 InvalidResponse(std::string_view aStep, std::string_view aPeer)
@@ -289,6 +312,9 @@
 Task<Result<HttpResponse>>
 HttpClient::Send(HttpRequest aRequest, CallTimeouts aTimeouts)
 {
+  if (const auto valid = CheckHead(aRequest, mAddress.Text()); !valid) {
+    co_return tl::unexpected(valid.error());
+  }
   std::unique_ptr<Connection> connection;
   while (!mIdle.empty() && !connection) {
     connection = std::move(mIdle.back());
@@ -325,6 +351,9 @@
                  Millis aTimeout,
                  std::shared_ptr<CancelHandle> aCancel)
 {
+  if (const auto valid = CheckHead(aRequest, mAddress.Text()); !valid) {
+    co_return tl::unexpected(valid.error());
+  }
   auto connection = co_await Connect(aConnectTimeout);
   if (!connection) {
     co_return tl::unexpected(connection.error());
--- a/packages/transport/src/request_target.cpp
+++ b/packages/transport/src/request_target.cpp
@@ -1,37 +1,17 @@
 #include "shuntjunction/transport/request_target.h"
 
-#include <algorithm>
-
 #include <boost/url/encode.hpp>
 #include <boost/url/parse.hpp>
 #include <boost/url/rfc/pchars.hpp>
 #include <boost/url/rfc/unreserved_chars.hpp>
 #include <boost/url/url_view.hpp>
 
+#include "shuntjunction/state/field_value.h"
+
 namespace shuntjunction::transport {
 
 namespace urls = boost::urls;
 
-namespace {
-
-/// Whether a character is one of the control characters of ASCII.
-bool
-IsControl(char aCharacter)
-{
-  constexpr unsigned char kFirstPrintable = 0x20;
-  constexpr unsigned char kDelete = 0x7f;
-  const auto byte = static_cast<unsigned char>(aCharacter);
-  return byte < kFirstPrintable || byte == kDelete;
-}
-
-bool
-IsBlank(char aCharacter)
-{
-  return aCharacter == ' ' || aCharacter == '\t';
-}
-
-} // namespace
-
 state::Result<std::string>
 EncodePathSegment(std::string_view aText)
 {
@@ -71,21 +51,8 @@
 bool
 IsSendableTarget(std::string_view aTarget)
 {
-  return !aTarget.empty() &&
-         std::none_of(aTarget.begin(), aTarget.end(), [](char aCharacter) {
-           return aCharacter == ' ' || IsControl(aCharacter);
-         });
-}
-
-bool
-IsFieldValue(std::string_view aText)
-{
-  const bool isTrimmed =
-    aText.empty() || (!IsBlank(aText.front()) && !IsBlank(aText.back()));
-  return isTrimmed &&
-         std::none_of(aText.begin(), aText.end(), [](char aCharacter) {
-           return aCharacter != '\t' && IsControl(aCharacter);
-         });
+  return !aTarget.empty() && state::IsFieldValue(aTarget) &&
+         aTarget.find_first_of(" \t") == std::string_view::npos;
 }
 
 } // namespace shuntjunction::transport
--- a/packages/transport/tests/http_client_test.cpp
+++ b/packages/transport/tests/http_client_test.cpp
@@ -214,4 +214,41 @@
 }
 
 } // namespace
+/// A request whose head another writer's text would end.
+struct InvalidHead
+{
+  const char* mName;
+  HttpRequest mRequest;
+};
+
+class GivenARequestThatNoHeadCarries
+  : public ::testing::TestWithParam<InvalidHead>
+{};
+
+TEST_P(GivenARequestThatNoHeadCarries, ItIsNotSent)
+{
+  asio::io_context context;
+  const auto acceptor = *Listen(context, { "127.0.0.1", 0 });
+  HttpClient client(LocalAddress(*acceptor), 1 << 20);
+  const auto response =
+    RunTask(context, client.Send(GetParam().mRequest, Millis(5000)));
+  ASSERT_FALSE(response.has_value());
+  EXPECT_EQ(response.error().mCode, state::ErrorCode::kInvalidArgument);
+  const auto stream = RunTask(
+    context,
+    client.Open(GetParam().mRequest, Millis(5000), Millis(5000), nullptr));
+  ASSERT_FALSE(stream.has_value());
+  EXPECT_EQ(stream.error().mCode, state::ErrorCode::kInvalidArgument);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Heads,
+  GivenARequestThatNoHeadCarries,
+  ::testing::Values(
+    InvalidHead{ "Blank", { "GET", "/a b" } },
+    InvalidHead{ "EndOfTheLine", { "GET", "/a HTTP/1.1\r\nx: y\r\n" } },
+    InvalidHead{ "Field", { "GET", "/", { { "x", "a\r\ny: z" } } } },
+    InvalidHead{ "ContentType", { "PUT", "/", {}, "a\r\ny: z" } }),
+  [](const auto& aInfo) { return std::string(aInfo.param.mName); });
+
 } // namespace shuntjunction::transport
--- a/packages/transport/tests/request_target_test.cpp
+++ b/packages/transport/tests/request_target_test.cpp
@@ -92,24 +92,4 @@
   EXPECT_FALSE(IsSendableTarget(std::string_view("/a\0b", 4)));
 }
 
-TEST(GivenAFieldsValue, OnlyWhatArrivesUnchangedIsOne)
-{
-  for (const char* text :
-       { "", "a", "a b", "a\tb", "a\xc3\xa4", "a:b,c;d\"" }) {
-    EXPECT_TRUE(IsFieldValue(text)) << text;
-  }
-  for (const char* text : { " ",
-                            " a",
-                            "a ",
-                            "\ta",
-                            "a\t",
-                            "a\r\nb: c",
-                            "a\n",
-                            "a\x01",
-                            "a\x7f" }) {
-    EXPECT_FALSE(IsFieldValue(text)) << text;
-  }
-  EXPECT_FALSE(IsFieldValue(std::string_view("a\0b", 3)));
-}
-
 } // namespace shuntjunction::transport
