Keys are encoded in requests to the own platform and by shuntctl

Operators would see: an object under a name with "#" or "?" is another one, and one with a blank can't be applied, read or deleted.

Cause: keys, prefixes and the team of "explain" went into targets as they are, and queries were read without decoding them.

Evidence: a stand-in that decodes targets as servers do.

Change: each segment of a key is encoded, prefixes and teams are encoded as query values. The stand-in of the platform refuses invalid targets.

--- a/apps/ctl_processes.cpp
+++ b/apps/ctl_processes.cpp
@@ -14,6 +14,7 @@
 #include "shuntjunction/coordination/status_writer.h"
 #include "shuntjunction/state/json_reader.h"
 #include "shuntjunction/transport/http_client.h"
+#include "shuntjunction/transport/request_target.h"
 #include "shuntjunction/transport/run_task.h"
 
 namespace shuntjunction::ctl {
@@ -154,7 +155,8 @@
   }
   HttpRequest request;
   request.mMethod = "POST";
-  request.mTarget = "/explain?team=" + mOptions.mTeam;
+  request.mTarget =
+    "/explain?team=" + transport::EncodeQueryValue(mOptions.mTeam);
   request.mContentType = "application/json";
   request.mBody = *body;
   const auto response = SendAdminRequest(std::move(request));
--- a/packages/coordination/include/shuntjunction/coordination/http_platform.h
+++ b/packages/coordination/include/shuntjunction/coordination/http_platform.h
@@ -12,7 +12,8 @@
 /// Client of the platform's HTTP service.
 ///
 /// Calls and watches use separate connections, which stay open between calls.
-/// Thread safety: none; used on one thread.
+/// The segments of a key are any text but "", "." and "..", for which calls
+/// fail with kInvalidArgument. Thread safety: none; used on one thread.
 class HttpPlatform final : public Platform
 {
 public:
--- a/packages/coordination/src/http_platform.cpp
+++ b/packages/coordination/src/http_platform.cpp
@@ -1,6 +1,9 @@
 #include "shuntjunction/coordination/http_platform.h"
 
+#include <algorithm>
+
 #include "shuntjunction/state/json_reader.h"
+#include "shuntjunction/transport/request_target.h"
 
 namespace shuntjunction::coordination {
 
@@ -24,6 +27,35 @@
 constexpr unsigned kNoObject = 404;
 constexpr unsigned kGone = 410;
 
+/// Target of the calls for one object. The segments of its key are any text.
+///
+/// Errors: those of EncodePathSegment
+Result<std::string>
+TargetOf(std::string_view aKey)
+{
+  std::string target = "/v1/objects";
+  std::size_t start = 0;
+  while (start <= aKey.size()) {
+    const auto end = std::min(aKey.find('/', start), aKey.size());
+    const auto segment =
+      transport::EncodePathSegment(aKey.substr(start, end - start));
+    if (!segment) {
+      return tl::unexpected(segment.error());
+    }
+    target += "/" + *segment;
+    start = end + 1;
+  }
+  return target;
+}
+
+/// Target of the calls for all objects with a prefix, without its other
+/// parameters.
+std::string
+PrefixTarget(std::string_view aPath, std::string_view aPrefix)
+{
+  return std::string(aPath) + "?prefix=" + transport::EncodeQueryValue(aPrefix);
+}
+
 Result<RawObject>
 ReadObject(const boost::json::value& aValue)
 {
@@ -95,7 +127,7 @@
 {
   constexpr std::string_view kStep = "platform.list";
   HttpRequest request;
-  request.mTarget = "/v1/objects?prefix=" + aPrefix;
+  request.mTarget = PrefixTarget("/v1/objects", aPrefix);
   const auto response = co_await Call(kStep, std::move(request), mTimeout);
   if (!response) {
     co_return tl::unexpected(response.error());
@@ -118,8 +150,12 @@
 HttpPlatform::Read(std::string aKey)
 {
   constexpr std::string_view kStep = "platform.read";
+  auto target = TargetOf(aKey);
+  if (!target) {
+    co_return tl::unexpected(target.error());
+  }
   HttpRequest request;
-  request.mTarget = "/v1/objects/" + aKey;
+  request.mTarget = std::move(*target);
   const auto response = co_await Call(kStep, std::move(request), mTimeout);
   if (!response) {
     co_return tl::unexpected(response.error());
@@ -144,10 +180,13 @@
                     std::uint64_t aIfRevision)
 {
   constexpr std::string_view kStep = "platform.write";
+  const auto target = TargetOf(aKey);
+  if (!target) {
+    co_return tl::unexpected(target.error());
+  }
   HttpRequest request;
   request.mMethod = "PUT";
-  request.mTarget =
-    "/v1/objects/" + aKey + "?if_revision=" + std::to_string(aIfRevision);
+  request.mTarget = *target + "?if_revision=" + std::to_string(aIfRevision);
   request.mContentType = "application/json";
   request.mBody = std::move(aValue);
   const auto response = co_await Call(kStep, std::move(request), mTimeout);
@@ -169,10 +208,13 @@
 Task<Result<void>>
 HttpPlatform::Delete(std::string aKey, std::uint64_t aIfRevision)
 {
+  const auto target = TargetOf(aKey);
+  if (!target) {
+    co_return tl::unexpected(target.error());
+  }
   HttpRequest request;
   request.mMethod = "DELETE";
-  request.mTarget =
-    "/v1/objects/" + aKey + "?if_revision=" + std::to_string(aIfRevision);
+  request.mTarget = *target + "?if_revision=" + std::to_string(aIfRevision);
   const auto response =
     co_await Call("platform.delete", std::move(request), mTimeout);
   if (!response) {
@@ -186,7 +228,7 @@
 {
   constexpr std::string_view kStep = "platform.watch";
   HttpRequest request;
-  request.mTarget = "/v1/watch?prefix=" + aPrefix +
+  request.mTarget = PrefixTarget("/v1/watch", aPrefix) +
                     "&after=" + std::to_string(aAfter) +
                     "&wait_ms=" + std::to_string(aWait.count());
   const auto response =
--- a/standins/platform_standin.cpp
+++ b/standins/platform_standin.cpp
@@ -7,6 +7,7 @@
 #include "chance.h"
 #include "json_reply.h"
 #include "shuntjunction/state/json_reader.h"
+#include "shuntjunction/transport/request_target.h"
 
 namespace shuntjunction::standins {
 
@@ -26,6 +27,17 @@
 constexpr std::size_t kMaxChanges = 20000;
 constexpr std::size_t kMaxValueBytes = 1024UL * 1024;
 
+/// Decoded path of a target.
+std::string
+PathOf(const transport::RequestTarget& aTarget)
+{
+  std::string path;
+  for (const auto& segment : aTarget.mSegments) {
+    path += "/" + segment;
+  }
+  return path;
+}
+
 json::object
 ObjectJson(const std::string& aKey,
            std::uint64_t aRevision,
@@ -106,14 +118,19 @@
 Task<HttpResponse>
 PlatformStandin::Dispatch(const HttpRequest& aRequest)
 {
-  const std::string_view path = aRequest.Path();
+  const auto target = transport::ParseRequestTarget(aRequest.mTarget);
+  if (!target) {
+    ++mCounts["invalid"];
+    co_return Refusal(400, "invalid target");
+  }
+  const std::string path = PathOf(*target);
   const bool isGet = aRequest.mMethod == "GET";
   if (path == kObjects && isGet) {
     ++mCounts["list"];
     co_return ListObjects(aRequest);
   }
   if (path.starts_with(kObjects) && path.size() > kObjects.size() + 1) {
-    const std::string key(path.substr(kObjects.size() + 1));
+    const std::string key = path.substr(kObjects.size() + 1);
     ++mCounts[isGet ? "read" : "write"];
     co_return isGet ? ReadObject(key) : WriteObject(aRequest, key);
   }
--- a/tests/configuration_test.cpp
+++ b/tests/configuration_test.cpp
@@ -225,6 +225,28 @@
   EXPECT_EQ(usable(), kAll);
 }
 
+// Guards against names that are not encoded in the requests for their objects.
+TEST_F(GivenOperators, ObjectsUnderAnyNameAreAppliedAndDeleted)
+{
+  const auto file = File("odd.json", R"({
+    "templates/slot a&b#c?d%00+e": {
+      "event": "dialysis", "levels": ["rules", "record"], "urgency": "urgent"
+    },
+  })");
+  const std::string name = "'templates/slot a&b#c?d%00+e'";
+  const auto applied =
+    RunShuntctl("apply " + Platform() + file + " --wait-ms 20000");
+  EXPECT_EQ(applied.mCode, 0) << applied.mOutput;
+  const auto shown = RunShuntctl("get " + Platform() + name);
+  EXPECT_EQ(shown.mCode, 0) << shown.mOutput;
+  auto call = Call(0);
+  call.mFields = { { "x-template", "slot a&b#c?d%00+e" } };
+  ExpectAllComplete(MakeCalls({ call }));
+  const auto deleted = RunShuntctl("delete " + Platform() + name);
+  EXPECT_EQ(deleted.mCode, 0) << deleted.mOutput;
+  EXPECT_NE(RunShuntctl("get " + Platform() + name).mCode, 0);
+}
+
 class WhenThePlatformServesOldState : public GivenOperators
 {
 protected:
