Watches that return nothing new follow each other with pauses

The store would see: up to 422 calls of one process within 5 ms, while its watches return immediately.

Cause: a watch was repeated without a pause after each call that did not fail, whatever it returned.

Evidence: a stand-in whose watches return no changes, the latest change again, or 410: 422, 143 and 367 calls in 5 ms from a process that follows three kinds.

Change: ProgressPacer pauses from the second call in a row on that neither raised the known revision nor lasted half of its wait. Feeds of relays and companions use it, and, found by reading, the configuration feed and the calls for cache events.

Measured: the three cases fail before; they, the five tests of the pacer and 490 tests of feeds and processes pass.

--- a/packages/coordination/include/shuntjunction/coordination/config_feed.h
+++ b/packages/coordination/include/shuntjunction/coordination/config_feed.h
@@ -118,6 +118,8 @@
   transport::Task<void> FollowConfig();
   transport::Task<void> FollowInstances();
   transport::Task<bool> ListAll();
+  /// For which the platform may hold a watch.
+  state::Millis WatchWait() const;
   transport::Task<bool> WatchOnce();
   transport::Task<bool> IsEpochCurrent();
   transport::Task<void> QueryPeers();
--- a/packages/coordination/src/companion.cpp
+++ b/packages/coordination/src/companion.cpp
@@ -4,6 +4,7 @@
 
 #include "companion_parts.h"
 #include "shuntjunction/coordination/peer_link.h"
+#include "shuntjunction/state/progress_pacer.h"
 
 namespace shuntjunction::coordination {
 
@@ -19,6 +20,8 @@
 
 constexpr Millis kEventsTimeout{ 5000 };
 constexpr Millis kEventsRetryDelay{ 200 };
+/// Between calls that return no new events.
+constexpr Millis kLongestEventsDelay{ 2000 };
 constexpr Millis kAcceptRetryDelay{ 50 };
 constexpr int kFailedPollsUntilDown = 3;
 
@@ -187,7 +190,10 @@
 {
   state::Incarnation incarnation = 0;
   std::uint64_t after = 0;
+  state::ProgressPacer pacer(kEventsRetryDelay, kLongestEventsDelay);
   while (true) {
+    const auto known = after;
+    const auto calledAt = mClock.Now();
     const auto events = co_await mBackend.Events(after, kEventsTimeout);
     if (!events) {
       co_await transport::Sleep(kEventsRetryDelay);
@@ -210,6 +216,10 @@
     mMetrics.Count("shuntjunction_cache_events_total",
                    {},
                    static_cast<double>(events->mEvents.size()));
+    const auto took =
+      std::chrono::duration_cast<Millis>(mClock.Now() - calledAt);
+    co_await transport::Sleep(
+      pacer.PauseAfter(after > known, took, kEventsTimeout));
   }
 }
 
--- a/packages/coordination/src/config_feed.cpp
+++ b/packages/coordination/src/config_feed.cpp
@@ -8,6 +8,7 @@
 #include "shuntjunction/state/digest.h"
 #include "shuntjunction/state/json_reader.h"
 #include "shuntjunction/state/prefix_chain.h"
+#include "shuntjunction/state/progress_pacer.h"
 
 namespace shuntjunction::coordination {
 
@@ -22,6 +23,15 @@
 constexpr Millis kFirstWatch{ 500 };
 constexpr double kJitter = 0.5; ///< fraction by which a pause may be longer
 
+/// Longest pause between calls that return nothing new.
+constexpr Millis kLongestPause{ 2000 };
+
+Millis
+MillisSince(state::TimePoint aTime)
+{
+  return std::chrono::duration_cast<Millis>(state::BootClock::now() - aTime);
+}
+
 } // namespace
 
 ConfigFeed::ConfigFeed(boost::asio::io_context& aContext,
@@ -127,14 +137,19 @@
   co_return outcome != MergeOutcome::kOlder;
 }
 
+Millis
+ConfigFeed::WatchWait() const
+{
+  // Only the list of instances tells whether this process has to watch at all.
+  return mInstances->empty() ? kFirstWatch : mSettings.mWatchTimeout;
+}
+
 Task<bool>
 ConfigFeed::WatchOnce()
 {
   ++mCounters.mPlatformCalls;
   const std::uint64_t after = mStore.Cursor().mRevision;
-  // Only the list of instances tells whether this process has to watch at all.
-  const Millis wait =
-    mInstances->empty() ? kFirstWatch : mSettings.mWatchTimeout;
+  const Millis wait = WatchWait();
   const auto watch =
     co_await mPlatform.Watch(std::string(state::kConfigPrefix), after, wait);
   if (!watch) {
@@ -183,6 +198,7 @@
 ConfigFeed::FollowConfig()
 {
   bool isListed = false;
+  state::ProgressPacer pacer(mSettings.mRetryPause, kLongestPause);
   while (true) {
     if (isListed && !IsWatcher()) {
       mHasWatchers = co_await QueryWatchers();
@@ -192,9 +208,14 @@
       }
     }
     mHasWatchers = false;
+    const auto before = mStore.Cursor();
+    const auto calledAt = state::BootClock::now();
+    const Millis wait = isListed ? WatchWait() : Millis(0);
     const bool isGood = isListed ? co_await WatchOnce() : co_await ListAll();
     if (isGood) {
       isListed = true;
+      co_await transport::Sleep(Jittered(pacer.PauseAfter(
+        mStore.Cursor() != before, MillisSince(calledAt), wait)));
       continue;
     }
     // Changes may have been missed meanwhile: list again.
@@ -239,6 +260,7 @@
 ConfigFeed::FollowInstances()
 {
   bool isFirst = true;
+  state::ProgressPacer pacer(mSettings.mRetryPause, kLongestPause);
   while (true) {
     if (!isFirst && mHasWatchers) {
       co_await PauseBetweenQueries();
@@ -246,6 +268,7 @@
     }
     ++mCounters.mPlatformCalls;
     const std::uint64_t after = isFirst ? 0 : mInstancesRevision;
+    const auto calledAt = state::BootClock::now();
     const auto list =
       co_await mPlatform.Instances(after, mSettings.mWatchTimeout);
     if (!list) {
@@ -264,6 +287,10 @@
         list->mInstances);
       Publish();
     }
+    co_await transport::Sleep(
+      Jittered(pacer.PauseAfter(list->mRevision > after,
+                                MillisSince(calledAt),
+                                mSettings.mWatchTimeout)));
   }
 }
 
--- a/packages/coordination/src/relay_feed.cpp
+++ b/packages/coordination/src/relay_feed.cpp
@@ -8,6 +8,7 @@
 
 #include "relay_feed_topic.h"
 #include "shuntjunction/state/jittered_pause.h"
+#include "shuntjunction/state/progress_pacer.h"
 
 namespace shuntjunction::coordination {
 
@@ -258,8 +259,11 @@
 Task<void>
 RelayFeed::Follow(Topic& aTopic)
 {
+  state::ProgressPacer pacer(mSettings.mFirstPause, mSettings.mLongestPause);
   while (IsFollowed(aTopic)) {
-    aTopic.mRequestedAt = mClock.Now();
+    const auto calledAt = mClock.Now();
+    const auto revision = aTopic.mRevision;
+    aTopic.mRequestedAt = calledAt;
     aTopic.mIsAbandoned = false;
     Result<void> done;
     if (aTopic.mIsListed) {
@@ -271,6 +275,13 @@
     aTopic.mRequestedAt.reset();
     if (done) {
       NoteSuccess(aTopic);
+      // A mirror is updated at intervals of its own.
+      const bool isNew = aTopic.mRevision > revision || aTopic.mIsMirrored;
+      const auto pause = pacer.PauseAfter(
+        isNew, Millis(MillisSince(calledAt)), aTopic.mAllowedWait);
+      if (pause > Millis(0)) {
+        co_await transport::Sleep(state::JitteredPause(pause, mRandom));
+      }
       continue;
     }
     if (aTopic.mIsAbandoned) {
@@ -299,6 +310,7 @@
     co_return tl::unexpected(list.error());
   }
   NoteStoreAnswer();
+  aTopic.mIsMirrored = list->mMirrorFreshness.has_value();
   const auto requestedAt = *std::exchange(aTopic.mRequestedAt, std::nullopt);
   const auto askedAt = NoteSource(list->mMirrorFreshness, requestedAt);
   aTopic.mIsListed = true;
@@ -331,6 +343,7 @@
     co_return tl::unexpected(answer.error());
   }
   NoteStoreAnswer();
+  aTopic.mIsMirrored = answer->mMirrorFreshness.has_value();
   if (answer->mIsGap) {
     aTopic.mIsListed = false;
     mHasEndpointGap |= &aTopic == mEndpointTopic.get();
--- a/packages/coordination/src/relay_feed_topic.h
+++ b/packages/coordination/src/relay_feed_topic.h
@@ -40,6 +40,7 @@
   state::Millis mAllowedWait{ 0 };
   bool mIsAbandoned = false; ///< that call was cancelled by this process itself
   state::Millis mPause{ 0 };
+  bool mIsMirrored = false; ///< the last answer came from a watcher's mirror
 };
 
 } // namespace shuntjunction::coordination
