Names begin no lines in logs as text and in tables

Operators would see: lines of a log that no process wrote, from the name of an object with a line end.

Cause: messages and cells of tables were written as they are.

Evidence: a refused object named "a\nfake-line" gives two lines of the router's log that begin with "fake-line".

Change: control characters are escaped in messages and cells. JSON logs and metrics were right already.

--- a/apps/ctl_commands.cpp
+++ b/apps/ctl_commands.cpp
@@ -10,6 +10,7 @@
 #include "ctl_text.h"
 #include "shuntjunction/coordination/http_platform.h"
 #include "shuntjunction/state/json_reader.h"
+#include "shuntjunction/state/printable_text.h"
 #include "shuntjunction/transport/http_client.h"
 #include "shuntjunction/transport/run_task.h"
 
@@ -132,10 +133,14 @@
     mOut << json::serialize(list) << "\n";
     return;
   }
+  auto rows = aRows;
+  for (auto& row : rows) {
+    std::transform(row.begin(), row.end(), row.begin(), state::PrintableText);
+  }
   std::vector<std::size_t> widths;
   for (std::size_t i = 0; i < aHeader.size(); ++i) {
     std::size_t width = aHeader[i].size();
-    for (const auto& row : aRows) {
+    for (const auto& row : rows) {
       width = std::max(width, row[i].size());
     }
     widths.push_back(width);
@@ -150,7 +155,7 @@
     mOut << "\n";
   };
   print(aHeader);
-  for (const auto& row : aRows) {
+  for (const auto& row : rows) {
     print(row);
   }
 }
--- a/packages/coordination/src/log.cpp
+++ b/packages/coordination/src/log.cpp
@@ -11,6 +11,8 @@
 #include <log4cplus/mdc.h>
 #include <log4cplus/spi/loggingevent.h>
 
+#include "shuntjunction/state/printable_text.h"
+
 namespace shuntjunction::coordination {
 
 namespace {
@@ -99,6 +101,7 @@
     log4cplus::getMDC().put("request", std::string(aRequestId));
   }
   line += aText;
+  line = state::PrintableText(line);
   mLogger.forcedLog(aLevel, line);
   if (!aRequestId.empty()) {
     log4cplus::getMDC().remove("request");
--- a/tests/configuration_test.cpp
+++ b/tests/configuration_test.cpp
@@ -247,6 +247,25 @@
   EXPECT_NE(RunShuntctl("get " + Platform() + name).mCode, 0);
 }
 
+// Guards against names that begin lines of the log or rows of a table.
+TEST_F(GivenOperators, ANameWithALineEndBeginsNoLine)
+{
+  mFleet.Apply("config/teams/a%0Afake-line", R"({"keyDigests":["none"]})");
+  const auto file = File("late.json", R"({ "models/late": { "weights": 5 } })");
+  const auto applied =
+    RunShuntctl("apply " + Platform() + file + " --wait-ms 20000");
+  ASSERT_EQ(applied.mCode, 0) << applied.mOutput;
+  const auto shown = RunShuntctl("get " + Platform() + "teams");
+  EXPECT_NE(shown.mOutput.find("a\\x0afake-line"), std::string::npos);
+  std::ifstream log(mFleet.Process("router-1").mLog);
+  bool isNamed = false;
+  for (std::string line; std::getline(log, line);) {
+    EXPECT_FALSE(line.starts_with("fake-line")) << line;
+    isNamed = isNamed || line.find("a\\x0afake-line") != std::string::npos;
+  }
+  EXPECT_TRUE(isNamed);
+}
+
 class WhenThePlatformServesOldState : public GivenOperators
 {
 protected:
