A value that is no UTF-8 hides no other object of the own platform

Operators would see: no process that starts has a configuration while one object's value is no UTF-8.

Change: these texts are parsed as those of several writers; the value itself is still parsed strictly and its object is quarantined alone.

Measured: three tests fail before and pass, with 127 of processes and configuration.

--- a/packages/coordination/src/config_feed_peers.cpp
+++ b/packages/coordination/src/config_feed_peers.cpp
@@ -140,7 +140,7 @@
               " were rejected: " + aError.Describe() + ".");
     return false;
   };
-  const auto value = state::ParseJson(aText, "instances");
+  const auto value = state::ParseUntrustedJson(aText, "instances");
   if (!value) {
     return refuse(value.error());
   }
--- a/packages/coordination/src/http_platform.cpp
+++ b/packages/coordination/src/http_platform.cpp
@@ -132,7 +132,7 @@
   if (!response) {
     co_return tl::unexpected(response.error());
   }
-  const auto value = state::ParseJson(response->mBody, "list");
+  const auto value = state::ParseUntrustedJson(response->mBody, "list");
   if (!value) {
     co_return InvalidResponse(value.error(), kStep, mClient.Peer().Text());
   }
@@ -163,7 +163,7 @@
   if (response->mStatus == kNoObject) {
     co_return std::optional<RawObject>();
   }
-  const auto value = state::ParseJson(response->mBody, "object");
+  const auto value = state::ParseUntrustedJson(response->mBody, "object");
   if (!value) {
     co_return InvalidResponse(value.error(), kStep, mClient.Peer().Text());
   }
@@ -193,7 +193,7 @@
   if (!response) {
     co_return tl::unexpected(response.error());
   }
-  const auto value = state::ParseJson(response->mBody, "answer");
+  const auto value = state::ParseUntrustedJson(response->mBody, "answer");
   if (!value) {
     co_return InvalidResponse(value.error(), kStep, mClient.Peer().Text());
   }
@@ -241,7 +241,7 @@
     watch.mIsGap = true;
     co_return watch;
   }
-  const auto value = state::ParseJson(response->mBody, "watch");
+  const auto value = state::ParseUntrustedJson(response->mBody, "watch");
   if (!value) {
     co_return InvalidResponse(value.error(), kStep, mClient.Peer().Text());
   }
@@ -266,7 +266,7 @@
   if (!response) {
     co_return tl::unexpected(response.error());
   }
-  const auto value = state::ParseJson(response->mBody, "instances");
+  const auto value = state::ParseUntrustedJson(response->mBody, "instances");
   if (!value) {
     co_return InvalidResponse(value.error(), kStep, mClient.Peer().Text());
   }
--- a/packages/state/src/config_store.cpp
+++ b/packages/state/src/config_store.cpp
@@ -251,7 +251,7 @@
     aError.mPeer = aPeer;
     return tl::unexpected<Error>(std::move(aError));
   };
-  const auto value = ParseJson(aText, "snapshot");
+  const auto value = ParseUntrustedJson(aText, "snapshot");
   if (!value) {
     return refuse(value.error());
   }
--- a/packages/state/src/recent_changes.cpp
+++ b/packages/state/src/recent_changes.cpp
@@ -48,7 +48,7 @@
 Result<ConfigChanges>
 ReadConfigChanges(std::string_view aText, std::string_view aPeer)
 {
-  const auto value = ParseJson(aText, "changes");
+  const auto value = ParseUntrustedJson(aText, "changes");
   if (!value) {
     return tl::unexpected<Error>(value.error());
   }
--- a/packages/state/tests/config_test.cpp
+++ b/packages/state/tests/config_test.cpp
@@ -188,6 +188,18 @@
   }
 }
 
+// Guards against a value that spoils the snapshot for all peers.
+TEST_F(InForce, AnObjectThatIsNoUtf8IsQuarantinedAtPeersToo)
+{
+  mStore.ApplyChanges(11, { { "config/models/n", 11, "\"\xff\"" } });
+  ASSERT_EQ(mStore.Current()->mQuarantined.size(), 1U);
+  ConfigStore peer;
+  const auto applied = peer.ApplyPeer(mStore.Serialize(), "peer");
+  ASSERT_TRUE(applied.has_value()) << applied.error().Describe();
+  EXPECT_EQ(peer.Current()->mModels.at("m").mWeights, 4U);
+  EXPECT_EQ(peer.Current()->mQuarantined.size(), 1U);
+}
+
 TEST_F(InForce, ARestoredPlatformIsAcceptedOnlyInANewEpoch)
 {
   EXPECT_EQ(mStore.ApplyList(6, { Model(5, 1) }), MergeOutcome::kOlder);
--- a/packages/state/tests/recent_changes_test.cpp
+++ b/packages/state/tests/recent_changes_test.cpp
@@ -36,6 +36,17 @@
   ConfigStore mOther;
 };
 
+// Guards against a value that spoils all changes.
+TEST_F(GivenTwoProcesses, AChangeThatIsNoUtf8HidesNoOther)
+{
+  mWatcher.ApplyChanges(
+    12, { { "config/models/b", 11, "\"\xff\"" }, Model("c", 12) });
+  const auto applied = mOther.ApplyPeer(PendingChanges(), "w");
+  ASSERT_TRUE(applied.has_value()) << applied.error().Describe();
+  EXPECT_EQ(mOther.Version(), mWatcher.Version());
+  EXPECT_TRUE(mOther.Current()->mModels.contains("c"));
+}
+
 TEST_F(GivenTwoProcesses, OnlyChangesAreSent)
 {
   mWatcher.ApplyChanges(12, { Model("c", 12) });
--- a/tests/platform_keys_test.cpp
+++ b/tests/platform_keys_test.cpp
@@ -37,10 +37,10 @@
            { "Quotes", "claims/0ab/\"\\/x" } };
 }
 
-class GivenAKey : public ::testing::TestWithParam<KeyCase>
+class GivenAPlatform : public ::testing::Test
 {
 protected:
-  GivenAKey()
+  GivenAPlatform()
     : mPlatform(1)
     , mServer(mContext, state::LimitSettings{}, mPlatform)
     , mClient(*mServer.Start({ "127.0.0.1", 0 }), Millis(5000))
@@ -67,6 +67,26 @@
   coordination::HttpPlatform mClient;
 };
 
+// Guards against one value that hides all objects.
+TEST_F(GivenAPlatform, AValueThatIsNoUtf8HidesNoOther)
+{
+  const auto odd = Run(mClient.Write("config/teams/odd", "\"\xff\"", 0));
+  ASSERT_TRUE(odd.has_value());
+  ASSERT_TRUE(Run(mClient.Write("config/teams/other", "1", 0)).has_value());
+  const auto list = Run(mClient.List("config/"));
+  ASSERT_TRUE(list.has_value()) << list.error().Describe();
+  EXPECT_EQ(list->mObjects.size(), 2U);
+  const auto watch = Run(mClient.Watch("config/", *odd - 1, Millis(0)));
+  ASSERT_TRUE(watch.has_value()) << watch.error().Describe();
+  EXPECT_EQ(watch->mChanges.size(), 2U);
+  EXPECT_TRUE(Run(mClient.Read("config/teams/odd")).has_value());
+}
+
+class GivenAKey
+  : public GivenAPlatform
+  , public ::testing::WithParamInterface<KeyCase>
+{};
+
 } // namespace
 
 TEST_P(GivenAKey, ItsCallsReachItsObject)
