A status of another writer ends no companion and no command

Operators would see: companions that end one after the other while weights change, and shuntctl that aborts, while an odd object stands under status/.

Cause: conversions that throw, on numbers and fields that any writer may have chosen.

Change: both convert with an error code; such a status counts as not yet loaded or not in force. No other throwing conversion of a store's object was found by reading.

--- a/apps/ctl_processes.cpp
+++ b/apps/ctl_processes.cpp
@@ -29,6 +29,26 @@
 constexpr Millis kWatchWait{ 20000 };
 constexpr Millis kActivationPollInterval{ 200 };
 
+/// Field of a status as it is printed; "-" when absent.
+std::string
+TextOf(const json::object& aStatus, std::string_view aKey)
+{
+  const auto* value = aStatus.if_contains(aKey);
+  return value == nullptr ? std::string("-") : FormatValue(*value);
+}
+
+/// Field of a status, which any writer may have written; 0 if it is no unsigned
+/// number.
+std::uint64_t
+NumberOf(const json::object& aStatus, std::string_view aKey)
+{
+  const auto* value = aStatus.if_contains(aKey);
+  json::error_code error;
+  const auto number =
+    value == nullptr ? 0 : value->to_number<std::uint64_t>(error);
+  return error ? 0 : number;
+}
+
 } // namespace
 
 Result<std::vector<json::object>>
@@ -55,10 +75,6 @@
   if (!statuses) {
     return ReportError(statuses.error());
   }
-  const auto text = [](const json::object& aStatus, std::string_view aKey) {
-    const auto* value = aStatus.if_contains(aKey);
-    return value == nullptr ? std::string("-") : FormatValue(*value);
-  };
   const Row header{ "name",     "role",  "zone",    "epoch", "version",
                     "stopping", "model", "weights", "admin", "quarantined" };
   std::vector<Row> rows;
@@ -66,7 +82,7 @@
     Row row;
     row.reserve(header.size());
     for (const auto& key : header) {
-      row.push_back(text(status, key));
+      row.push_back(TextOf(status, key));
     }
     rows.push_back(std::move(row));
   }
@@ -110,8 +126,7 @@
   }
   std::uint64_t maxEpoch = 0;
   for (const auto& status : *statuses) {
-    maxEpoch =
-      std::max(maxEpoch, status.at("epoch").to_number<std::uint64_t>());
+    maxEpoch = std::max(maxEpoch, NumberOf(status, "epoch"));
   }
   if (*found) {
     const auto value = state::ParseJson((*found)->mValue, state::kEpochKey);
@@ -212,11 +227,10 @@
   for (const auto& instance : live->mInstances) {
     const auto reported = std::find_if(
       statuses->begin(), statuses->end(), [&](const auto& aStatus) {
-        return FormatValue(aStatus.at("name")) == instance.mName;
+        return TextOf(aStatus, "name") == instance.mName;
       });
-    const bool isActive =
-      reported != statuses->end() &&
-      reported->at("version").template to_number<std::uint64_t>() >= aRevision;
+    const bool isActive = reported != statuses->end() &&
+                          NumberOf(*reported, "version") >= aRevision;
     if (!instance.mIsLeaving && !isActive) {
       outdated.push_back(instance.mName);
     }
--- a/packages/coordination/src/engine_reconciler.cpp
+++ b/packages/coordination/src/engine_reconciler.cpp
@@ -256,8 +256,11 @@
       const auto* status = value ? value->if_object() : nullptr;
       const auto* weights =
         status == nullptr ? nullptr : status->if_contains("weights");
-      if (weights != nullptr && weights->is_number() &&
-          weights->to_number<std::uint32_t>() == aWeights) {
+      // Any writer may have written it, also a number that no type holds.
+      json::error_code error;
+      const auto loaded =
+        weights == nullptr ? 0 : weights->to_number<std::uint32_t>(error);
+      if (weights != nullptr && !error && loaded == aWeights) {
         ++changed;
       }
     }
--- a/tests/configuration_test.cpp
+++ b/tests/configuration_test.cpp
@@ -247,6 +247,22 @@
   EXPECT_NE(RunShuntctl("get " + Platform() + name).mCode, 0);
 }
 
+// Guards against a status of another writer that ends the command.
+TEST_F(GivenOperators, AnOddStatusEndsNoCommand)
+{
+  mFleet.Apply("status/a-odd", "{}");
+  mFleet.Apply("status/b-odd", R"({"name":7,"version":"x","epoch":-1})");
+  const auto file = File("late.json", R"({ "models/late": { "weights": 5 } })");
+  const auto applied =
+    RunShuntctl("apply " + Platform() + file + " --wait-ms 20000");
+  EXPECT_EQ(applied.mCode, 0) << applied.mOutput;
+  const auto shown = RunShuntctl("status " + Platform());
+  EXPECT_EQ(shown.mCode, 0) << shown.mOutput;
+  EXPECT_NE(shown.mOutput.find("router-1"), std::string::npos);
+  const auto adopted = RunShuntctl("adopt " + Platform());
+  EXPECT_EQ(adopted.mCode, 0) << adopted.mOutput;
+}
+
 // Guards against names that begin lines of the log or rows of a table.
 TEST_F(GivenOperators, ANameWithALineEndBeginsNoLine)
 {
--- a/tests/orders_test.cpp
+++ b/tests/orders_test.cpp
@@ -80,6 +80,37 @@
   }
 };
 
+class BesideOddStatuses : public GivenAReplacedInstance
+{
+protected:
+  /// Declares endpoints without processes, whose batches come before others',
+  /// and writes a status for each.
+  void SetStatuses(const std::string& aStatus)
+  {
+    for (int i = 1; i <= kDeclared; ++i) {
+      const std::string name = "declared-" + std::to_string(i);
+      mFleet.Apply("config/endpoints/" + name,
+                   std::string(R"({"model":")") + kModel + "\"}");
+      mFleet.Apply("status/" + name, aStatus);
+    }
+  }
+
+  static constexpr int kDeclared = 8;
+};
+
+// Guards against a number in another writer's object that ends companions.
+TEST_F(BesideOddStatuses, CompanionsLoadOnceTheyAreReplaced)
+{
+  for (const char* weights : { "-1", "1e30", "2.5", "99999999999" }) {
+    SetStatuses(std::string(R"({"weights":)") + weights + "}");
+    OrderWeights(2);
+    std::this_thread::sleep_for(Millis(700));
+  }
+  SetStatuses(R"({"weights":2})");
+  ExpectAllLoad(2);
+  ExpectCompleteAnswersOf(2);
+}
+
 class OnEnginesThatCheckFences : public GivenAReplacedInstance
 {};
 
