--- a/packages/coordination/src/config_feed.cpp
+++ b/packages/coordination/src/config_feed.cpp
@@ -140,7 +140,7 @@
 Millis
 ConfigFeed::WatchWait() const
 {
-  // Only the list of instances tells whether this process has to watch at all.
+  // Without instances it is unknown whether this process is a watcher.
   return mInstances->empty() ? kFirstWatch : mSettings.mWatchTimeout;
 }
 
